Serve one whole path across processes

Cause: the repository was empty; the first landing is one request that crosses real, separate processes from operator intent to target and back.

--- /dev/null
+++ b/internal/control/build.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/transport"
+	"github.com/basillink/basillink/operator"
+)
+
+// publish builds a snapshot from the state and makes it visible to traffic.
+func (l *Loop) publish() {
+	previous := l.snapshot.Load()
+	next := &Snapshot{
+		Revision: l.state.Revision,
+		Through:  l.state.Through,
+		Services: make(map[string]*Service, len(l.state.Services)),
+	}
+	for name, entry := range l.state.Services {
+		if old := previous.service(name); old != nil && old.Revision == entry.Revision {
+			next.Services[name] = old
+			continue
+		}
+		next.Services[name] = l.buildService(entry, previous.service(name))
+	}
+	l.snapshot.Store(next)
+	l.closeUnusedPools(next)
+	l.log.Info("Configuration is in force.", "revision", next.Revision, "services", len(next.Services))
+}
+
+func (s *Snapshot) service(name string) *Service {
+	if s == nil {
+		return nil
+	}
+	return s.Services[name]
+}
+
+func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
+	config := balancer.Config{Service: entry.Spec.Name, ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest}
+	for _, target := range entry.Spec.Targets {
+		if target.State == operator.TargetLeaving {
+			continue
+		}
+		service.Targets = append(service.Targets, &Target{
+			Address: target.Address,
+			Zone:    target.Zone,
+			Pool:    l.pool(target.Address, &entry.Spec),
+		})
+		config.Targets = append(config.Targets, balancer.Target{
+			Address:  target.Address,
+			SameZone: target.Zone == l.zone,
+			Slots:    entry.Spec.SlotsPerTarget,
+		})
+	}
+	var old balancer.Policy
+	if previous != nil {
+		old = previous.Policy
+	}
+	service.Policy = l.builder.Build(config, old)
+	return service
+}
+
+func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
+	pool := l.pools[address]
+	if pool == nil {
+		pool = transport.NewPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
+		l.pools[address] = pool
+	}
+	return pool
+}
+
+func (l *Loop) closeUnusedPools(s *Snapshot) {
+	used := map[string]bool{}
+	for _, service := range s.Services {
+		for _, target := range service.Targets {
+			used[target.Address] = true
+		}
+	}
+	for address, pool := range l.pools {
+		if !used[address] {
+			pool.CloseIdle()
+			delete(l.pools, address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/reader.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+const (
+	readPageRecords = 256
+	readWait        = 2 * time.Second
+	readBackoffBase = 100 * time.Millisecond
+	readBackoffMax  = 5 * time.Second
+)
+
+// Reader follows the log and delivers its pages to a loop.
+type Reader struct {
+	Log    platform.Log
+	Loop   *Loop
+	Random *rand.Rand
+	Logger *slog.Logger
+}
+
+// Run follows the log until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	backoff := platform.Backoff{Base: readBackoffBase, Max: readBackoffMax}
+	next := platform.Offset(1)
+	for ctx.Err() == nil {
+		page, err := r.Log.Read(ctx, next, readPageRecords, readWait)
+		if err == nil {
+			next, err = r.deliver(ctx, page)
+		}
+		if err == nil {
+			backoff.Reset()
+			continue
+		}
+		r.Logger.Warn("Cannot read the log.", "error", err)
+		sleep(ctx, backoff.Next(r.Random))
+	}
+}
+
+func (r *Reader) deliver(ctx context.Context, page platform.Page) (platform.Offset, error) {
+	through, err := r.Loop.Deliver(ctx, page)
+	return through + 1, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/transport"
+	"github.com/basillink/basillink/operator"
+)
+
+// Snapshot is the configuration that traffic goroutines use. It is immutable.
+type Snapshot struct {
+	// Revision is the offset of the last accepted change.
+	Revision platform.Offset
+	// Through is the offset of the last folded record.
+	Through  platform.Offset
+	Services map[string]*Service
+}
+
+// Service is one service in force. It is immutable; the policy and the pools synchronize themselves.
+type Service struct {
+	Spec     operator.Service
+	Revision platform.Offset
+	// Targets are the targets that may receive requests, in the order of the policy's indexes.
+	Targets []*Target
+	Policy  balancer.Policy
+}
+
+// Target is one target that may receive requests.
+type Target struct {
+	Address string
+	Zone    string
+	Pool    *transport.Pool
+}
+
+// Class returns the first class that matches the method and path, or the named one.
+func (s *Service) Class(name, method, path string) *operator.Class {
+	for i := range s.Spec.Classes {
+		class := &s.Spec.Classes[i]
+		if name == class.Name || (name == "" && matches(class, method, path)) {
+			return class
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/e2e/main_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/daemon"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/internal/telemetry"
+)
+
+// roleVariable selects what a copy of the test binary runs instead of the tests.
+const roleVariable = "BASILLINK_TEST_ROLE"
+
+func TestMain(m *testing.M) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	switch role, argument, _ := strings.Cut(os.Getenv(roleVariable), " "); role {
+	case "":
+		os.Exit(m.Run())
+	case "daemon":
+		runDaemon(ctx, argument)
+	case "platform":
+		runPlatform(ctx, argument)
+	case "target":
+		runTarget(ctx, argument)
+	}
+}
+
+func runDaemon(ctx context.Context, file string) {
+	s, err := settings.Load(file)
+	exitOn(err)
+	d, err := daemon.New(s, telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format))
+	exitOn(err)
+	exitOn(d.Run(ctx))
+}
+
+// runPlatform serves a log and a list. The argument holds its address and the listed instances as
+// "id=admin address".
+func runPlatform(ctx context.Context, argument string) {
+	fields := strings.Fields(argument)
+	list := standin.NewList(0)
+	var instances []platform.ListedInstance
+	for _, field := range fields[1:] {
+		id, adminAddress, _ := strings.Cut(field, "=")
+		instances = append(instances, platform.ListedInstance{ID: id, AdminAddress: adminAddress, State: platform.ListedLive})
+	}
+	list.Set(instances)
+	server := standin.NewPlatformServer(fields[0], standin.NewLog(), list)
+	go func() { exitOn(server.Run()) }()
+	<-ctx.Done()
+}
+
+func runTarget(ctx context.Context, address string) {
+	target, err := standin.NewTarget(address, 6)
+	exitOn(err)
+	go func() { exitOn(target.Run()) }()
+	<-ctx.Done()
+}
+
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// start runs a copy of the test binary in a role and kills it when the test ends.
+func start(t *testing.T, role string) *exec.Cmd {
+	t.Helper()
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), roleVariable+"="+role)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+// eventually waits until check succeeds.
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	const limit = 15 * time.Second
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, limit)
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,146 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/basillink/basillink/internal/client"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/operator"
+)
+
+// freeAddresses returns loopback addresses with ports that were free a moment ago.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses
+}
+
+func writeSettings(t *testing.T, id, platformAddress string, listen []string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), id+".toml")
+	text := fmt.Sprintf(`
+[instance]
+id = %q
+zone = "tz-north-a"
+
+[listen]
+caller = %q
+admin = %q
+peer = %q
+
+[platform]
+address = %q
+
+[peer]
+secret = "a secret of the test fleet"
+`, id, listen[0], listen[1], listen[2], platformAddress)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// get sends one lookup and returns the status and the body.
+func get(address, path, token string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set(standin.TokenHeader, token)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(body), err
+}
+
+// Guards against a whole path that works only inside one process: a platform, two targets and three instances
+// run as separate processes, and killing one instance must not keep another from serving.
+func TestServeAcrossProcesses(t *testing.T) {
+	addresses := freeAddresses(t, 12)
+	platformAddress, targets, listeners := addresses[0], addresses[1:3], addresses[3:]
+	start(t, "platform "+platformAddress+" i1="+listeners[1]+" i2="+listeners[4]+" i3="+listeners[7])
+	for _, address := range targets {
+		start(t, "target "+address)
+	}
+	first := start(t, "daemon "+writeSettings(t, "i1", platformAddress, listeners[0:3]))
+	start(t, "daemon "+writeSettings(t, "i2", platformAddress, listeners[3:6]))
+	start(t, "daemon "+writeSettings(t, "i3", platformAddress, listeners[6:9]))
+
+	log := platform.NewClient(platformAddress)
+	publishFlightdesk(t, log, targets)
+	eventually(t, "the revision in force on all instances", func() bool {
+		list, err := client.FleetStatus(context.Background(), log)
+		return err == nil && len(list) == 3 && allAt(list, 1)
+	})
+	for i, address := range []string{listeners[0], listeners[3], listeners[6]} {
+		expectEcho(t, address, fmt.Sprintf("before-%d", i))
+	}
+	if err := first.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 20 {
+		expectEcho(t, listeners[3], fmt.Sprintf("after-%d", i))
+	}
+}
+
+func publishFlightdesk(t *testing.T, log platform.Log, targets []string) {
+	t.Helper()
+	service := operator.Service{
+		Name:    "flightdesk",
+		Region:  "tz-north",
+		Zones:   []string{"tz-north-a"},
+		Classes: []operator.Class{{Name: "lookup", Methods: []string{"GET"}, Repeatable: true}},
+	}
+	for _, address := range targets {
+		service.Targets = append(service.Targets, operator.Target{Address: address, Zone: "tz-north-a"})
+	}
+	service.Provision()
+	eventually(t, "a reachable platform", func() bool {
+		_, err := client.ReadState(context.Background(), log)
+		return err == nil
+	})
+	state, err := client.ReadState(context.Background(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Publish(context.Background(), log, state, "test", service); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func allAt(list []client.InstanceStatus, revision platform.Offset) bool {
+	for _, s := range list {
+		if s.Status == nil || s.Status.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func expectEcho(t *testing.T, address, token string) {
+	t.Helper()
+	status, body, err := get(address, "/flightdesk/slots?day=sat", token)
+	if err != nil || status != http.StatusOK || !strings.Contains(body, "GET /slots?day=sat token="+token+" ") {
+		t.Fatalf("status %d, body %q, error %v", status, body, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/operator"
+)
+
+const (
+	maxAttempts     = 8
+	defaultAttempts = 3
+)
+
+// call is a caller's request after parsing.
+type call struct {
+	serviceName string
+	service     *control.Service
+	class       *operator.Class
+	// uri is the path and query that the target sees.
+	uri      string
+	timeout  time.Duration
+	attempts int
+}
+
+// parse reads the routing headers of a request. The returned call names the service even with a refusal.
+func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
+	parsed := &call{}
+	path := string(c.Request.RequestURI())
+	parsed.serviceName, parsed.uri = splitService(string(c.GetHeader(header.Service)), path)
+	snapshot := g.snapshot()
+	if snapshot == nil {
+		return parsed, reason.NotReady
+	}
+	parsed.service = snapshot.Services[parsed.serviceName]
+	if parsed.service == nil {
+		return parsed, reason.UnknownService
+	}
+	return parsed, parsed.readHeaders(c)
+}
+
+func (p *call) readHeaders(c *app.RequestContext) *reason.Reason {
+	pathOnly, _, _ := strings.Cut(p.uri, "?")
+	p.class = p.service.Class(string(c.GetHeader(header.Class)), string(c.Method()), pathOnly)
+	if p.class == nil {
+		return reason.UnknownClass
+	}
+	timeoutMS, ok := boundedInt(string(c.GetHeader(header.TimeoutMS)), p.class.TimeoutMS, operator.MaxTimeoutMS)
+	if !ok {
+		return reason.BadTimeout
+	}
+	p.timeout = time.Duration(min(timeoutMS, p.class.TimeoutMS)) * time.Millisecond
+	p.attempts, ok = boundedInt(string(c.GetHeader(header.Attempts)), defaultAttempts, maxAttempts)
+	if !ok {
+		return reason.BadAttempts
+	}
+	return nil
+}
+
+// splitService returns the service name and the URI for the target. The name comes from the header, or from
+// the first path segment, which is then removed.
+func splitService(fromHeader, uri string) (string, string) {
+	if fromHeader != "" {
+		return fromHeader, uri
+	}
+	rest := strings.TrimPrefix(uri, "/")
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		return rest, "/"
+	}
+	if rest[end] == '?' {
+		return rest[:end], "/" + rest[end:]
+	}
+	return rest[:end], rest[end:]
+}
+
+func boundedInt(text string, missing, highest int) (int, bool) {
+	if text == "" {
+		return missing, true
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil && n >= 1 && n <= highest
+}
--- /dev/null
+++ b/internal/intent/record.go
@@ -0,0 +1,86 @@
+package intent
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/operator"
+)
+
+// RecordKind is the kind of a log record.
+type RecordKind string
+
+// Kinds of records.
+const (
+	KindChange     RecordKind = "change"
+	KindCheckpoint RecordKind = "checkpoint"
+)
+
+// Change replaces or removes one service. It is accepted when Base is the current revision of the service.
+type Change struct {
+	// ID is unique for each change, so that its writer can find it in the log.
+	ID      string `json:"id"`
+	Author  string `json:"author"`
+	Service string `json:"service"`
+	// Base is the revision on which the change was made, 0 for a service that does not exist.
+	Base platform.Offset `json:"base"`
+	// Spec is the service as TOML intent with one service; empty removes the service.
+	Spec string `json:"spec"`
+}
+
+// Record is the payload of a log record.
+type Record struct {
+	Kind       RecordKind  `json:"kind"`
+	Change     *Change     `json:"change,omitempty"`
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
+}
+
+// RecordError reports a log record that cannot be decoded.
+type RecordError struct{ Detail string }
+
+func (e *RecordError) Error() string { return "log record: " + e.Detail }
+
+// EncodeService returns a service as TOML intent.
+func EncodeService(s operator.Service) (string, error) {
+	var b bytes.Buffer
+	in := operator.Intent{Services: []operator.Service{s}}
+	if err := toml.NewEncoder(&b).Encode(in); err != nil {
+		return "", err
+	}
+	return b.String(), nil
+}
+
+// DecodeRecord decodes the payload of a log record.
+func DecodeRecord(payload []byte) (*Record, error) {
+	var r Record
+	decoder := json.NewDecoder(bytes.NewReader(payload))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&r); err != nil {
+		return nil, &RecordError{Detail: err.Error()}
+	}
+	switch {
+	case r.Kind == KindChange && r.Change != nil:
+	case r.Kind == KindCheckpoint && r.Checkpoint != nil:
+	default:
+		return nil, &RecordError{Detail: fmt.Sprintf("kind %q without its content", r.Kind)}
+	}
+	return &r, nil
+}
+
+// Encode returns the payload of a log record.
+func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
+
+func (c *Change) decodeSpec() (*operator.Service, error) {
+	in, err := Decode("change "+c.ID, []byte(c.Spec))
+	if err != nil {
+		return nil, err
+	}
+	if len(in.Services) != 1 || in.Services[0].Name != c.Service {
+		return nil, &RecordError{Detail: fmt.Sprintf("change %s does not hold exactly the service %q", c.ID, c.Service)}
+	}
+	return &in.Services[0], nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,59 @@
+// Package platform declares the interfaces of the services that the platform
+// provides, an append-only log and a list of instances, and their HTTP clients.
+package platform
+
+import (
+	"context"
+	"time"
+)
+
+// Offset is the position of a record in the log. The first record has offset 1.
+type Offset uint64
+
+// Record is one record of the log.
+type Record struct {
+	Offset  Offset `json:"offset"`
+	Payload []byte `json:"payload"`
+}
+
+// Page is a contiguous range of records.
+type Page struct {
+	Records []Record `json:"records"`
+	// Earliest is the offset of the oldest retained record; Next if none is retained.
+	Earliest Offset `json:"earliest"`
+	// Next is the offset that the next appended record will get.
+	Next Offset `json:"next"`
+	// Retention is how long the log keeps a record.
+	Retention time.Duration `json:"retention_ns"`
+}
+
+// Log is the platform's append-only log. Implementations are safe for concurrent use.
+type Log interface {
+	// Append adds a record. After an error the record may or may not have been added.
+	Append(ctx context.Context, payload []byte) (Offset, error)
+	// Read returns up to max records from offset from on. When there are none it waits up to wait.
+	Read(ctx context.Context, from Offset, max int, wait time.Duration) (Page, error)
+}
+
+// ListedState is the state of an instance in the platform's list.
+type ListedState string
+
+// Listed states.
+const (
+	ListedLive    ListedState = "live"
+	ListedLeaving ListedState = "leaving"
+)
+
+// ListedInstance is one entry of the platform's list, which lags.
+type ListedInstance struct {
+	ID           string      `json:"id"`
+	Zone         string      `json:"zone"`
+	PeerAddress  string      `json:"peer_address"`
+	AdminAddress string      `json:"admin_address"`
+	State        ListedState `json:"state"`
+}
+
+// InstanceList is the platform's list of instances. Implementations are safe for concurrent use.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]ListedInstance, error)
+}
--- /dev/null
+++ b/internal/reason/reason.go
@@ -0,0 +1,106 @@
+// Package reason holds the one list of outcomes and of refusal and retry
+// reasons. Metric labels, log fields, response headers and the table in
+// docs/operators.md derive from it.
+package reason
+
+// Outcome says what is known about the execution of a request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// Done means that a target ran the request and the answer is whole.
+	Done Outcome = "done"
+	// NotRun means that provably no target ran the request.
+	NotRun Outcome = "not-run"
+	// Unknown means that a target may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// Kind separates refusals, retries and failed exchanges.
+type Kind string
+
+// Kinds of reasons.
+const (
+	Refusal Kind = "refusal"
+	Retry   Kind = "retry"
+	Failure Kind = "failure"
+)
+
+// Reason is one typed cause of a refusal, a retry or a failed exchange.
+type Reason struct {
+	// Name is the metric label, log field and header value.
+	Name string
+	Kind Kind
+	// Status is the HTTP status of the answer, 0 for retries.
+	Status int
+	// Outcome is what the answer claims about the execution.
+	Outcome Outcome
+	// Help tells operators what it means and what to do.
+	Help string
+}
+
+// Error returns the help text, so that a Reason serves as a typed error.
+func (r *Reason) Error() string { return r.Name + ": " + r.Help }
+
+// Refusals: no target ran the request.
+var (
+	UnknownService    = add("unknown_service", Refusal, 404, NotRun, "No service in force has this name. Check the name and the published intent.")
+	UnknownClass      = add("unknown_class", Refusal, 400, NotRun, "No class of the service matches the request. Check methods and path prefixes.")
+	BadTimeout        = add("bad_timeout", Refusal, 400, NotRun, "Basillink-Timeout-Ms is not a number from 1 to 86400000.")
+	BadAttempts       = add("bad_attempts", Refusal, 400, NotRun, "Basillink-Attempts is not a number from 1 to 8.")
+	BadFraming        = add("bad_framing", Refusal, 400, NotRun, "The request has both Content-Length and Transfer-Encoding, or a malformed header.")
+	BodyTruncated     = add("body_truncated", Refusal, 400, NotRun, "The request body is shorter than announced.")
+	BodyTooLarge      = add("body_too_large", Refusal, 413, NotRun, "The request body exceeds limits.max_request_body_bytes.")
+	HeaderTooLarge    = add("header_too_large", Refusal, 431, NotRun, "The request headers exceed limits.max_header_bytes.")
+	NotReady          = add("not_ready", Refusal, 503, NotRun, "The instance has no configuration in force or is draining. Another instance can answer.")
+	NoTarget          = add("no_target", Refusal, 503, NotRun, "No target of the service may receive requests. Check target states.")
+	DeadlineTooShort  = add("deadline_too_short", Refusal, 504, NotRun, "The request could not be sent to a target before its deadline.")
+	Overloaded        = add("overloaded", Refusal, 503, NotRun, "The waiting queue is full or the request waited too long. Lower classes are shed first.")
+	CallerShare       = add("caller_share", Refusal, 429, NotRun, "The caller exceeds its fair share while the service is busy.")
+	TicketRequired    = add("ticket_required", Refusal, 428, NotRun, "The class is not repeatable and the request has no ticket. Send it again with the ticket from Basillink-Next-Ticket.")
+	TicketInvalid     = add("ticket_invalid", Refusal, 400, NotRun, "The ticket is malformed or was not issued by this fleet.")
+	TicketMismatch    = add("ticket_mismatch", Refusal, 409, NotRun, "The ticket was used for a different request. This request was not run.")
+	TicketTableFull   = add("ticket_table_full", Refusal, 503, NotRun, "The table of started operations is full. Send the request again with the same ticket later.")
+	TicketOwnerClosed = add("ticket_owner_closed", Refusal, 409, NotRun, "The instance that issued the ticket stopped and its closing record proves that the ticket was not used. Send the request with a new ticket.")
+	TargetShed        = add("target_shed", Refusal, 503, NotRun, "Targets refused the request before running it and no attempt is left.")
+	CrashSuspect      = add("crash_suspect", Refusal, 422, NotRun, "Targets that ran this request crashed. It is not sent to further targets until the mark ages out.")
+	ConnectionRefused = add("connection_refused", Refusal, 503, NotRun, "No connection to a target could be opened and no attempt is left.")
+	CallerLeftEarly   = add("caller_left", Refusal, 499, NotRun, "The caller closed its connection before the request was sent to a target.")
+)
+
+// Failures: a target may have run the request.
+var (
+	AnswerTimeout    = add("answer_timeout", Failure, 504, Unknown, "The target did not answer before the deadline.")
+	AnswerLost       = add("answer_lost", Failure, 502, Unknown, "The connection to the target failed after the request was sent.")
+	AnswerTruncated  = add("answer_truncated", Failure, 502, Unknown, "The target's answer ended before its announced length.")
+	AnswerUnbounded  = add("answer_unbounded", Failure, 502, Unknown, "The target's answer has no length and cannot be proved whole.")
+	AnswerMalformed  = add("answer_malformed", Failure, 502, Unknown, "The target's answer is not valid HTTP.")
+	CallerLeft       = add("caller_left_running", Failure, 499, Unknown, "The caller closed its connection while a target ran the request.")
+	ConnectionSilent = add("connection_silent", Failure, 504, Unknown, "The connection to the target went silent.")
+	TicketExpired    = add("ticket_expired", Failure, 410, Unknown, "The ticket's lifetime has passed. The request is not run now; whether it ran before is no longer known.")
+	TicketOwnerGone  = add("ticket_owner_gone", Failure, 503, Unknown, "The instance that issued the ticket is gone. The request will not run any more; whether it ran before is not known.")
+	ForwardLost      = add("forward_lost", Failure, 502, Unknown, "The connection to the instance that issued the ticket failed. Ask again with the same ticket.")
+	AnswerNotKept    = add("answer_not_kept", Failure, 200, Done, "The operation ran, but its answer is larger than what an instance keeps.")
+)
+
+// Retries: the request went to a further target.
+var (
+	RetryTargetShed        = add("retry_target_shed", Retry, 0, "", "A target refused the request before running it.")
+	RetryConnectionRefused = add("retry_connection_refused", Retry, 0, "", "A connection to a target could not be opened.")
+	RetryAnswerLost        = add("retry_answer_lost", Retry, 0, "", "A repeatable request lost its answer.")
+	RetryAnswerTruncated   = add("retry_answer_truncated", Retry, 0, "", "A repeatable request received an incomplete answer.")
+	RetryConnectionSilent  = add("retry_connection_silent", Retry, 0, "", "A repeatable request was on a connection that went silent.")
+	RetryTargetError       = add("retry_target_error", Retry, 0, "", "A repeatable request was answered 502, 503 or 504 by the target.")
+	RetryHedge             = add("retry_hedge", Retry, 0, "", "A repeatable request was slow and was sent to a second target.")
+)
+
+var all []*Reason
+
+// All returns every reason in the order of declaration. The slice must not be modified.
+func All() []*Reason { return all }
+
+func add(name string, kind Kind, status int, outcome Outcome, help string) *Reason {
+	r := &Reason{Name: name, Kind: kind, Status: status, Outcome: outcome, Help: help}
+	all = append(all, r)
+	return r
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+// List is an instance list in memory that lags. It is safe for concurrent use.
+type List struct {
+	mu       sync.Mutex
+	lag      time.Duration
+	down     bool
+	versions []listVersion
+}
+
+type listVersion struct {
+	at        time.Time
+	instances []platform.ListedInstance
+}
+
+// NewList returns an empty list whose changes become visible after lag.
+func NewList(lag time.Duration) *List { return &List{lag: lag} }
+
+// Set replaces the instances.
+func (l *List) Set(instances []platform.ListedInstance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, listVersion{at: time.Now(), instances: slices.Clone(instances)})
+}
+
+// SetDown starts or ends an outage.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Instances implements platform.InstanceList.
+func (l *List) Instances(context.Context) ([]platform.ListedInstance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, &UnavailableError{}
+	}
+	visible := -1
+	for i, version := range l.versions {
+		if time.Since(version.at) >= l.lag {
+			visible = i
+		}
+	}
+	if visible < 0 {
+		return nil, nil
+	}
+	l.versions = l.versions[visible:]
+	return slices.Clone(l.versions[0].instances), nil
+}
--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,158 @@
+// Package standin holds small stand-ins for the platform's log, its instance list
+// and targets. They inject the faults that the real ones have. Tests and the
+// daemon's development mode use them; they are not for production.
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+// DefaultRetention is how long the log keeps a record.
+const DefaultRetention = 24 * time.Hour
+
+// UnavailableError is the answer of a stand-in during an outage.
+type UnavailableError struct{}
+
+func (*UnavailableError) Error() string { return "the stand-in platform is unavailable" }
+
+// LostAnswerError replaces the answer to an append that took effect.
+type LostAnswerError struct{}
+
+func (*LostAnswerError) Error() string { return "the answer to the append was lost" }
+
+// Log is an append-only log in memory. It is safe for concurrent use.
+type Log struct {
+	mu       sync.Mutex
+	first    platform.Offset
+	records  []storedRecord
+	appended chan struct{}
+	faults   LogFaults
+}
+
+type storedRecord struct {
+	record platform.Record
+	at     time.Time
+}
+
+// LogFaults are the faults that a log injects.
+type LogFaults struct {
+	// Down refuses every operation.
+	Down bool
+	// Delay slows every operation down.
+	Delay time.Duration
+	// LoseAnswers is the number of coming appends that take effect and whose answer is lost.
+	LoseAnswers int
+	// Retention is how long records are kept. 0 means DefaultRetention.
+	Retention time.Duration
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{first: 1, appended: make(chan struct{})}
+}
+
+// SetFaults replaces the injected faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, payload []byte) (platform.Offset, error) {
+	if err := l.admit(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(time.Now())
+	offset := l.next()
+	record := platform.Record{Offset: offset, Payload: append([]byte(nil), payload...)}
+	l.records = append(l.records, storedRecord{record: record, at: time.Now()})
+	close(l.appended)
+	l.appended = make(chan struct{})
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return 0, &LostAnswerError{}
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+	if err := l.admit(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		page, appended := l.page(from, max)
+		if len(page.Records) > 0 || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-appended:
+		case <-timeout.C:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+}
+
+// admit applies delay and outage.
+func (l *Log) admit(ctx context.Context) error {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.Delay > 0 {
+		timer := time.NewTimer(faults.Delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if faults.Down {
+		return &UnavailableError{}
+	}
+	return nil
+}
+
+func (l *Log) page(from platform.Offset, max int) (platform.Page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(time.Now())
+	page := platform.Page{Earliest: l.first, Next: l.next(), Retention: l.retention()}
+	start := 0
+	if from > l.first {
+		start = int(from - l.first)
+	}
+	for i := start; i < len(l.records) && len(page.Records) < max; i++ {
+		page.Records = append(page.Records, l.records[i].record)
+	}
+	return page, l.appended
+}
+
+func (l *Log) next() platform.Offset { return l.first + platform.Offset(len(l.records)) }
+
+func (l *Log) retention() time.Duration {
+	if l.faults.Retention > 0 {
+		return l.faults.Retention
+	}
+	return DefaultRetention
+}
+
+func (l *Log) expire(now time.Time) {
+	expired := 0
+	for expired < len(l.records) && now.Sub(l.records[expired].at) > l.retention() {
+		expired++
+	}
+	l.records = l.records[expired:]
+	l.first += platform.Offset(expired)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+// maxRecordBytes bounds one record.
+const maxRecordBytes = 16 << 20
+
+// PlatformServer serves a log and an instance list over HTTP.
+type PlatformServer struct {
+	Log    *Log
+	List   *List
+	server *server.Hertz
+}
+
+// NewPlatformServer returns a server on an address.
+func NewPlatformServer(address string, log *Log, list *List) *PlatformServer {
+	s := &PlatformServer{Log: log, List: list, server: server.New(
+		server.WithHostPorts(address),
+		server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(maxRecordBytes),
+		server.WithExitWaitTime(time.Second),
+		server.WithSenseClientDisconnection(true),
+	)}
+	s.server.POST("/records", s.append)
+	s.server.GET("/records", s.read)
+	s.server.GET("/instances", s.instances)
+	return s
+}
+
+// Run serves until Shutdown.
+func (s *PlatformServer) Run() error { return s.server.Run() }
+
+// Shutdown stops the server.
+func (s *PlatformServer) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+func (s *PlatformServer) append(ctx context.Context, c *app.RequestContext) {
+	offset, err := s.Log.Append(ctx, c.Request.Body())
+	if fail(c, err) {
+		return
+	}
+	c.JSON(http.StatusOK, map[string]platform.Offset{"offset": offset})
+}
+
+func (s *PlatformServer) read(ctx context.Context, c *app.RequestContext) {
+	from, fromErr := strconv.ParseUint(c.DefaultQuery("from", "1"), 10, 64)
+	max, maxErr := strconv.Atoi(c.DefaultQuery("max", "256"))
+	waitMS, waitErr := strconv.Atoi(c.DefaultQuery("wait_ms", "0"))
+	if err := errors.Join(fromErr, maxErr, waitErr); err != nil {
+		c.String(http.StatusBadRequest, "%s\n", err)
+		return
+	}
+	page, err := s.Log.Read(ctx, platform.Offset(from), max, time.Duration(waitMS)*time.Millisecond)
+	if fail(c, err) {
+		return
+	}
+	c.JSON(http.StatusOK, page)
+}
+
+func (s *PlatformServer) instances(ctx context.Context, c *app.RequestContext) {
+	list, err := s.List.Instances(ctx)
+	if fail(c, err) {
+		return
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+// fail answers an error, and reports whether there was one. A lost answer closes the connection without answering.
+func fail(c *app.RequestContext, err error) bool {
+	if err == nil {
+		return false
+	}
+	var lost *LostAnswerError
+	if errors.As(err, &lost) {
+		_ = c.GetConn().Close()
+		return true
+	}
+	c.String(http.StatusServiceUnavailable, "%s\n", err)
+	return true
+}
