--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -63,6 +63,7 @@
 func runTarget(ctx context.Context, address string) {
 	target, err := standin.NewTarget(address, 6)
 	exitOn(err)
+	target.OnCrash = func() { os.Exit(1) }
 	go func() { exitOn(target.Run()) }()
 	<-ctx.Done()
 }
