Split the client's commands into one file each

Cause: several engineers add commands, and one shared file makes every merge collide. Ruled out: a registry filled by init functions, because its order depends on file names. No behaviour changes.

--- a/internal/client/exit.go
+++ b/internal/client/exit.go
@@ -8,6 +8,12 @@
 	"github.com/google/subcommands"
 )
 
+// Exit statuses of the client besides 0 for success and 2 for wrong usage or an invalid file.
+const (
+	ExitFailure  = subcommands.ExitFailure
+	ExitConflict = subcommands.ExitStatus(3)
+)
+
 func failure(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "basillink:", err)
 	var conflict *ConflictError
@@ -16,3 +22,13 @@
 	}
 	return ExitFailure
 }
+
+// UsageError reports wrong arguments.
+type UsageError struct{ Detail string }
+
+func (e *UsageError) Error() string { return e.Detail }
+
+func usageError(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "basillink:", err)
+	return subcommands.ExitUsageError
+}
