Drain without cutting off requests, and report listeners that cannot open

Cause: the HTTP server ends 5 s after Shutdown, so SIGTERM cut off longer requests, and it panics on an address in use. Ruled out: an own wait on the number of requests in flight alone, because the answer is flushed after the handler returns; the server's connection count covers that once its exit limit is lifted. Change: the daemon opens its listeners before it starts, follows charts/lifecycle.toml and charts/drain.toml, refuses new requests while it drains and waits for all others. drain.limit_ms ends requests of classes that are not long with the new reason drain_limit. The admin listener reports state and requests in flight, and GET /explain says where a request would go. Every reason has a counter with value 0 from the start; gauges show revision, requests in flight and readiness; the HTTP library logs through slog. The daemon's commands moved to internal/daemoncli, with check.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,24 +1,34 @@
-// Package admin serves the admin listener: liveness, readiness, metrics and status.
+// Package admin serves the admin listener: liveness, readiness, metrics, status
+// and explanations of routing decisions.
 package admin
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/platform"
 )
 
+// exitWait bounds the end of the admin listener, which carries no request worth waiting for.
+const exitWait = time.Second
+
 // Status is the answer to GET /status.
 type Status struct {
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
-	Ready    bool   `json:"ready"`
+	// State is the state of the life cycle: starting, ready, draining or stopped.
+	State string `json:"state"`
+	Ready bool   `json:"ready"`
+	// InFlight is the number of requests that are being served.
+	InFlight int64 `json:"in_flight"`
 	// Revision is the revision in force, 0 before the first.
 	Revision platform.Offset `json:"revision"`
 	// Through is the offset of the last log record that is taken into account.
@@ -27,10 +37,12 @@
 	Services map[string]platform.Offset `json:"services"`
 }
 
-// Source is what the admin listener shows.
+// Source is what the admin listener shows. Its functions are safe for concurrent use.
 type Source struct {
 	Instance string
 	Zone     string
+	State    func() string
+	InFlight func() int64
 	Snapshot func() *control.Snapshot
 	Ready    func() bool
 	Metrics  http.Handler
@@ -38,33 +50,46 @@
 
 // Server is the admin listener.
 type Server struct {
-	source Source
-	server *server.Hertz
+	address string
+	source  Source
+	server  *server.Hertz
 }
 
-// New returns an admin listener on an address.
+// New returns an admin listener for an address. It opens no port.
 func New(address string, source Source) *Server {
-	s := &Server{source: source, server: server.New(
-		server.WithHostPorts(address),
+	return &Server{address: address, source: source}
+}
+
+// Open opens the port.
+func (s *Server) Open() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.server = server.New(
+		server.WithListener(listener),
 		server.WithDisablePrintRoute(true),
-		server.WithExitWaitTime(time.Second),
-	)}
+		server.WithExitWaitTime(exitWait),
+	)
 	s.server.GET("/livez", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "live\n") })
 	s.server.GET("/readyz", s.ready)
 	s.server.GET("/status", s.status)
-	s.server.GET("/metrics", adaptor.HertzHandler(source.Metrics))
-	return s
+	s.server.GET("/explain", s.explain)
+	s.server.GET("/metrics", adaptor.HertzHandler(s.source.Metrics))
+	return nil
 }
 
-// Run serves until Shutdown.
+// Run serves until Shutdown. Open comes first.
 func (s *Server) Run() error { return s.server.Run() }
 
 // Shutdown stops the listener.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
+// ready reports whether callers should be sent here. It is separate from liveness: an instance that is not ready
+// must not be restarted for that.
 func (s *Server) ready(_ context.Context, c *app.RequestContext) {
 	if !s.source.Ready() {
-		c.String(http.StatusServiceUnavailable, "not ready\n")
+		c.String(http.StatusServiceUnavailable, "not ready: %s\n", s.source.State())
 		return
 	}
 	c.String(http.StatusOK, "ready\n")
@@ -74,7 +99,9 @@
 	status := Status{
 		Instance: s.source.Instance,
 		Zone:     s.source.Zone,
+		State:    s.source.State(),
 		Ready:    s.source.Ready(),
+		InFlight: s.source.InFlight(),
 		Services: map[string]platform.Offset{},
 	}
 	if snapshot := s.source.Snapshot(); snapshot != nil {
--- /dev/null
+++ b/internal/admin/explain.go
@@ -0,0 +1,118 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/operator"
+)
+
+// Explanation is the answer to GET /explain. It says where a request would go, or why it would be refused. Nothing
+// is sent to a target, and no counter changes.
+type Explanation struct {
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	Method   string `json:"method"`
+	// URI is the path and query that a target would see.
+	URI      string          `json:"uri"`
+	Revision platform.Offset `json:"revision"`
+	// Class holds the rules of the class that applies, nil when the request would be refused before that.
+	Class *ClassRules `json:"class,omitempty"`
+	// Candidates are the targets that may receive the request. Which of them does depends on load.
+	Candidates []Candidate `json:"candidates,omitempty"`
+	// Excluded are the targets of the service that receive no requests.
+	Excluded []Candidate `json:"excluded,omitempty"`
+	// Refusal is the reason of the refusal, empty when the request would be sent.
+	Refusal string `json:"refusal,omitempty"`
+	Help    string `json:"help,omitempty"`
+}
+
+// ClassRules are the rules of a class that matter to a caller.
+type ClassRules struct {
+	Name       string `json:"name"`
+	Repeatable bool   `json:"repeatable"`
+	// NeedsTicket is true for a class that is not repeatable: without a ticket the answer is 428 with one.
+	NeedsTicket bool `json:"needs_ticket"`
+	Priority    int  `json:"priority"`
+	TimeoutMS   int  `json:"timeout_ms"`
+	Long        bool `json:"long"`
+}
+
+// Candidate is one target of the service.
+type Candidate struct {
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	SameZone bool   `json:"same_zone"`
+	// State is what operators decided about the target.
+	State operator.TargetState `json:"state"`
+}
+
+// explain reads the parameters service, method, uri and class.
+func (s *Server) explain(_ context.Context, c *app.RequestContext) {
+	e := &Explanation{
+		Instance: s.source.Instance,
+		Service:  c.Query("service"),
+		Method:   c.DefaultQuery("method", http.MethodGet),
+		URI:      c.DefaultQuery("uri", "/"),
+	}
+	if why := e.fill(s.source, c.Query("class")); why != nil {
+		e.Refusal, e.Help = why.Name, why.Help
+	}
+	c.JSON(http.StatusOK, e)
+}
+
+func (e *Explanation) fill(source Source, className string) *reason.Reason {
+	snapshot := source.Snapshot()
+	if snapshot == nil || !source.Ready() {
+		return reason.NotReady
+	}
+	service := snapshot.Services[e.Service]
+	if service == nil {
+		return reason.UnknownService
+	}
+	e.Revision = service.Revision
+	path, _, _ := strings.Cut(e.URI, "?")
+	class := service.Class(className, e.Method, path)
+	if class == nil {
+		return reason.UnknownClass
+	}
+	e.Class = rules(class)
+	e.sortTargets(service, source.Zone)
+	if len(e.Candidates) == 0 {
+		return reason.NoTarget
+	}
+	return nil
+}
+
+// sortTargets separates the targets in force from those that receive no requests.
+func (e *Explanation) sortTargets(service *control.Service, zone string) {
+	inForce := map[string]bool{}
+	for _, target := range service.Targets {
+		inForce[target.Address] = true
+	}
+	for _, target := range service.Spec.Targets {
+		candidate := Candidate{Address: target.Address, Zone: target.Zone, SameZone: target.Zone == zone, State: target.State}
+		if inForce[target.Address] {
+			e.Candidates = append(e.Candidates, candidate)
+			continue
+		}
+		e.Excluded = append(e.Excluded, candidate)
+	}
+}
+
+func rules(class *operator.Class) *ClassRules {
+	return &ClassRules{
+		Name:        class.Name,
+		Repeatable:  class.Repeatable,
+		NeedsTicket: !class.Repeatable,
+		Priority:    class.Priority,
+		TimeoutMS:   class.TimeoutMS,
+		Long:        class.Long,
+	}
+}
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -23,6 +23,9 @@
 		next.Services[name] = l.buildService(entry, previous.service(name))
 	}
 	l.snapshot.Store(next)
+	if previous == nil {
+		close(l.configured)
+	}
 	l.closeUnusedPools(next)
 	l.log.Info("Configuration is in force.", "revision", next.Revision, "services", len(next.Services))
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -22,6 +22,8 @@
 
 	pages    chan pageEvent
 	snapshot atomic.Pointer[Snapshot]
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 
 	// The fields below belong to the goroutine in Run.
 	state *intent.State
@@ -36,18 +38,22 @@
 // New returns a loop for an instance in an availability zone.
 func New(zone string, builder balancer.Builder, log *slog.Logger) *Loop {
 	return &Loop{
-		zone:    zone,
-		builder: builder,
-		log:     log,
-		pages:   make(chan pageEvent),
-		state:   intent.NewState(),
-		pools:   map[string]*transport.Pool{},
+		zone:       zone,
+		builder:    builder,
+		log:        log,
+		pages:      make(chan pageEvent),
+		configured: make(chan struct{}),
+		state:      intent.NewState(),
+		pools:      map[string]*transport.Pool{},
 	}
 }
 
 // Snapshot returns the configuration in force, or nil before the first.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
+// Configured is closed when the first configuration is in force.
+func (l *Loop) Configured() <-chan struct{} { return l.configured }
+
 // Run processes events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	for {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,13 +5,12 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
 
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/admin"
 	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/gateway"
 	"github.com/basillink/basillink/internal/platform"
@@ -19,25 +18,29 @@
 	"github.com/basillink/basillink/internal/telemetry"
 )
 
-// Daemon is one instance.
+// Daemon is one instance. Run is called once; the other methods belong to it.
 type Daemon struct {
-	settings *settings.Settings
-	log      *slog.Logger
-	loop     *control.Loop
-	reader   *control.Reader
-	gateway  *gateway.Gateway
-	admin    *admin.Server
-	draining atomic.Bool
+	settings  *settings.Settings
+	log       *slog.Logger
+	lifecycle *chart.Machine
+	steps     *chart.Machine
+	loop      *control.Loop
+	reader    *control.Reader
+	gateway   *gateway.Gateway
+	admin     *admin.Server
 }
 
 // New assembles an instance. It opens no port.
 func New(s *settings.Settings, log *slog.Logger) (*Daemon, error) {
-	hlog.SetLevel(hlog.LevelError)
+	telemetry.RouteServerLogs(telemetry.Component(log, "http"))
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	d := &Daemon{settings: s, log: telemetry.Component(log, "daemon")}
+	if err := d.startCharts(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
 	d.reader = &control.Reader{
 		Log:    platform.NewClient(s.Platform.Address),
@@ -46,9 +49,14 @@
 		Logger: telemetry.Component(log, "reader"),
 	}
 	d.gateway = gateway.New(s, d.loop.Snapshot, metrics, telemetry.Component(log, "gateway"))
+	if err := metrics.Observe(d.gauges()); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	d.admin = admin.New(s.Listen.Admin, admin.Source{
 		Instance: s.Instance.ID,
 		Zone:     s.Instance.Zone,
+		State:    func() string { return string(d.lifecycle.State()) },
+		InFlight: d.gateway.InFlight,
 		Snapshot: d.loop.Snapshot,
 		Ready:    d.ready,
 		Metrics:  metrics.Handler(),
@@ -56,10 +64,24 @@
 	return d, nil
 }
 
-func (d *Daemon) ready() bool { return d.loop.Snapshot() != nil && !d.draining.Load() }
+func (d *Daemon) gauges() telemetry.Gauges {
+	return telemetry.Gauges{
+		InFlight: d.gateway.InFlight,
+		Ready:    d.ready,
+		Revision: func() int64 {
+			if snapshot := d.loop.Snapshot(); snapshot != nil {
+				return int64(snapshot.Revision)
+			}
+			return 0
+		},
+	}
+}
 
 // Run serves until the context ends and then drains.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.open(); err != nil {
+		return err
+	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go d.loop.Run(background)
@@ -67,28 +89,35 @@
 	failed := make(chan error, 2)
 	go func() { failed <- d.gateway.Run() }()
 	go func() { failed <- d.admin.Run() }()
-	d.log.Info("Instance is starting.", "instance", d.settings.Instance.ID, "caller", d.settings.Listen.Caller)
-	select {
-	case err := <-failed:
-		return trace.Wrap(err, "listener")
-	case <-ctx.Done():
-		return d.drain()
+	d.log.Info("Instance is starting.", "instance", d.settings.Instance.ID,
+		"caller", d.settings.Listen.Caller, "admin", d.settings.Listen.Admin)
+	return d.follow(ctx, failed)
+}
+
+// follow fires the events of the life cycle until the instance is stopped.
+func (d *Daemon) follow(ctx context.Context, failed <-chan error) error {
+	configured := d.loop.Configured()
+	for {
+		select {
+		case <-configured:
+			configured = nil
+			d.fire(ctx, eventConfigured)
+		case err := <-failed:
+			d.fire(ctx, eventFailed)
+			return trace.Wrap(err, "listener")
+		case <-ctx.Done():
+			return d.drain()
+		}
 	}
 }
 
-// drain stops accepting and waits for the requests in flight.
-func (d *Daemon) drain() error {
-	d.draining.Store(true)
-	d.log.Info("Draining.")
-	ctx := context.Background()
-	if limit := d.settings.Drain.DrainLimit(); limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
+// open opens the listeners, so that an address in use is reported before anything runs.
+func (d *Daemon) open() error {
+	if err := d.gateway.Open(d.settings); err != nil {
+		return &ListenError{Key: "listen.caller", Address: d.settings.Listen.Caller, Err: err}
 	}
-	if err := d.gateway.Shutdown(ctx); err != nil {
-		return trace.Wrap(err, "drain")
+	if err := d.admin.Open(); err != nil {
+		return &ListenError{Key: "listen.admin", Address: d.settings.Listen.Admin, Err: err}
 	}
-	d.log.Info("Stopped.")
-	return trace.Wrap(d.admin.Shutdown(ctx))
+	return nil
 }
--- /dev/null
+++ b/internal/daemon/lifecycle.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/chart"
+)
+
+// Names in charts/lifecycle.toml and charts/drain.toml.
+const (
+	stateReady = chart.State("ready")
+
+	eventConfigured = chart.Event("configured")
+	eventStop       = chart.Event("stop")
+	eventIdle       = chart.Event("idle")
+	eventFailed     = chart.Event("failed")
+
+	stateClosing = chart.State("closing")
+	stateWaiting = chart.State("waiting")
+	stateCutting = chart.State("cutting")
+
+	eventBegin  = chart.Event("begin")
+	eventClosed = chart.Event("closed")
+	eventLimit  = chart.Event("limit")
+)
+
+// startCharts checks and starts the machines of the life cycle and of the drain.
+func (d *Daemon) startCharts() error {
+	lifecycle, err := chart.Load("lifecycle")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	drain, err := chart.Load("drain")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if d.lifecycle, err = lifecycle.Start(map[chart.State]chart.EnterFunc{stateReady: d.enterReady}); err != nil {
+		return trace.Wrap(err)
+	}
+	d.steps, err = drain.Start(map[chart.State]chart.EnterFunc{
+		stateClosing: d.enterClosing,
+		stateWaiting: d.enterWaiting,
+		stateCutting: d.enterCutting,
+	})
+	return trace.Wrap(err)
+}
+
+func (d *Daemon) ready() bool { return d.lifecycle.State() == stateReady }
+
+func (d *Daemon) enterReady(context.Context, chart.Event) { d.log.Info("Instance is ready.") }
+
+func (d *Daemon) enterClosing(context.Context, chart.Event) {
+	d.log.Info("Draining.", "in_flight", d.gateway.InFlight(), "limit_ms", d.settings.Drain.LimitMS)
+	d.gateway.Refuse()
+}
+
+func (d *Daemon) enterWaiting(context.Context, chart.Event) {
+	d.log.Info("No more connections are accepted.", "in_flight", d.gateway.InFlight())
+}
+
+func (d *Daemon) enterCutting(context.Context, chart.Event) {
+	d.log.Warn("The drain limit has passed. Requests of short classes end.", "in_flight", d.gateway.InFlight())
+	d.gateway.CutShort()
+}
+
+// fire handles an event of the life cycle. A failure would be a name that the chart lacks.
+func (d *Daemon) fire(ctx context.Context, event chart.Event) {
+	d.report(d.lifecycle.Fire(ctx, event))
+}
+
+// step handles an event of the drain.
+func (d *Daemon) step(ctx context.Context, event chart.Event) {
+	d.report(d.steps.Fire(ctx, event))
+}
+
+func (d *Daemon) report(err error) {
+	if err != nil {
+		d.log.Error("A statechart refused an event.", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/daemoncli/commands.go
@@ -0,0 +1,102 @@
+// Package daemoncli implements the commands of basillinkd.
+//
+// Exit statuses: 0 after a planned stop, 1 when the instance failed, 2 for wrong
+// usage or settings that are not accepted. With status 2 no port was opened.
+package daemoncli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+
+	"github.com/basillink/basillink/internal/daemon"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/telemetry"
+)
+
+const defaultFile = "basillinkd.toml"
+
+// Commands returns the commands. They write results to out, and logs and errors to errOut.
+func Commands(out, errOut io.Writer) []subcommands.Command {
+	return []subcommands.Command{
+		&runCommand{errOut: errOut},
+		&checkCommand{out: out, errOut: errOut},
+	}
+}
+
+// Run runs an instance from a settings file until the context ends.
+func Run(ctx context.Context, errOut io.Writer, file string) subcommands.ExitStatus {
+	s, err := settings.Load(file)
+	if err != nil {
+		return refuse(errOut, err)
+	}
+	log := telemetry.NewLogger(errOut, s.Log.Level, s.Log.Format)
+	d, err := daemon.New(s, log)
+	if err == nil {
+		err = d.Run(ctx)
+	}
+	if err != nil {
+		telemetry.Component(log, "daemon").Error("Instance failed.", "error", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func refuse(errOut io.Writer, err error) subcommands.ExitStatus {
+	_, _ = fmt.Fprintln(errOut, "basillinkd:", err)
+	return subcommands.ExitUsageError
+}
+
+// runCommand runs an instance from a settings file.
+type runCommand struct {
+	errOut io.Writer
+	file   string
+}
+
+func (*runCommand) Name() string     { return "run" }
+func (*runCommand) Synopsis() string { return "run an instance" }
+func (*runCommand) Usage() string {
+	return `run [-settings FILE]
+  Run an instance until SIGTERM or SIGINT, then finish the requests in flight.
+  Exit status: 0 after a planned stop, 1 on failure, 2 for settings that are not accepted.
+`
+}
+
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", defaultFile, "settings file")
+}
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return Run(ctx, c.errOut, c.file)
+}
+
+// checkCommand checks a settings file without opening a port.
+type checkCommand struct {
+	out, errOut io.Writer
+	file        string
+}
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a settings file" }
+func (*checkCommand) Usage() string {
+	return `check [-settings FILE]
+  Check a settings file. No port is opened.
+  Exit status: 0 when it is accepted, 2 when it is not.
+`
+}
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", defaultFile, "settings file")
+}
+
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	s, err := settings.Load(c.file)
+	if err != nil {
+		return refuse(c.errOut, err)
+	}
+	_, _ = fmt.Fprintf(c.out, "%s: settings of instance %s, valid\n", c.file, s.Instance.ID)
+	return subcommands.ExitSuccess
+}
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -11,11 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/daemon"
+	"github.com/basillink/basillink/internal/daemoncli"
 	"github.com/basillink/basillink/internal/platform"
-	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
-	"github.com/basillink/basillink/internal/telemetry"
 )
 
 // roleVariable selects what a copy of the test binary runs instead of the tests.
@@ -37,11 +35,7 @@
 }
 
 func runDaemon(ctx context.Context, file string) {
-	s, err := settings.Load(file)
-	exitOn(err)
-	d, err := daemon.New(s, telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format))
-	exitOn(err)
-	exitOn(d.Run(ctx))
+	os.Exit(int(daemoncli.Run(ctx, os.Stderr, file)))
 }
 
 // runPlatform serves a log and a list. The argument holds its address and the listed instances as
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,7 @@
 	path := string(c.Request.RequestURI())
 	parsed.serviceName, parsed.uri = splitService(string(c.GetHeader(header.Service)), path)
 	snapshot := g.snapshot()
-	if snapshot == nil {
+	if snapshot == nil || g.inFlight.draining.Load() {
 		return parsed, reason.NotReady
 	}
 	parsed.service = snapshot.Services[parsed.serviceName]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,10 +35,13 @@
 	counter  Counter
 	log      *slog.Logger
 	start    time.Time
-	server   *server.Hertz
+	inFlight *inFlight
+	// running is closed when the server has started.
+	running chan struct{}
+	server  *server.Hertz
 }
 
-// New returns a gateway that listens on the caller address of the settings.
+// New returns a gateway. It opens no port.
 func New(s *settings.Settings, snapshot func() *control.Snapshot, counter Counter, log *slog.Logger) *Gateway {
 	g := &Gateway{
 		instance: s.Instance.ID,
@@ -47,26 +50,12 @@
 		counter:  counter,
 		log:      log,
 		start:    time.Now(),
+		inFlight: newInFlight(),
+		running:  make(chan struct{}),
 	}
-	g.server = server.New(
-		server.WithHostPorts(s.Listen.Caller),
-		server.WithMaxRequestBodySize(s.Limits.MaxRequestBodyBytes),
-		server.WithMaxHeaderBytes(s.Limits.MaxHeaderBytes),
-		server.WithDisablePrintRoute(true),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithSenseClientDisconnection(true),
-		server.WithUseRawPath(true),
-	)
-	g.server.NoRoute(g.serve)
 	return g
 }
 
-// Run serves until Shutdown.
-func (g *Gateway) Run() error { return g.server.Run() }
-
-// Shutdown stops accepting and waits for the requests in flight until the context ends.
-func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
-
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
 func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) {
@@ -75,10 +64,12 @@
 		g.refuse(c, call.serviceName, refusal)
 		return
 	}
+	ctx, finish := g.inFlight.begin(ctx, call.class.Long)
+	defer finish()
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	if failure := g.dispatch(ctx, c, call); failure != nil {
-		g.refuse(c, call.serviceName, failure)
+		g.refuse(c, call.serviceName, cutReason(ctx, failure))
 		return
 	}
 	g.counter.Answered(call.serviceName, call.class.Name)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,12 +19,21 @@
 // Metrics counts outcomes, refusals and retries. It is safe for concurrent use.
 type Metrics struct {
 	registry *prometheus.Registry
+	meter    metric.Meter
 	answers  metric.Int64Counter
 	refusals metric.Int64Counter
 	retries  metric.Int64Counter
+	added    metric.Float64Histogram
 }
 
-// NewMetrics returns metrics with a registry of their own.
+// addedBounds are the bucket bounds of the time added by the instance, in seconds. They are close together around
+// the stated target of 0.7 ms.
+var addedBounds = []float64{
+	25e-6, 50e-6, 100e-6, 200e-6, 300e-6, 400e-6, 500e-6, 600e-6, 700e-6, 800e-6, 1e-3, 1.5e-3, 2e-3, 5e-3, 10e-3, 50e-3, 1,
+}
+
+// NewMetrics returns metrics with a registry of their own. Each reason's counter exists with value 0, so that a rate
+// over it is defined before the first occurrence.
 func NewMetrics() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
@@ -31,7 +41,7 @@
 		return nil, trace.Wrap(err, "prometheus exporter")
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("basillink")
-	m := &Metrics{registry: registry}
+	m := &Metrics{registry: registry, meter: meter}
 	counters := []struct {
 		counter *metric.Int64Counter
 		name    string
@@ -46,9 +56,26 @@
 			return nil, trace.Wrap(err, "counter %s", c.name)
 		}
 	}
+	m.added, err = meter.Float64Histogram("basillink.added_time", metric.WithUnit("s"),
+		metric.WithDescription("Time that the instance added to a request: all time except waiting for targets."),
+		metric.WithExplicitBucketBoundaries(addedBounds...))
+	if err != nil {
+		return nil, trace.Wrap(err, "histogram of the added time")
+	}
+	m.declareReasons()
 	return m, nil
 }
 
+func (m *Metrics) declareReasons() {
+	for _, r := range reason.All() {
+		counter := m.refusals
+		if r.Kind == reason.Retry {
+			counter = m.retries
+		}
+		counter.Add(context.Background(), 0, reasonAttributes("", r))
+	}
+}
+
 // Handler serves the metrics in Prometheus format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -62,12 +89,24 @@
 
 // Refused counts a refusal or failure.
 func (m *Metrics) Refused(service string, why *reason.Reason) {
-	m.refusals.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("service", service), attribute.String("reason", why.Name)))
+	m.refusals.Add(context.Background(), 1, reasonAttributes(service, why))
 }
 
 // Retried counts a retry.
 func (m *Metrics) Retried(service string, why *reason.Reason) {
-	m.retries.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("service", service), attribute.String("reason", why.Name)))
+	m.retries.Add(context.Background(), 1, reasonAttributes(service, why))
+}
+
+// Added records the time that the instance added to a request.
+func (m *Metrics) Added(d time.Duration) {
+	m.added.Record(context.Background(), d.Seconds())
+}
+
+// reasonAttributes leaves out a service name that is not known to exist: callers choose it, and each value would
+// become a time series.
+func reasonAttributes(service string, why *reason.Reason) metric.MeasurementOption {
+	if why == reason.UnknownService || why == reason.NotReady {
+		service = ""
+	}
+	return metric.WithAttributes(attribute.String("service", service), attribute.String("reason", why.Name))
 }
