--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,17 @@
 	"github.com/basillink/basillink/internal/reason"
 )
 
+// answer writes the result to the caller, counts it and releases it.
+func (g *Gateway) answer(c *app.RequestContext, call *call, r *result) {
+	defer r.release()
+	if r.why != nil {
+		g.writeRefusal(c, call, r)
+		return
+	}
+	g.writeAnswer(c, r.response)
+	g.counter.Answered(call.serviceName, call.class.Name)
+}
+
 // writeAnswer passes a target's whole answer on to the caller.
 func (g *Gateway) writeAnswer(c *app.RequestContext, answer *protocol.Response) {
 	answer.Header.CopyTo(&c.Response.Header)
@@ -19,15 +30,15 @@
 	c.Response.Header.Set(header.Instance, g.instance)
 }
 
-// refuse answers a request that no target answered.
-func (g *Gateway) refuse(c *app.RequestContext, service string, why *reason.Reason) {
-	g.counter.Refused(service, why)
-	g.log.Debug("Refused a request.", "service", service, "reason", why.Name)
+// writeRefusal answers a request that no target answered.
+func (g *Gateway) writeRefusal(c *app.RequestContext, call *call, r *result) {
+	g.counter.Refused(call.serviceName, r.why)
+	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.why.Name, "error", r.cause)
 	c.Response.Reset()
-	c.SetStatusCode(why.Status)
-	c.Response.Header.Set(header.Outcome, string(why.Outcome))
-	c.Response.Header.Set(header.Reason, why.Name)
+	c.SetStatusCode(r.why.Status)
+	c.Response.Header.Set(header.Outcome, string(r.why.Outcome))
+	c.Response.Header.Set(header.Reason, r.why.Name)
 	c.Response.Header.Set(header.Instance, g.instance)
 	c.SetContentType("text/plain; charset=utf-8")
-	c.SetBodyString(why.Error() + "\n")
+	c.SetBodyString(r.why.Error() + "\n")
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/header"
@@ -20,6 +21,8 @@
 
 // call is a caller's request after parsing.
 type call struct {
+	// request is the caller's request. It is valid until the answer was written.
+	request     *protocol.Request
 	serviceName string
 	service     *control.Service
 	class       *operator.Class
@@ -31,7 +34,7 @@
 
 // parse reads the routing headers of a request. The returned call names the service even with a refusal.
 func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
-	parsed := &call{}
+	parsed := &call{request: &c.Request}
 	path := string(c.Request.RequestURI())
 	parsed.serviceName, parsed.uri = splitService(string(c.GetHeader(header.Service)), path)
 	snapshot := g.snapshot()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"github.com/basillink/basillink/internal/control"
@@ -69,19 +68,4 @@
 
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
-func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) {
-	call, refusal := g.parse(c)
-	if refusal != nil {
-		g.refuse(c, call.serviceName, refusal)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, call.timeout)
-	defer cancel()
-	if failure := g.dispatch(ctx, c, call); failure != nil {
-		g.refuse(c, call.serviceName, failure)
-		return
-	}
-	g.counter.Answered(call.serviceName, call.class.Name)
-}
-
 func randomNumber() uint64 { return rand.Uint64() }
