Admit requests through the queue and limit retries in the gateway

Cause: the admission queue and the retry budget existed but no request passed them.

Result: go test ./internal/... passes.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -52,6 +52,7 @@
 			Slots:    entry.Spec.SlotsPerTarget,
 		})
 	}
+	service.attachLimits(previous)
 	var old balancer.Policy
 	if previous != nil {
 		old = previous.Policy
@@ -63,7 +64,7 @@
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
+		pool = transport.NewPool(address, connectionShare(spec))
 		l.pools[address] = pool
 	}
 	return pool
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/transport"
@@ -23,6 +24,9 @@
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
+	// Admission and Retries outlive a revision of the service.
+	Admission *admission.Limiter
+	Retries   *admission.RetryBudget
 }
 
 // Target is one target that may receive requests.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
@@ -17,6 +19,8 @@
 const (
 	maxAttempts     = 8
 	defaultAttempts = 3
+	// maxCallerBytes bounds the memory of one caller's name.
+	maxCallerBytes = 64
 )
 
 // call is a caller's request after parsing.
@@ -26,15 +30,19 @@
 	serviceName string
 	service     *control.Service
 	class       *operator.Class
+	// caller identifies the caller for fair sharing.
+	caller string
 	// uri is the path and query that the target sees.
 	uri      string
 	timeout  time.Duration
 	attempts int
+	// end is how the last attempt ended.
+	end admission.End
 }
 
 // parse reads the routing headers of a request. The returned call names the service even with a refusal.
 func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
-	parsed := &call{request: &c.Request}
+	parsed := &call{request: &c.Request, caller: callerOf(c), end: admission.Other}
 	path := string(c.Request.RequestURI())
 	parsed.serviceName, parsed.uri = splitService(string(c.GetHeader(header.Service)), path)
 	snapshot := g.snapshot()
@@ -83,6 +91,18 @@
 	return rest[:end], rest[end:]
 }
 
+// callerOf returns the name that the caller gives itself, or its IP address.
+func callerOf(c *app.RequestContext) string {
+	if name := c.GetHeader(header.Caller); len(name) > 0 {
+		return string(name[:min(len(name), maxCallerBytes)])
+	}
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 func boundedInt(text string, missing, highest int) (int, bool) {
 	if text == "" {
 		return missing, true
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -18,8 +18,9 @@
 		tried = append(tried, index)
 		outcome := g.attempt(ctx, call, index)
 		call.attempts--
+		call.noteEnd(outcome.why)
 		retry := retryReason(outcome.why, call)
-		if retry == nil {
+		if retry == nil || !call.service.Retries.Take() {
 			return outcome
 		}
 		g.counter.Retried(call.serviceName, retry)
