--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,12 +4,10 @@
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"github.com/basillink/basillink/internal/control"
@@ -25,6 +23,8 @@
 	Refused(service string, why *reason.Reason)
 	// Retried counts a retry.
 	Retried(service string, why *reason.Reason)
+	// Added records the time of a request outside exchanges with targets.
+	Added(time.Duration)
 }
 
 // Gateway serves callers.
@@ -58,21 +58,4 @@
 
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
-func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) {
-	call, refusal := g.parse(c)
-	if refusal != nil {
-		g.refuse(c, call.serviceName, refusal)
-		return
-	}
-	ctx, finish := g.inFlight.begin(ctx, call.class.Long)
-	defer finish()
-	ctx, cancel := context.WithTimeout(ctx, call.timeout)
-	defer cancel()
-	if failure := g.dispatch(ctx, c, call); failure != nil {
-		g.refuse(c, call.serviceName, cutReason(ctx, failure))
-		return
-	}
-	g.counter.Answered(call.serviceName, call.class.Name)
-}
-
 func randomNumber() uint64 { return rand.Uint64() }
