Add development mode, which runs everything in one process

Cause: a new user had to write settings, start a platform and targets before the first request. Ruled out: a compose file or scripts, because the project starts no process from another. Change: `basillinkd dev` runs the stand-in platform, one target per availability zone for flightdesk, airlog, banco-app and volontari-report, and one instance; it accepts loopback addresses only, says that it is not for production, and prints what to curl.

--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -37,6 +37,9 @@
 			backoff.Reset()
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		r.Logger.Warn("Cannot read the log.", "error", err)
 		sleep(ctx, backoff.Next(r.Random))
 	}
--- a/internal/daemoncli/commands.go
+++ b/internal/daemoncli/commands.go
@@ -24,6 +24,7 @@
 	return []subcommands.Command{
 		&runCommand{errOut: errOut},
 		&checkCommand{out: out, errOut: errOut},
+		&devCommand{out: out, errOut: errOut},
 	}
 }
 
--- /dev/null
+++ b/internal/devmode/guide.go
@@ -0,0 +1,28 @@
+package devmode
+
+import (
+	"fmt"
+	"io"
+)
+
+// printGuide tells a new user what runs and what to try.
+func printGuide(out io.Writer, a Addresses) {
+	_, _ = fmt.Fprintf(out, `basillinkd dev: NOT FOR PRODUCTION. A stand-in platform, sample targets and one instance run in
+this process on loopback addresses. Everything is lost when it stops.
+
+  callers   http://%[1]s
+  admin     http://%[2]s  (/livez /readyz /status /explain /metrics)
+  platform  http://%[3]s
+
+Try:
+  curl -i 'http://%[1]s/flightdesk/slots?day=saturday'
+  curl -i 'http://%[1]s/banco-app/stock?size=3'
+  curl -i 'http://%[1]s/volontari-report/summaries/today'
+  curl -i -X POST -d 'channel=72' 'http://%[1]s/flightdesk/reservations'
+  curl 'http://%[2]s/explain?service=flightdesk&uri=/slots'
+  go run ./cmd/basillink status -platform %[3]s
+  go run ./cmd/basillink load -url 'http://%[1]s/flightdesk/slots' -rate 200 -duration 5s
+
+Stop with Ctrl-C.
+`, a.Caller, a.Admin, a.Platform)
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,30 +19,47 @@
 
 // PlatformServer serves a log and an instance list over HTTP.
 type PlatformServer struct {
-	Log    *Log
-	List   *List
-	server *server.Hertz
+	Log     *Log
+	List    *List
+	address string
+	server  *server.Hertz
 }
 
-// NewPlatformServer returns a server on an address.
+// NewPlatformServer returns a server for an address. It opens no port.
 func NewPlatformServer(address string, log *Log, list *List) *PlatformServer {
-	s := &PlatformServer{Log: log, List: list, server: server.New(
-		server.WithHostPorts(address),
+	return &PlatformServer{Log: log, List: list, address: address}
+}
+
+// Open opens the port. It reports an address that cannot be used, on which the server itself panics.
+func (s *PlatformServer) Open() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.server = server.New(
+		server.WithListener(listener),
 		server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(maxRecordBytes),
 		server.WithExitWaitTime(time.Second),
 		server.WithSenseClientDisconnection(true),
-	)}
+	)
 	s.server.POST("/records", s.append)
 	s.server.GET("/records", s.read)
 	s.server.GET("/instances", s.instances)
-	return s
+	return nil
 }
 
-// Run serves until Shutdown.
-func (s *PlatformServer) Run() error { return s.server.Run() }
+// Run serves until Shutdown. It opens the port unless Open did.
+func (s *PlatformServer) Run() error {
+	if s.server == nil {
+		if err := s.Open(); err != nil {
+			return err
+		}
+	}
+	return s.server.Run()
+}
 
-// Shutdown stops the server.
+// Shutdown stops the server after Open.
 func (s *PlatformServer) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
 func (s *PlatformServer) append(ctx context.Context, c *app.RequestContext) {
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 )
 
 // NewLogger returns a logger that writes to w. Level and format are valid settings.
@@ -13,13 +14,21 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
 	}
-	options := &slog.HandlerOptions{Level: l}
+	options := &slog.HandlerOptions{Level: l, ReplaceAttr: oneLine}
 	if format == "json" {
 		return slog.New(slog.NewJSONHandler(w, options))
 	}
 	return slog.New(slog.NewTextHandler(w, options))
 }
 
+// oneLine joins the lines of wrapped errors, so that a log entry stays on one line.
+func oneLine(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(strings.ReplaceAll(err.Error(), "\n\t", ": "))
+	}
+	return a
+}
+
 // Component returns a logger whose messages start with the component's prefix.
 func Component(log *slog.Logger, name string) *slog.Logger {
 	return slog.New(&prefixHandler{Handler: log.Handler(), prefix: name + ": "})
