Add an open-loop load generator and the command basillink load

Cause: latency figures need requests that are due independently of answers; a closed loop hides the time that requests wait for a slow server. Ruled out: the Transport of net/http, because it sends a request again by itself when a reused connection fails, which must never happen to a class that may not be repeated; the generator uses net/http's codec on connections of its own.

--- a/internal/client/commands.go
+++ b/internal/client/commands.go
@@ -29,5 +29,6 @@
 		checkCommand(out),
 		publishCommand(out),
 		statusCommand(out),
+		loadCommand(out),
 	}
 }
