--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -63,7 +63,7 @@
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
+		pool = transport.NewTargetPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
 		l.pools[address] = pool
 	}
 	return pool
@@ -78,7 +78,7 @@
 	}
 	for address, pool := range l.pools {
 		if !used[address] {
-			pool.CloseIdle()
+			pool.Close()
 			delete(l.pools, address)
 		}
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,44 +1,112 @@
 package gateway
 
 import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
 )
 
-// answer writes the result to the caller, counts it and releases it.
-func (g *Gateway) answer(c *app.RequestContext, call *call, r *result) {
+// writeTimeout bounds how long a caller may take to accept an answer that is already whole.
+const writeTimeout = 30 * time.Second
+
+// answer writes the result to the caller, counts it and releases it. An error means that the caller did not receive
+// all of it.
+func (g *Gateway) answer(ctx context.Context, c *app.RequestContext, call *call, r *result) error {
 	defer r.release()
+	if r.why == nil && !r.answer.Whole() && r.answer.Length() < 0 && !c.Request.Header.IsHTTP11() {
+		r = refused(reason.AnswerUnbounded)
+	}
+	if err := setWriteDeadline(ctx, c); err != nil {
+		return err
+	}
 	if r.why != nil {
-		g.writeRefusal(c, call, r)
-		return
+		return g.writeRefusal(c, call, r)
 	}
-	g.writeAnswer(c, r.response)
 	g.counter.Answered(call.serviceName, call.class.Name)
+	g.setAnswerHead(c, r.answer)
+	if r.answer.Whole() {
+		c.Response.SetBodyRaw(r.answer.Response.Body())
+		return g.write(c)
+	}
+	return g.stream(c, call, r)
+}
+
+func setWriteDeadline(ctx context.Context, c *app.RequestContext) error {
+	end := time.Now().Add(writeTimeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.After(end) {
+		end = deadline
+	}
+	return c.GetConn().SetWriteDeadline(end)
 }
 
-// writeAnswer passes a target's whole answer on to the caller.
-func (g *Gateway) writeAnswer(c *app.RequestContext, answer *protocol.Response) {
-	answer.Header.CopyTo(&c.Response.Header)
-	for _, name := range header.HopByHop() {
-		c.Response.Header.Del(name)
+// setAnswerHead copies the head of a target's answer without the headers that concern its connection or belong to the
+// protocol.
+func (g *Gateway) setAnswerHead(c *app.RequestContext, answer *transport.Answer) {
+	h, source := &c.Response.Header, answer.Response
+	h.SetNoDefaultContentType(true)
+	h.SetNoDefaultDate(true)
+	h.SetStatusCode(source.StatusCode())
+	source.Header.VisitAll(func(key, value []byte) {
+		if passesToCaller(key) && !slices.Contains(answer.Options, string(key)) {
+			addAnswerHeader(h, key, value)
+		}
+	})
+	if c.Request.Header.IsHead() {
+		c.Response.SkipBody = true
+		if length := source.Header.ContentLength(); length >= 0 {
+			h.SetContentLength(length)
+		}
 	}
-	c.Response.SetBody(answer.Body())
-	c.Response.Header.Set(header.Outcome, string(reason.Done))
-	c.Response.Header.Set(header.Instance, g.instance)
+	h.Set(header.Outcome, string(reason.Done))
+	h.Set(header.Instance, g.instance)
+}
+
+func addAnswerHeader(h *protocol.ResponseHeader, key, value []byte) {
+	switch string(key) {
+	case "Content-Type":
+		h.SetContentTypeBytes(value)
+	case "Content-Encoding":
+		h.SetContentEncodingBytes(value)
+	case "Server":
+		h.SetServerBytes(value)
+	default:
+		h.AddArgBytes(key, value, protocol.ArgsHasValue)
+	}
+}
+
+// write sends c.Response to the caller.
+func (g *Gateway) write(c *app.RequestContext) error {
+	conn := c.GetConn()
+	if err := resp.Write(&c.Response, conn); err != nil {
+		return err
+	}
+	return conn.Flush()
 }
 
 // writeRefusal answers a request that no target answered.
-func (g *Gateway) writeRefusal(c *app.RequestContext, call *call, r *result) {
+func (g *Gateway) writeRefusal(c *app.RequestContext, call *call, r *result) error {
 	g.counter.Refused(call.serviceName, r.why)
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.why.Name, "error", r.cause)
-	c.Response.Reset()
-	c.SetStatusCode(r.why.Status)
-	c.Response.Header.Set(header.Outcome, string(r.why.Outcome))
-	c.Response.Header.Set(header.Reason, r.why.Name)
-	c.Response.Header.Set(header.Instance, g.instance)
-	c.SetContentType("text/plain; charset=utf-8")
-	c.SetBodyString(r.why.Error() + "\n")
+	h := &c.Response.Header
+	h.SetStatusCode(r.why.Status)
+	h.Set(header.Outcome, string(r.why.Outcome))
+	h.Set(header.Reason, r.why.Name)
+	h.Set(header.Instance, g.instance)
+	h.SetContentType("text/plain; charset=utf-8")
+	body := r.why.Error() + "\n"
+	c.Response.SetBodyString(body)
+	if c.Request.Header.IsHead() {
+		c.Response.SkipBody = true
+		h.SetContentLengthBytes([]byte(strconv.Itoa(len(body))))
+	}
+	return g.write(c)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/google/uuid"
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/header"
@@ -14,50 +16,83 @@
 	"github.com/basillink/basillink/internal/transport"
 )
 
-// attempt runs one exchange with one target and reports its end to the policy.
+// wholeAnswerBytes is the longest body that is read whole before the first byte goes to the caller.
+const wholeAnswerBytes = 1 << 20
+
+// attempt runs one exchange with one target and reports its end to the policy, for a streamed answer when the stream
+// has ended.
 func (g *Gateway) attempt(ctx context.Context, call *call, index int) *result {
 	target := call.service.Targets[index]
-	request, response := protocol.AcquireRequest(), protocol.AcquireResponse()
+	policy := call.service.Policy
+	request := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(request)
-	buildRequest(ctx, request, call, target.Address)
+	buildRequest(request, call, target.Address)
+	runID := uuid.NewString()
+	prepare := func(request *protocol.Request, remaining time.Duration) {
+		addProtocolHeaders(request, call, runID, remaining)
+	}
 
 	started := g.now()
-	call.service.Policy.Started(index, started)
-	err := target.Pool.Exchange(ctx, request, response, g.limits.MaxAnswerBytes)
-	call.service.Policy.Finished(index, policyResult(started, g.now(), response, err))
-	return exchangeResult(response, err)
+	policy.Started(index, started)
+	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+	answer, err := target.Pool.Start(ctx, request, limits, prepare)
+	if err != nil {
+		policy.Finished(index, failureResult(started, g.now(), err))
+		return failedResult(err)
+	}
+	finished := answerResult(started, g.now(), answer.Response)
+	r := answerOrShed(answer)
+	r.ended = func(err error) {
+		if err != nil {
+			finished = failureResult(started, g.now(), err)
+		}
+		policy.Finished(index, finished)
+	}
+	if r.why != nil || answer.Whole() {
+		r.end(nil)
+	}
+	return r
 }
 
-// exchangeResult takes over the response.
-func exchangeResult(response *protocol.Response, err error) *result {
+func failedResult(err error) *result {
 	var failure *transport.ExchangeError
 	if errors.As(err, &failure) {
-		protocol.ReleaseResponse(response)
 		return &result{why: failure.Reason, cause: failure}
 	}
-	if string(response.Header.Peek(header.TargetNotRun)) == "1" {
-		protocol.ReleaseResponse(response)
+	return &result{why: reason.AnswerLost, cause: err}
+}
+
+// answerOrShed takes over the answer. By contract a target that sheds load did not start the request.
+func answerOrShed(answer *transport.Answer) *result {
+	response := answer.Response
+	if response.StatusCode() == http.StatusServiceUnavailable && string(response.Header.Peek(header.TargetNotRun)) == "1" {
+		answer.Close()
 		return refused(reason.TargetShed)
 	}
-	return &result{response: response}
+	return &result{answer: answer}
 }
 
-// policyResult describes the end of an exchange to the policy.
-func policyResult(started, now time.Duration, answer *protocol.Response, err error) balancer.Result {
+// answerResult describes an answer to the policy.
+func answerResult(started, now time.Duration, response *protocol.Response) balancer.Result {
 	r := balancer.Result{Now: now, Elapsed: now - started, Verdict: balancer.Answered, Load: balancer.NoLoad}
-	var failure *transport.ExchangeError
-	switch {
-	case errors.As(err, &failure) && isCancelled(failure.Reason):
-		r.Verdict = balancer.Cancelled
-	case err != nil || answer.StatusCode() >= 500 && answer.StatusCode() != 503:
-		r.Verdict = balancer.Failed
-	case answer.StatusCode() == 503 || answer.StatusCode() == 429:
+	switch status := response.StatusCode(); {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		r.Verdict = balancer.Rejected
+	case status >= http.StatusInternalServerError:
+		r.Verdict = balancer.Failed
 	}
-	if err == nil {
-		if load, parseErr := strconv.Atoi(string(answer.Header.Peek(header.TargetLoad))); parseErr == nil {
-			r.Load = load
-		}
+	if load, err := strconv.Atoi(string(response.Header.Peek(header.TargetLoad))); err == nil && load >= 0 {
+		r.Load = load
+	}
+	return r
+}
+
+// failureResult describes a failed exchange to the policy.
+func failureResult(started, now time.Duration, err error) balancer.Result {
+	r := balancer.Result{Now: now, Elapsed: now - started, Verdict: balancer.Failed, Load: balancer.NoLoad}
+	var failure *transport.ExchangeError
+	if errors.As(err, &failure) && isCancelled(failure.Reason) {
+		r.Verdict = balancer.Cancelled
 	}
 	return r
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,7 +22,8 @@
 // call is a caller's request after parsing.
 type call struct {
 	// request is the caller's request. It is valid until the answer was written.
-	request     *protocol.Request
+	request *protocol.Request
+	// serviceName is empty unless the service is in force.
 	serviceName string
 	service     *control.Service
 	class       *operator.Class
@@ -32,19 +33,20 @@
 	attempts int
 }
 
-// parse reads the routing headers of a request. The returned call names the service even with a refusal.
+// parse reads the routing headers of a request. The returned call names the service only if it is in force.
 func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
 	parsed := &call{request: &c.Request}
-	path := string(c.Request.RequestURI())
-	parsed.serviceName, parsed.uri = splitService(string(c.GetHeader(header.Service)), path)
+	var name string
+	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), originForm(string(c.Request.RequestURI())))
 	snapshot := g.snapshot()
 	if snapshot == nil {
 		return parsed, reason.NotReady
 	}
-	parsed.service = snapshot.Services[parsed.serviceName]
+	parsed.service = snapshot.Services[name]
 	if parsed.service == nil {
 		return parsed, reason.UnknownService
 	}
+	parsed.serviceName = name
 	return parsed, parsed.readHeaders(c)
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -38,6 +38,8 @@
 		return reason.RetryTargetShed
 	case reason.ConnectionRefused:
 		return reason.RetryConnectionRefused
+	case reason.ConnectionLost:
+		return reason.RetryConnectionLost
 	}
 	if !call.class.Repeatable {
 		return nil
@@ -47,6 +49,8 @@
 		return reason.RetryAnswerLost
 	case reason.AnswerTruncated:
 		return reason.RetryAnswerTruncated
+	case reason.ConnectionSilent:
+		return reason.RetryConnectionSilent
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,22 +1,25 @@
 // Package gateway accepts requests of callers, sends them to targets and returns
-// the answers. Each request is served by one goroutine, which reads the snapshot
-// of the control loop and never writes control state.
+// the answers. Each connection of a caller is served by one goroutine, which
+// reads the snapshot of the control loop and never writes control state.
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
 )
 
-// Counter counts outcomes, refusals and retries. It is safe for concurrent use.
+// Counter counts outcomes, refusals and retries. It is safe for concurrent use. The service is empty when the request
+// names none that is in force, so that callers cannot create metric labels.
 type Counter interface {
 	// Answered counts an answer passed on from a target.
 	Answered(service, class string)
@@ -28,16 +31,19 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	instance string
-	limits   settings.Limits
-	snapshot func() *control.Snapshot
-	counter  Counter
-	log      *slog.Logger
-	start    time.Time
-	server   *server.Hertz
+	instance    string
+	limits      settings.Limits
+	snapshot    func() *control.Snapshot
+	counter     Counter
+	log         *slog.Logger
+	start       time.Time
+	listener    *listener
+	server      *server.Hertz
+	connections connections
+	draining    atomic.Bool
 }
 
-// New returns a gateway that listens on the caller address of the settings.
+// New returns a gateway that listens on the caller address of the settings. It opens no port.
 func New(s *settings.Settings, snapshot func() *control.Snapshot, counter Counter, log *slog.Logger) *Gateway {
 	g := &Gateway{
 		instance: s.Instance.ID,
@@ -46,25 +52,28 @@
 		counter:  counter,
 		log:      log,
 		start:    time.Now(),
+		listener: &listener{address: s.Listen.Caller},
 	}
 	g.server = server.New(
-		server.WithHostPorts(s.Listen.Caller),
-		server.WithMaxRequestBodySize(s.Limits.MaxRequestBodyBytes),
-		server.WithMaxHeaderBytes(s.Limits.MaxHeaderBytes),
+		server.WithListener(g.listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(rememberSocket),
 		server.WithDisablePrintRoute(true),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithSenseClientDisconnection(true),
-		server.WithUseRawPath(true),
 	)
-	g.server.NoRoute(g.serve)
+	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
 	return g
 }
 
 // Run serves until Shutdown.
-func (g *Gateway) Run() error { return g.server.Run() }
+func (g *Gateway) Run() error {
+	if err := g.listener.open(); err != nil {
+		return err
+	}
+	return g.server.Run()
+}
 
-// Shutdown stops accepting and waits for the requests in flight until the context ends.
-func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
+// Address returns the listening address. It is empty before Run.
+func (g *Gateway) Address() string { return g.listener.boundAddress() }
 
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
--- /dev/null
+++ b/internal/gateway/requestline.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"bytes"
+
+	"github.com/basillink/basillink/internal/framing"
+)
+
+// validRequestLine reports whether a line is "method SP request-target SP HTTP/1.x" with an origin-form or
+// absolute-form target.
+func validRequestLine(line []byte) bool {
+	method, rest, ok := bytes.Cut(line, []byte{' '})
+	if !ok || !framing.IsToken(method) {
+		return false
+	}
+	target, version, ok := bytes.Cut(rest, []byte{' '})
+	if !ok || string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
+		return false
+	}
+	return validTarget(target)
+}
+
+func validTarget(target []byte) bool {
+	for _, b := range target {
+		if b <= ' ' || b == 0x7f {
+			return false
+		}
+	}
+	origin := originForm(string(target))
+	return origin != "" && origin[0] == '/'
+}
+
+// originForm returns the path and query of a request target. The authority of an absolute-form target is dropped,
+// because the service is not selected by it.
+func originForm(target string) string {
+	const scheme = "http://"
+	if len(target) < len(scheme) || target[:len(scheme)] != scheme {
+		return target
+	}
+	rest := target[len(scheme):]
+	for i := range len(rest) {
+		switch rest[i] {
+		case '/':
+			return rest[i:]
+		case '?':
+			return "/" + rest[i:]
+		}
+	}
+	return "/"
+}
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -1,27 +1,40 @@
 package gateway
 
 import (
-	"github.com/cloudwego/hertz/pkg/protocol"
-
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
 )
 
-// result is what came out of a call or of one attempt: the answer of a target, or a reason why there is none.
+// result is what came out of a call or of one attempt: the answer of a target, or a reason why there is none. It is
+// used by one goroutine.
 type result struct {
 	// why is nil when a target answered.
 	why *reason.Reason
-	// response is the answer of a target. It is nil when why is set.
-	response *protocol.Response
+	// answer is the answer of a target. It is nil when why is set. Its body is whole unless it is longer than
+	// wholeAnswerBytes.
+	answer *transport.Answer
 	// cause is the error behind why, for logs.
 	cause error
+	// ended is called once when the exchange with the target has ended. It may be nil.
+	ended func(err error)
 }
 
 func refused(why *reason.Reason) *result { return &result{why: why, cause: why} }
 
-// release returns the buffers of the answer. The result must not be used afterwards.
+// end reports the end of the exchange.
+func (r *result) end(err error) {
+	if r.ended != nil {
+		r.ended(err)
+		r.ended = nil
+	}
+}
+
+// release returns the buffers of the answer and cancels a stream that was not read to its end. The result must not be
+// used afterwards.
 func (r *result) release() {
-	if r.response != nil {
-		protocol.ReleaseResponse(r.response)
-		r.response = nil
+	if r.answer != nil {
+		r.answer.Close()
+		r.answer = nil
 	}
+	r.end(nil)
 }
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -65,6 +65,10 @@
 	TargetShed        = add("target_shed", Refusal, 503, NotRun, "Targets refused the request before running it and no attempt is left.")
 	CrashSuspect      = add("crash_suspect", Refusal, 422, NotRun, "Targets that ran this request crashed. It is not sent to further targets until the mark ages out.")
 	ConnectionRefused = add("connection_refused", Refusal, 503, NotRun, "No connection to a target could be opened and no attempt is left.")
+	ConnectionLost    = add("connection_lost", Refusal, 503, NotRun, "The connection to the target was closed before a byte of the request was sent, and no attempt is left.")
+	ConnectionsBusy   = add("connections_busy", Refusal, 503, NotRun, "All connections to the target stayed in use until the deadline.")
+	BadRequestLine    = add("bad_request_line", Refusal, 400, NotRun, "The request line is not valid HTTP/1.")
+	RequestTimeout    = add("request_timeout", Refusal, 408, NotRun, "The request was not received completely in time.")
 	CallerLeftEarly   = add("caller_left", Refusal, 499, NotRun, "The caller closed its connection before the request was sent to a target.")
 )
 
@@ -74,6 +78,7 @@
 	AnswerLost       = add("answer_lost", Failure, 502, Unknown, "The connection to the target failed after the request was sent.")
 	AnswerTruncated  = add("answer_truncated", Failure, 502, Unknown, "The target's answer ended before its announced length.")
 	AnswerUnbounded  = add("answer_unbounded", Failure, 502, Unknown, "The target's answer has no length and cannot be proved whole.")
+	AnswerTooLarge   = add("answer_too_large", Failure, 502, Unknown, "The target's answer exceeds limits.max_answer_bytes.")
 	AnswerMalformed  = add("answer_malformed", Failure, 502, Unknown, "The target's answer is not valid HTTP.")
 	CallerLeft       = add("caller_left_running", Failure, 499, Unknown, "The caller closed its connection while a target ran the request.")
 	ConnectionSilent = add("connection_silent", Failure, 504, Unknown, "The connection to the target went silent.")
@@ -87,6 +92,7 @@
 var (
 	RetryTargetShed        = add("retry_target_shed", Retry, 0, "", "A target refused the request before running it.")
 	RetryConnectionRefused = add("retry_connection_refused", Retry, 0, "", "A connection to a target could not be opened.")
+	RetryConnectionLost    = add("retry_connection_lost", Retry, 0, "", "A connection to a target was closed before a byte of the request was sent.")
 	RetryAnswerLost        = add("retry_answer_lost", Retry, 0, "", "A repeatable request lost its answer.")
 	RetryAnswerTruncated   = add("retry_answer_truncated", Retry, 0, "", "A repeatable request received an incomplete answer.")
 	RetryConnectionSilent  = add("retry_connection_silent", Retry, 0, "", "A repeatable request was on a connection that went silent.")
--- /dev/null
+++ b/internal/transport/answer.go
@@ -0,0 +1,249 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"slices"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// Answer is the answer of a target. It is used by one goroutine, which must call Close.
+type Answer struct {
+	// Response holds the head and, of the body, the part that was read by Start.
+	Response *protocol.Response
+	// Options are the options of the target's Connection headers in canonical form.
+	Options []string
+
+	pool   *Pool
+	conn   *Conn
+	limits Limits
+	ctx    context.Context
+	stop   func() bool
+	// remainder reads the part of the body that follows Response.Body. It is nil when the body is whole.
+	remainder io.Reader
+	// chunked is true when the body has chunks instead of a length.
+	chunked bool
+	// length is the announced length of the body.
+	length int
+	// read counts the bytes of the body that were read.
+	read int
+}
+
+func newAnswer(p *Pool, conn *Conn, limits Limits) *Answer {
+	return &Answer{Response: protocol.AcquireResponse(), pool: p, conn: conn, limits: limits}
+}
+
+// begin binds the exchange to the context: when it ends, the connection is closed, which cancels the request.
+func (a *Answer) begin(ctx context.Context) {
+	conn := a.conn
+	conn.begin()
+	a.ctx = ctx
+	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	a.pool.watch(conn)
+}
+
+// Whole reports whether Response holds the whole body.
+func (a *Answer) Whole() bool { return a.remainder == nil }
+
+// Length returns the length of the body, or -1 when it is not known before the end.
+func (a *Answer) Length() int {
+	switch {
+	case a.remainder == nil:
+		return len(a.Response.Body())
+	case a.chunked:
+		return -1
+	}
+	return a.length
+}
+
+// Read reads the part of the body that follows Response.Body. It returns io.EOF only when the body is whole; any other
+// error is an *ExchangeError.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.remainder == nil {
+		return 0, io.EOF
+	}
+	n, err := a.remainder.Read(p)
+	a.read += n
+	if err == io.EOF {
+		err = a.endOfBody()
+	}
+	switch {
+	case a.read > a.limits.MaxBytes:
+		return 0, a.fail(&AnswerSizeError{a.limits.MaxBytes})
+	case err == nil:
+		return n, nil
+	case err == io.EOF:
+		a.finish()
+		return n, io.EOF
+	}
+	return n, a.fail(&TruncatedAnswerError{err})
+}
+
+// Close releases the answer. An exchange whose body was not read to its end is cancelled.
+func (a *Answer) Close() {
+	if a.conn != nil {
+		a.drop()
+	}
+	if a.Response != nil {
+		protocol.ReleaseResponse(a.Response)
+		a.Response = nil
+	}
+}
+
+// finish ends the exchange cleanly and returns the connection to the pool unless it must not be used again.
+func (a *Answer) finish() {
+	conn := a.conn
+	a.conn, a.remainder = nil, nil
+	interrupted := !a.stop()
+	silent := conn.end()
+	closing := a.Response.Header.ConnectionClose() || slices.Contains(a.Options, "Close")
+	reusable := !interrupted && !silent && !closing && conn.reader.Buffered() == 0
+	if reusable && conn.rest() == nil {
+		a.pool.release(conn)
+		return
+	}
+	a.pool.discard(conn)
+}
+
+// drop closes the connection of an exchange that did not end.
+func (a *Answer) drop() bool {
+	conn := a.conn
+	a.conn, a.remainder = nil, nil
+	a.stop()
+	silent := conn.end()
+	a.pool.discard(conn)
+	return silent
+}
+
+// fail drops the exchange and describes why.
+func (a *Answer) fail(err error) *ExchangeError {
+	conn := a.conn
+	silent := a.drop()
+	return a.pool.exchangeError(a.ctx, err, conn, silent)
+}
+
+// endOfBody checks that the body is whole. It returns io.EOF if so.
+func (a *Answer) endOfBody() error {
+	if !a.chunked {
+		if limited, ok := a.remainder.(*io.LimitedReader); ok && limited.N > 0 {
+			return io.ErrUnexpectedEOF
+		}
+		return io.EOF
+	}
+	if err := a.conn.skipTrailer(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// maxTrailerBytes bounds the trailer of a chunked body. Trailers are not passed on.
+const maxTrailerBytes = 8 << 10
+
+// skipTrailer reads the lines after the last chunk through the empty line.
+func (c *Conn) skipTrailer() error {
+	total := 0
+	for {
+		line, err := c.reader.ReadSlice('\n')
+		if err != nil {
+			return unexpected(err)
+		}
+		if len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+			return nil
+		}
+		if total += len(line); total > maxTrailerBytes {
+			return &MalformedAnswerError{"the trailer is too long"}
+		}
+	}
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readAnswer reads the head and the first part of the body.
+func (c *Conn) readAnswer(request *protocol.Request, answer *Answer) error {
+	response := answer.Response
+	if err := c.readHead(answer); err != nil {
+		return err
+	}
+	response.SkipBody = request.Header.IsHead()
+	if response.MustSkipBody() {
+		return nil
+	}
+	answer.length = response.Header.ContentLength()
+	switch {
+	case answer.length == unboundedLength:
+		return &UnboundedAnswerError{}
+	case answer.length < 0:
+		answer.chunked = true
+		answer.remainder = httputil.NewChunkedReader(c.reader)
+	case answer.length == 0:
+		return nil
+	case answer.length > answer.limits.MaxBytes:
+		return &AnswerSizeError{answer.limits.MaxBytes}
+	default:
+		answer.remainder = &io.LimitedReader{R: c.reader, N: int64(answer.length)}
+	}
+	if err := answer.readPrefix(); err != nil {
+		return err
+	}
+	if answer.read > answer.limits.MaxBytes {
+		return &AnswerSizeError{answer.limits.MaxBytes}
+	}
+	return nil
+}
+
+// readPrefix reads at most limits.WholeBytes of the body, and ends the exchange if that is all.
+func (a *Answer) readPrefix() error {
+	size := a.length
+	if a.chunked {
+		size = firstChunkedBytes
+	}
+	body := a.Response.BodyBuffer()
+	buffer := grow(body.B[:0], min(size, a.limits.WholeBytes))
+	for len(buffer) < a.limits.WholeBytes {
+		if len(buffer) == cap(buffer) {
+			buffer = grow(buffer, min(2*cap(buffer), a.limits.WholeBytes))
+		}
+		end := min(cap(buffer), a.limits.WholeBytes)
+		n, err := a.remainder.Read(buffer[len(buffer):end])
+		buffer = buffer[:len(buffer)+n]
+		body.B = buffer
+		a.read = len(buffer)
+		if err != nil || !a.chunked && len(buffer) == a.length {
+			return a.prefixEnd(err)
+		}
+	}
+	return nil
+}
+
+// firstChunkedBytes is the first buffer for a body of unknown length.
+const firstChunkedBytes = 4 << 10
+
+// prefixEnd handles the end of the body within the prefix.
+func (a *Answer) prefixEnd(err error) error {
+	if err == nil || err == io.EOF {
+		err = a.endOfBody()
+	}
+	if err != io.EOF {
+		return &TruncatedAnswerError{err}
+	}
+	a.remainder = nil
+	return nil
+}
+
+// grow returns b with room for at least size bytes.
+func grow(b []byte, size int) []byte {
+	if cap(b) >= size {
+		return b
+	}
+	grown := make([]byte, len(b), size)
+	copy(grown, b)
+	return grown
+}
--- /dev/null
+++ b/internal/transport/codec.go
@@ -0,0 +1,65 @@
+package transport
+
+import "io"
+
+// The methods below let the codec read from and write to a Conn. They implement
+// network.Reader and network.Writer of hertz.
+
+// Peek implements network.Reader.
+func (c *Conn) Peek(n int) ([]byte, error) { return c.reader.Peek(n) }
+
+// Skip implements network.Reader.
+func (c *Conn) Skip(n int) error {
+	_, err := c.reader.Discard(n)
+	return err
+}
+
+// Release implements network.Reader.
+func (c *Conn) Release() error { return nil }
+
+// Len implements network.Reader.
+func (c *Conn) Len() int { return c.reader.Buffered() }
+
+// ReadByte implements network.Reader.
+func (c *Conn) ReadByte() (byte, error) { return c.reader.ReadByte() }
+
+// ReadBinary implements network.Reader.
+func (c *Conn) ReadBinary(n int) ([]byte, error) {
+	p := make([]byte, n)
+	_, err := io.ReadFull(c.reader, p)
+	return p, err
+}
+
+// Malloc implements network.Writer.
+func (c *Conn) Malloc(n int) ([]byte, error) {
+	if err := c.writePending(); err != nil {
+		return nil, err
+	}
+	c.pending = make([]byte, n)
+	return c.pending, nil
+}
+
+// WriteBinary implements network.Writer.
+func (c *Conn) WriteBinary(b []byte) (int, error) {
+	if err := c.writePending(); err != nil {
+		return 0, err
+	}
+	return c.writer.Write(b)
+}
+
+// Flush implements network.Writer.
+func (c *Conn) Flush() error {
+	if err := c.writePending(); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+func (c *Conn) writePending() error {
+	if c.pending == nil {
+		return nil
+	}
+	_, err := c.writer.Write(c.pending)
+	c.pending = nil
+	return err
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -8,15 +8,22 @@
 	"bufio"
 	"context"
 	"net"
-	"syscall"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// connBufferBytes bounds the headers of an answer, which the codec reads from one buffer.
-const connBufferBytes = 16 << 10
+const (
+	// connBufferBytes bounds the head of an answer, which is read from one buffer.
+	connBufferBytes = 16 << 10
+	// writeBufferBytes holds the head and a small body, so that most requests leave in one segment.
+	writeBufferBytes = 4 << 10
+	// idleKeepAlive keeps the kernel's probes on idle connections rare, because they cost traffic.
+	idleKeepAlive = 30 * time.Second
+)
 
 // Conn is one connection. It carries one exchange at a time and is not safe for
-// concurrent use, except for Close.
+// concurrent use, except for Close and the silence watch.
 type Conn struct {
 	raw    net.Conn
 	reader *bufio.Reader
@@ -25,110 +32,130 @@
 	pending  []byte
 	opened   time.Time
 	lastUsed time.Time
-	uses     int
+
+	// written is true when the kernel took a byte of the current exchange.
+	written bool
+	// failed is the first error of the socket. Errors of the codec leave it nil.
+	failed error
+	// waitingSince is when the pending Read or Write started, in nanoseconds since opened. 0 means none is pending.
+	waitingSince atomic.Int64
+	// probed is true while the kernel probes the peer often.
+	probed atomic.Bool
+
+	mu sync.Mutex
+	// exchange counts exchanges, so that a late finding about an earlier one is ignored.
+	exchange uint64
+	// began is when the current exchange began.
+	began time.Time
+	busy  bool
+	// silent is set when the watch closed the connection.
+	silent bool
+	watch  *time.Timer
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive}}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *Conn {
 	now := time.Now()
-	return &Conn{
-		raw:      raw,
-		reader:   bufio.NewReaderSize(raw, connBufferBytes),
-		writer:   bufio.NewWriterSize(raw, 4<<10),
-		opened:   now,
-		lastUsed: now,
-	}, nil
+	c := &Conn{raw: raw, opened: now, lastUsed: now}
+	c.reader = bufio.NewReaderSize(socket{c}, connBufferBytes)
+	c.writer = bufio.NewWriterSize(socket{c}, writeBufferBytes)
+	return c
 }
 
 // Close closes the connection and interrupts an exchange on it.
 func (c *Conn) Close() error { return c.raw.Close() }
 
-// readable reports whether the peer has closed the idle connection or sent bytes that nobody asked for.
-// Either way the connection must not carry another exchange.
-func (c *Conn) readable() bool {
-	if c.reader.Buffered() > 0 {
-		return true
-	}
-	source, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := source.SyscallConn()
-	if err != nil {
-		return true
-	}
-	unexpected := true
-	err = rawConn.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unexpected = recvErr != syscall.EAGAIN
-		return true
-	})
-	return err != nil || unexpected
+// begin starts an exchange.
+func (c *Conn) begin() {
+	c.written = false
+	c.failed = nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchange++
+	c.began = time.Now()
+	c.busy = true
 }
 
-// Peek implements network.Reader.
-func (c *Conn) Peek(n int) ([]byte, error) { return c.reader.Peek(n) }
-
-// Skip implements network.Reader.
-func (c *Conn) Skip(n int) error {
-	_, err := c.reader.Discard(n)
-	return err
+// end finishes an exchange and reports whether the watch found the connection silent.
+func (c *Conn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	if c.watch != nil {
+		c.watch.Stop()
+	}
+	return c.silent
 }
 
-// Release implements network.Reader.
-func (c *Conn) Release() error { return nil }
-
-// Len implements network.Reader.
-func (c *Conn) Len() int { return c.reader.Buffered() }
+// current returns the exchange in progress.
+func (c *Conn) current() (exchange uint64, began time.Time, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange, c.began, c.busy
+}
 
-// ReadByte implements network.Reader.
-func (c *Conn) ReadByte() (byte, error) { return c.reader.ReadByte() }
+// rearm sets the watch again unless the exchange has ended.
+func (c *Conn) rearm(exchange uint64, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy && c.exchange == exchange {
+		c.watch.Reset(after)
+	}
+}
 
-// ReadBinary implements network.Reader.
-func (c *Conn) ReadBinary(n int) ([]byte, error) {
-	p := make([]byte, n)
-	_, err := readFull(c.reader, p)
-	return p, err
+// interruptSilent closes the connection unless the exchange has ended or received a byte meanwhile.
+func (c *Conn) interruptSilent(exchange uint64, atLeast time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy && c.exchange == exchange && c.silence() >= atLeast {
+		c.silent = true
+		_ = c.raw.Close()
+	}
 }
 
-// Read implements io.Reader, which the codec uses for large bodies.
-func (c *Conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+// socket records what happens on the raw connection of a Conn.
+type socket struct{ c *Conn }
 
-// Malloc implements network.Writer.
-func (c *Conn) Malloc(n int) ([]byte, error) {
-	if err := c.writePending(); err != nil {
-		return nil, err
-	}
-	c.pending = make([]byte, n)
-	return c.pending, nil
+// Read implements io.Reader.
+func (s socket) Read(p []byte) (int, error) {
+	s.c.startWaiting()
+	n, err := s.c.raw.Read(p)
+	s.c.waitingSince.Store(0)
+	s.c.record(err)
+	return n, err
 }
 
-// WriteBinary implements network.Writer.
-func (c *Conn) WriteBinary(b []byte) (int, error) {
-	if err := c.writePending(); err != nil {
-		return 0, err
-	}
-	return c.writer.Write(b)
+// Write implements io.Writer.
+func (s socket) Write(p []byte) (int, error) {
+	s.c.startWaiting()
+	n, err := s.c.raw.Write(p)
+	s.c.waitingSince.Store(0)
+	s.c.written = s.c.written || n > 0
+	s.c.record(err)
+	return n, err
 }
 
-// Flush implements network.Writer.
-func (c *Conn) Flush() error {
-	if err := c.writePending(); err != nil {
-		return err
+func (c *Conn) startWaiting() { c.waitingSince.Store(int64(time.Since(c.opened)) | 1) }
+
+func (c *Conn) record(err error) {
+	if err != nil && c.failed == nil {
+		c.failed = err
 	}
-	return c.writer.Flush()
 }
 
-func (c *Conn) writePending() error {
-	if c.pending == nil {
-		return nil
+// silence returns how long the pending Read or Write has waited.
+func (c *Conn) silence() time.Duration {
+	since := c.waitingSince.Load()
+	if since == 0 {
+		return 0
 	}
-	_, err := c.writer.Write(c.pending)
-	c.pending = nil
-	return err
+	return time.Since(c.opened) - time.Duration(since)
 }
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -25,7 +25,7 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Err }
 
-// LimitError reports that a pool has no connection left.
+// LimitError reports that all connections of a pool stayed in use until the deadline.
 type LimitError struct {
 	Address string
 	Limit   int
@@ -35,9 +35,39 @@
 	return fmt.Sprintf("%s: all %d connections are in use", e.Address, e.Limit)
 }
 
+// ClosedError reports that the pool was closed because its target is no longer in use.
+type ClosedError struct{ Address string }
+
+func (e *ClosedError) Error() string { return e.Address + ": the pool is closed" }
+
 // UnboundedAnswerError reports an answer whose end cannot be told from a broken connection.
 type UnboundedAnswerError struct{}
 
 func (e *UnboundedAnswerError) Error() string {
 	return "the answer has neither a length nor chunks"
 }
+
+// AnswerSizeError reports an answer that is longer than the limit.
+type AnswerSizeError struct{ Limit int }
+
+func (e *AnswerSizeError) Error() string {
+	return fmt.Sprintf("the answer is longer than %d bytes", e.Limit)
+}
+
+// MalformedAnswerError reports an answer that is not valid HTTP/1.
+type MalformedAnswerError struct{ Detail string }
+
+func (e *MalformedAnswerError) Error() string { return "malformed answer: " + e.Detail }
+
+// TruncatedAnswerError reports an answer that ended before its announced length.
+type TruncatedAnswerError struct{ Err error }
+
+func (e *TruncatedAnswerError) Error() string { return fmt.Sprintf("truncated answer: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *TruncatedAnswerError) Unwrap() error { return e.Err }
+
+// NoDescriptorError reports a connection without a file descriptor.
+type NoDescriptorError struct{}
+
+func (e *NoDescriptorError) Error() string { return "the connection has no file descriptor" }
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -2,116 +2,101 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
-
-	"github.com/basillink/basillink/internal/reason"
 )
 
-// Exchange sends a request to the pool's address and reads the whole answer, of at most
-// maxAnswer bytes. Every error is an *ExchangeError. A connection on which an exchange did
-// not end cleanly is closed.
-func (p *Pool) Exchange(ctx context.Context, request *protocol.Request, answer *protocol.Response, maxAnswer int) error {
+// Limits bounds the answer of one exchange.
+type Limits struct {
+	// WholeBytes is the longest body that is read whole. A longer one is streamed.
+	WholeBytes int
+	// MaxBytes is the longest accepted body.
+	MaxBytes int
+}
+
+// Start sends a request to the pool's address once and reads the answer. A body of at most limits.WholeBytes is read
+// whole; the rest of a longer one is read by Answer.Read. The context bounds the exchange until the answer is
+// closed. Every error is an *ExchangeError. The request is never sent a second time, and a connection on which an
+// exchange did not end cleanly is closed.
+//
+// Prepare, unless it is nil, is called when a connection is at hand, just before the write. It receives the remaining
+// time, which is 0 without a deadline.
+func (p *Pool) Start(ctx context.Context, request *protocol.Request, limits Limits, prepare Prepare) (*Answer, error) {
 	conn, err := p.acquire(ctx)
 	if err != nil {
-		return p.connectError(ctx, err)
+		return nil, p.connectError(ctx, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = conn.run(ctx, request, answer, maxAnswer)
-	interrupted := !stop()
-	if err == nil && !interrupted && !answer.Header.ConnectionClose() {
+	remaining, err := remainingTime(ctx)
+	if err != nil {
 		p.release(conn)
-		return nil
+		return nil, p.connectError(ctx, err)
 	}
-	p.discard(conn)
-	if err == nil {
-		return nil
+	if prepare != nil {
+		prepare(request, remaining)
 	}
-	return p.exchangeError(ctx, err)
-}
-
-func (c *Conn) run(ctx context.Context, request *protocol.Request, answer *protocol.Response, maxAnswer int) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := c.raw.SetDeadline(deadline); err != nil {
-			return err
-		}
+	answer := newAnswer(p, conn, limits)
+	answer.begin(ctx)
+	if err := conn.run(ctx, request, answer); err != nil {
+		failure := answer.fail(err)
+		answer.Close()
+		return nil, failure
 	}
-	if err := req.Write(request, c); err != nil {
-		return err
+	if answer.remainder == nil {
+		answer.finish()
 	}
-	if err := c.Flush(); err != nil {
-		return err
-	}
-	if err := c.readAnswer(request, answer, maxAnswer); err != nil {
-		return err
-	}
-	c.uses++
-	c.lastUsed = time.Now()
-	return c.raw.SetDeadline(time.Time{})
+	return answer, nil
 }
 
-// bodyError marks a failure after the headers of the answer were read.
-type bodyError struct{ err error }
+// Prepare completes a request just before it is written.
+type Prepare func(request *protocol.Request, remaining time.Duration)
 
-func (e *bodyError) Error() string { return e.err.Error() }
-func (e *bodyError) Unwrap() error { return e.err }
+// shortestExchange is the least time in which an exchange may be started, the resolution of the remaining time that a
+// target is told.
+const shortestExchange = time.Millisecond
 
-// Content lengths with a special meaning in the codec.
-const unboundedLength = -2
-
-func (c *Conn) readAnswer(request *protocol.Request, answer *protocol.Response, maxAnswer int) error {
-	answer.SkipBody = request.Header.IsHead()
-	if err := resp.ReadHeaders(answer, c); err != nil {
-		return err
+func remainingTime(ctx context.Context) (time.Duration, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0, ctx.Err()
 	}
-	if !answer.MustSkipBody() && answer.Header.ContentLength() == unboundedLength {
-		return &UnboundedAnswerError{}
+	remaining := time.Until(deadline)
+	if remaining < shortestExchange {
+		return 0, context.DeadlineExceeded
 	}
-	if err := resp.ReadRespBody(answer, c, maxAnswer); err != nil {
-		return &bodyError{err}
-	}
-	return nil
+	return remaining, ctx.Err()
 }
 
-func (p *Pool) connectError(ctx context.Context, err error) error {
-	cause := reason.ConnectionRefused
-	if ctx.Err() != nil {
-		cause = contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
+// Exchange sends a request and reads the whole answer, of at most maxAnswer bytes, into response.
+// Every error is an *ExchangeError.
+func (p *Pool) Exchange(ctx context.Context, request *protocol.Request, response *protocol.Response, maxAnswer int) error {
+	answer, err := p.Start(ctx, request, Limits{WholeBytes: maxAnswer + 1, MaxBytes: maxAnswer}, nil)
+	if err != nil {
+		return err
 	}
-	return &ExchangeError{Reason: cause, Address: p.address, Err: err}
+	defer answer.Close()
+	answer.Response.CopyTo(response)
+	return nil
 }
 
-func (p *Pool) exchangeError(ctx context.Context, err error) error {
-	failure := &ExchangeError{Sent: true, Address: p.address, Err: err}
-	var unbounded *UnboundedAnswerError
-	var body *bodyError
-	var timeout net.Error
-	switch {
-	case ctx.Err() != nil:
-		failure.Reason = contextReason(ctx, reason.AnswerTimeout, reason.CallerLeft)
-	case errors.As(err, &timeout) && timeout.Timeout():
-		failure.Reason = reason.AnswerTimeout
-	case errors.As(err, &unbounded):
-		failure.Reason = reason.AnswerUnbounded
-	case errors.As(err, &body):
-		failure.Reason = reason.AnswerTruncated
-	default:
-		failure.Reason = reason.AnswerLost
+func (c *Conn) run(ctx context.Context, request *protocol.Request, answer *Answer) error {
+	deadline, _ := ctx.Deadline()
+	if err := c.raw.SetDeadline(deadline); err != nil {
+		return err
 	}
-	return failure
-}
-
-func contextReason(ctx context.Context, expired, cancelled *reason.Reason) *reason.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return expired
+	if err := req.Write(request, c); err != nil {
+		return err
+	}
+	if err := c.Flush(); err != nil {
+		return err
 	}
-	return cancelled
+	return c.readAnswer(request, answer)
 }
 
-func readFull(r io.Reader, p []byte) (int, error) { return io.ReadFull(r, p) }
+// rest makes the connection ready for the pool.
+func (c *Conn) rest() error {
+	c.lastUsed = time.Now()
+	c.restoreKeepAlive()
+	return c.raw.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/transport/failure.go
@@ -0,0 +1,74 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"github.com/basillink/basillink/internal/reason"
+)
+
+// connectError describes why no connection was available. No byte of the request was sent.
+func (p *Pool) connectError(ctx context.Context, err error) error {
+	cause := reason.ConnectionRefused
+	var limit *LimitError
+	switch {
+	case errors.As(err, &limit):
+		cause = contextReason(ctx, reason.ConnectionsBusy, reason.CallerLeftEarly)
+	case errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil:
+		cause = contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
+	}
+	return &ExchangeError{Reason: cause, Address: p.address, Err: err}
+}
+
+// exchangeError describes a failed exchange. The request provably did not reach the target only when the kernel took
+// no byte of it.
+func (p *Pool) exchangeError(ctx context.Context, err error, conn *Conn, silent bool) *ExchangeError {
+	failure := &ExchangeError{Sent: conn.written, Address: p.address, Err: err}
+	switch {
+	case !failure.Sent:
+		failure.Reason = unsentReason(ctx)
+	case silent:
+		failure.Reason = reason.ConnectionSilent
+	case ctx.Err() != nil:
+		failure.Reason = contextReason(ctx, reason.AnswerTimeout, reason.CallerLeft)
+	default:
+		failure.Reason = answerReason(err, conn.failed)
+	}
+	return failure
+}
+
+func unsentReason(ctx context.Context) *reason.Reason {
+	if ctx.Err() != nil {
+		return contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
+	}
+	return reason.ConnectionLost
+}
+
+// answerReason tells a broken connection from an answer that the balancer does not accept.
+func answerReason(err, socket error) *reason.Reason {
+	var timeout net.Error
+	var unbounded *UnboundedAnswerError
+	var size *AnswerSizeError
+	var truncated *TruncatedAnswerError
+	switch {
+	case errors.As(err, &unbounded):
+		return reason.AnswerUnbounded
+	case errors.As(err, &size):
+		return reason.AnswerTooLarge
+	case errors.As(socket, &timeout) && timeout.Timeout():
+		return reason.AnswerTimeout
+	case socket == nil:
+		return reason.AnswerMalformed
+	case errors.As(err, &truncated):
+		return reason.AnswerTruncated
+	}
+	return reason.AnswerLost
+}
+
+func contextReason(ctx context.Context, expired, cancelled *reason.Reason) *reason.Reason {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return cancelled
+	}
+	return expired
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -1,33 +1,78 @@
 package transport
 
 import (
+	"container/list"
 	"context"
 	"sync"
 	"time"
 )
 
-// idleLimit is how long an unused connection is kept.
-const idleLimit = 60 * time.Second
+const (
+	// idleLimit is how long an unused connection is kept.
+	idleLimit = 60 * time.Second
+	// openBurst and openInterval bound the rate of new connections to one address, so that the loss of all
+	// connections at once is not followed by a burst of new ones.
+	openBurst    = 8
+	openInterval = 5 * time.Millisecond
+	// dialTimeout bounds the opening of a connection that no request waits for.
+	dialTimeout = time.Second
+)
 
-// Pool keeps the connections to one address. It is safe for concurrent use.
+// Pool keeps the connections to one address. It is safe for concurrent use. Close must be called when the address is
+// no longer used; exchanges in flight finish.
 type Pool struct {
 	address string
 	limit   int
+	// silenceAfter is how long a connection may carry no byte before it is checked. 0 means never.
+	silenceAfter time.Duration
+	// spare keeps one idle connection open while others are in use.
+	spare bool
+
+	background context.Context
+	cancel     context.CancelFunc
 
-	mu   sync.Mutex
-	idle []*Conn
-	open int
+	mu     sync.Mutex
+	closed bool
+	idle   []*Conn
+	// open counts the connections that exist or are being opened.
+	open    int
+	waiters list.List
+	rate    bucket
+	// refill hands out connections when the rate allows the next one.
+	refill *time.Timer
+	// reap closes connections that were idle for too long.
+	reap *time.Timer
+	// opening is true while a spare connection is being opened.
+	opening bool
+	// lastAlive is when an old connection last answered a check.
+	lastAlive time.Time
 }
 
-// NewPool returns a pool that opens at most limit connections.
+// NewPool returns a pool that opens at most limit connections. Its exchanges may be quiet for long.
 func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: limit}
+	p := &Pool{address: address, limit: limit, rate: bucket{tokens: openBurst, last: time.Now()}}
+	p.background, p.cancel = context.WithCancel(context.Background())
+	return p
+}
+
+// NewTargetPool returns a pool for a target. It keeps a spare connection and looks for silent ones.
+func NewTargetPool(address string, limit int) *Pool {
+	p := NewPool(address, limit)
+	p.silenceAfter = DefaultSilenceAfter
+	p.spare = true
+	return p
 }
 
-// acquire returns an idle connection that the peer has not closed, or a new one.
+// grant is what a waiter receives: a connection, or room for a new one when conn is nil.
+type grant struct {
+	conn *Conn
+	err  error
+}
+
+// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order.
 func (p *Pool) acquire(ctx context.Context) (*Conn, error) {
 	for {
-		conn, err := p.takeIdle()
+		conn, err := p.obtain(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -41,20 +86,90 @@
 	}
 }
 
-// takeIdle returns the most recently used idle connection, or reserves room for a new one and returns nil.
-func (p *Pool) takeIdle() (*Conn, error) {
+// obtain returns the most recently used idle connection, or nil with room reserved for a new one. When there is
+// neither, it waits until the context ends.
+func (p *Pool) obtain(ctx context.Context) (*Conn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, &ClosedError{p.address}
+	}
+	if p.waiters.Len() == 0 {
+		if g, ok := p.next(); ok {
+			p.mu.Unlock()
+			return g.conn, g.err
+		}
+	}
+	ready := make(chan grant, 1)
+	element := p.waiters.PushBack(ready)
+	p.serve()
+	p.mu.Unlock()
+	select {
+	case g := <-ready:
+		return g.conn, g.err
+	case <-ctx.Done():
+		return nil, p.abandon(element, ready)
+	}
+}
+
+// abandon withdraws a waiter and passes on what it was granted meanwhile.
+func (p *Pool) abandon(element *list.Element, ready chan grant) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	select {
+	case g := <-ready:
+		switch {
+		case g.conn != nil:
+			p.idle = append(p.idle, g.conn)
+		case g.err == nil:
+			p.open--
+		}
+		p.serve()
+	default:
+		p.waiters.Remove(element)
+	}
+	return &LimitError{Address: p.address, Limit: p.limit}
+}
+
+// next takes an idle connection or reserves room for a new one. The lock is held.
+func (p *Pool) next() (grant, bool) {
 	if n := len(p.idle); n > 0 {
 		conn := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		return conn, nil
+		p.keepSpare()
+		return grant{conn: conn}, true
 	}
-	if p.open >= p.limit {
-		return nil, &LimitError{Address: p.address, Limit: p.limit}
+	if p.open < p.limit && p.rate.take(time.Now()) {
+		p.open++
+		return grant{}, true
 	}
-	p.open++
-	return nil, nil
+	return grant{}, false
+}
+
+// serve hands out what is available to the waiters in order. The lock is held.
+func (p *Pool) serve() {
+	for p.waiters.Len() > 0 {
+		g, ok := p.next()
+		if !ok {
+			p.awaitRate()
+			return
+		}
+		ready := p.waiters.Remove(p.waiters.Front()).(chan grant)
+		ready <- g
+	}
+}
+
+// awaitRate serves the waiters again when the rate allows a new connection. The lock is held.
+func (p *Pool) awaitRate() {
+	if p.open >= p.limit || p.refill != nil || p.closed {
+		return
+	}
+	p.refill = time.AfterFunc(openInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.refill = nil
+		p.serve()
+	})
 }
 
 func (p *Pool) openNew(ctx context.Context) (*Conn, error) {
@@ -63,15 +178,27 @@
 		p.forget()
 		return nil, err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepSpare()
 	return conn, nil
 }
 
+// release returns a connection after an exchange that ended cleanly.
 func (p *Pool) release(conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		p.open--
+		_ = conn.Close()
+		return
+	}
 	p.idle = append(p.idle, conn)
+	p.serve()
+	p.armReap()
 }
 
+// discard closes a connection.
 func (p *Pool) discard(conn *Conn) {
 	_ = conn.Close()
 	p.forget()
@@ -81,15 +208,71 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	if !p.closed {
+		p.serve()
+	}
+}
+
+// armReap closes idle connections after their time even when no request comes. The lock is held.
+func (p *Pool) armReap() {
+	if p.reap == nil && len(p.idle) > 0 && !p.closed {
+		p.reap = time.AfterFunc(idleLimit/2, p.reapIdle)
+	}
+}
+
+func (p *Pool) reapIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reap = nil
+	kept := p.idle[:0]
+	for _, conn := range p.idle {
+		if time.Since(conn.lastUsed) < idleLimit {
+			kept = append(kept, conn)
+			continue
+		}
+		p.open--
+		_ = conn.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.armReap()
 }
 
 // CloseIdle closes the connections that carry no exchange.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
-	idle := p.idle
+	defer p.mu.Unlock()
+	p.dropIdle()
+}
+
+// dropIdle closes the idle connections. The lock is held.
+func (p *Pool) dropIdle() {
+	for _, conn := range p.idle {
+		p.open--
+		_ = conn.Close()
+	}
 	p.idle = nil
-	p.mu.Unlock()
-	for _, conn := range idle {
-		p.discard(conn)
+}
+
+// Close closes idle connections now and others after their exchange. Later exchanges fail.
+func (p *Pool) Close() {
+	p.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.dropIdle()
+	p.stopTimers()
+	for p.waiters.Len() > 0 {
+		ready := p.waiters.Remove(p.waiters.Front()).(chan grant)
+		ready <- grant{err: &ClosedError{p.address}}
+	}
+}
+
+func (p *Pool) stopTimers() {
+	if p.reap != nil {
+		p.reap.Stop()
+	}
+	if p.refill != nil {
+		p.refill.Stop()
 	}
 }
