--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -64,7 +64,7 @@
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewPool(address, connectionShare(spec))
+		pool = transport.NewTargetPool(address, connectionShare(spec))
 		l.pools[address] = pool
 	}
 	return pool
@@ -79,7 +79,7 @@
 	}
 	for address, pool := range l.pools {
 		if !used[address] {
-			pool.CloseIdle()
+			pool.Close()
 			delete(l.pools, address)
 		}
 	}
