--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,13 +36,16 @@
 	policy.Started(index, started)
 	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
 	answer, err := target.Pool.Start(ctx, request, limits, prepare)
+	answered := g.now()
+	call.waited += answered - started
 	if err != nil {
-		policy.Finished(index, failureResult(started, g.now(), err))
+		policy.Finished(index, failureResult(started, answered, err))
 		return failedResult(err)
 	}
-	finished := answerResult(started, g.now(), answer.Response)
+	finished := answerResult(started, answered, answer.Response)
 	r := answerOrShed(answer)
 	r.ended = func(err error) {
+		call.waited += g.now() - answered
 		if err != nil {
 			finished = failureResult(started, g.now(), err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -27,6 +26,8 @@
 	Refused(service string, why *reason.Reason)
 	// Retried counts a retry.
 	Retried(service string, why *reason.Reason)
+	// Added records the time of a request outside exchanges with targets.
+	Added(time.Duration)
 }
 
 // Gateway serves callers.
@@ -40,7 +41,7 @@
 	listener    *listener
 	server      *server.Hertz
 	connections connections
-	draining    atomic.Bool
+	inFlight    *inFlight
 }
 
 // New returns a gateway that listens on the caller address of the settings. It opens no port.
@@ -53,6 +54,7 @@
 		log:      log,
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
+		inFlight: newInFlight(),
 	}
 	g.server = server.New(
 		server.WithListener(g.listener),
@@ -64,15 +66,13 @@
 	return g
 }
 
-// Run serves until Shutdown.
-func (g *Gateway) Run() error {
-	if err := g.listener.open(); err != nil {
-		return err
-	}
-	return g.server.Run()
-}
+// Open opens the caller listener, so that an address that cannot be used is reported before anything runs.
+func (g *Gateway) Open() error { return g.listener.open() }
+
+// Run serves until Shutdown. Open comes first.
+func (g *Gateway) Run() error { return g.server.Run() }
 
-// Address returns the listening address. It is empty before Run.
+// Address returns the listening address. It is empty before Open.
 func (g *Gateway) Address() string { return g.listener.boundAddress() }
 
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -45,20 +45,20 @@
 		s.core.GetCtxPool().Put(c)
 	}()
 	for s.awaitRequest(conn) {
-		s.gateway.connections.set(entry, true, false)
-		if !s.gateway.serveOne(ctx, c, entry) {
+		s.gateway.connections.setBusy(entry, true)
+		if !s.gateway.serveOne(ctx, c) {
 			break
 		}
 		_ = conn.Release()
 		c.ResetWithoutConn()
-		s.gateway.connections.set(entry, false, false)
+		s.gateway.connections.setBusy(entry, false)
 	}
 	return hertzerrors.ErrShortConnection
 }
 
 // awaitRequest waits for the first byte of a request.
 func (s *protocolServer) awaitRequest(conn network.Conn) bool {
-	if s.gateway.draining.Load() && conn.Len() == 0 {
+	if s.gateway.inFlight.draining.Load() && conn.Len() == 0 {
 		return false
 	}
 	if err := conn.SetReadDeadline(time.Now().Add(callerIdleTimeout)); err != nil {
@@ -69,7 +69,7 @@
 }
 
 // serveOne receives and serves one request. It reports whether the connection may carry another one.
-func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext, entry *callerConn) bool {
+func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
 	if refusal := g.receive(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
 		_ = g.answer(ctx, c, &call{request: &c.Request}, refused(refusal))
@@ -77,10 +77,9 @@
 	}
 	ctx, stop := watchCaller(ctx)
 	defer stop()
-	if g.draining.Load() || c.Request.Header.ConnectionClose() {
+	if g.inFlight.draining.Load() || c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
 	}
-	mark := func(long bool) { g.connections.set(entry, true, long) }
-	err := g.serve(ctx, c, mark)
+	err := g.serve(ctx, c)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
