Add benchmarks of the control cost of one daemon

Cause: docs/CAPACITY.md needs slopes of processor time, bytes and memory of a real daemon over services and instances.

Change: benchmarks that run the shipped binary, publish 130 services with 4,600 targets and read /proc of one daemon; cost by instances, by services and by configuration changes.

--- /dev/null
+++ b/internal/e2e/capacity_test.go
@@ -0,0 +1,254 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/client"
+	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/operator"
+)
+
+// Size in two years.
+const (
+	futureServices = 130
+	futureTargets  = 4600
+)
+
+// fleet is a platform and daemons of the shipped binary, one process each.
+type fleet struct {
+	log       *platform.Client
+	daemons   []*exec.Cmd
+	admin     []string
+	addresses []string
+}
+
+// startFleet runs count daemons and waits until the platform answers.
+func startFleet(b *testing.B, count int) *fleet {
+	b.Helper()
+	binary := buildDaemon(b)
+	addresses := freeAddresses(b, 1+3*count)
+	f := &fleet{log: platform.NewClient(addresses[0])}
+	role := "platform " + addresses[0]
+	for i := range count {
+		listen := addresses[1+3*i : 4+3*i]
+		f.admin = append(f.admin, listen[1])
+		role += fmt.Sprintf(" i%d=%s=%s", i, listen[1], listen[2])
+	}
+	start(b, role)
+	for i := range count {
+		listen := addresses[1+3*i : 4+3*i]
+		file := writeSettings(b, "i"+strconv.Itoa(i), addresses[0], listen)
+		f.daemons = append(f.daemons, startBinary(b, binary, "run", "-settings", file))
+	}
+	eventually(b, "a reachable platform", func() bool {
+		_, err := client.ReadState(context.Background(), f.log)
+		return err == nil
+	})
+	return f
+}
+
+func buildDaemon(b *testing.B) string {
+	b.Helper()
+	binary := filepath.Join(b.TempDir(), "basillinkd")
+	command := exec.Command("go", "build", "-o", binary, "github.com/basillink/basillink/cmd/basillinkd")
+	if output, err := command.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, output)
+	}
+	return binary
+}
+
+func startBinary(b *testing.B, binary string, arguments ...string) *exec.Cmd {
+	b.Helper()
+	command := exec.Command(binary, arguments...)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+// publish publishes services with targets spread evenly and waits until every instance has them in force.
+func (f *fleet) publish(b *testing.B, services, targets int) *fleetState {
+	b.Helper()
+	state, err := client.ReadState(context.Background(), f.log)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &fleetState{fleet: f, state: state}
+	for i := range services {
+		s.publishService(b, futureService(i, targets/services, 0))
+	}
+	s.awaitInForce(b)
+	return s
+}
+
+// cost is what one daemon has spent since its start.
+type cost struct {
+	cpu           time.Duration
+	read, written int64
+	residentBytes int64
+	at            time.Time
+}
+
+// clockTick is the unit of processor times in /proc, 10 ms on Linux.
+const clockTick = 10 * time.Millisecond
+
+func readCost(b *testing.B, pid int) cost {
+	b.Helper()
+	c := cost{at: time.Now()}
+	fields := strings.Fields(readProc(b, pid, "stat"))
+	user, _ := strconv.ParseInt(fields[13], 10, 64)
+	system, _ := strconv.ParseInt(fields[14], 10, 64)
+	c.cpu = time.Duration(user+system) * clockTick
+	for line := range strings.Lines(readProc(b, pid, "io")) {
+		_, _ = fmt.Sscanf(line, "rchar: %d", &c.read)
+		_, _ = fmt.Sscanf(line, "wchar: %d", &c.written)
+	}
+	for line := range strings.Lines(readProc(b, pid, "status")) {
+		var kib int64
+		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kib); n == 1 {
+			c.residentBytes = kib << 10
+		}
+	}
+	return c
+}
+
+func readProc(b *testing.B, pid int, name string) string {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, name))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return string(data)
+}
+
+// report reports the cost per second of the first daemon between two readings.
+func report(b *testing.B, before, after cost) {
+	b.Helper()
+	seconds := after.at.Sub(before.at).Seconds()
+	b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/seconds, "%core")
+	b.ReportMetric(float64(after.written-before.written)/seconds, "B-written/s")
+	b.ReportMetric(float64(after.read-before.read)/seconds, "B-read/s")
+	b.ReportMetric(float64(after.residentBytes)/(1<<20), "MiB-resident")
+	b.ReportMetric(0, "ns/op")
+}
+
+// settleTime lets start-up work end before a reading, and sampleTime is the length of a reading.
+const (
+	settleTime = 5 * time.Second
+	sampleTime = 20 * time.Second
+)
+
+func (f *fleet) sample(b *testing.B) {
+	b.Helper()
+	time.Sleep(settleTime)
+	before := readCost(b, f.daemons[0].Process.Pid)
+	time.Sleep(sampleTime)
+	report(b, before, readCost(b, f.daemons[0].Process.Pid))
+}
+
+// BenchmarkControlCostByPeers measures the control cost of one daemon with the configuration of the two-year size and
+// no calls, for a growing fleet.
+func BenchmarkControlCostByPeers(b *testing.B) {
+	for _, peers := range []int{4, 20, 60, 200} {
+		b.Run(fmt.Sprintf("instances=%d", peers), func(b *testing.B) {
+			f := startFleet(b, peers)
+			f.publish(b, futureServices, futureTargets)
+			f.sample(b)
+		})
+	}
+}
+
+// BenchmarkControlCostByServices measures the memory and idle cost of one daemon for a growing configuration.
+func BenchmarkControlCostByServices(b *testing.B) {
+	for _, services := range []int{1, 10, 50, 130} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			f := startFleet(b, 1)
+			f.publish(b, services, services*futureTargets/futureServices)
+			f.sample(b)
+		})
+	}
+}
+
+// BenchmarkConfigurationChanges measures the cost of changes at 10 a second, and how long a change takes to be in force
+// on 20 instances with the configuration of the two-year size.
+func BenchmarkConfigurationChanges(b *testing.B) {
+	f := startFleet(b, 20)
+	s := f.publish(b, futureServices, futureTargets)
+	before := readCost(b, f.daemons[0].Process.Pid)
+	var slowest time.Duration
+	const changes, pause = 100, 100 * time.Millisecond
+	for i := range changes {
+		begun := time.Now()
+		s.publishService(b, futureService(i%futureServices, futureTargets/futureServices, i+1))
+		s.awaitInForce(b)
+		slowest = max(slowest, time.Since(begun))
+		time.Sleep(pause - min(pause, time.Since(begun)))
+	}
+	after := readCost(b, f.daemons[0].Process.Pid)
+	b.ReportMetric(float64((after.cpu-before.cpu).Microseconds())/changes, "µs-cpu/change")
+	b.ReportMetric(float64(after.read-before.read)/changes, "B-read/change")
+	b.ReportMetric(float64(after.written-before.written)/changes, "B-written/change")
+	b.ReportMetric(float64(slowest.Milliseconds()), "ms-slowest-in-force")
+	b.ReportMetric(0, "ns/op")
+}
+
+// fleetState publishes changes on top of the state that it follows.
+type fleetState struct {
+	*fleet
+	state *intent.State
+}
+
+func (s *fleetState) publishService(b *testing.B, service operator.Service) {
+	b.Helper()
+	if _, err := client.Publish(context.Background(), s.log, s.state, "capacity", service); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func (s *fleetState) awaitInForce(b *testing.B) {
+	b.Helper()
+	eventually(b, "the revision in force on all instances", func() bool {
+		for _, address := range s.admin {
+			status, err := client.Status(context.Background(), address)
+			if err != nil || status.Revision < s.state.Revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func futureService(index, targets, version int) operator.Service {
+	service := operator.Service{
+		Name:      fmt.Sprintf("service-%03d", index),
+		Region:    "region-1",
+		Zones:     []string{"zone-a", "zone-b"},
+		Measuring: operator.Measuring{ProbesPerSecond: 100, BytesPerSecond: 40_000, ProbesPerRequest: 0.25},
+		Classes: []operator.Class{
+			{Name: "booking", Methods: []string{"POST"}, Priority: 9, TimeoutMS: 2000 + version},
+			{Name: "lookup", Methods: []string{"GET"}, Repeatable: true, Priority: 5},
+		},
+	}
+	for i := range targets {
+		service.Targets = append(service.Targets, operator.Target{
+			Address: fmt.Sprintf("127.%d.%d.%d:9000", 1+index, i/250, 1+i%250),
+			Zone:    service.Zones[i%2],
+		})
+	}
+	service.Provision()
+	return service
+}
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -45,14 +45,17 @@
 }
 
 // runPlatform serves a log and a list. The argument holds its address and the listed instances as
-// "id=admin address".
+// "id=admin address" or "id=admin address=peer address".
 func runPlatform(ctx context.Context, argument string) {
 	fields := strings.Fields(argument)
 	list := standin.NewList(0)
 	var instances []platform.ListedInstance
 	for _, field := range fields[1:] {
-		id, adminAddress, _ := strings.Cut(field, "=")
-		instances = append(instances, platform.ListedInstance{ID: id, AdminAddress: adminAddress, State: platform.ListedLive})
+		id, listeners, _ := strings.Cut(field, "=")
+		adminAddress, peerAddress, _ := strings.Cut(listeners, "=")
+		instances = append(instances, platform.ListedInstance{
+			ID: id, AdminAddress: adminAddress, PeerAddress: peerAddress, State: platform.ListedLive,
+		})
 	}
 	list.Set(instances)
 	server := standin.NewPlatformServer(fields[0], standin.NewLog(), list)
@@ -76,7 +79,7 @@
 }
 
 // start runs a copy of the test binary in a role and kills it when the test ends.
-func start(t *testing.T, role string) *exec.Cmd {
+func start(t testing.TB, role string) *exec.Cmd {
 	t.Helper()
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), roleVariable+"="+role)
@@ -92,7 +95,7 @@
 }
 
 // eventually waits until check succeeds.
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	const limit = 15 * time.Second
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -18,7 +18,7 @@
 )
 
 // freeAddresses returns loopback addresses with ports that were free a moment ago.
-func freeAddresses(t *testing.T, count int) []string {
+func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
 	addresses := make([]string, count)
 	for i := range addresses {
@@ -32,7 +32,7 @@
 	return addresses
 }
 
-func writeSettings(t *testing.T, id, platformAddress string, listen []string) string {
+func writeSettings(t testing.TB, id, platformAddress string, listen []string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), id+".toml")
 	text := fmt.Sprintf(`
