Fold configuration through gaps, deltas and checkpoints

Cause: a checkpoint was found only on the first page after a gap, a record beyond the next one was folded over the gap, and the memory of removed services grew without bound. Change: intent.Fold scans for a checkpoint page by page and refuses gaps; Delta and Merge carry a state between peers and are checked by digest; removed services are bounded to 1,024 with a floor that keeps old bases refused; a checkpoint timer without a leader; departures of targets and a bounded event queue in control; a publish whose answer is lost is resolved by reading on.

--- a/internal/client/publish.go
+++ b/internal/client/publish.go
@@ -20,6 +20,8 @@
 	readPageRecords = 1024
 	// appendAttempts bounds how often an append whose answer was lost is resolved and sent again.
 	appendAttempts = 5
+	// retryPause is the first pause between attempts; it doubles.
+	retryPause = 200 * time.Millisecond
 )
 
 // ConflictError reports a change that was refused because the service changed in the meantime.
@@ -27,10 +29,21 @@
 	Service string
 	Base    platform.Offset
 	Current platform.Offset
+	// Author is who published the revision in force, empty when the service was removed.
+	Author string
+	// Diff leads from the service in force to the refused change.
+	Diff string
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("service %q: the change was made on revision %d, but revision %d is in force", e.Service, e.Base, e.Current)
+	text := fmt.Sprintf("service %q: the change was made on revision %d, but revision %d is in force", e.Service, e.Base, e.Current)
+	if e.Author != "" {
+		text += fmt.Sprintf(", published by %q", e.Author)
+	}
+	if e.Diff != "" {
+		text += "; what the refused change would alter now:\n" + e.Diff
+	}
+	return text
 }
 
 // UnresolvedError reports a change of which it is not known whether it took effect.
@@ -48,90 +61,112 @@
 
 // ReadState folds the whole log.
 func ReadState(ctx context.Context, log platform.Log) (*intent.State, error) {
-	state := intent.NewState()
-	err := follow(ctx, log, state, func(intent.Decision) bool { return false })
-	return state, err
+	fold := intent.NewFold()
+	err := follow(ctx, log, fold, func(intent.Decision) bool { return false })
+	return fold.State(), err
 }
 
-// follow folds records after the state until visit returns true or the log ends.
-func follow(ctx context.Context, log platform.Log, state *intent.State, visit func(intent.Decision) bool) error {
+// follow folds records until visit returns true or the log ends.
+func follow(ctx context.Context, log platform.Log, fold *intent.Fold, visit func(intent.Decision) bool) error {
 	for {
-		page, err := log.Read(ctx, state.Through+1, readPageRecords, 0)
+		page, err := log.Read(ctx, fold.Next(), readPageRecords, 0)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		recovered, err := intent.Recover(state, page.Earliest, page.Records)
+		stop := false
+		err = fold.Page(page, func(d intent.Decision) { stop = stop || visit(d) })
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		*state = *recovered
-		for _, record := range page.Records {
-			if visit(state.Apply(record)) {
-				return nil
-			}
-		}
-		if state.Through+1 >= page.Next {
+		if stop || fold.CaughtUp(page) {
 			return nil
 		}
 	}
 }
 
-// Publish appends a change of one service on top of its revision in state and returns the decision on it.
+// Publish puts a service into force on top of its revision in state and returns the decision on the change.
 func Publish(ctx context.Context, log platform.Log, state *intent.State, author string, s operator.Service) (intent.Decision, error) {
 	spec, err := intent.EncodeService(s)
 	if err != nil {
 		return intent.Decision{}, trace.Wrap(err)
 	}
-	change := &intent.Change{
+	return appendChange(ctx, log, state, newChange(state, author, s.Name, spec))
+}
+
+func newChange(state *intent.State, author, service, spec string) *intent.Change {
+	return &intent.Change{
 		ID:      uuid.NewString(),
 		Author:  author,
-		Service: s.Name,
-		Base:    state.Current(s.Name),
+		Service: service,
+		Base:    state.Current(service),
 		Spec:    spec,
 	}
-	return appendChange(ctx, log, state, change)
 }
 
 // appendChange appends a change and reads the log until it finds the decision on it. When an answer is lost it
-// appends again only after the log was read to its end without finding the change.
+// appends again only after the log was read to its end without finding the change. An append that lands later all
+// the same does no harm: its base is no longer current then.
+// The state must be older than the change; it is moved on to the last record read.
 func appendChange(ctx context.Context, log platform.Log, state *intent.State, change *intent.Change) (intent.Decision, error) {
 	payload, err := (&intent.Record{Kind: intent.KindChange, Change: change}).Encode()
 	if err != nil {
 		return intent.Decision{}, trace.Wrap(err)
 	}
-	var appendErr error
-	for range appendAttempts {
-		_, appendErr = log.Append(ctx, payload)
-		decision, found, err := findDecision(ctx, log, state, change.ID)
-		if err != nil {
-			return intent.Decision{}, &UnresolvedError{Change: change.ID, Err: errors.Join(appendErr, err)}
+	fold := intent.FoldFrom(state)
+	defer func() { *state = *fold.State() }()
+	var lastErr error
+	absent := true
+	for attempt := range appendAttempts {
+		if absent {
+			_, lastErr = log.Append(ctx, payload)
 		}
+		decision, found, err := findDecision(ctx, log, fold, change)
 		if found {
 			return decision, conflict(decision)
 		}
-		if err := pause(ctx, 200*time.Millisecond); err != nil {
+		// Only a log that was read to its end shows that the change is absent.
+		absent = err == nil
+		lastErr = errors.Join(lastErr, err)
+		if err := pause(ctx, retryPause<<attempt); err != nil {
 			break
 		}
 	}
-	return intent.Decision{}, &UnresolvedError{Change: change.ID, Err: appendErr}
+	return intent.Decision{}, &UnresolvedError{Change: change.ID, Err: lastErr}
 }
 
-func findDecision(ctx context.Context, log platform.Log, state *intent.State, id string) (intent.Decision, bool, error) {
+// findDecision reads on to the first decision on a change. Later copies of it are refused or ignored by the fold.
+// When its record is no longer retained, the state of a checkpoint still names the change in force.
+func findDecision(ctx context.Context, log platform.Log, fold *intent.Fold, change *intent.Change) (intent.Decision, bool, error) {
 	var decision intent.Decision
 	found := false
-	err := follow(ctx, log, state, func(d intent.Decision) bool {
-		if d.Change != nil && d.Change.ID == id {
+	err := follow(ctx, log, fold, func(d intent.Decision) bool {
+		if !found && d.Change != nil && d.Change.ID == change.ID {
 			decision, found = d, true
 		}
 		return found
 	})
-	return decision, found, err
+	if found {
+		return decision, true, nil
+	}
+	entry := fold.State().Services[change.Service]
+	if entry != nil && entry.ChangeID == change.ID {
+		return intent.Decision{Offset: entry.Revision, Verdict: intent.Accepted, Change: change}, true, nil
+	}
+	return intent.Decision{}, false, err
 }
 
+// conflict returns the error for a decision that refuses the change.
 func conflict(d intent.Decision) error {
 	switch d.Verdict {
 	case intent.Conflict:
-		return &ConflictError{Service: d.Change.Service, Base: d.Change.Base, Current: d.Current}
+		err := &ConflictError{Service: d.Change.Service, Base: d.Change.Base, Current: d.Current}
+		inForce := ""
+		if d.Previous != nil {
+			err.Author = d.Previous.Author
+			inForce, _ = intent.EncodeService(d.Previous.Spec) // a spec in force was decoded from its encoding
+		}
+		err.Diff = intent.Diff(inForce, d.Change.Spec)
+		return err
 	case intent.Malformed:
 		return d.Err
 	}
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"strings"
+
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/transport"
@@ -10,13 +12,15 @@
 // publish builds a snapshot from the state and makes it visible to traffic.
 func (l *Loop) publish() {
 	previous := l.snapshot.Load()
+	state := l.fold.State()
 	next := &Snapshot{
-		Revision: l.state.Revision,
-		Through:  l.state.Through,
-		Services: make(map[string]*Service, len(l.state.Services)),
+		Revision: state.Revision,
+		Through:  state.Through,
+		Services: make(map[string]*Service, len(state.Services)),
 	}
-	for name, entry := range l.state.Services {
-		if old := previous.service(name); old != nil && old.Revision == entry.Revision {
+	for name, entry := range state.Services {
+		departed := l.departedTargets(&entry.Spec)
+		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.departed == departed {
 			next.Services[name] = old
 			continue
 		}
@@ -35,10 +39,10 @@
 }
 
 func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision, departed: l.departedTargets(&entry.Spec)}
 	config := balancer.Config{Service: entry.Spec.Name, ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest}
 	for _, target := range entry.Spec.Targets {
-		if target.State == operator.TargetLeaving {
+		if target.State == operator.TargetLeaving || l.departures.contains(target.Address) {
 			continue
 		}
 		service.Targets = append(service.Targets, &Target{
@@ -60,6 +64,17 @@
 	return service
 }
 
+// departedTargets names the targets of a service that left without the operator's decision.
+func (l *Loop) departedTargets(spec *operator.Service) string {
+	var list []string
+	for _, target := range spec.Targets {
+		if l.departures.contains(target.Address) {
+			list = append(list, target.Address)
+		}
+	}
+	return strings.Join(list, " ")
+}
+
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
--- /dev/null
+++ b/internal/control/departure.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"cmp"
+	"encoding/json"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// departureLifetime is how long a departure is remembered when the target does not come back.
+	departureLifetime = 10 * time.Minute
+	// maxDepartures bounds the table. 4,600 targets do not leave within 10 minutes.
+	maxDepartures = 4096
+	// maxIncarnations bounds the departed incarnations that are remembered for one target.
+	maxIncarnations = 4
+	// maxIncarnationBytes bounds an incarnation, so that a departure fits into a rumor.
+	maxIncarnationBytes = 64
+)
+
+// TargetEvent is what a traffic goroutine or the list learned about a target.
+type TargetEvent struct {
+	Address string
+	// Incarnation is the value of Target-Incarnation, empty when the target does not report one.
+	Incarnation string
+	// Draining says that this incarnation is leaving.
+	Draining bool
+}
+
+// departure is what is known about a target that left. The fields are sent to peers as JSON.
+type departure struct {
+	// Departed holds the incarnations that left, the latest last.
+	Departed []string `json:"d"`
+	// Current is the incarnation seen last. The target is departed when it is one of Departed.
+	Current string `json:"c"`
+	// Version orders what instances learned one after another.
+	Version uint32 `json:"v"`
+	// AgeMS is the time since the departure was first known to any instance.
+	AgeMS int64 `json:"a"`
+
+	since time.Duration
+}
+
+func (d *departure) departed() bool { return slices.Contains(d.Departed, d.Current) }
+
+// departures is the table of targets that left. It is owned by the control goroutine; times are monotonic times since
+// the start of the process.
+type departures struct{ targets map[string]*departure }
+
+func newDepartures() *departures { return &departures{targets: map[string]*departure{}} }
+
+// contains reports whether the target at an address must not receive new requests.
+func (t *departures) contains(address string) bool {
+	d := t.targets[address]
+	return d != nil && d.departed()
+}
+
+// addresses returns the departed targets in order.
+func (t *departures) addresses() []string {
+	var list []string
+	for address, d := range t.targets {
+		if d.departed() {
+			list = append(list, address)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// observe takes an event into account and reports whether it changed the table.
+func (t *departures) observe(now time.Duration, e TargetEvent) bool {
+	if len(e.Incarnation) > maxIncarnationBytes {
+		e.Incarnation = e.Incarnation[:maxIncarnationBytes]
+	}
+	d := t.targets[e.Address]
+	if e.Draining {
+		return t.depart(now, e, d)
+	}
+	if d == nil || e.Incarnation == "" || slices.Contains(d.Departed, e.Incarnation) || d.Current == e.Incarnation {
+		return false
+	}
+	next := *d
+	next.Current = e.Incarnation
+	next.Version++
+	t.targets[e.Address] = &next
+	return true
+}
+
+func (t *departures) depart(now time.Duration, e TargetEvent, d *departure) bool {
+	if d == nil {
+		t.store(e.Address, &departure{Departed: []string{e.Incarnation}, Current: e.Incarnation, Version: 1, since: now})
+		return true
+	}
+	if slices.Contains(d.Departed, e.Incarnation) {
+		return false
+	}
+	next := departure{
+		Departed: lastIncarnations(append(slices.Clone(d.Departed), e.Incarnation)),
+		Current:  e.Incarnation,
+		Version:  d.Version + 1,
+		since:    now,
+	}
+	t.targets[e.Address] = &next
+	return true
+}
+
+// merge takes over what a peer knows and reports whether it changed the table. The result does not depend on the
+// order of merges: departed incarnations are united, and the higher version decides which one is current.
+func (t *departures) merge(now time.Duration, address string, remote *departure) bool {
+	remote.since = now - time.Duration(remote.AgeMS)*time.Millisecond
+	if remote.AgeMS < 0 || now-remote.since >= departureLifetime {
+		return false
+	}
+	local := t.targets[address]
+	if local == nil {
+		t.store(address, remote)
+		return true
+	}
+	merged := *local
+	if newer(remote, local) {
+		merged = *remote
+	}
+	merged.Departed = unite(local.Departed, remote.Departed)
+	merged.since = max(local.since, remote.since)
+	if merged.Version == local.Version && merged.Current == local.Current && slices.Equal(merged.Departed, local.Departed) {
+		return false
+	}
+	t.targets[address] = &merged
+	return true
+}
+
+// newer orders two views of one target. Of equal versions, the one that says departed wins, because sending a
+// request to a target that left is the worse error.
+func newer(a, b *departure) bool {
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	if a.departed() != b.departed() {
+		return a.departed()
+	}
+	return a.Current > b.Current
+}
+
+// unite returns the incarnations of both lists. The order must not depend on which list is the local one.
+func unite(a, b []string) []string {
+	if len(b) > len(a) || len(a) == len(b) && slices.Compare(a, b) < 0 {
+		a, b = b, a
+	}
+	united := slices.Clone(a)
+	for _, incarnation := range b {
+		if !slices.Contains(united, incarnation) {
+			united = append(united, incarnation)
+		}
+	}
+	return lastIncarnations(united)
+}
+
+func lastIncarnations(list []string) []string { return list[max(0, len(list)-maxIncarnations):] }
+
+// store adds a target and drops the oldest one when the table is full.
+func (t *departures) store(address string, d *departure) {
+	t.targets[address] = d
+	if len(t.targets) <= maxDepartures {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.targets)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.targets[a].since, t.targets[b].since), cmp.Compare(a, b))
+	})
+	delete(t.targets, oldest)
+}
+
+// expire drops targets whose lifetime has passed and reports whether there were any.
+func (t *departures) expire(now time.Duration) bool {
+	before := len(t.targets)
+	maps.DeleteFunc(t.targets, func(_ string, d *departure) bool { return now-d.since >= departureLifetime })
+	return len(t.targets) != before
+}
+
+// digest identifies the table except for ages.
+func (t *departures) digest() uint64 {
+	var sum uint64
+	for address, d := range t.targets {
+		h := fnv.New64a()
+		view := departure{Departed: d.Departed, Current: d.Current, Version: d.Version}
+		_ = json.NewEncoder(h).Encode(struct {
+			Address string
+			View    departure
+		}{address, view})
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
+func (d *departure) encode(now time.Duration) []byte {
+	view := *d
+	view.AgeMS = (now - d.since).Milliseconds()
+	data, _ := json.Marshal(view) // strings and numbers always encode
+	return data
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -1,47 +1,57 @@
 // Package control owns the control state of an instance. One goroutine folds the
-// log, builds snapshots and publishes them through an atomic pointer. Traffic
-// goroutines only read snapshots.
+// log, keeps departures, builds snapshots and publishes them through an atomic
+// pointer. Traffic goroutines only read snapshots and hand in events through a
+// bounded queue.
 package control
 
 import (
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/transport"
 )
 
-// Loop is the control goroutine. Snapshot may be called from any goroutine.
+const expiryInterval = time.Second
+
+// Loop is the control goroutine. Snapshot, Observe, Do and Deliver may be called from any goroutine.
 type Loop struct {
 	zone    string
 	builder balancer.Builder
 	log     *slog.Logger
+	start   time.Time
 
-	pages    chan pageEvent
+	calls    chan func()
+	events   chan TargetEvent
+	dropped  atomic.Uint64
 	snapshot atomic.Pointer[Snapshot]
 
 	// The fields below belong to the goroutine in Run.
-	state *intent.State
-	pools map[string]*transport.Pool
-}
-
-type pageEvent struct {
-	page platform.Page
-	done chan platform.Offset
+	fold       *intent.Fold
+	departures *departures
+	checkpoint *intent.CheckpointTimer
+	spread     func(peer.Rumor)
+	pools      map[string]*transport.Pool
 }
 
 // New returns a loop for an instance in an availability zone.
 func New(zone string, builder balancer.Builder, log *slog.Logger) *Loop {
 	return &Loop{
-		zone:    zone,
-		builder: builder,
-		log:     log,
-		pages:   make(chan pageEvent),
-		state:   intent.NewState(),
-		pools:   map[string]*transport.Pool{},
+		zone:       zone,
+		builder:    builder,
+		log:        log,
+		start:      time.Now(),
+		calls:      make(chan func()),
+		events:     make(chan TargetEvent, eventQueue),
+		fold:       intent.NewFold(),
+		departures: newDepartures(),
+		checkpoint: intent.NewCheckpointTimer(newRandom()),
+		pools:      map[string]*transport.Pool{},
 	}
 }
 
@@ -50,47 +60,66 @@
 
 // Run processes events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
+	expiry := time.NewTicker(expiryInterval)
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case event := <-l.pages:
-			l.applyPage(event.page)
-			event.done <- l.state.Through
+		case call := <-l.calls:
+			call()
+		case event := <-l.events:
+			l.applyEvent(event)
+		case <-expiry.C:
+			l.expireDepartures()
 		}
 	}
 }
 
-// Deliver hands a page of the log to the loop and returns the applied offset.
-func (l *Loop) Deliver(ctx context.Context, page platform.Page) (platform.Offset, error) {
-	event := pageEvent{page: page, done: make(chan platform.Offset, 1)}
-	select {
-	case l.pages <- event:
-	case <-ctx.Done():
-		return 0, ctx.Err()
+// Do runs f on the control goroutine and waits for its end. F must not block and must not call Do.
+func (l *Loop) Do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	call := func() {
+		defer close(done)
+		f()
 	}
 	select {
-	case through := <-event.done:
-		return through, nil
+	case l.calls <- call:
 	case <-ctx.Done():
-		return 0, ctx.Err()
+		return ctx.Err()
 	}
+	// The call was handed over and runs to its end without blocking, so that what f writes is complete.
+	<-done
+	return nil
 }
 
-func (l *Loop) applyPage(page platform.Page) {
-	state, err := intent.Recover(l.state, page.Earliest, page.Records)
-	if err != nil {
-		l.log.Error("Cannot continue from the log.", "error", err)
-		return
-	}
-	l.state = state
-	before := l.state.Revision
-	for _, record := range page.Records {
-		l.logDecision(l.state.Apply(record))
+// Deliver hands a page of the log to the loop and returns the offset from which to read next. An error means that
+// the page does not lead on; reading goes on from the returned offset after a pause.
+func (l *Loop) Deliver(ctx context.Context, page platform.Page) (next platform.Offset, err error) {
+	callErr := l.Do(ctx, func() {
+		err = l.applyPage(page)
+		next = l.fold.Next()
+	})
+	if callErr != nil {
+		return 0, callErr
 	}
-	if l.snapshot.Load() == nil || l.state.Revision != before {
+	return next, err
+}
+
+// applyPage folds a page. The first configuration goes into force when the end of the log is reached, so that a
+// fresh instance does not serve old revisions one after another.
+func (l *Loop) applyPage(page platform.Page) error {
+	l.noteCheckpoints(page)
+	before := l.fold.State().Revision
+	err := l.fold.Page(page, l.logDecision)
+	fresh := l.snapshot.Load() == nil
+	switch {
+	case fresh && err == nil && l.fold.CaughtUp(page):
+		l.publish()
+	case !fresh && l.fold.State().Revision != before:
 		l.publish()
 	}
+	return err
 }
 
 func (l *Loop) logDecision(d intent.Decision) {
@@ -103,3 +132,22 @@
 		l.log.Error("Ignored a malformed record.", "offset", d.Offset, "error", d.Err)
 	}
 }
+
+// Through returns the applied offset. It must be called on the control goroutine.
+func (l *Loop) Through() platform.Offset { return l.fold.State().Through }
+
+// Delta returns what changed after an offset. It must be called on the control goroutine.
+func (l *Loop) Delta(after platform.Offset) *intent.Delta { return l.fold.State().Delta(after) }
+
+// Merge applies a delta from a peer. It must be called on the control goroutine.
+func (l *Loop) Merge(d *intent.Delta) error {
+	before := l.fold.State().Revision
+	moved, err := l.fold.Merge(d)
+	if err != nil || !moved {
+		return err
+	}
+	if l.fold.State().Revision != before || l.snapshot.Load() == nil {
+		l.publish()
+	}
+	return nil
+}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/platform"
 )
 
@@ -31,22 +32,20 @@
 	for ctx.Err() == nil {
 		page, err := r.Log.Read(ctx, next, readPageRecords, readWait)
 		if err == nil {
-			next, err = r.deliver(ctx, page)
+			err = intent.CheckEnd(next, page)
+		}
+		if err == nil {
+			next, err = r.Loop.Deliver(ctx, page)
 		}
 		if err == nil {
 			backoff.Reset()
 			continue
 		}
-		r.Logger.Warn("Cannot read the log.", "error", err)
+		r.Logger.Warn("Cannot follow the log.", "error", err)
 		sleep(ctx, backoff.Next(r.Random))
 	}
 }
 
-func (r *Reader) deliver(ctx context.Context, page platform.Page) (platform.Offset, error) {
-	through, err := r.Loop.Deliver(ctx, page)
-	return through + 1, err
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sync/atomic"
+
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/transport"
@@ -23,6 +25,8 @@
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
+	// departed names the targets that are left out because they left.
+	departed string
 }
 
 // Target is one target that may receive requests.
@@ -30,6 +34,8 @@
 	Address string
 	Zone    string
 	Pool    *transport.Pool
+	// reported is set when an event about the target's departure was handed to the control goroutine.
+	reported atomic.Bool
 }
 
 // Class returns the first class that matches the method and path, or the named one.
--- a/internal/intent/checkpoint.go
+++ b/internal/intent/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/basillink/basillink/internal/platform"
 )
@@ -10,11 +11,13 @@
 type Checkpoint struct {
 	State  *State `json:"state"`
 	Digest string `json:"digest"`
+	// AtMS is the writer's wall clock in Unix milliseconds. It only serves to judge the checkpoint's age.
+	AtMS int64 `json:"at_ms"`
 }
 
-// NewCheckpoint returns a checkpoint of the state.
-func NewCheckpoint(s *State) *Checkpoint {
-	return &Checkpoint{State: s.Clone(), Digest: s.Digest()}
+// NewCheckpoint returns a checkpoint of the state, written at a wall-clock time.
+func NewCheckpoint(s *State, at time.Time) *Checkpoint {
+	return &Checkpoint{State: s.Clone(), Digest: s.Digest(), AtMS: at.UnixMilli()}
 }
 
 // Verify checks the digest.
@@ -28,31 +31,6 @@
 	return nil
 }
 
-// GapError reports that records between the state and the retained log are lost and no checkpoint covers them.
-type GapError struct {
-	Have     platform.Offset
-	Earliest platform.Offset
-}
-
-func (e *GapError) Error() string {
-	return fmt.Sprintf("log: records from %d to %d are no longer retained and no checkpoint covers them", e.Have+1, e.Earliest-1)
-}
-
-// Recover returns the state to continue from when the log retains records from earliest on. Records are the
-// retained records from earliest on, in order. A checkpoint serves only if every record after its state is retained.
-func Recover(s *State, earliest platform.Offset, records []platform.Record) (*State, error) {
-	if earliest <= s.Through+1 {
-		return s, nil
-	}
-	for _, r := range records {
-		checkpoint := usableCheckpoint(r, earliest)
-		if checkpoint != nil && checkpoint.State.Through > s.Through {
-			return checkpoint.State.Clone(), nil
-		}
-	}
-	return nil, &GapError{Have: s.Through, Earliest: earliest}
-}
-
 func usableCheckpoint(r platform.Record, earliest platform.Offset) *Checkpoint {
 	record, err := DecodeRecord(r.Payload)
 	if err != nil || record.Kind != KindCheckpoint {
--- /dev/null
+++ b/internal/intent/due_test.go
@@ -0,0 +1,75 @@
+package intent
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleet simulates instances that share a log, in steps of one second, and returns how many checkpoints were appended
+// in each period of half the retention. An append becomes visible to all after one step.
+func fleet(instances int, steps int, retention time.Duration) []int {
+	state := NewState()
+	state.Revision, state.Through = 1, 1
+	timers := make([]*CheckpointTimer, instances)
+	for i := range timers {
+		timers[i] = NewCheckpointTimer(rand.New(rand.NewPCG(uint64(i), 7)))
+		timers[i].Retain(0, retention)
+	}
+	period := int(retention / 2 / time.Second)
+	counts := make([]int, steps/period)
+	for step := range steps {
+		now := time.Duration(step) * time.Second
+		appended := 0
+		for _, timer := range timers {
+			if timer.Due(now, state) {
+				appended++
+			}
+		}
+		if appended == 0 {
+			continue
+		}
+		counts[min(step/period, len(counts)-1)] += appended
+		for _, timer := range timers {
+			timer.Seen(now, 0, NewCheckpoint(state, time.Time{}))
+		}
+	}
+	return counts
+}
+
+// Guards against a retention that passes without a checkpoint and against every instance appending its own.
+func TestCheckpointsAreAppendedByFewInstances(t *testing.T) {
+	const retention = 24 * time.Hour
+	counts := fleet(20, int(4*retention/time.Second), retention)
+	for i, count := range counts {
+		if count < 1 && i%2 == 0 || count > 10 {
+			t.Errorf("period %d of half the retention has %d checkpoints of 20 instances", i, count)
+		}
+	}
+}
+
+// Guards against a fresh instance that takes an old checkpoint for a new one: its age comes from the writer's clock.
+func TestOldCheckpointIsDueAtOnce(t *testing.T) {
+	state := NewState()
+	state.Revision, state.Through = 1, 1
+	cases := []struct {
+		name string
+		age  time.Duration
+		due  time.Duration
+	}{
+		{"new", 0, 12*time.Hour + maxCheckpointSpread},
+		{"old", 20 * time.Hour, maxCheckpointSpread},
+		{"from a clock ahead", -30 * time.Hour, 12*time.Hour + maxCheckpointSpread},
+	}
+	for _, c := range cases {
+		timer := NewCheckpointTimer(rand.New(rand.NewPCG(1, 1)))
+		timer.Retain(0, 24*time.Hour)
+		timer.Seen(0, c.age, NewCheckpoint(state, time.Time{}))
+		if c.due > time.Hour && timer.Due(c.due-maxCheckpointSpread-time.Second, state) {
+			t.Errorf("%s: due too early", c.name)
+		}
+		if !timer.Due(c.due, state) {
+			t.Errorf("%s: not due after %s", c.name, c.due)
+		}
+	}
+}
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -20,16 +21,32 @@
 	Spec     operator.Service `json:"spec"`
 }
 
-// State is the configuration after folding all records through an offset. It is not safe for
-// concurrent modification; Clone gives a copy that may be shared for reading.
+// Bounds of a state. They are part of the fold: every instance must apply the same ones.
+const (
+	// MaxServices bounds the services in force; the two-year size has 130.
+	MaxServices = 1024
+	// MaxRemoved bounds the removed services whose revision is remembered one by one.
+	MaxRemoved = 1024
+	// MaxSpecBytes bounds the spec of one service; 4,000 targets fit.
+	MaxSpecBytes = 512 << 10
+)
+
+// State is the configuration after folding all records through an offset.
+//
+// One goroutine owns a State and is the only one to call Apply or Merge. To share it, hand out a Clone: the
+// clone has maps of its own, and the entries in them are never modified after they were stored, so that owner
+// and readers need no lock.
 type State struct {
 	// Through is the offset of the last folded record.
 	Through platform.Offset `json:"through"`
 	// Revision is the offset of the last accepted change.
 	Revision platform.Offset   `json:"revision"`
 	Services map[string]*Entry `json:"services"`
-	// Removed holds the revisions at which services were removed.
+	// Removed holds the revisions at which services were removed, the latest MaxRemoved of them.
 	Removed map[string]platform.Offset `json:"removed"`
+	// Forgotten is the highest revision that was dropped from Removed. It is the current revision of every
+	// service that is neither in force nor in Removed, so that no old base becomes acceptable again.
+	Forgotten platform.Offset `json:"forgotten"`
 }
 
 // NewState returns the empty configuration.
@@ -49,8 +66,10 @@
 	Duplicate Verdict = "duplicate"
 	// Malformed means that the record or its spec is invalid.
 	Malformed Verdict = "malformed"
-	// NotAChange means that the record is of another kind.
+	// NotAChange means that the record is of another kind or was folded before.
 	NotAChange Verdict = "not_a_change"
+	// Gap means that records before this one are missing; nothing was folded.
+	Gap Verdict = "gap"
 )
 
 // Decision is the result of folding one record.
@@ -60,15 +79,21 @@
 	Change  *Change
 	// Current is the revision of the service before the change.
 	Current platform.Offset
+	// Previous is the service before the change, nil if it was not in force.
+	Previous *Entry
 	// Err is the cause of Malformed.
 	Err error
 }
 
-// Apply folds the next record. Records at or below Through are ignored.
+// Apply folds the next record. Records at or below Through are ignored, and a record beyond the next one is not
+// folded, so that the state never skips a change.
 func (s *State) Apply(r platform.Record) Decision {
 	if r.Offset <= s.Through {
 		return Decision{Offset: r.Offset, Verdict: NotAChange}
 	}
+	if r.Offset > s.Through+1 {
+		return Decision{Offset: r.Offset, Verdict: Gap}
+	}
 	s.Through = r.Offset
 	record, err := DecodeRecord(r.Payload)
 	if err != nil {
@@ -81,8 +106,8 @@
 }
 
 func (s *State) applyChange(offset platform.Offset, c *Change) Decision {
-	d := Decision{Offset: offset, Change: c, Current: s.Current(c.Service)}
 	entry := s.Services[c.Service]
+	d := Decision{Offset: offset, Change: c, Current: s.Current(c.Service), Previous: entry}
 	switch {
 	case entry != nil && entry.ChangeID == c.ID:
 		d.Verdict = Duplicate
@@ -90,29 +115,78 @@
 	case c.Base != d.Current:
 		d.Verdict = Conflict
 		return d
-	case c.Spec == "":
-		delete(s.Services, c.Service)
-		s.Removed[c.Service] = offset
-	default:
-		spec, err := c.decodeSpec()
-		if err != nil {
-			d.Verdict, d.Err = Malformed, err
-			return d
-		}
-		delete(s.Removed, c.Service)
-		s.Services[c.Service] = &Entry{Revision: offset, ChangeID: c.ID, Author: c.Author, Spec: *spec}
 	}
-	s.Revision = offset
+	d.Err = s.store(offset, c)
 	d.Verdict = Accepted
+	if d.Err != nil {
+		d.Verdict = Malformed
+	}
 	return d
 }
 
-// Current returns the revision of a service, 0 if it never existed.
+// store puts an accepted change into force. It returns an error when the spec is not acceptable.
+func (s *State) store(offset platform.Offset, c *Change) error {
+	if c.Spec == "" {
+		return s.remove(offset, c)
+	}
+	if err := s.checkBounds(c); err != nil {
+		return err
+	}
+	spec, err := c.decodeSpec()
+	if err != nil {
+		return err
+	}
+	delete(s.Removed, c.Service)
+	s.Services[c.Service] = &Entry{Revision: offset, ChangeID: c.ID, Author: c.Author, Spec: *spec}
+	s.Revision = offset
+	return nil
+}
+
+func (s *State) remove(offset platform.Offset, c *Change) error {
+	if s.Services[c.Service] == nil {
+		return &RecordError{Detail: fmt.Sprintf("change %s removes the service %q, which is not in force", c.ID, c.Service)}
+	}
+	delete(s.Services, c.Service)
+	s.Removed[c.Service] = offset
+	s.forgetRemoved()
+	s.Revision = offset
+	return nil
+}
+
+func (s *State) checkBounds(c *Change) error {
+	if len(c.Spec) > MaxSpecBytes {
+		return &RecordError{Detail: fmt.Sprintf("change %s: spec has %d bytes of at most %d", c.ID, len(c.Spec), MaxSpecBytes)}
+	}
+	if s.Services[c.Service] == nil && len(s.Services) >= MaxServices {
+		return &RecordError{Detail: fmt.Sprintf("change %s: %d services are in force, which is the limit", c.ID, MaxServices)}
+	}
+	return nil
+}
+
+// forgetRemoved drops the oldest removals beyond MaxRemoved.
+func (s *State) forgetRemoved() {
+	for len(s.Removed) > MaxRemoved {
+		oldest := ""
+		for name, revision := range s.Removed {
+			if oldest == "" || revision < s.Removed[oldest] {
+				oldest = name
+			}
+		}
+		s.Forgotten = max(s.Forgotten, s.Removed[oldest])
+		delete(s.Removed, oldest)
+	}
+}
+
+// Current returns the revision of a service, which a change of it must have as its base. It is 0 for a
+// service that never existed, unless removals were forgotten.
 func (s *State) Current(service string) platform.Offset {
 	if entry := s.Services[service]; entry != nil {
 		return entry.Revision
 	}
-	return s.Removed[service]
+	if revision, ok := s.Removed[service]; ok {
+		return revision
+	}
+	return s.Forgotten
 }
 
 // Names returns the names of the services in order.
@@ -120,15 +194,22 @@
 
 // Clone returns a copy. Entries are shared because they are never modified in place.
 func (s *State) Clone() *State {
-	return &State{Through: s.Through, Revision: s.Revision, Services: maps.Clone(s.Services), Removed: maps.Clone(s.Removed)}
+	return &State{
+		Through:   s.Through,
+		Revision:  s.Revision,
+		Services:  maps.Clone(s.Services),
+		Removed:   maps.Clone(s.Removed),
+		Forgotten: s.Forgotten,
+	}
 }
 
 // Digest identifies the services and their revisions independently of Through.
 func (s *State) Digest() string {
 	data, err := json.Marshal(struct {
-		Services map[string]*Entry
-		Removed  map[string]platform.Offset
-	}{s.Services, s.Removed})
+		Services  map[string]*Entry
+		Removed   map[string]platform.Offset
+		Forgotten platform.Offset
+	}{s.Services, s.Removed, s.Forgotten})
 	if err != nil {
 		return ""
 	}
