--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sync/atomic"
+
 	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/platform"
@@ -27,6 +29,8 @@
 	// Admission and Retries outlive a revision of the service.
 	Admission *admission.Limiter
 	Retries   *admission.RetryBudget
+	// departed names the targets that are left out because they left.
+	departed string
 }
 
 // Target is one target that may receive requests.
@@ -34,6 +38,8 @@
 	Address string
 	Zone    string
 	Pool    *transport.Pool
+	// reported is set when an event about the target's departure was handed to the control goroutine.
+	reported atomic.Bool
 }
 
 // Class returns the first class that matches the method and path, or the named one.
