--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,7 @@
 
 // open opens the listeners, so that an address in use is reported before anything runs.
 func (d *Daemon) open() error {
-	if err := d.gateway.Open(d.settings); err != nil {
+	if err := d.gateway.Open(); err != nil {
 		return &ListenError{Key: "listen.caller", Address: d.settings.Listen.Caller, Err: err}
 	}
 	if err := d.admin.Open(); err != nil {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -39,6 +39,8 @@
 		return reason.RetryTargetShed
 	case reason.ConnectionRefused:
 		return reason.RetryConnectionRefused
+	case reason.ConnectionLost:
+		return reason.RetryConnectionLost
 	}
 	if !call.class.Repeatable {
 		return nil
@@ -48,6 +50,8 @@
 		return reason.RetryAnswerLost
 	case reason.AnswerTruncated:
 		return reason.RetryAnswerTruncated
+	case reason.ConnectionSilent:
+		return reason.RetryConnectionSilent
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
 // Package gateway accepts requests of callers, sends them to targets and returns
-// the answers. Each request is served by one goroutine, which reads the snapshot
-// of the control loop and never writes control state.
+// the answers. Each connection of a caller is served by one goroutine, which
+// reads the snapshot of the control loop and never writes control state.
 package gateway
 
 import (
@@ -9,13 +9,16 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
 )
 
-// Counter counts outcomes, refusals and retries. It is safe for concurrent use.
+// Counter counts outcomes, refusals and retries. It is safe for concurrent use. The service is empty when the request
+// names none that is in force, so that callers cannot create metric labels.
 type Counter interface {
 	// Answered counts an answer passed on from a target.
 	Answered(service, class string)
@@ -29,19 +32,19 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	instance string
-	limits   settings.Limits
-	snapshot func() *control.Snapshot
-	counter  Counter
-	log      *slog.Logger
-	start    time.Time
-	inFlight *inFlight
-	// running is closed when the server has started.
-	running chan struct{}
-	server  *server.Hertz
+	instance    string
+	limits      settings.Limits
+	snapshot    func() *control.Snapshot
+	counter     Counter
+	log         *slog.Logger
+	start       time.Time
+	listener    *listener
+	server      *server.Hertz
+	connections connections
+	inFlight    *inFlight
 }
 
-// New returns a gateway. It opens no port.
+// New returns a gateway that listens on the caller address of the settings. It opens no port.
 func New(s *settings.Settings, snapshot func() *control.Snapshot, counter Counter, log *slog.Logger) *Gateway {
 	g := &Gateway{
 		instance: s.Instance.ID,
@@ -50,12 +53,28 @@
 		counter:  counter,
 		log:      log,
 		start:    time.Now(),
+		listener: &listener{address: s.Listen.Caller},
 		inFlight: newInFlight(),
-		running:  make(chan struct{}),
 	}
+	g.server = server.New(
+		server.WithListener(g.listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(rememberSocket),
+		server.WithDisablePrintRoute(true),
+	)
+	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
 	return g
 }
 
+// Open opens the caller listener, so that an address that cannot be used is reported before anything runs.
+func (g *Gateway) Open() error { return g.listener.open() }
+
+// Run serves until Shutdown. Open comes first.
+func (g *Gateway) Run() error { return g.server.Run() }
+
+// Address returns the listening address. It is empty before Open.
+func (g *Gateway) Address() string { return g.listener.boundAddress() }
+
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
 func randomNumber() uint64 { return rand.Uint64() }
