--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/gateway"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/operator"
@@ -49,18 +50,25 @@
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
 	SameZone bool   `json:"same_zone"`
-	// State is what operators decided about the target.
-	State operator.TargetState `json:"state"`
+	// Why says why the target is excluded.
+	Why string `json:"why,omitempty"`
 }
 
-// explain reads the parameters service, method, uri and class.
+func exclusion(state operator.TargetState) string {
+	if state == operator.TargetLeaving {
+		return "the published intent says that it is leaving"
+	}
+	return "it is known to have left or to be leaving"
+}
+
+// explain reads the parameters service, method, class and uri, which mean what the headers and the URI of a
+// caller's request mean.
 func (s *Server) explain(_ context.Context, c *app.RequestContext) {
 	e := &Explanation{
 		Instance: s.source.Instance,
-		Service:  c.Query("service"),
 		Method:   c.DefaultQuery("method", http.MethodGet),
-		URI:      c.DefaultQuery("uri", "/"),
 	}
+	e.Service, e.URI = gateway.Route(c.Query("service"), c.DefaultQuery("uri", "/"))
 	if why := e.fill(s.source, c.Query("class")); why != nil {
 		e.Refusal, e.Help = why.Name, why.Help
 	}
@@ -97,11 +105,12 @@
 		inForce[target.Address] = true
 	}
 	for _, target := range service.Spec.Targets {
-		candidate := Candidate{Address: target.Address, Zone: target.Zone, SameZone: target.Zone == zone, State: target.State}
+		candidate := Candidate{Address: target.Address, Zone: target.Zone, SameZone: target.Zone == zone}
 		if inForce[target.Address] {
 			e.Candidates = append(e.Candidates, candidate)
 			continue
 		}
+		candidate.Why = exclusion(target.State)
 		e.Excluded = append(e.Excluded, candidate)
 	}
 }
--- a/internal/client/check.go
+++ b/internal/client/check.go
@@ -11,7 +11,7 @@
 
 func checkCommand(out io.Writer) subcommands.Command {
 	return &command{
-		name: "check", synopsis: "check an intent file", usage: "check FILE\n",
+		name: "check", synopsis: "check an intent file", usage: "check FILE\n  Check an intent file. Nothing is published.\n  Exit status: 0 when it is accepted, 2 when it is not.\n",
 		setFlags: func(*flag.FlagSet) {},
 		run: func(_ context.Context, f *flag.FlagSet) subcommands.ExitStatus {
 			in, err := loadIntent(f)
--- a/internal/devmode/guide.go
+++ b/internal/devmode/guide.go
@@ -19,7 +19,7 @@
   curl -i 'http://%[1]s/banco-app/stock?size=3'
   curl -i 'http://%[1]s/volontari-report/summaries/today'
   curl -i -X POST -d 'channel=72' 'http://%[1]s/flightdesk/reservations'
-  curl 'http://%[2]s/explain?service=flightdesk&uri=/slots'
+  go run ./cmd/basillink explain -admin %[2]s '/flightdesk/slots?day=saturday'
   go run ./cmd/basillink status -platform %[3]s
   go run ./cmd/basillink load -url 'http://%[1]s/flightdesk/slots' -rate 200 -duration 5s
 
