--- /dev/null
+++ b/internal/transport/silence_test.go
@@ -0,0 +1,126 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/basillink/basillink/internal/reason"
+)
+
+// slowPath answers /slow after the given time and everything else at once.
+func slowPath(duration time.Duration) func(net.Conn, *http.Request, int64) bool {
+	return func(conn net.Conn, r *http.Request, _ int64) bool {
+		if r.URL.Path == "/slow" {
+			time.Sleep(duration)
+		}
+		_, err := io.WriteString(conn, okAnswer)
+		return err == nil
+	}
+}
+
+// silentPool returns a target pool behind a relay, with an idle connection besides the one in use.
+func silentPool(t *testing.T, target *wireTarget, limit int) (*Pool, *relay) {
+	path := newRelay(t, target.address())
+	pool := NewTargetPool(path.address(), limit)
+	t.Cleanup(pool.Close)
+	if _, err := send(pool, newRequest("GET", path.address(), "/", "")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a spare connection", func() bool { return pool.idleCount() == 2 })
+	return pool, path
+}
+
+func (p *Pool) idleCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
+// Guards against requests that hang until their deadline on connections that went silent: the exchange ends long
+// before its 10 s, as sent, and the next one uses a connection that works.
+func TestSilentConnectionIsFound(t *testing.T) {
+	target := newWireTarget(t, always(okAnswer))
+	pool, path := silentPool(t, target, 8)
+	path.freeze()
+	_, err := send(pool, newRequest("POST", path.address(), "/", "x"))
+	var failure *ExchangeError
+	if !errors.As(err, &failure) || failure.Reason != reason.ConnectionSilent || !failure.Sent {
+		t.Fatalf("got %v, want connection_silent after sending", err)
+	}
+	for range 5 {
+		if body, err := send(pool, newRequest("GET", path.address(), "/", "")); err != nil || body != "ok" {
+			t.Errorf("after the finding: %q, %v", body, err)
+		}
+	}
+	if got := target.requests.Load(); got != 6 {
+		t.Errorf("the target read %d requests, want 6", got)
+	}
+}
+
+// Guards against idle connections of a broken path that keep failing requests one after the other.
+func TestIdleConnectionsAreVerified(t *testing.T) {
+	target := newWireTarget(t, slowPath(100*time.Millisecond))
+	pool, path := silentPool(t, target, 8)
+	var sent sync.WaitGroup
+	for range 6 {
+		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.address(), "/slow", "")) })
+	}
+	sent.Wait()
+	before := path.opened()
+	path.freeze()
+	_, _ = send(pool, newRequest("GET", path.address(), "/", ""))
+	for range 20 {
+		if _, err := send(pool, newRequest("GET", path.address(), "/", "")); err != nil {
+			t.Errorf("after the finding: %v", err)
+		}
+	}
+	if burst := path.opened() - before; burst > openBurst {
+		t.Errorf("%d connections were opened after the loss of %d", burst, before)
+	}
+}
+
+// Guards against cutting a request merely because it is slow. The time is longer than two checks.
+func TestSlowRequestIsNotCut(t *testing.T) {
+	target := newWireTarget(t, slowPath(5*DefaultSilenceAfter/2))
+	pool, path := silentPool(t, target, 8)
+	var slow sync.WaitGroup
+	for range 3 {
+		slow.Go(func() {
+			if body, err := send(pool, newRequest("GET", path.address(), "/slow", "")); err != nil || body != "ok" {
+				t.Errorf("slow request: %q, %v", body, err)
+			}
+		})
+	}
+	slow.Wait()
+	if got := target.requests.Load(); got != 4 {
+		t.Errorf("the target read %d requests, want 4", got)
+	}
+}
+
+// Guards against a kernel state that is read as silence although the peer acknowledges.
+func TestUnacknowledged(t *testing.T) {
+	cases := []struct {
+		name string
+		info unix.TCPInfo
+		want bool
+	}{
+		{"all acknowledged", unix.TCPInfo{Last_ack_recv: 5000}, false},
+		{"just sent", unix.TCPInfo{Unacked: 1, Last_ack_recv: 5000}, false},
+		{"sent again without effect", unix.TCPInfo{Unacked: 1, Retransmits: 2, Last_ack_recv: 1200}, true},
+		{"acknowledged lately", unix.TCPInfo{Unacked: 1, Retransmits: 2, Last_ack_recv: 300}, false},
+		{"one probe lost", unix.TCPInfo{Probes: 1, Last_ack_recv: 2000}, false},
+		{"two probes lost", unix.TCPInfo{Probes: 2, Last_ack_recv: 3000}, true},
+	}
+	for _, c := range cases {
+		if got := unacknowledged(&c.info, time.Second); got != c.want {
+			t.Errorf("%s: got %v", c.name, got)
+		}
+	}
+}
