Wait in the silence tests until the relay knows all connections

A connection that the relay had not accepted yet was not frozen, so that the test could pass or fail by chance. go test -race -count=5 -run 'Silent|Idle' ./internal/transport passes.

--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -33,7 +33,7 @@
 	if _, err := send(pool, newRequest("GET", path.address(), "/", "")); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "a spare connection", func() bool { return pool.idleCount() == 2 })
+	eventually(t, "a spare connection", func() bool { return pool.idleCount() == 2 && path.opened() == 2 })
 	return pool, path
 }
 
@@ -73,6 +73,7 @@
 		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.address(), "/slow", "")) })
 	}
 	sent.Wait()
+	eventually(t, "all connections at the relay", func() bool { return path.opened() == pool.openCount() })
 	before := path.opened()
 	path.freeze()
 	_, _ = send(pool, newRequest("GET", path.address(), "/", ""))
