--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,8 @@
 	uri      string
 	timeout  time.Duration
 	attempts int
+	// waited is the time spent in exchanges with targets.
+	waited time.Duration
 	// end is how the last attempt ended.
 	end admission.End
 }
@@ -47,7 +49,7 @@
 	var name string
 	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), originForm(string(c.Request.RequestURI())))
 	snapshot := g.snapshot()
-	if snapshot == nil {
+	if snapshot == nil || g.inFlight.draining.Load() {
 		return parsed, reason.NotReady
 	}
 	parsed.service = snapshot.Services[name]
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -16,8 +16,6 @@
 	conn network.Conn
 	// busy is true from the first byte of a request to the end of its answer.
 	busy bool
-	// long is true while a request of a long class runs.
-	long bool
 }
 
 // connections holds the connections of callers. It is safe for concurrent use.
@@ -43,48 +41,42 @@
 	delete(s.all, entry)
 }
 
-func (s *connections) set(entry *callerConn, busy, long bool) {
+func (s *connections) setBusy(entry *callerConn, busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entry.busy, entry.long = busy, long
+	entry.busy = busy
 }
 
-// closeIdle closes the connections without a request and counts the others.
-func (s *connections) closeIdle() (busy, long int) {
+// closeIdle closes the connections without a request and returns the number of the others.
+func (s *connections) closeIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	busy := 0
 	for entry := range s.all {
-		switch {
-		case !entry.busy:
-			_ = entry.conn.Close()
-		case entry.long:
-			long++
-		}
 		if entry.busy {
 			busy++
+			continue
 		}
+		_ = entry.conn.Close()
 	}
-	return busy, long
+	return busy
 }
 
-// Shutdown stops accepting and waits for the requests in flight. When the context ends it waits only for requests of
-// long classes, which their own time limits end.
+// Shutdown stops accepting and waits for the requests in flight until the context ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
-	g.draining.Store(true)
+	g.Refuse()
 	closing, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go func() { _ = g.server.Shutdown(closing) }()
 	_ = g.listener.Close()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for {
-		busy, long := g.connections.closeIdle()
-		if busy == 0 {
-			return nil
-		}
-		if ctx.Err() != nil && long == 0 {
+	for g.connections.closeIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
 			return ctx.Err()
 		}
-		<-ticker.C
 	}
+	return nil
 }
