Add tickets for at-most-once execution

A caller's resend may reach another instance, so an instance that never sends twice by itself does not prevent a second run. A ticket names the only process that may start its operation; internal/ticket holds the decision code: issue and verification, the bounded table of started operations, and the closing record with its compact encoding.

Using the same ticket again was ruled out: the exploration finds a copy that was sent earlier, arrives after the answer and runs (model {reuse: true}). A closed ticket for which there is no room is replaced by a watermark over older unused tickets, so that refusals do not fill the table.

--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -60,7 +60,8 @@
 	TicketRequired    = add("ticket_required", Refusal, 428, NotRun, "The class is not repeatable and the request has no ticket. Send it again with the ticket from Basillink-Next-Ticket.")
 	TicketInvalid     = add("ticket_invalid", Refusal, 400, NotRun, "The ticket is malformed or was not issued by this fleet.")
 	TicketMismatch    = add("ticket_mismatch", Refusal, 409, NotRun, "The ticket was used for a different request. This request was not run.")
-	TicketTableFull   = add("ticket_table_full", Refusal, 503, NotRun, "The table of started operations is full. Send the request again with the same ticket later.")
+	TicketTableFull   = add("ticket_table_full", Refusal, 503, NotRun, "The table of started operations is full. Send the request again later, with the ticket from Basillink-Next-Ticket.")
+	TicketClosed      = add("ticket_closed", Refusal, 409, NotRun, "An earlier answer said that the request with this ticket was not run, which closed the ticket. Send the request with the ticket from Basillink-Next-Ticket.")
 	TicketOwnerClosed = add("ticket_owner_closed", Refusal, 409, NotRun, "The instance that issued the ticket stopped and its closing record proves that the ticket was not used. Send the request with a new ticket.")
 	TargetShed        = add("target_shed", Refusal, 503, NotRun, "Targets refused the request before running it and no attempt is left.")
 	CrashSuspect      = add("crash_suspect", Refusal, 422, NotRun, "Targets that ran this request crashed. It is not sent to further targets until the mark ages out.")
@@ -80,7 +81,7 @@
 	TicketExpired    = add("ticket_expired", Failure, 410, Unknown, "The ticket's lifetime has passed. The request is not run now; whether it ran before is no longer known.")
 	TicketOwnerGone  = add("ticket_owner_gone", Failure, 503, Unknown, "The instance that issued the ticket is gone. The request will not run any more; whether it ran before is not known.")
 	ForwardLost      = add("forward_lost", Failure, 502, Unknown, "The connection to the instance that issued the ticket failed. Ask again with the same ticket.")
-	AnswerNotKept    = add("answer_not_kept", Failure, 200, Done, "The operation ran, but its answer is larger than what an instance keeps.")
+	AnswerNotKept    = add("answer_not_kept", Failure, 200, Done, "The operation ran, but its answer is no longer kept or is too large to be kept.")
 )
 
 // Retries: the request went to a further target.
--- /dev/null
+++ b/internal/ticket/desk.go
@@ -0,0 +1,111 @@
+package ticket
+
+import (
+	"time"
+
+	"github.com/basillink/basillink/internal/reason"
+)
+
+// Action says what an instance does with a request that carries a ticket.
+type Action int
+
+// Actions.
+const (
+	// Run sends the request to a target and ends Decision.Operation.
+	Run Action = iota
+	// Wait waits for Decision.Settled and decides again.
+	Wait
+	// Replay answers with Decision.Answer.
+	Replay
+	// Forward asks Decision.Owner.
+	Forward
+	// Refuse answers with Decision.Reason, which also tells known outcomes without an answer.
+	Refuse
+)
+
+// Decision is the decision about one request.
+type Decision struct {
+	Action    Action
+	Operation *Operation
+	Settled   <-chan struct{}
+	Answer    *Answer
+	Owner     Owner
+	Reason    *reason.Reason
+}
+
+func refuse(why *reason.Reason) Decision { return Decision{Action: Refuse, Reason: why} }
+
+// Desk issues the tickets of one incarnation and decides about requests that carry tickets of any instance.
+// It is safe for concurrent use.
+type Desk struct {
+	self     Owner
+	key      Key
+	table    *table
+	closings *Closings
+}
+
+// NewDesk returns a desk. The key must be random and new.
+func NewDesk(self Owner, key Key, limits Limits) *Desk {
+	return &Desk{self: self, key: key, table: newTable(limits), closings: NewClosings(limits.Lifetime)}
+}
+
+// Self returns the owner of the tickets that this desk issues.
+func (d *Desk) Self() Owner { return d.self }
+
+// Closings returns the closing records of other instances.
+func (d *Desk) Closings() *Closings { return d.closings }
+
+// Issue returns the text of a new ticket, or an empty text when the instance is stopping. An issued ticket
+// takes no memory.
+func (d *Desk) Issue(now time.Duration) string {
+	serial, issued, ok := d.table.issue(now)
+	if !ok {
+		return ""
+	}
+	t := &Ticket{Owner: d.self, Serial: serial, Issued: issued}
+	t.mac = d.key.sign(t)
+	return t.String()
+}
+
+// Decide decides about a request. Forwarded requests are never forwarded again.
+func (d *Desk) Decide(now time.Duration, text string, digest Digest, forwarded bool) Decision {
+	t, err := Parse(text)
+	if err != nil {
+		return refuse(reason.TicketInvalid)
+	}
+	if t.Owner == d.self {
+		if !d.key.verify(t) {
+			return refuse(reason.TicketInvalid)
+		}
+		return d.table.begin(now, t, digest)
+	}
+	if why := d.closings.lookup(now, t); why != nil {
+		return refuse(why)
+	}
+	if forwarded || t.Owner.Instance == d.self.Instance {
+		return refuse(reason.TicketOwnerGone)
+	}
+	return Decision{Action: Forward, Owner: t.Owner}
+}
+
+// RefuseUnused reports whether a refusal of a request with this ticket may claim not run although Decide was not
+// asked. Then the ticket is closed. Only the owner can prove the claim; a copy sent through it may have run.
+func (d *Desk) RefuseUnused(now time.Duration, text string) bool {
+	t, err := Parse(text)
+	if err != nil {
+		return true
+	}
+	if t.Owner != d.self {
+		return false
+	}
+	return !d.key.verify(t) || d.table.closeUnused(now, t)
+}
+
+// Stop ends issuing and starting. Running operations go on, and repeats are still answered.
+func (d *Desk) Stop() { d.table.stop() }
+
+// Close ends the desk after Stop and returns its closing record, in parts of at most maxBytes. Operations that
+// still run are recorded as unknown.
+func (d *Desk) Close(now time.Duration, maxBytes int) [][]byte {
+	return d.table.closingRecord(now).encode(d.self, maxBytes)
+}
