--- /dev/null
+++ b/internal/peer/gossip_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+// session is a golden session of a few state machines.
+type session struct {
+	machines map[string]*Gossip
+	now      time.Duration
+	random   *rand.Rand
+}
+
+func testMember(id string, incarnation uint64) Member {
+	return Member{Identity: Identity{ID: id, Incarnation: incarnation}, Zone: "tz-north-a", Peer: id + ":1", Caller: id + ":2", Admin: id + ":3"}
+}
+
+func noOffset() platform.Offset { return 0 }
+
+// Guards against changes in how members join, are suspected, refute, leave and are replaced.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &session{machines: map[string]*Gossip{}, random: rand.New(rand.NewPCG(1, 1))}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
+	})
+}
+
+func (s *session) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "start":
+		var id string
+		var incarnation uint64
+		d.ScanArgs(t, "id", &id)
+		d.ScanArgs(t, "incarnation", &incarnation)
+		s.machines[id] = NewGossip(testMember(id, incarnation), noOffset)
+		return s.show(id)
+	case "exchange":
+		var from, to string
+		d.ScanArgs(t, "from", &from)
+		d.ScanArgs(t, "to", &to)
+		return s.exchange(from, to)
+	case "miss":
+		var from, to string
+		d.ScanArgs(t, "from", &from)
+		d.ScanArgs(t, "to", &to)
+		s.machines[from].Missed(s.now, s.contact(from, to))
+		return s.show(from)
+	case "wait":
+		var milliseconds int
+		d.ScanArgs(t, "ms", &milliseconds)
+		s.now += time.Duration(milliseconds) * time.Millisecond
+		for _, id := range s.names() {
+			s.machines[id].expire(s.now)
+		}
+		return s.show(s.names()...)
+	case "leave":
+		var id string
+		d.ScanArgs(t, "id", &id)
+		s.machines[id].Leave()
+		return s.show(id)
+	}
+	d.Fatalf(t, "unknown command %s", d.Cmd)
+	return ""
+}
+
+// contact returns the live member at the peer address of a machine, or the bare address.
+func (s *session) contact(from, to string) Contact {
+	for _, m := range s.machines[from].Members()[1:] {
+		if m.ID == to && m.State != Dead && m.State != Left {
+			return Contact{Identity: m.Identity, Address: m.Peer}
+		}
+	}
+	return Contact{Address: to + ":1"}
+}
+
+func (s *session) exchange(from, to string) string {
+	a, b := s.machines[from], s.machines[to]
+	contact := s.contact(from, to)
+	a.Answered(s.now, contact, b.Receive(s.now, a.Request(contact, s.random)))
+	return s.show(from, to)
+}
+
+func (s *session) names() []string {
+	var names []string
+	for id := range s.machines {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *session) show(ids ...string) string {
+	var out strings.Builder
+	for _, id := range ids {
+		out.WriteString(id + ":")
+		for _, m := range s.machines[id].Members() {
+			fmt.Fprintf(&out, " %s=%s,%d", m.Identity, m.State, m.Counter)
+		}
+		out.WriteString("\n")
+	}
+	return out.String()
+}
