--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -27,6 +27,9 @@
 		next.Services[name] = l.buildService(entry, previous.service(name))
 	}
 	l.snapshot.Store(next)
+	if previous == nil {
+		close(l.configured)
+	}
 	l.closeUnusedPools(next)
 	l.log.Info("Configuration is in force.", "revision", next.Revision, "services", len(next.Services))
 }
@@ -56,6 +59,7 @@
 			Slots:    entry.Spec.SlotsPerTarget,
 		})
 	}
+	service.attachLimits(previous)
 	var old balancer.Policy
 	if previous != nil {
 		old = previous.Policy
@@ -78,7 +82,7 @@
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
+		pool = transport.NewTargetPool(address, connectionShare(spec))
 		l.pools[address] = pool
 	}
 	return pool
@@ -93,7 +97,7 @@
 	}
 	for address, pool := range l.pools {
 		if !used[address] {
-			pool.CloseIdle()
+			pool.Close()
 			delete(l.pools, address)
 		}
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -30,6 +30,8 @@
 	events   chan TargetEvent
 	dropped  atomic.Uint64
 	snapshot atomic.Pointer[Snapshot]
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 
 	// The fields below belong to the goroutine in Run.
 	fold       *intent.Fold
@@ -48,6 +50,7 @@
 		start:      time.Now(),
 		calls:      make(chan func()),
 		events:     make(chan TargetEvent, eventQueue),
+		configured: make(chan struct{}),
 		fold:       intent.NewFold(),
 		departures: newDepartures(),
 		checkpoint: intent.NewCheckpointTimer(newRandom()),
@@ -58,6 +61,9 @@
 // Snapshot returns the configuration in force, or nil before the first.
 func (l *Loop) Snapshot() *Snapshot { return l.snapshot.Load() }
 
+// Configured is closed when the first configuration is in force.
+func (l *Loop) Configured() <-chan struct{} { return l.configured }
+
 // Run processes events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	expiry := time.NewTicker(expiryInterval)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/transport"
@@ -25,6 +26,9 @@
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
+	// Admission and Retries outlive a revision of the service.
+	Admission *admission.Limiter
+	Retries   *admission.RetryBudget
 	// departed names the targets that are left out because they left.
 	departed string
 }
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -11,11 +11,9 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/daemon"
+	"github.com/basillink/basillink/internal/daemoncli"
 	"github.com/basillink/basillink/internal/platform"
-	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
-	"github.com/basillink/basillink/internal/telemetry"
 )
 
 // roleVariable selects what a copy of the test binary runs instead of the tests.
@@ -29,6 +27,8 @@
 		os.Exit(m.Run())
 	case "daemon":
 		runDaemon(ctx, argument)
+	case "dev":
+		runDev(ctx, argument)
 	case "platform":
 		runPlatform(ctx, argument)
 	case "target":
@@ -37,22 +37,21 @@
 }
 
 func runDaemon(ctx context.Context, file string) {
-	s, err := settings.Load(file)
-	exitOn(err)
-	d, err := daemon.New(s, telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format))
-	exitOn(err)
-	exitOn(d.Run(ctx))
+	os.Exit(int(daemoncli.Run(ctx, os.Stderr, file)))
 }
 
 // runPlatform serves a log and a list. The argument holds its address and the listed instances as
-// "id=admin address".
+// "id=admin address" or "id=admin address=peer address".
 func runPlatform(ctx context.Context, argument string) {
 	fields := strings.Fields(argument)
 	list := standin.NewList(0)
 	var instances []platform.ListedInstance
 	for _, field := range fields[1:] {
-		id, adminAddress, _ := strings.Cut(field, "=")
-		instances = append(instances, platform.ListedInstance{ID: id, AdminAddress: adminAddress, State: platform.ListedLive})
+		id, listeners, _ := strings.Cut(field, "=")
+		adminAddress, peerAddress, _ := strings.Cut(listeners, "=")
+		instances = append(instances, platform.ListedInstance{
+			ID: id, AdminAddress: adminAddress, PeerAddress: peerAddress, State: platform.ListedLive,
+		})
 	}
 	list.Set(instances)
 	server := standin.NewPlatformServer(fields[0], standin.NewLog(), list)
@@ -76,7 +75,7 @@
 }
 
 // start runs a copy of the test binary in a role and kills it when the test ends.
-func start(t *testing.T, role string) *exec.Cmd {
+func start(t testing.TB, role string) *exec.Cmd {
 	t.Helper()
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), roleVariable+"="+role)
@@ -92,7 +91,7 @@
 }
 
 // eventually waits until check succeeds.
-func eventually(t *testing.T, what string, check func() bool) {
+func eventually(t testing.TB, what string, check func() bool) {
 	t.Helper()
 	const limit = 15 * time.Second
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
