Write the operators' guide, the glossary and the generated tables

Cause: operators had no guide, and the table of reasons had no place. Ruled out: a generator program, because a test with -update renders the same text and fails while a file is stale.

--- /dev/null
+++ b/internal/docs/docs_test.go
@@ -0,0 +1,90 @@
+package docs
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/settings"
+)
+
+var update = flag.Bool("update", false, "write the generated documentation")
+
+const (
+	operatorsFile = "../../docs/operators.md"
+	chartsFile    = "../../docs/design-charts.md"
+	settingsFile  = "../settings/settings.go"
+)
+
+// generated returns what each generated file should hold.
+func generated(t *testing.T) map[string]string {
+	t.Helper()
+	document, err := os.ReadFile(operatorsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := SettingsTable(settingsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operators := string(document)
+	for _, part := range []struct{ name, text string }{{"settings", table}, {"reasons", reason.MarkdownTable()}} {
+		if operators, err = Replace(operators, part.name, part.text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	charts, err := Charts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return map[string]string{operatorsFile: operators, chartsFile: charts}
+}
+
+// Guards against documentation that lags behind the code.
+func TestGeneratedDocumentation(t *testing.T) {
+	for file, want := range generated(t) {
+		if *update {
+			if err := os.WriteFile(file, []byte(want), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		got, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got) != want {
+			t.Errorf("%s is stale; run .ci/generate", file)
+		}
+	}
+}
+
+// Guards against settings without an explanation.
+func TestEverySettingIsDocumented(t *testing.T) {
+	comments, err := fieldComments(settingsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range settings.Fields() {
+		if comment := comments[field.Section+"."+field.Name]; !strings.HasPrefix(comment, field.Name+" ") {
+			t.Errorf("%s: doc comment %q", field.Key, comment)
+		}
+	}
+}
+
+// Guards against a document that loses text around the generated part, or silently lacks it.
+func TestReplace(t *testing.T) {
+	const document = "a\n<!-- generated: x -->\nold\n<!-- end: x -->\nb\n"
+	got, err := Replace(document, "x", "new\n")
+	if want := "a\n<!-- generated: x -->\n\nnew\n\n<!-- end: x -->\nb\n"; err != nil || got != want {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if again, err := Replace(got, "x", "new\n"); err != nil || again != got {
+		t.Fatalf("not stable: %q, %v", again, err)
+	}
+	if _, err := Replace(document, "y", ""); err == nil {
+		t.Fatal("missing markers were accepted")
+	}
+}
