Start the stand-in platform after the instance in the flood test

Cause: the HTTP library's global logger was set while another of its servers ran, which the race detector reported.

Change: the test creates the instance first. An unused field is removed.

Result: go test -race -run Flood ./internal/e2e reported the race in each of three runs before, and nothing in four runs after.

--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -25,10 +25,9 @@
 
 // fleet is a platform and daemons of the shipped binary, one process each.
 type fleet struct {
-	log       *platform.Client
-	daemons   []*exec.Cmd
-	admin     []string
-	addresses []string
+	log     *platform.Client
+	daemons []*exec.Cmd
+	admin   []string
 }
 
 // startFleet runs count daemons and waits until the platform answers.
--- a/internal/e2e/overload_test.go
+++ b/internal/e2e/overload_test.go
@@ -21,8 +21,6 @@
 func startInProcess(t *testing.T, targets int, faults standin.TargetFaults) (string, []*standin.Target, platform.Log) {
 	t.Helper()
 	addresses := freeAddresses(t, 4)
-	server := standin.NewPlatformServer(addresses[0], standin.NewLog(), standin.NewList(0))
-	go func() { _ = server.Run() }()
 	s, err := settings.Load(writeSettings(t, "i1", addresses[0], addresses[1:4]))
 	if err != nil {
 		t.Fatal(err)
@@ -31,6 +29,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	server := standin.NewPlatformServer(addresses[0], standin.NewLog(), standin.NewList(0))
+	go func() { _ = server.Run() }()
 	ctx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
