Record a golden session of one instance

Cause: nothing showed when an answer to callers or operators changed. Ruled out: recording logs and metrics, which hold times. Change: a datadriven test runs one instance with stand-ins in one process through start, refused and accepted intent, serving, bad input, target faults, explain and a drain with two requests in flight; status, the protocol's headers and the body of every answer are recorded, as are the client's output and how often each request ran. Masks: addresses with free ports, and tickets. Conclusion: behaviour visible outside is fixed by a file.

--- /dev/null
+++ b/internal/e2e/session_test.go
@@ -0,0 +1,291 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/subcommands"
+
+	"github.com/basillink/basillink/internal/client"
+	"github.com/basillink/basillink/internal/daemon"
+	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/standin"
+)
+
+// session is one instance with stand-ins in this process, driven by the commands of a golden file.
+type session struct {
+	t        *testing.T
+	names    *strings.Replacer // names in golden files to addresses
+	masks    *strings.Replacer // addresses to names in golden files
+	caller   string
+	admin    string
+	log      *standin.Log
+	targets  []*standin.Target
+	stop     context.CancelFunc
+	exited   chan error
+	pending  map[string]<-chan *http.Response
+	ticket   string
+	sequence int
+}
+
+// Guards against any change of what a caller or an operator sees, over one whole life of an instance.
+func TestSession(t *testing.T) {
+	datadriven.Walk(t, "testdata/session", func(t *testing.T, path string) {
+		s := newSession(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.masks.Replace(s.run(d))
+		})
+	})
+}
+
+func newSession(t *testing.T) *session {
+	t.Helper()
+	addresses := freeAddresses(t, 4)
+	s := &session{
+		t: t, caller: addresses[0], admin: addresses[1], log: standin.NewLog(),
+		exited: make(chan error, 1), pending: map[string]<-chan *http.Response{},
+	}
+	platformServer := standin.NewPlatformServer(addresses[3], s.log, standin.NewList(0))
+	if err := platformServer.Open(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = platformServer.Run() }()
+	t.Cleanup(func() { _ = platformServer.Shutdown(context.Background()) })
+	names := []string{"<caller>", addresses[0], "<admin>", addresses[1], "<peer>", addresses[2], "<platform>", addresses[3]}
+	for i := range 2 {
+		names = append(names, fmt.Sprintf("<target-%d>", i+1), s.startTarget())
+	}
+	s.names = strings.NewReplacer(names...)
+	slices.Reverse(names)
+	s.masks = strings.NewReplacer(names...)
+	s.startInstance(addresses)
+	return s
+}
+
+func (s *session) startTarget() string {
+	target, err := standin.NewTarget("127.0.0.1:0", 4)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() { _ = target.Run() }()
+	s.t.Cleanup(func() { _ = target.Close() })
+	s.targets = append(s.targets, target)
+	return target.Address()
+}
+
+func (s *session) startInstance(addresses []string) {
+	file := writeSettings(s.t, "i1", addresses[3], addresses[:3])
+	loaded, err := settings.Load(file)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	instance, err := daemon.New(loaded, slog.New(slog.DiscardHandler))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.t.Cleanup(stop)
+	go func() { s.exited <- instance.Run(ctx) }()
+	eventually(s.t, "a live instance", func() bool { return (<-ask(s.admin, "/livez")).status == http.StatusOK })
+}
+
+// run executes one command of a golden file.
+func (s *session) run(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "publish":
+		return s.publish(d)
+	case "cli":
+		return s.cli(strings.Fields(s.names.Replace(d.Input)))
+	case "request":
+		return s.show(s.send(d))
+	case "start":
+		return s.start(d)
+	case "finish":
+		return s.show(<-s.pending[d.CmdArgs[0].Key])
+	case "raw":
+		return s.raw(d.Input)
+	case "admin":
+		a := <-ask(s.admin, d.CmdArgs[0].Key)
+		return fmt.Sprintf("%d\n%s", a.status, a.body)
+	case "faults":
+		return s.faults(d)
+	case "executions":
+		return s.executions()
+	case "drain":
+		s.stop()
+		eventually(s.t, "a draining instance", func() bool { return (<-ask(s.admin, "/readyz")).status == http.StatusServiceUnavailable })
+		return ""
+	case "exit":
+		return fmt.Sprintf("error: %v\n", <-s.exited)
+	}
+	s.t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+// publish publishes the intent with the client and waits until the instance has read the log to its end.
+func (s *session) publish(d *datadriven.TestData) string {
+	file := filepath.Join(s.t.TempDir(), "intent.toml")
+	if err := os.WriteFile(file, []byte(s.names.Replace(d.Input)), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	out := s.cli([]string{"publish", "-platform", s.names.Replace("<platform>"), "-author", "asha", file})
+	s.awaitLog()
+	return strings.ReplaceAll(out, file, "intent.toml")
+}
+
+func (s *session) awaitLog() {
+	page, err := s.log.Read(s.t.Context(), 1, 1, 0)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	eventually(s.t, "the end of the log", func() bool {
+		status, err := client.Status(s.t.Context(), s.admin)
+		return err == nil && status.Through+1 >= page.Next && (page.Next == 1 || status.Ready)
+	})
+}
+
+// cli runs a command of the operators' client and shows its output and exit status.
+func (s *session) cli(arguments []string) string {
+	var out bytes.Buffer
+	flags := flag.NewFlagSet("basillink", flag.ContinueOnError)
+	commander := subcommands.NewCommander(flags, "basillink")
+	for _, command := range client.Commands(&out) {
+		commander.Register(command, "")
+	}
+	if err := flags.Parse(arguments); err != nil {
+		s.t.Fatal(err)
+	}
+	status := commander.Execute(s.t.Context())
+	return fmt.Sprintf("%sexit status %d\n", out.String(), status)
+}
+
+// send sends the request "METHOD URI" with the header lines of the input, and the body after an empty line.
+func (s *session) send(d *datadriven.TestData) *http.Response {
+	headers, body, _ := strings.Cut(d.Input, "\n\n")
+	s.sequence++
+	request, err := http.NewRequest(d.CmdArgs[0].Key, "http://"+s.caller+d.CmdArgs[1].String(), strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Header.Set(standin.TokenHeader, fmt.Sprintf("t%d", s.sequence))
+	for _, line := range strings.Split(headers, "\n") {
+		if name, value, ok := strings.Cut(line, ": "); ok {
+			request.Header.Set(name, strings.ReplaceAll(value, "$ticket", s.ticket))
+		}
+	}
+	// A connection for each request, because net/http repeats requests on connections that break.
+	caller := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := caller.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return response
+}
+
+// start sends a request in the background and waits until a target runs it.
+func (s *session) start(d *datadriven.TestData) string {
+	name := d.CmdArgs[0].Key
+	d.CmdArgs = d.CmdArgs[1:]
+	result := make(chan *http.Response, 1)
+	s.pending[name] = result
+	before := s.inFlight()
+	go func() { result <- s.send(d) }()
+	eventually(s.t, "a request in flight", func() bool { return s.inFlight() > before })
+	return ""
+}
+
+func (s *session) inFlight() int64 {
+	var sum int64
+	for _, target := range s.targets {
+		sum += target.InFlight()
+	}
+	return sum
+}
+
+// raw sends bytes as they are, with line ends of HTTP, and shows the answer.
+func (s *session) raw(input string) string {
+	response, err := exchangeRaw(s.caller, strings.ReplaceAll(input, "\n", "\r\n")+"\r\n\r\n")
+	if err != nil {
+		return "no answer\n"
+	}
+	return s.show(response)
+}
+
+// show renders what the caller sees: status, the protocol's headers and the body.
+func (s *session) show(response *http.Response) string {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	var b strings.Builder
+	fmt.Fprintln(&b, response.StatusCode)
+	for _, name := range []string{header.Outcome, header.Reason, header.Instance} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&b, "%s: %s\n", name, value)
+		}
+	}
+	if ticket := response.Header.Get(header.NextTicket); ticket != "" {
+		s.ticket = ticket
+		fmt.Fprintf(&b, "%s: <ticket>\n", header.NextTicket)
+	}
+	fmt.Fprintf(&b, "%s\n", strings.TrimRight(string(body), "\n"))
+	if err != nil {
+		fmt.Fprintf(&b, "broken transfer\n")
+	}
+	return b.String()
+}
+
+// faults sets the faults of all targets.
+func (s *session) faults(d *datadriven.TestData) string {
+	var f standin.TargetFaults
+	for _, argument := range d.CmdArgs {
+		switch argument.Key {
+		case "reject":
+			f.RejectAll = true
+		case "service":
+			service, err := time.ParseDuration(argument.Vals[0])
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			f.ServiceTime = service
+		}
+	}
+	for _, target := range s.targets {
+		target.SetFaults(f)
+	}
+	return ""
+}
+
+// executions lists how often each request was run over all targets.
+func (s *session) executions() string {
+	runs := map[string]int{}
+	for _, target := range s.targets {
+		for token, count := range target.Executions() {
+			runs[token] += count
+		}
+	}
+	var lines []string
+	for token, count := range runs {
+		lines = append(lines, fmt.Sprintf("%s: %d\n", token, count))
+	}
+	slices.SortFunc(lines, func(a, b string) int {
+		if len(a) != len(b) {
+			return len(a) - len(b)
+		}
+		return strings.Compare(a, b)
+	})
+	return strings.Join(lines, "")
+}
