Test telemetry and fuzz the intent decoder and the fold

Cause: counters, gauges and log entries had no test, and the decoder takes input from operators and from the log. Ruled out: a corpus directory, because the seeds are short texts that belong beside the test. Change: tests that each reason's counter exists with 0, that invented service names share one time series, that gauges follow, that a wrapped error stays on one line; FuzzDecode (accepted intent survives a round trip) and FuzzApply (two folds of one record agree, no gap is skipped).

--- a/internal/e2e/raw_test.go
+++ b/internal/e2e/raw_test.go
@@ -8,12 +8,29 @@
 	"time"
 )
 
+// seen is what a caller sees of one answer.
+type seen struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the transfer of the body broke.
+	err error
+}
+
+// readAnswer reads the whole answer and closes its body.
+func readAnswer(response *http.Response) *seen {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return &seen{response.StatusCode, response.Header, string(body), err}
+}
+
 // exchangeRaw sends bytes on a connection of its own and reads one answer.
-func exchangeRaw(address, text string) (*http.Response, error) {
+func exchangeRaw(address, text string) (*seen, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
 		return nil, err
 	}
@@ -22,20 +39,7 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
-	response.Body = &connBody{response.Body, conn}
-	return response, nil
-}
-
-// connBody closes the connection with the body.
-type connBody struct {
-	io.ReadCloser
-	conn net.Conn
-}
-
-func (b *connBody) Close() error {
-	_ = b.ReadCloser.Close()
-	return b.conn.Close()
+	return readAnswer(response), nil
 }
--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -36,7 +35,7 @@
 	targets  []*standin.Target
 	stop     context.CancelFunc
 	exited   chan error
-	pending  map[string]<-chan *http.Response
+	pending  map[string]<-chan *seen
 	ticket   string
 	sequence int
 }
@@ -57,7 +56,7 @@
 	addresses := freeAddresses(t, 4)
 	s := &session{
 		t: t, caller: addresses[0], admin: addresses[1], log: standin.NewLog(),
-		exited: make(chan error, 1), pending: map[string]<-chan *http.Response{},
+		exited: make(chan error, 1), pending: map[string]<-chan *seen{},
 	}
 	platformServer := standin.NewPlatformServer(addresses[3], s.log, standin.NewList(0))
 	if err := platformServer.Open(); err != nil {
@@ -175,7 +174,7 @@
 }
 
 // send sends the request "METHOD URI" with the header lines of the input, and the body after an empty line.
-func (s *session) send(d *datadriven.TestData) *http.Response {
+func (s *session) send(d *datadriven.TestData) *seen {
 	headers, body, _ := strings.Cut(d.Input, "\n\n")
 	s.sequence++
 	request, err := http.NewRequest(d.CmdArgs[0].Key, "http://"+s.caller+d.CmdArgs[1].String(), strings.NewReader(body))
@@ -194,14 +193,14 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return response
+	return readAnswer(response)
 }
 
 // start sends a request in the background and waits until a target runs it.
 func (s *session) start(d *datadriven.TestData) string {
 	name := d.CmdArgs[0].Key
 	d.CmdArgs = d.CmdArgs[1:]
-	result := make(chan *http.Response, 1)
+	result := make(chan *seen, 1)
 	s.pending[name] = result
 	before := s.inFlight()
 	go func() { result <- s.send(d) }()
@@ -219,30 +218,28 @@
 
 // raw sends bytes as they are, with line ends of HTTP, and shows the answer.
 func (s *session) raw(input string) string {
-	response, err := exchangeRaw(s.caller, strings.ReplaceAll(input, "\n", "\r\n")+"\r\n\r\n")
+	answer, err := exchangeRaw(s.caller, strings.ReplaceAll(input, "\n", "\r\n")+"\r\n\r\n")
 	if err != nil {
 		return "no answer\n"
 	}
-	return s.show(response)
+	return s.show(answer)
 }
 
 // show renders what the caller sees: status, the protocol's headers and the body.
-func (s *session) show(response *http.Response) string {
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+func (s *session) show(answer *seen) string {
 	var b strings.Builder
-	fmt.Fprintln(&b, response.StatusCode)
+	fmt.Fprintln(&b, answer.status)
 	for _, name := range []string{header.Outcome, header.Reason, header.Instance} {
-		if value := response.Header.Get(name); value != "" {
+		if value := answer.header.Get(name); value != "" {
 			fmt.Fprintf(&b, "%s: %s\n", name, value)
 		}
 	}
-	if ticket := response.Header.Get(header.NextTicket); ticket != "" {
+	if ticket := answer.header.Get(header.NextTicket); ticket != "" {
 		s.ticket = ticket
 		fmt.Fprintf(&b, "%s: <ticket>\n", header.NextTicket)
 	}
-	fmt.Fprintf(&b, "%s\n", strings.TrimRight(string(body), "\n"))
-	if err != nil {
+	fmt.Fprintf(&b, "%s\n", strings.TrimRight(answer.body, "\n"))
+	if answer.err != nil {
 		fmt.Fprintf(&b, "broken transfer\n")
 	}
 	return b.String()
--- /dev/null
+++ b/internal/intent/fuzz_test.go
@@ -0,0 +1,83 @@
+package intent
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/basillink/basillink/internal/platform"
+)
+
+const fuzzIntent = `[[service]]
+name = "flightdesk"
+region = "tz-north"
+zones = ["tz-north-a"]
+[service.measuring]
+probes_per_s = 400.0
+probes_per_request = 0.25
+[[service.class]]
+name = "reservation"
+methods = ["POST"]
+path_prefix = "/reservations"
+[[service.class]]
+name = "summary"
+repeatable = true
+long = true
+[[service.target]]
+address = "10.0.0.7:8080"
+zone = "tz-north-a"
+state = "leaving"
+`
+
+// Guards against input that the decoder accepts but that does not survive a round trip through the log, and against
+// panics on any input.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(fuzzIntent))
+	f.Add([]byte("[[service]]\nname = \"a\"\n"))
+	f.Add([]byte("service = 3\n"))
+	f.Add([]byte("[[service]]\nprobes_per_s = nan\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in, err := Decode("fuzz", data)
+		if err != nil {
+			return
+		}
+		for _, service := range in.Services {
+			text, err := EncodeService(service)
+			if err != nil {
+				t.Fatalf("cannot encode what was accepted: %v", err)
+			}
+			again, err := Decode("again", []byte(text))
+			if err != nil {
+				t.Fatalf("cannot decode what was encoded: %v\n%s", err, text)
+			}
+			second, err := EncodeService(again.Services[0])
+			if err != nil || second != text {
+				t.Fatalf("not stable: %v\n%s\n%s", err, text, second)
+			}
+		}
+	})
+}
+
+// Guards against a record that makes the fold panic, or that makes two instances disagree.
+func FuzzApply(f *testing.F) {
+	change := &Record{Kind: KindChange, Change: &Change{ID: "1", Service: "flightdesk", Spec: fuzzIntent}}
+	payload, err := change.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(payload)
+	f.Add([]byte(`{"kind":"checkpoint","checkpoint":{"state":{"services":{"a":null},"removed":{}},"digest":""}}`))
+	f.Add([]byte(`{"kind":"change"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, second := NewState(), NewState()
+		record := platform.Record{Offset: 1, Payload: data}
+		a, b := first.Apply(record), second.Apply(platform.Record{Offset: 1, Payload: bytes.Clone(data)})
+		if a.Verdict != b.Verdict || first.Digest() != second.Digest() || first.Through != 1 {
+			t.Fatalf("verdicts %s and %s", a.Verdict, b.Verdict)
+		}
+		// A gap before the record makes the fold look for a checkpoint in it.
+		gap := platform.Page{Earliest: 5, Next: 6, Records: []platform.Record{{Offset: 5, Payload: data}}}
+		if fold := NewFold(); fold.Page(gap, func(Decision) {}) == nil && fold.State().Through < 4 {
+			t.Fatalf("continued at %d across a gap", fold.State().Through)
+		}
+	})
+}
--- /dev/null
+++ b/internal/telemetry/metrics_test.go
@@ -0,0 +1,112 @@
+package telemetry
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/reason"
+)
+
+func scrape(t *testing.T, m *Metrics) string {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	return recorder.Body.String()
+}
+
+func newMetrics(t *testing.T) *Metrics {
+	t.Helper()
+	m, err := NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// Guards against a counter that appears only with its first occurrence, which hides the first increase.
+func TestEveryReasonHasACounterFromTheStart(t *testing.T) {
+	text := scrape(t, newMetrics(t))
+	for _, r := range reason.All() {
+		name := "basillink_refusals_total"
+		if r.Kind == reason.Retry {
+			name = "basillink_retries_total"
+		}
+		if line := name + `{reason="` + r.Name + `",service=""} 0`; !strings.Contains(text, line+"\n") {
+			t.Errorf("no line %s", line)
+		}
+	}
+}
+
+// Guards against a time series for each name that callers invent.
+func TestUnknownServicesShareOneCounter(t *testing.T) {
+	m := newMetrics(t)
+	m.Refused("invented-1", reason.UnknownService)
+	m.Refused("invented-2", reason.UnknownService)
+	m.Refused("flightdesk", reason.Overloaded)
+	text := scrape(t, m)
+	if strings.Contains(text, "invented") || !strings.Contains(text, `{reason="unknown_service",service=""} 2`) {
+		t.Errorf("unknown services:\n%s", text)
+	}
+	if !strings.Contains(text, `basillink_refusals_total{reason="overloaded",service="flightdesk"} 1`) {
+		t.Error("a known service is not counted by name")
+	}
+}
+
+// Guards against gauges that keep their first value, and against an added time in the wrong unit.
+func TestGaugesAndAddedTime(t *testing.T) {
+	m := newMetrics(t)
+	revision, ready := int64(7), false
+	err := m.Observe(Gauges{
+		InFlight: func() int64 { return 3 },
+		Revision: func() int64 { return revision },
+		Ready:    func() bool { return ready },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	scrape(t, m)
+	revision, ready = 8, true
+	m.Added(650 * time.Microsecond)
+	text := scrape(t, m)
+	for _, line := range []string{
+		"basillink_revision 8", "basillink_ready 1", "basillink_requests_in_flight 3",
+		`basillink_added_time_seconds_bucket{le="0.0006"} 0`, `basillink_added_time_seconds_bucket{le="0.0007"} 1`,
+	} {
+		if !strings.Contains(text, line+"\n") {
+			t.Errorf("no line %s in\n%s", line, text)
+		}
+	}
+}
+
+// Guards against log entries without their component's prefix and against errors that break an entry into lines.
+func TestLogEntries(t *testing.T) {
+	var out bytes.Buffer
+	log := Component(NewLogger(&out, "info", "text"), "reader").With("instance", "i1")
+	log.Debug("Not logged.")
+	log.Warn("Cannot read the log.", "error", trace.Wrap(errors.New("refused"), "GET /records"))
+	text := out.String()
+	if strings.Count(text, "\n") != 1 || !strings.Contains(text, `msg="reader: Cannot read the log."`) ||
+		!strings.Contains(text, `error="GET /records: refused"`) || !strings.Contains(text, "instance=i1") {
+		t.Errorf("got %s", text)
+	}
+}
+
+// Guards against lines of the HTTP library that bypass the level of the log.
+func TestServerLog(t *testing.T) {
+	var out bytes.Buffer
+	adapter := &serverLog{log: slog.New(slog.NewTextHandler(&out, nil))}
+	adapter.Infof("listening on %s", "x")
+	adapter.Warnf("odd %d", 1)
+	adapter.Error("bad")
+	text := out.String()
+	if strings.Contains(text, "listening") || !strings.Contains(text, `level=WARN msg="odd 1"`) || !strings.Contains(text, "level=ERROR msg=bad") {
+		t.Errorf("got %s", text)
+	}
+}
