--- a/internal/e2e/raw_test.go
+++ b/internal/e2e/raw_test.go
@@ -17,9 +17,8 @@
 	err error
 }
 
-// readAnswer reads the whole answer and closes its body.
+// readAnswer reads the whole answer.
 func readAnswer(response *http.Response) *seen {
-	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return &seen{response.StatusCode, response.Header, string(body), err}
 }
@@ -41,5 +40,6 @@
 	if err != nil {
 		return nil, err
 	}
+	defer func() { _ = response.Body.Close() }()
 	return readAnswer(response), nil
 }
--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -193,6 +193,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	return readAnswer(response)
 }
 
