Add a benchmark of the cost of a call

Cause: the number of instances for 200,000 calls/s follows from the processor time of one daemon for each call.

Change: BenchmarkCallCost runs the shipped binary, four targets and the load generator at 500 to 4,000 calls/s, direct and through the instance.

--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,7 @@
 
 	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/load"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/operator"
 )
@@ -28,6 +30,7 @@
 	log     *platform.Client
 	daemons []*exec.Cmd
 	admin   []string
+	callers []string
 }
 
 // startFleet runs count daemons and waits until the platform answers.
@@ -39,6 +42,7 @@
 	role := "platform " + addresses[0]
 	for i := range count {
 		listen := addresses[1+3*i : 4+3*i]
+		f.callers = append(f.callers, listen[0])
 		f.admin = append(f.admin, listen[1])
 		role += fmt.Sprintf(" i%d=%s=%s", i, listen[1], listen[2])
 	}
@@ -251,3 +255,51 @@
 	service.Provision()
 	return service
 }
+
+// BenchmarkCallCost measures the processor time of one daemon for each call and the latency beside a direct call, in
+// one run with the targets and the load generator on the same machine.
+func BenchmarkCallCost(b *testing.B) {
+	for _, rate := range []float64{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("calls=%g", rate), func(b *testing.B) {
+			f := startFleet(b, 1)
+			targets := freeAddresses(b, 4)
+			for _, address := range targets {
+				start(b, "target "+address)
+			}
+			publishFlightdesk(b, f.log, targets)
+			eventually(b, "a served request", func() bool {
+				status, _, err := get(f.callers[0], "/flightdesk/slots", "first")
+				return err == nil && status == http.StatusOK
+			})
+			direct := runLoad(b, "http://"+targets[0]+"/slots", rate)
+			before := readCost(b, f.daemons[0].Process.Pid)
+			through := runLoad(b, "http://"+f.callers[0]+"/flightdesk/slots", rate)
+			after := readCost(b, f.daemons[0].Process.Pid)
+			b.ReportMetric(float64((after.cpu-before.cpu).Microseconds())/float64(through.Sent), "µs-cpu/call")
+			b.ReportMetric(float64(direct.Latency.P50), "µs-direct-p50")
+			b.ReportMetric(float64(direct.Latency.P99), "µs-direct-p99")
+			b.ReportMetric(float64(through.Latency.P50), "µs-through-p50")
+			b.ReportMetric(float64(through.Latency.P99), "µs-through-p99")
+			b.ReportMetric(float64(through.Sent-through.Answered), "not-answered")
+			b.ReportMetric(float64(after.residentBytes)/(1<<20), "MiB-resident")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func runLoad(b *testing.B, url string, rate float64) *load.Report {
+	b.Helper()
+	plan := &load.Plan{
+		URL: url, Method: http.MethodGet, Rate: rate, Arrival: load.Poisson, Duration: 10 * time.Second,
+		Connections: 128, Timeout: 5 * time.Second, Seed: 1,
+	}
+	if err := plan.Check(); err != nil {
+		b.Fatal(err)
+	}
+	caller, closeCaller, err := load.NewCaller(plan)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer closeCaller()
+	return load.Run(context.Background(), plan, caller, func(load.Totals) {})
+}
