Take no context for the drain limit when there is none

Cause: each request took a cancellable context and a registration under one lock for a limit that is off by default. Ruled out: a lock of its own, because the context package takes the same. Change: without drain.limit_ms begin only counts. A second Ctrl-C ends a drain; SIGTERM never does. Conclusion: the default path has no lock.

--- a/cmd/basillinkd/main.go
+++ b/cmd/basillinkd/main.go
@@ -21,5 +21,7 @@
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// A second Ctrl-C ends a drain that waits for requests in flight. SIGTERM never does.
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
 	os.Exit(int(subcommands.Execute(ctx)))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,7 +54,7 @@
 		log:      log,
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
-		inFlight: newInFlight(),
+		inFlight: newInFlight(s.Drain.LimitMS > 0),
 	}
 	g.server = server.New(
 		server.WithListener(g.listener),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -12,13 +12,15 @@
 type inFlight struct {
 	count    atomic.Int64
 	draining atomic.Bool
-	limit    context.Context
-	pass     context.CancelFunc
+	// limited is false without a drain limit, which saves each request a context.
+	limited bool
+	limit   context.Context
+	pass    context.CancelFunc
 }
 
-func newInFlight() *inFlight {
+func newInFlight(limited bool) *inFlight {
 	limit, pass := context.WithCancel(context.Background())
-	return &inFlight{limit: limit, pass: pass}
+	return &inFlight{limited: limited, limit: limit, pass: pass}
 }
 
 // drainLimitError is the cause of a cancellation by the drain limit.
@@ -30,7 +32,7 @@
 // The returned function is called once, when the answer is complete.
 func (f *inFlight) begin(ctx context.Context, long bool) (context.Context, func()) {
 	f.count.Add(1)
-	if long {
+	if long || !f.limited {
 		return ctx, func() { f.count.Add(-1) }
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
