Report how late the load generator sends

Cause: the first comparison of direct and forwarded latency showed 0.5 ms between due time and sending, which the report hid inside the latency. Ruled out: spinning until the due time, because it takes a core from what is measured. Change: the report has late_us, the time from due to sent. Conclusion: compare service_us for the cost of a hop, latency_us for callers.

--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -35,6 +35,7 @@
 	statuses map[int]int
 	latency  *hdrhistogram.Histogram
 	service  *hdrhistogram.Histogram
+	late     *hdrhistogram.Histogram
 }
 
 func newRecorder() *recorder {
@@ -43,6 +44,7 @@
 		statuses: map[int]int{},
 		latency:  newHistogram(),
 		service:  newHistogram(),
+		late:     newHistogram(),
 	}
 }
 
@@ -50,10 +52,12 @@
 	return hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantDigits)
 }
 
-func (r *recorder) sent() {
+// sent records a request that was sent some time after it was due.
+func (r *recorder) sent(late time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.Sent++
+	record(r.late, late)
 }
 
 // ended records a result with the time since the request was due and since it was sent.
@@ -103,5 +107,6 @@
 		Statuses:       r.statuses,
 		Latency:        summarize(r.latency),
 		Service:        summarize(r.service),
+		Late:           summarize(r.late),
 	}
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -26,6 +26,9 @@
 	Latency Summary `json:"latency_us"`
 	// Service counts from the time each answered request was sent, and hides waiting in the generator.
 	Service Summary `json:"service_us"`
+	// Late is the time between the due time and the sending of each request. It shows the limits of the generator
+	// and of its machine.
+	Late Summary `json:"late_us"`
 }
 
 // Summary holds percentiles in microseconds.
@@ -67,6 +70,7 @@
 	}
 	rows = append(rows, r.Latency.rows("latency_us")...)
 	rows = append(rows, r.Service.rows("service_us")...)
+	rows = append(rows, r.Late.rows("late_us")...)
 	rows = append(rows, countRows("cause", r.Causes)...)
 	return append(rows, countRows("status", r.Statuses)...)
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -33,9 +33,9 @@
 		if due >= plan.Duration || !waitUntil(ctx, start.Add(due)) || !acquire(ctx, slots) {
 			return
 		}
-		recorder.sent()
 		group.Go(func() {
 			sentAt := time.Now()
+			recorder.sent(sentAt.Sub(start.Add(due)))
 			result := caller.Call(callContext, number)
 			now := time.Now()
 			recorder.ended(result, now.Sub(start.Add(due)), now.Sub(sentAt))
