--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,7 +54,7 @@
 		log:      log,
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
-		inFlight: newInFlight(s.Drain.LimitMS > 0),
+		inFlight: newInFlight(),
 	}
 	g.server = server.New(
 		server.WithListener(g.listener),
@@ -63,6 +63,7 @@
 		server.WithDisablePrintRoute(true),
 	)
 	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
+	g.inFlight.limited = s.Drain.LimitMS > 0
 	return g
 }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -12,15 +12,15 @@
 type inFlight struct {
 	count    atomic.Int64
 	draining atomic.Bool
-	// limited is false without a drain limit, which saves each request a context.
+	// limited is false without a drain limit, which saves each request a context. It is set before the first request.
 	limited bool
 	limit   context.Context
 	pass    context.CancelFunc
 }
 
-func newInFlight(limited bool) *inFlight {
+func newInFlight() *inFlight {
 	limit, pass := context.WithCancel(context.Background())
-	return &inFlight{limited: limited, limit: limit, pass: pass}
+	return &inFlight{limit: limit, pass: pass}
 }
 
 // drainLimitError is the cause of a cancellation by the drain limit.
