--- a/internal/client/commands.go
+++ b/internal/client/commands.go
@@ -29,7 +29,7 @@
 		checkCommand(out),
 		publishCommand(out),
 		statusCommand(out),
-		explainCommand(out),
 		loadCommand(out),
+		explainCommand(out),
 	}
 }
--- a/internal/client/exit.go
+++ b/internal/client/exit.go
@@ -12,8 +12,6 @@
 const (
 	ExitFailure  = subcommands.ExitFailure
 	ExitConflict = subcommands.ExitStatus(3)
-	// ExitRefused is the status of explain for a request that would be refused.
-	ExitRefused = subcommands.ExitStatus(4)
 )
 
 func failure(err error) subcommands.ExitStatus {
--- a/internal/client/explain.go
+++ b/internal/client/explain.go
@@ -14,10 +14,13 @@
 	"github.com/basillink/basillink/internal/admin"
 )
 
+// ExitRefused is the exit status of explain for a request that would be refused.
+const ExitRefused = subcommands.ExitStatus(5)
+
 const explainUsage = `explain [-admin ADDRESS] [-service NAME] [-method METHOD] [-class NAME] [-json] URI
   Say where an instance would send a request now, or why it would refuse it. Nothing is sent to a target.
   URI is the path and query that a caller sends; without -service its first segment names the service.
-  Exit status: 0 when the request would be sent, 4 when it would be refused, 1 on failure, 2 for wrong usage.
+  Exit status: 0 when the request would be sent, 5 when it would be refused, 1 on failure, 2 for wrong usage.
 `
 
 // Explain asks an admin listener where a request would go. An empty service is taken from the URI.
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -2,10 +2,19 @@
 
 import (
 	"context"
-	"sync"
+	"encoding/json"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/basillink/basillink/internal/admin"
 	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/transport"
+)
+
+const (
+	statusTimeout  = 2 * time.Second
+	maxStatusBytes = 4 << 20
 )
 
 // InstanceStatus is the status of one listed instance.
@@ -21,18 +30,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return askAll(ctx, instances), nil
-}
-
-// askAll asks all instances at once and returns their status in the order of the list.
-func askAll(ctx context.Context, instances []platform.ListedInstance) []InstanceStatus {
 	result := make([]InstanceStatus, len(instances))
-	var group sync.WaitGroup
+	done := make(chan int)
 	for i, listed := range instances {
-		group.Go(func() { result[i] = askStatus(ctx, listed) })
+		go func() {
+			result[i] = askStatus(ctx, listed)
+			done <- i
+		}()
+	}
+	for range instances {
+		<-done
 	}
-	group.Wait()
-	return result
+	return result, nil
 }
 
 func askStatus(ctx context.Context, listed platform.ListedInstance) InstanceStatus {
@@ -45,8 +54,19 @@
 
 // Status asks the admin listener at an address.
 func Status(ctx context.Context, address string) (*admin.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	pool := transport.NewPool(address, 1)
+	defer pool.CloseIdle()
+	request, answer := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(request)
+	defer protocol.ReleaseResponse(answer)
+	request.SetRequestURI("http://" + address + "/status")
+	if err := pool.Exchange(ctx, request, answer, maxStatusBytes); err != nil {
+		return nil, err
+	}
 	var status admin.Status
-	if err := askAdmin(ctx, address, "/status", &status); err != nil {
+	if err := json.Unmarshal(answer.Body(), &status); err != nil {
 		return nil, err
 	}
 	return &status, nil
--- a/internal/client/status_command.go
+++ b/internal/client/status_command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 
 	"github.com/google/subcommands"
 
@@ -53,6 +54,17 @@
 	return askAll(ctx, instances), nil
 }
 
+// askAll asks all instances at once and returns their status in the order of the list.
+func askAll(ctx context.Context, instances []platform.ListedInstance) []InstanceStatus {
+	result := make([]InstanceStatus, len(instances))
+	var group sync.WaitGroup
+	for i, listed := range instances {
+		group.Go(func() { result[i] = askStatus(ctx, listed) })
+	}
+	group.Wait()
+	return result
+}
+
 func statusExit(list []InstanceStatus) subcommands.ExitStatus {
 	for _, s := range list {
 		if s.Status == nil {
