--- a/internal/client/explain.go
+++ b/internal/client/explain.go
@@ -66,7 +66,7 @@
 
 func printExplanation(out io.Writer, e *admin.Explanation, asJSON bool) error {
 	if asJSON {
-		return printJSON(out, e)
+		return writeJSON(out, e)
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance %s: %s %s of service %q\n", e.Instance, e.Method, e.URI, e.Service)
--- a/internal/client/status_command.go
+++ b/internal/client/status_command.go
@@ -76,7 +76,7 @@
 
 func printStatusList(out io.Writer, list []InstanceStatus, asJSON bool) error {
 	if asJSON {
-		return printJSON(out, list)
+		return writeJSON(out, list)
 	}
 	for _, s := range list {
 		printStatus(out, s)
@@ -93,7 +93,7 @@
 		s.Status.Instance, s.Status.Zone, s.Status.State, s.Status.Ready, s.Status.InFlight, s.Status.Revision)
 }
 
-func printJSON(out io.Writer, v any) error {
+func writeJSON(out io.Writer, v any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(v)
