--- a/internal/e2e/settings_test.go
+++ b/internal/e2e/settings_test.go
@@ -30,7 +30,7 @@
 			}
 			defer func() { _ = listener.Close() }()
 			file := writeSettings(t, "i1", addresses[0], addresses[1:4])
-			replaceInFile(t, file, c.old, c.new)
+			replaceSetting(t, file, c.old, c.new)
 			status, log := runToExit(t, file)
 			if status != 2 || !strings.Contains(log, file+": "+c.want) {
 				t.Fatalf("exit status %d, log:\n%s", status, log)
@@ -39,7 +39,7 @@
 	}
 }
 
-func replaceInFile(t *testing.T, file, old, replacement string) {
+func replaceSetting(t *testing.T, file, old, replacement string) {
 	t.Helper()
 	data, err := os.ReadFile(file)
 	if err == nil {
@@ -72,7 +72,7 @@
 	if status := check(); status != subcommands.ExitSuccess || !strings.Contains(out.String(), "settings of instance i1, valid") {
 		t.Fatalf("status %d, output %q %q", status, &out, &errOut)
 	}
-	replaceInFile(t, file, `id = "i1"`, `id = "I1"`)
+	replaceSetting(t, file, `id = "i1"`, `id = "I1"`)
 	if status := check(); status != subcommands.ExitUsageError || !strings.Contains(errOut.String(), `instance.id: value "I1"`) {
 		t.Fatalf("status %d, output %q", status, &errOut)
 	}
