Test outcomes, retries, broken streams and tokens through the gateway

Each fault of the stand-in target is asked for once per method, and the claimed outcome is compared with the target's execution count. 24 callers send 3,600 requests with tokens under random faults and cancellations (seed 1); one body that differs from the expected one fails. All run with go test -race ./internal/gateway and goleak.

--- /dev/null
+++ b/internal/gateway/faults_test.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/standin"
+)
+
+// claim is what a caller was told.
+type claim struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	err     error
+}
+
+func ask(client *http.Client, request *http.Request) claim {
+	answer, err := client.Do(request)
+	if err != nil {
+		return claim{err: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return claim{answer.StatusCode, answer.Header.Get(header.Outcome), answer.Header.Get(header.Reason), string(body), err}
+}
+
+func (f *fixture) request(t testing.TB, method, token string, fault standin.Fault, size int) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+f.address+"/desk/x", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(standin.TokenHeader, token)
+	request.Header.Set(standin.FaultHeader, string(fault))
+	request.Header.Set(standin.BytesHeader, strconv.Itoa(size))
+	return request
+}
+
+// Guards against an outcome that differs from what happened at the target. One attempt is permitted, so that the
+// claim is about one execution.
+func TestClaimedOutcomes(t *testing.T) {
+	cases := []struct {
+		fault      standin.Fault
+		size       int
+		outcome    reason.Outcome
+		reason     string
+		executions int
+		broken     bool
+	}{
+		{fault: standin.FaultNone, outcome: reason.Done, executions: 1},
+		{fault: standin.FaultChunked, outcome: reason.Done, executions: 1},
+		{fault: standin.FaultChunked, size: 5 << 20, outcome: reason.Done, executions: 1},
+		{fault: standin.FaultNone, size: 5 << 20, outcome: reason.Done, executions: 1},
+		{fault: standin.FaultShed, outcome: reason.NotRun, reason: "target_shed"},
+		{fault: standin.FaultClose, outcome: reason.Unknown, reason: "answer_lost", executions: 1},
+		{fault: standin.FaultCut, outcome: reason.Unknown, reason: "answer_truncated", executions: 1},
+		{fault: standin.FaultCut, size: 1 << 20, outcome: reason.Unknown, reason: "answer_truncated", executions: 1},
+		{fault: standin.FaultCut, size: 5 << 20, outcome: reason.Done, executions: 1, broken: true},
+		{fault: standin.FaultUnbounded, outcome: reason.Unknown, reason: "answer_unbounded", executions: 1},
+		{fault: standin.FaultSilent, outcome: reason.Unknown, reason: "answer_timeout", executions: 1},
+		{fault: standin.FaultCrash, outcome: reason.Unknown, reason: "answer_lost", executions: 1},
+	}
+	for _, c := range cases {
+		for _, method := range []string{"GET", "POST"} {
+			name := fmt.Sprintf("%s %s %d", method, c.fault, c.size)
+			target := newTarget(t)
+			f := newFixture(t, target.Address())
+			request := f.request(t, method, "t1", c.fault, c.size)
+			request.Header.Set(header.Attempts, "1")
+			request.Header.Set("Idempotency-Key", "k1")
+			if c.fault == standin.FaultSilent {
+				request.Header.Set(header.TimeoutMS, "300")
+			}
+			got := ask(newClient(t, false), request)
+			if got.outcome != string(c.outcome) || got.reason != c.reason || (got.err != nil) != c.broken {
+				t.Errorf("%s: told %q %q, error %v", name, got.outcome, got.reason, got.err)
+			}
+			if !c.broken && c.outcome == reason.Done && len(got.body) < c.size {
+				t.Errorf("%s: body of %d bytes", name, len(got.body))
+			}
+			if ran := target.Executions()["t1"]; ran != c.executions {
+				t.Errorf("%s: told %s, and the target ran it %d times", name, got.outcome, ran)
+			}
+		}
+	}
+}
+
+// Guards against an answer that is lost although another target could give it: cut answers of repeatable and long
+// classes are asked for again while nothing was passed on.
+func TestCutAnswerIsRetried(t *testing.T) {
+	cut := rawTarget(t, func(conn net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+		return false
+	})
+	good := newTarget(t)
+	f := newFixture(t, cut, good.Address())
+	for _, method := range []string{"GET", "OPTIONS"} {
+		for i := range 20 {
+			for range 100 {
+				f.service.Retries.Answered()
+			}
+			got := ask(newClient(t, false), f.request(t, method, fmt.Sprint(method, i), standin.FaultNone, 100_000))
+			if got.outcome != string(reason.Done) || len(got.body) != 100_000 {
+				t.Errorf("%s: told %q %q, %d bytes, %v", method, got.outcome, got.reason, len(got.body), got.err)
+			}
+		}
+	}
+	if f.counts.retried["retry_answer_truncated"] == 0 {
+		t.Error("no answer was cut")
+	}
+}
+
+// Guards against a broken answer that looks whole to the caller: chunks must not end after a fault in mid-body.
+func TestBrokenStreamIsVisible(t *testing.T) {
+	part := strings.Repeat("x", 3<<20)
+	for _, head := range []string{"Transfer-Encoding: chunked\r\n\r\n300000\r\n" + part + "\r\n", "Content-Length: 4000000\r\n\r\n" + part} {
+		target := rawTarget(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head)
+			return false
+		})
+		f := newFixture(t, target)
+		got := ask(newClient(t, true), f.request(t, "GET", "t1", standin.FaultNone, 0))
+		if !errors.Is(got.err, io.ErrUnexpectedEOF) || len(got.body) != len(part) {
+			t.Errorf("read %d bytes, error %v", len(got.body), got.err)
+		}
+		if f.counts.refusals("answer_truncated") != 1 {
+			t.Errorf("counted %v", f.counts.refused)
+		}
+	}
+}
+
+// Guards against mixed-up answers: each answer must carry the token of its own request, whatever happens to others on
+// reused connections at the same time.
+func TestTokensUnderFaults(t *testing.T) {
+	targets := []*standin.Target{newTarget(t), newTarget(t), newTarget(t)}
+	f := newFixture(t, targets[0].Address(), targets[1].Address(), targets[2].Address())
+	client := newClient(t, true)
+	faults := []standin.Fault{standin.FaultNone, standin.FaultNone, standin.FaultChunked, standin.FaultChunked,
+		standin.FaultClose, standin.FaultCut, standin.FaultUnbounded, standin.FaultShed}
+	const workers, requests = 24, 150
+	var running sync.WaitGroup
+	for worker := range workers {
+		random := rand.New(rand.NewPCG(1, uint64(worker)))
+		running.Go(func() {
+			for i := range requests {
+				token := fmt.Sprintf("w%d-%d", worker, i)
+				size := random.IntN(5_000)
+				if random.IntN(10) == 0 {
+					size = random.IntN(2_500_000)
+				}
+				request := f.request(t, "GET", token, faults[random.IntN(len(faults))], size)
+				ctx, cancel := context.WithCancel(context.Background())
+				if random.IntN(4) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(4000))*time.Microsecond, cancel)
+				}
+				checkToken(t, token, size, ask(client, request.WithContext(ctx)))
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+	if f.counts.answered < workers*requests/4 {
+		t.Errorf("only %d requests were answered", f.counts.answered)
+	}
+}
+
+// checkToken accepts a whole answer for the token, a typed failure, or a broken transfer.
+func checkToken(t *testing.T, token string, size int, got claim) {
+	if got.err != nil {
+		return
+	}
+	if got.outcome != string(reason.Done) {
+		if got.reason == "" {
+			t.Errorf("%s: outcome %q without a reason", token, got.outcome)
+		}
+		return
+	}
+	if want := expectedBody(token, size); got.body != want {
+		t.Errorf("%s: got %d of %d bytes: %.80q", token, len(got.body), len(want), got.body)
+	}
+}
+
+// expectedBody is what the stand-in target answers to a GET of /x.
+func expectedBody(token string, size int) string {
+	line := "GET /x token=" + token + " body=0\n"
+	missing := size - len(line)
+	if missing <= 0 {
+		return line
+	}
+	filler := token + "."
+	return line + strings.Repeat(filler, missing/len(filler)+1)[:missing]
+}
--- /dev/null
+++ b/internal/gateway/main_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/basillink/basillink/internal/admission"
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/internal/telemetry"
+	"github.com/basillink/basillink/internal/transport"
+	"github.com/basillink/basillink/operator"
+)
+
+func TestMain(m *testing.M) {
+	telemetry.RouteServerLogs(slog.New(slog.DiscardHandler))
+	// The HTTP library keeps the current date in a goroutine that never ends.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/cloudwego/hertz/pkg/protocol.UpdateServerDate.func1"))
+}
+
+// counts counts by label.
+type counts struct {
+	mu       sync.Mutex
+	answered int
+	refused  map[string]int
+	retried  map[string]int
+	services map[string]bool
+}
+
+func (c *counts) Answered(service, _ string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered++
+	c.services[service] = true
+}
+
+func (c *counts) Refused(service string, why *reason.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[why.Name]++
+	c.services[service] = true
+}
+
+func (c *counts) Retried(_ string, why *reason.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retried[why.Name]++
+}
+
+func (c *counts) Added(time.Duration) {}
+
+func (c *counts) refusals(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused[name]
+}
+
+// fixture is a gateway with one service, "desk".
+type fixture struct {
+	address string
+	counts  *counts
+	gateway *Gateway
+	service *control.Service
+}
+
+// deskClasses are the classes of the service. The method selects the class.
+var deskClasses = []operator.Class{
+	{Name: "lookup", Methods: []string{"GET", "HEAD"}, Repeatable: true, TimeoutMS: 10_000},
+	{Name: "summary", Methods: []string{"OPTIONS"}, Repeatable: true, Long: true, TimeoutMS: 60_000},
+	{Name: "other", Repeatable: true, TimeoutMS: 10_000},
+}
+
+const testConnections = 64
+
+func newFixture(t testing.TB, addresses ...string) *fixture {
+	t.Helper()
+	s := &settings.Settings{Instance: settings.Instance{ID: "i1"}, Listen: settings.Listen{Caller: "127.0.0.1:0"}}
+	s.Provision()
+	c := &counts{refused: map[string]int{}, retried: map[string]int{}, services: map[string]bool{}}
+	service := newService(t, addresses)
+	snapshot := &control.Snapshot{Services: map[string]*control.Service{"desk": service}}
+	g := New(s, func() *control.Snapshot { return snapshot }, c, slog.New(slog.DiscardHandler))
+	if err := g.Open(); err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	running.Go(func() { _ = g.Run() })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := g.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		running.Wait()
+	})
+	return &fixture{address: g.Address(), counts: c, gateway: g, service: service}
+}
+
+func newService(t testing.TB, addresses []string) *control.Service {
+	service := &control.Service{
+		Spec:      operator.Service{Name: "desk", Classes: deskClasses},
+		Admission: admission.NewLimiter(admission.Config{MaxInFlight: 4096, MinInFlight: 4096, MaxWaiting: 256, MaxWait: time.Second}),
+		Retries:   admission.NewRetryBudget(),
+	}
+	config := balancer.Config{Service: "desk"}
+	for _, address := range addresses {
+		pool := transport.NewTargetPool(address, testConnections)
+		t.Cleanup(pool.Close)
+		service.Targets = append(service.Targets, &control.Target{Address: address, Pool: pool})
+		config.Targets = append(config.Targets, balancer.Target{Address: address, Slots: 8})
+	}
+	service.Policy = balancer.TwoChoices{}.Build(config, nil)
+	return service
+}
+
+func newTarget(t testing.TB) *standin.Target {
+	t.Helper()
+	target, err := standin.NewTarget("127.0.0.1:0", 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	running.Go(func() { _ = target.Run() })
+	t.Cleanup(func() {
+		_ = target.Close()
+		running.Wait()
+	})
+	return target
+}
+
+// rawTarget answers each request with what the script writes, and keeps the connection while it returns true.
+func rawTarget(t testing.TB, script func(net.Conn, *http.Request) bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() { serveRaw(conn, script) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func serveRaw(conn net.Conn, script func(net.Conn, *http.Request) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		request.Header.Set("X-Body", string(body[:min(len(body), 100)]))
+		if err != nil || !script(conn, request) {
+			return
+		}
+	}
+}
+
+// newClient returns a client without retries of its own: each request has its own connection unless reuse is set.
+func newClient(t testing.TB, reuse bool) *http.Client {
+	transport := &http.Transport{DisableKeepAlives: !reuse, MaxIdleConnsPerHost: testConnections}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: 30 * time.Second}
+}
+
+func eventually(t testing.TB, what string, check func() bool) {
+	t.Helper()
+	const limit = 10 * time.Second
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, limit)
+}
