--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,142 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+)
+
+// reader adapts a byte slice to the codec.
+type reader struct {
+	network.Reader
+	b []byte
+}
+
+func (r *reader) Peek(n int) ([]byte, error) {
+	if n > len(r.b) {
+		return r.b, io.EOF
+	}
+	return r.b[:n], nil
+}
+
+func (r *reader) Skip(n int) error { r.b = r.b[n:]; return nil }
+func (r *reader) Len() int         { return len(r.b) }
+
+var seeds = []string{
+	"Host: a\r\n\r\n",
+	"Content-Length: 3\r\n\r\n",
+	"content-length: 3\nTransfer-Encoding: chunked\r\n\r\n",
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"Transfer-Encoding:\tchunked \r\n\r\n",
+	"Transfer-Encoding : chunked\r\n\r\n",
+	"Transfer-Encoding: identity\r\nContent-Length: 3\r\n\r\n",
+	"Content-Length: 3\r\nContent-Length: 3\r\n\r\n",
+	"Content-Length: 0x3\r\n\r\n",
+	"X: a\r\n Content-Length: 3\r\n\r\n",
+	"X: a\rContent-Length: 3\r\n\r\n",
+	"Connection: close, X-A\r\nX-A: b\r\n\r\n",
+	"\r\n",
+}
+
+// Guards against heads whose body has another length for the codec than for net/http: the two must agree on every
+// head that Check accepts.
+func FuzzCheck(f *testing.F) {
+	for _, seed := range seeds {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, lines []byte) {
+		message := append([]byte("POST / HTTP/1.1\r\n"), lines...)
+		end := HeadEnd(message)
+		if end == 0 || Check(message[len("POST / HTTP/1.1\r\n"):end]) != nil {
+			return
+		}
+		message = message[:end]
+		ConnectionOptions(message[len("POST / HTTP/1.1\r\n"):])
+		theirs, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(message)))
+		if err != nil {
+			return
+		}
+		var ours protocol.RequestHeader
+		source := &reader{b: bytes.Clone(message)}
+		if err := req.ReadHeader(&ours, source); err != nil {
+			return
+		}
+		want := theirs.ContentLength
+		got := int64(ours.ContentLength())
+		if got == -2 {
+			got = 0
+		}
+		if got != want || source.Len() != 0 {
+			t.Errorf("the codec reads a body of %d, net/http of %d, %d bytes left, in %q", got, want, source.Len(), message)
+		}
+	})
+}
+
+// Guards against answers whose body has another length for the codec than for net/http.
+func FuzzCheckAnswer(f *testing.F) {
+	for _, seed := range seeds {
+		f.Add([]byte(seed))
+	}
+	const line = "HTTP/1.1 200 OK\r\n"
+	f.Fuzz(func(t *testing.T, lines []byte) {
+		message := append([]byte(line), lines...)
+		end := HeadEnd(message)
+		if end == 0 || Check(message[len(line):end]) != nil {
+			return
+		}
+		message = message[:end]
+		theirs, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(message)), nil)
+		if err != nil {
+			return
+		}
+		_ = theirs.Body.Close()
+		var ours protocol.ResponseHeader
+		source := &reader{b: bytes.Clone(message)}
+		if err := resp.ReadHeader(&ours, source); err != nil {
+			return
+		}
+		got := int64(ours.ContentLength())
+		if got == -2 {
+			got = -1
+		}
+		if got != theirs.ContentLength || source.Len() != 0 {
+			t.Errorf("the codec reads a body of %d, net/http of %d, %d bytes left, in %q", got, theirs.ContentLength, source.Len(), message)
+		}
+	})
+}
+
+// Guards against heads that are accepted although parties read them differently, and the reverse.
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		lines string
+		ok    bool
+	}{
+		{"Host: a\r\nContent-Length: 3\r\n\r\n", true},
+		{"Transfer-Encoding: CHUNKED\r\n\r\n", true},
+		{"Empty:\r\n\r\n", true},
+		{"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"Content-Length: 3\r\nContent-Length: 3\r\n\r\n", false},
+		{"Content-Length: -3\r\n\r\n", false},
+		{"Content-Length:\r\n\r\n", false},
+		{"Content-Length: 9999999999999999999\r\n\r\n", false},
+		{"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"Transfer-Encoding: identity\r\n\r\n", false},
+		{"X : a\r\n\r\n", false},
+		{": a\r\n\r\n", false},
+		{" X: a\r\n\r\n", false},
+		{"X: a\rY: b\r\n\r\n", false},
+		{"X: a", false},
+	}
+	for _, c := range cases {
+		if err := Check([]byte(c.lines)); (err == nil) != c.ok {
+			t.Errorf("%q: %v", c.lines, err)
+		}
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -111,6 +111,7 @@
 	if text == "" {
 		return missing, true
 	}
-	n, err := strconv.Atoi(text)
-	return n, err == nil && n >= 1 && n <= highest
+	// A sign is not accepted: ParseUint reads digits only.
+	n, err := strconv.ParseUint(text, 10, 31)
+	return int(n), err == nil && n >= 1 && int(n) <= highest
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,6 +73,7 @@
 	if refusal := g.receive(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
 		_ = g.answer(ctx, c, &call{request: &c.Request}, refused(refusal))
+		linger(ctx)
 		return false
 	}
 	ctx, stop := watchCaller(ctx)
