Connect instances to their peers

Cause: an instance cut off from the log never learned a new revision, and a target's departure was known only to the instance that saw it. Change: the daemon runs a peer node, a list watcher, a checkpointer and a check of departed targets for their return; the gateway hands departures on answers to the control goroutine through a bounded queue; entries of the list may name targets. Ruled out: learning a target's return from its answers alone.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -25,10 +25,10 @@
 // DroppedEvents returns how many events were dropped because the queue was full.
 func (l *Loop) DroppedEvents() uint64 { return l.dropped.Load() }
 
-// ObserveAnswer reports a target that says on an answer that it is leaving. It is called for every answer, from
-// any goroutine, and hands on one event for each target and snapshot.
-func (l *Loop) ObserveAnswer(t *Target, incarnation, draining string) {
-	if draining != "1" || t.reported.Load() {
+// ObserveLeaving reports a target that says on an answer that it is leaving. It may be called from any goroutine for
+// every such answer, and hands on one event for each target and snapshot.
+func (l *Loop) ObserveLeaving(t *Target, incarnation string) {
+	if t.reported.Load() {
 		return
 	}
 	if l.Observe(TargetEvent{Address: t.Address, Incarnation: incarnation, Draining: true}) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 
 	"github.com/gravitational/trace"
 
@@ -13,7 +12,7 @@
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/gateway"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
 )
@@ -26,8 +25,14 @@
 	steps     *chart.Machine
 	loop      *control.Loop
 	reader    *control.Reader
-	gateway   *gateway.Gateway
-	admin     *admin.Server
+	// incarnation identifies this process among peers and in tickets.
+	incarnation uint64
+	node        *peer.Node
+	watcher     *control.ListWatcher
+	returns     *control.ReturnChecker
+	checkpoints *control.Checkpointer
+	gateway     *gateway.Gateway
+	admin       *admin.Server
 }
 
 // New assembles an instance. It opens no port.
@@ -42,13 +47,11 @@
 		return nil, trace.Wrap(err)
 	}
 	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
-	d.reader = &control.Reader{
-		Log:    platform.NewClient(s.Platform.Address),
-		Loop:   d.loop,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Logger: telemetry.Component(log, "reader"),
+	if err := d.connectPeers(log); err != nil {
+		return nil, trace.Wrap(err)
 	}
 	d.gateway = gateway.New(s, d.loop.Snapshot, metrics, telemetry.Component(log, "gateway"))
+	d.gateway.ObserveLeaving = d.loop.ObserveLeaving
 	if err := metrics.Observe(d.gauges()); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -85,8 +88,9 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go d.loop.Run(background)
-	go d.reader.Run(background)
-	failed := make(chan error, 2)
+	d.runPeers(background)
+	failed := make(chan error, 3)
+	go func() { failed <- d.node.Serve() }()
 	go func() { failed <- d.gateway.Run() }()
 	go func() { failed <- d.admin.Run() }()
 	d.log.Info("Instance is starting.", "instance", d.settings.Instance.ID,
@@ -119,5 +123,8 @@
 	if err := d.admin.Open(); err != nil {
 		return &ListenError{Key: "listen.admin", Address: d.settings.Listen.Admin, Err: err}
 	}
+	if err := d.node.Open(); err != nil {
+		return &ListenError{Key: "listen.peer", Address: d.settings.Listen.Peer, Err: err}
+	}
 	return nil
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -25,6 +25,7 @@
 	}
 	d.step(ctx, eventIdle)
 	d.fire(ctx, eventIdle)
+	d.leavePeers(ctx)
 	d.log.Info("Stopped.")
 	return trace.Wrap(d.admin.Shutdown(ctx))
 }
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/peer"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/telemetry"
+)
+
+// leaveTimeout bounds the announcement of a planned stop.
+const leaveTimeout = 3 * time.Second
+
+// connectPeers assembles what keeps this instance in step with the log, the list and its peers.
+func (d *Daemon) connectPeers(log *slog.Logger) error {
+	client := platform.NewClient(d.settings.Platform.Address)
+	d.incarnation = rand.Uint64()
+	d.reader = &control.Reader{
+		Log: client, Loop: d.loop, Random: newRandom(), Logger: telemetry.Component(log, "reader"),
+	}
+	d.checkpoints = &control.Checkpointer{Log: client, Loop: d.loop, Logger: telemetry.Component(log, "checkpoint")}
+	node, err := peer.NewNode(peer.Config{
+		Self:          d.self(),
+		Listen:        d.settings.Listen.Peer,
+		Secret:        d.settings.Peer.Secret,
+		Owner:         d.loop,
+		Configuration: d.loop,
+		Random:        newRandom(),
+		Log:           telemetry.Component(log, "peer"),
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.node = node
+	node.Register(peer.KindDeparture, d.loop.DepartureHandler(node.SpreadOwned))
+	d.watcher = &control.ListWatcher{
+		List:     client,
+		Loop:     d.loop,
+		Seeds:    d.settings.Peer.Seeds,
+		Contacts: node.SetContacts,
+		Random:   newRandom(),
+		Logger:   telemetry.Component(log, "list"),
+	}
+	d.returns = &control.ReturnChecker{Loop: d.loop, Instances: d.liveInstances, Random: newRandom()}
+	return nil
+}
+
+func (d *Daemon) self() peer.Member {
+	return peer.Member{
+		Identity: peer.Identity{ID: d.settings.Instance.ID, Incarnation: d.incarnation},
+		Zone:     d.settings.Instance.Zone,
+		Peer:     d.settings.Listen.Peer,
+		Caller:   d.settings.Listen.Caller,
+		Admin:    d.settings.Listen.Admin,
+	}
+}
+
+// runPeers starts the goroutines that connectPeers assembled.
+func (d *Daemon) runPeers(ctx context.Context) {
+	go d.reader.Run(ctx)
+	go d.node.Run(ctx)
+	go d.watcher.Run(ctx)
+	go d.returns.Run(ctx)
+	go d.checkpoints.Run(ctx)
+}
+
+// leavePeers tells peers of the planned stop and closes the connections to them.
+func (d *Daemon) leavePeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := d.node.Leave(ctx); err != nil {
+		d.log.Warn("Cannot tell peers of the stop.", "error", err)
+	}
+	d.node.Close()
+}
+
+// liveInstances counts the instances that are not known to be gone.
+func (d *Daemon) liveInstances() int {
+	count := 0
+	for _, m := range d.node.Members() {
+		if m.State == peer.Alive || m.State == peer.Suspect {
+			count++
+		}
+	}
+	return count
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/transport"
@@ -42,6 +43,7 @@
 		policy.Finished(index, failureResult(started, answered, err))
 		return failedResult(err)
 	}
+	g.observe(target, answer.Response)
 	finished := answerResult(started, answered, answer.Response)
 	r := answerOrShed(answer)
 	r.ended = func(err error) {
@@ -57,6 +59,13 @@
 	return r
 }
 
+// observe hands on what an answer says about its target's departure.
+func (g *Gateway) observe(target *control.Target, response *protocol.Response) {
+	if g.ObserveLeaving != nil && string(response.Header.Peek(header.TargetDraining)) == "1" {
+		g.ObserveLeaving(target, string(response.Header.Peek(header.TargetIncarnation)))
+	}
+}
+
 func failedResult(err error) *result {
 	var failure *transport.ExchangeError
 	if errors.As(err, &failure) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,10 @@
 
 // Gateway serves callers.
 type Gateway struct {
+	// ObserveLeaving is called for each answer that says that its target is leaving, with the target's incarnation. It
+	// must not block. Nil disables it. It is set before Run.
+	ObserveLeaving func(target *control.Target, incarnation string)
+
 	instance    string
 	limits      settings.Limits
 	snapshot    func() *control.Snapshot
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -127,8 +127,11 @@
 	return n.config.Owner.Do(ctx, func() { n.gossip.SetContacts(addresses) })
 }
 
-// Listen accepts peers until Close.
-func (n *Node) Listen() error { return n.server.run(n.config.Listen) }
+// Open opens the listener, so that an address that cannot be used is reported before anything runs.
+func (n *Node) Open() error { return n.server.open(n.config.Listen) }
+
+// Serve accepts peers until Close. Open comes first.
+func (n *Node) Serve() error { return n.server.run() }
 
 // Run exchanges with peers until the context ends.
 func (n *Node) Run(ctx context.Context) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -31,18 +31,23 @@
 	return s, trace.Wrap(s.rpc.RegisterName("Peer", service))
 }
 
-// run accepts connections until close.
-func (s *server) run(address string) error {
+// open opens the listener.
+func (s *server) open(address string) error {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if !s.setListener(listener) {
-		return trace.Wrap(listener.Close())
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	return nil
+}
+
+// run accepts connections until close.
+func (s *server) run() error {
 	for {
-		conn, err := listener.Accept()
+		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -67,13 +72,6 @@
 	s.rpc.ServeCodec(newCodec(conn, idleTimeout))
 }
 
-func (s *server) setListener(l net.Listener) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listener = l
-	return !s.closed
-}
-
 func (s *server) track(conn net.Conn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -44,13 +44,18 @@
 	ListedLeaving ListedState = "leaving"
 )
 
-// ListedInstance is one entry of the platform's list, which lags.
+// ListedInstance is one entry of the platform's list, which lags. It is an instance of basillink or, with
+// TargetAddress, a target.
 type ListedInstance struct {
 	ID           string      `json:"id"`
 	Zone         string      `json:"zone"`
 	PeerAddress  string      `json:"peer_address"`
 	AdminAddress string      `json:"admin_address"`
 	State        ListedState `json:"state"`
+	// TargetAddress is the address at which a target answers requests, empty for an instance.
+	TargetAddress string `json:"target_address,omitempty"`
+	// Incarnation identifies the process of a target, empty when the platform does not know it.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // InstanceList is the platform's list of instances. Implementations are safe for concurrent use.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -121,6 +121,7 @@
 	t.mu.Lock()
 	t.probes++
 	t.mu.Unlock()
+	t.describe(w, t.currentFaults())
 	_, _ = fmt.Fprintf(w, `{"in_flight":%d,"latency_us":%d}`, t.reportedLoad(), t.currentFaults().ServiceTime.Microseconds())
 }
 
