Test configuration and departures across processes

Cause: loss or reversal of a revision shows only with several processes. The status lists departed targets and counts members.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,6 +35,10 @@
 	Through platform.Offset `json:"through"`
 	// Services maps each service in force to its revision.
 	Services map[string]platform.Offset `json:"services"`
+	// Departed lists the targets that receive no requests because they left.
+	Departed []string `json:"departed"`
+	// Members counts the instances that this one knows, itself included, by state.
+	Members map[string]int `json:"members"`
 }
 
 // Source is what the admin listener shows. Its functions are safe for concurrent use.
@@ -44,6 +48,7 @@
 	State    func() string
 	InFlight func() int64
 	Snapshot func() *control.Snapshot
+	Members  func() map[string]int
 	Ready    func() bool
 	Metrics  http.Handler
 }
@@ -104,7 +109,11 @@
 		InFlight: s.source.InFlight(),
 		Services: map[string]platform.Offset{},
 	}
+	if s.source.Members != nil {
+		status.Members = s.source.Members()
+	}
 	if snapshot := s.source.Snapshot(); snapshot != nil {
+		status.Departed = snapshot.Departed
 		status.Revision = snapshot.Revision
 		status.Through = snapshot.Through
 		for name, service := range snapshot.Services {
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -17,6 +17,7 @@
 		Revision: state.Revision,
 		Through:  state.Through,
 		Services: make(map[string]*Service, len(state.Services)),
+		Departed: l.departures.addresses(),
 	}
 	for name, entry := range state.Services {
 		departed := l.departedTargets(&entry.Spec)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -17,6 +17,8 @@
 	// Through is the offset of the last folded record.
 	Through  platform.Offset
 	Services map[string]*Service
+	// Departed lists the targets that receive no requests because they left.
+	Departed []string
 }
 
 // Service is one service in force. It is immutable; the policy and the pools synchronize themselves.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 		State:    func() string { return string(d.lifecycle.State()) },
 		InFlight: d.gateway.InFlight,
 		Snapshot: d.loop.Snapshot,
+		Members:  d.memberCounts,
 		Ready:    d.ready,
 		Metrics:  metrics.Handler(),
 	})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -82,13 +82,17 @@
 
 // liveInstances counts the instances that are not known to be gone.
 func (d *Daemon) liveInstances() int {
-	count := 0
+	counts := d.memberCounts()
+	return counts[peer.Alive.String()] + counts[peer.Suspect.String()]
+}
+
+// memberCounts counts the known instances by state.
+func (d *Daemon) memberCounts() map[string]int {
+	counts := map[string]int{}
 	for _, m := range d.node.Members() {
-		if m.State == peer.Alive || m.State == peer.Suspect {
-			count++
-		}
+		counts[m.State.String()]++
 	}
-	return count
+	return counts
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/internal/e2e/departure_test.go
@@ -0,0 +1,88 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/standin"
+)
+
+// executions returns how many requests a target ran.
+func executions(target *standin.Target) int {
+	total := 0
+	for _, count := range target.Executions() {
+		total += count
+	}
+	return total
+}
+
+// Guards against a departure that stays with the instance that saw it while the log is down, against requests in
+// flight that are cut off, and against a returned target that never receives requests again.
+func TestDepartureIsKnownEverywhereDuringOutage(t *testing.T) {
+	f := newTestFleet(t, 10)
+	leaving, staying := f.target(), f.target()
+	f.startAll()
+	f.allAt(f.publish(fleetService("flightdesk", 4, leaving.Address(), staying.Address())), f.all()...)
+	f.log.SetFaults(standin.LogFaults{Down: true})
+	f.list.SetDown(true)
+	waitForMembers(f)
+
+	leaving.SetFaults(standin.TargetFaults{Draining: true, ServiceTime: 400 * time.Millisecond})
+	slow := make(chan int, 8)
+	for i := range 8 {
+		go func() {
+			status, _ := f.lookup(i, fmt.Sprintf("slow-%d", i))
+			slow <- status
+		}()
+	}
+	for range 8 {
+		if status := <-slow; status != http.StatusOK {
+			t.Errorf("a request that was in flight during the departure was answered %d", status)
+		}
+	}
+	eventually(t, "one answer of the leaving target", func() bool {
+		f.lookup(0, "seen")
+		return executions(leaving) > 0
+	})
+	time.Sleep(3 * time.Second) // the stated target for departures
+	before := executions(leaving)
+	for i := range f.instances {
+		for j := range 20 {
+			if status, body := f.lookup(i, fmt.Sprintf("after-%d-%d", i, j)); status != http.StatusOK {
+				t.Errorf("instance %d answers %d: %s", i, status, body)
+			}
+		}
+	}
+	if after := executions(leaving); after != before {
+		t.Errorf("%d requests went to the target after its departure was known", after-before)
+	}
+	address := leaving.Address()
+	if err := leaving.Close(); err != nil {
+		t.Fatal(err)
+	}
+	back, err := standin.NewTarget(address, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = back.Run() }()
+	t.Cleanup(func() { _ = back.Close() })
+	for i := range f.instances {
+		eventually(t, fmt.Sprintf("requests to the returned target from instance %d", i), func() bool {
+			before := executions(back)
+			f.lookup(i, "back")
+			return executions(back) > before
+		})
+	}
+}
+
+// waitForMembers waits until every instance had time to meet every other through the list.
+func waitForMembers(f *testFleet) {
+	for i := range f.instances {
+		eventually(f.t, fmt.Sprintf("all members on instance %d", i), func() bool {
+			status := f.status(i)
+			return status != nil && status.Members["alive"] == len(f.instances)
+		})
+	}
+}
