Add wait, history, diff and drain to the client

Cause: scripts could not tell a conflict from a failure, nor know when a change was in force everywhere. Change: publish -wait -timeout -base -json, history, diff, drain; exit statuses 0 to 4; services of a file that are unchanged are not published; all services of a file are based on the state read at the start, so that a change in between is refused. A lost append answer is resolved on the same fold.

--- a/internal/client/commands.go
+++ b/internal/client/commands.go
@@ -29,6 +29,9 @@
 		checkCommand(out),
 		publishCommand(out),
 		statusCommand(out),
+		historyCommand(out),
+		diffCommand(out),
+		drainCommand(out),
 		loadCommand(out),
 	}
 }
--- a/internal/client/exit.go
+++ b/internal/client/exit.go
@@ -12,6 +12,8 @@
 const (
 	ExitFailure  = subcommands.ExitFailure
 	ExitConflict = subcommands.ExitStatus(3)
+	// ExitNotInForce means that the change was accepted, but did not go into force everywhere in time.
+	ExitNotInForce = subcommands.ExitStatus(4)
 )
 
 func failure(err error) subcommands.ExitStatus {
@@ -20,6 +22,10 @@
 	if errors.As(err, &conflict) {
 		return ExitConflict
 	}
+	var late *NotInForceError
+	if errors.As(err, &late) {
+		return ExitNotInForce
+	}
 	return ExitFailure
 }
 
--- /dev/null
+++ b/internal/client/history_command.go
@@ -0,0 +1,79 @@
+package client
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+
+	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/platform"
+)
+
+// HistoryEntry is the decision on one change.
+type HistoryEntry struct {
+	Offset  platform.Offset `json:"offset"`
+	Service string          `json:"service"`
+	Author  string          `json:"author"`
+	Verdict intent.Verdict  `json:"verdict"`
+	Base    platform.Offset `json:"base"`
+	Change  string          `json:"change"`
+	Removal bool            `json:"removal,omitempty"`
+}
+
+func historyCommand(out io.Writer) subcommands.Command {
+	var address, service string
+	var asJSON bool
+	return &command{
+		name: "history", synopsis: "show the changes that the log retains",
+		usage: "history [-platform ADDRESS] [-service NAME] [-json]\n",
+		setFlags: func(f *flag.FlagSet) {
+			platformFlag(f, &address)
+			f.StringVar(&service, "service", "", "show only this service")
+			f.BoolVar(&asJSON, "json", false, "print JSON")
+		},
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			if f.NArg() != 0 {
+				return usageError(&UsageError{Detail: "no argument is expected"})
+			}
+			entries, err := History(ctx, platform.NewClient(address), service)
+			if err != nil {
+				return failure(err)
+			}
+			printHistory(out, entries, asJSON)
+			return subcommands.ExitSuccess
+		},
+	}
+}
+
+// History returns the decisions on the changes that the log retains, of one service or, with an empty name, of all.
+func History(ctx context.Context, log platform.Log, service string) ([]HistoryEntry, error) {
+	entries := []HistoryEntry{}
+	err := follow(ctx, log, intent.NewFold(), func(d intent.Decision) bool {
+		if d.Change != nil && (service == "" || d.Change.Service == service) {
+			entries = append(entries, HistoryEntry{
+				Offset:  d.Offset,
+				Service: d.Change.Service,
+				Author:  d.Change.Author,
+				Verdict: d.Verdict,
+				Base:    d.Change.Base,
+				Change:  d.Change.ID,
+				Removal: d.Change.Spec == "",
+			})
+		}
+		return false
+	})
+	return entries, err
+}
+
+func printHistory(out io.Writer, entries []HistoryEntry, asJSON bool) {
+	if asJSON {
+		printJSON(out, entries)
+		return
+	}
+	for _, e := range entries {
+		_, _ = fmt.Fprintf(out, "%d %s %s author=%q base=%d change=%s\n", e.Offset, e.Service, e.Verdict, e.Author, e.Base, e.Change)
+	}
+}
--- a/internal/client/publish_command.go
+++ b/internal/client/publish_command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -9,42 +10,167 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/operator"
 )
 
+// Outcomes of publishing one service.
+const (
+	outcomeAccepted  = "accepted"
+	outcomeUnchanged = "unchanged"
+	outcomeRefused   = "refused"
+)
+
+// PublishResult is the outcome of publishing one service.
+type PublishResult struct {
+	Service string `json:"service"`
+	// Outcome is "accepted", "unchanged" or "refused".
+	Outcome string `json:"outcome"`
+	// Revision is the revision in force after the command, 0 when it is not known.
+	Revision platform.Offset `json:"revision"`
+	Change   string          `json:"change,omitempty"`
+	Error    string          `json:"error,omitempty"`
+
+	err error
+}
+
 func publishCommand(out io.Writer) subcommands.Command {
-	var address, author string
+	options := &publishOptions{}
 	return &command{
-		name: "publish", synopsis: "publish an intent file", usage: "publish -platform ADDRESS FILE\n",
+		name: "publish", synopsis: "publish an intent file",
+		usage: "publish [-platform ADDRESS] [-author NAME] [-base REVISION] [-wait [-timeout D]] [-json] FILE\n" +
+			"  Publish each service of the file that differs from what is in force.\n" +
+			"  Exit status: 0 accepted, 1 failure, 2 usage or invalid file, 3 conflict, 4 not in force in time.\n",
 		setFlags: func(f *flag.FlagSet) {
-			platformFlag(f, &address)
-			f.StringVar(&author, "author", os.Getenv("USER"), "author recorded with the change")
+			options.setFlags(f)
+			f.Uint64Var(&options.base, "base", 0, "revision that the change was made on; 0 takes the one in force")
 		},
 		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
 			in, err := loadIntent(f)
 			if err != nil {
 				return usageError(err)
 			}
-			if err := publishAll(ctx, out, platform.NewClient(address), author, in); err != nil {
-				return failure(err)
+			if options.base != 0 && len(in.Services) != 1 {
+				return usageError(&UsageError{Detail: "-base needs a file with exactly one service"})
 			}
-			return subcommands.ExitSuccess
+			return options.run(ctx, out, func(*intent.State) ([]operator.Service, error) { return in.Services, nil })
 		},
 	}
 }
 
-func publishAll(ctx context.Context, out io.Writer, log platform.Log, author string, in *operator.Intent) error {
-	state, err := ReadState(ctx, log)
+// publishOptions are the flags of commands that publish changes.
+type publishOptions struct {
+	platform string
+	author   string
+	base     uint64
+	wait     waitOptions
+	json     bool
+}
+
+func (o *publishOptions) setFlags(f *flag.FlagSet) {
+	platformFlag(f, &o.platform)
+	f.StringVar(&o.author, "author", os.Getenv("USER"), "author recorded with the change")
+	f.BoolVar(&o.json, "json", false, "print JSON")
+	o.wait.setFlags(f)
+}
+
+// run publishes the services that choose returns for the state in force.
+func (o *publishOptions) run(
+	ctx context.Context, out io.Writer, choose func(*intent.State) ([]operator.Service, error),
+) subcommands.ExitStatus {
+	client := platform.NewClient(o.platform)
+	state, err := ReadState(ctx, client)
 	if err != nil {
-		return err
+		return failure(err)
+	}
+	services, err := choose(state)
+	if err != nil {
+		return failure(err)
+	}
+	results := publishServices(ctx, client, state, o, services)
+	printResults(out, results, o.json)
+	if err := errors.Join(resultErrors(results)...); err != nil {
+		return failure(err)
+	}
+	if err := o.wait.run(ctx, client, results); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// publishServices publishes services one after another. All changes are based on the same state, so that a change
+// by another operator in between is refused and not overwritten.
+func publishServices(
+	ctx context.Context, log platform.Log, state *intent.State, o *publishOptions, services []operator.Service,
+) []PublishResult {
+	var results []PublishResult
+	base := state.Clone()
+	for _, service := range services {
+		result := PublishResult{Service: service.Name}
+		if sameAsInForce(base, service) {
+			result.Outcome, result.Revision = outcomeUnchanged, base.Current(service.Name)
+			results = append(results, result)
+			continue
+		}
+		result.publish(ctx, log, state, base, o, service)
+		results = append(results, result)
+	}
+	return results
+}
+
+func (r *PublishResult) publish(
+	ctx context.Context, log platform.Log, state, base *intent.State, o *publishOptions, service operator.Service,
+) {
+	spec, err := intent.EncodeService(service)
+	if err != nil {
+		r.refuse(err)
+		return
+	}
+	change := newChange(base, o.author, service.Name, spec)
+	if o.base != 0 {
+		change.Base = platform.Offset(o.base)
+	}
+	r.Change = change.ID
+	decision, err := appendChange(ctx, log, state, change)
+	if err != nil {
+		r.Revision = decision.Current
+		r.refuse(err)
+		return
+	}
+	r.Outcome, r.Revision = outcomeAccepted, decision.Offset
+}
+
+func (r *PublishResult) refuse(err error) {
+	r.Outcome, r.Error, r.err = outcomeRefused, err.Error(), err
+}
+
+func resultErrors(results []PublishResult) []error {
+	var errs []error
+	for _, r := range results {
+		errs = append(errs, r.err)
+	}
+	return errs
+}
+
+func sameAsInForce(state *intent.State, service operator.Service) bool {
+	entry := state.Services[service.Name]
+	if entry == nil {
+		return false
+	}
+	old, oldErr := intent.EncodeService(entry.Spec)
+	wanted, err := intent.EncodeService(service)
+	return oldErr == nil && err == nil && old == wanted
+}
+
+func printResults(out io.Writer, results []PublishResult, asJSON bool) {
+	if asJSON {
+		printJSON(out, results)
+		return
 	}
-	for _, service := range in.Services {
-		decision, err := Publish(ctx, log, state, author, service)
-		if err != nil {
-			return err
+	for _, r := range results {
+		if r.Outcome != outcomeRefused {
+			_, _ = fmt.Fprintf(out, "%s: %s, revision %d\n", r.Service, r.Outcome, r.Revision)
 		}
-		_, _ = fmt.Fprintf(out, "%s: accepted as revision %d\n", service.Name, decision.Offset)
 	}
-	return nil
 }
--- /dev/null
+++ b/internal/client/publish_test.go
@@ -0,0 +1,143 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/basillink/basillink/internal/intent"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/operator"
+)
+
+// faultyLog loses answers and appends, lets appends land late and refuses reads.
+type faultyLog struct {
+	platform.Log
+	// late holds appends whose answer is lost and that land only after the number of further reads given.
+	lateAfterReads int
+	late           [][]byte
+	loseAppends    int
+	failReads      int
+	appends        int
+	reads          int
+}
+
+func (l *faultyLog) Append(ctx context.Context, payload []byte) (platform.Offset, error) {
+	l.appends++
+	switch {
+	case l.loseAppends > 0:
+		l.loseAppends--
+		return 0, &standin.LostAnswerError{}
+	case l.lateAfterReads > 0 && l.late == nil:
+		l.late = append(l.late, payload)
+		return 0, &standin.LostAnswerError{}
+	}
+	return l.Log.Append(ctx, payload)
+}
+
+func (l *faultyLog) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+	if l.failReads > 0 {
+		l.failReads--
+		return platform.Page{}, &standin.UnavailableError{}
+	}
+	page, err := l.Log.Read(ctx, from, max, wait)
+	if l.reads++; l.reads == l.lateAfterReads {
+		for _, payload := range l.late {
+			_, _ = l.Log.Append(ctx, payload)
+		}
+	}
+	return page, err
+}
+
+func lookupService(slots int) operator.Service {
+	s := operator.Service{
+		Name: "flightdesk", Region: "tz-north", Zones: []string{"tz-north-a"}, SlotsPerTarget: slots,
+		Classes: []operator.Class{{Name: "lookup"}},
+		Targets: []operator.Target{{Address: "127.0.0.1:8080", Zone: "tz-north-a"}},
+	}
+	s.Provision()
+	return s
+}
+
+// Guards against a change that is accepted twice, or reported as refused or accepted when it is not.
+func TestLostAnswersAreResolved(t *testing.T) {
+	cases := []struct {
+		name    string
+		log     faultyLog
+		memory  standin.LogFaults
+		appends int
+		unknown bool
+	}{
+		{"answer arrives", faultyLog{}, standin.LogFaults{}, 1, false},
+		{"answer is lost after the append", faultyLog{}, standin.LogFaults{LoseAnswers: 1}, 1, false},
+		{"append is lost", faultyLog{loseAppends: 1}, standin.LogFaults{}, 2, false},
+		{"append lands after the read", faultyLog{lateAfterReads: 1}, standin.LogFaults{}, 2, false},
+		{"append lands after the second append", faultyLog{lateAfterReads: 2}, standin.LogFaults{}, 2, false},
+		{"reads fail after a lost answer", faultyLog{failReads: 3}, standin.LogFaults{LoseAnswers: 1}, 1, false},
+		{"every append is lost", faultyLog{loseAppends: 100}, standin.LogFaults{}, appendAttempts, true},
+		{"every read fails", faultyLog{failReads: 100}, standin.LogFaults{LoseAnswers: 1}, 1, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := standin.NewLog()
+				memory.SetFaults(c.memory)
+				c.log.Log = memory
+				decision, err := Publish(t.Context(), &c.log, intent.NewState(), "test", lookupService(4))
+				var unresolved *UnresolvedError
+				if c.unknown != errors.As(err, &unresolved) || !c.unknown && (err != nil || decision.Verdict != intent.Accepted) {
+					t.Errorf("decision %v, error %v", decision.Verdict, err)
+				}
+				if c.log.appends != c.appends {
+					t.Errorf("%d appends, want %d", c.log.appends, c.appends)
+				}
+				checkOneAcceptance(t, memory, c.unknown)
+			})
+		})
+	}
+}
+
+func checkOneAcceptance(t *testing.T, log *standin.Log, unknown bool) {
+	t.Helper()
+	entries, err := History(t.Context(), log, "flightdesk")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := 0
+	for _, e := range entries {
+		if e.Verdict == intent.Accepted {
+			accepted++
+		}
+	}
+	if accepted > 1 || accepted == 0 && !unknown {
+		t.Errorf("%d acceptances in %v", accepted, entries)
+	}
+}
+
+// Guards against a publish that overwrites a change made since the file was compared.
+func TestConflictShowsDiff(t *testing.T) {
+	log := standin.NewLog()
+	old, err := ReadState(t.Context(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Publish(t.Context(), log, old.Clone(), "anna", lookupService(4)); err != nil {
+		t.Fatal(err)
+	}
+	_, err = Publish(t.Context(), log, old, "bruno", lookupService(5))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("error %v", err)
+	}
+	text := fmt.Sprint(err)
+	for _, part := range []string{`"anna"`, "-   slots_per_target = 4\n", "+   slots_per_target = 5\n"} {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is missing in %q", part, text)
+		}
+	}
+}
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -30,6 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
+	instances = slices.DeleteFunc(instances, func(l platform.ListedInstance) bool { return l.TargetAddress != "" })
 	result := make([]InstanceStatus, len(instances))
 	done := make(chan int)
 	for i, listed := range instances {
