--- a/internal/control/departure.go
+++ b/internal/control/departure.go
@@ -14,8 +14,9 @@
 	departureLifetime = 10 * time.Minute
 	// maxDepartures bounds the table. 4,600 targets do not leave within 10 minutes.
 	maxDepartures = 4096
-	// maxIncarnations bounds the departed incarnations that are remembered for one target.
-	maxIncarnations = 4
+	// maxIncarnations bounds the departed incarnations that are remembered for one target, so that a departure fits
+	// into a rumor.
+	maxIncarnations = 5
 	// maxIncarnationBytes bounds an incarnation, so that a departure fits into a rumor.
 	maxIncarnationBytes = 64
 )
@@ -31,7 +32,7 @@
 
 // departure is what is known about a target that left. The fields are sent to peers as JSON.
 type departure struct {
-	// Departed holds the incarnations that left, the latest last.
+	// Departed holds the incarnations that left, in order.
 	Departed []string `json:"d"`
 	// Current is the incarnation seen last. The target is departed when it is one of Departed.
 	Current string `json:"c"`
@@ -97,7 +98,7 @@
 		return false
 	}
 	next := departure{
-		Departed: lastIncarnations(append(slices.Clone(d.Departed), e.Incarnation)),
+		Departed: unite(d.Departed, []string{e.Incarnation}, e.Incarnation),
 		Current:  e.Incarnation,
 		Version:  d.Version + 1,
 		since:    now,
@@ -122,7 +123,7 @@
 	if newer(remote, local) {
 		merged = *remote
 	}
-	merged.Departed = unite(local.Departed, remote.Departed)
+	merged.Departed = unite(local.Departed, remote.Departed, merged.Current)
 	merged.since = max(local.since, remote.since)
 	if merged.Version == local.Version && merged.Current == local.Current && slices.Equal(merged.Departed, local.Departed) {
 		return false
@@ -143,22 +144,22 @@
 	return a.Current > b.Current
 }
 
-// unite returns the incarnations of both lists. The order must not depend on which list is the local one.
-func unite(a, b []string) []string {
-	if len(b) > len(a) || len(a) == len(b) && slices.Compare(a, b) < 0 {
-		a, b = b, a
-	}
-	united := slices.Clone(a)
-	for _, incarnation := range b {
-		if !slices.Contains(united, incarnation) {
-			united = append(united, incarnation)
+// unite returns the incarnations of both lists in order, which does not depend on the order of merges. Beyond the
+// bound it drops some that are not current.
+func unite(a, b []string, current string) []string {
+	united := slices.Concat(a, b)
+	slices.Sort(united)
+	united = slices.Compact(united)
+	for i := 0; len(united) > maxIncarnations; {
+		if united[i] == current {
+			i++
+			continue
 		}
+		united = slices.Delete(united, i, i+1)
 	}
-	return lastIncarnations(united)
+	return united
 }
 
-func lastIncarnations(list []string) []string { return list[max(0, len(list)-maxIncarnations):] }
-
 // store adds a target and drops the oldest one when the table is full.
 func (t *departures) store(address string, d *departure) {
 	t.targets[address] = d
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -78,7 +78,7 @@
 		l.log.Warn("Ignored a malformed rumor about a target.", "target", r.Key)
 		return false
 	}
-	remote.Departed = lastIncarnations(remote.Departed)
+	remote.Departed = unite(remote.Departed, nil, remote.Current)
 	if !l.departures.merge(l.now(), r.Key, &remote) {
 		return false
 	}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -12,6 +12,8 @@
 
 const (
 	readPageRecords = 256
+	// A read without records waits between half of readWait and the whole of it, so that instances that started
+	// together do not keep calling the log in step.
 	readWait        = 2 * time.Second
 	readBackoffBase = 100 * time.Millisecond
 	readBackoffMax  = 5 * time.Second
@@ -30,7 +32,7 @@
 	backoff := platform.Backoff{Base: readBackoffBase, Max: readBackoffMax}
 	next := platform.Offset(1)
 	for ctx.Err() == nil {
-		page, err := r.Log.Read(ctx, next, readPageRecords, readWait)
+		page, err := r.Log.Read(ctx, next, readPageRecords, r.wait())
 		if err == nil {
 			err = intent.CheckEnd(next, page)
 		}
@@ -49,6 +51,10 @@
 	}
 }
 
+func (r *Reader) wait() time.Duration {
+	return readWait/2 + time.Duration(r.Random.Int64N(int64(readWait/2)))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
