Describe configuration and members by statecharts, and measure both

Change: charts configuration and member; chart.Next for decision code with many states; the status shows the state of the configuration; dropped events are a metric; benchmarks of the time until a revision or a departure is known on 20 processes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,6 +35,8 @@
 	Through platform.Offset `json:"through"`
 	// Services maps each service in force to its revision.
 	Services map[string]platform.Offset `json:"services"`
+	// Configuration is the state of the configuration: none, in_force, stale or cut_off.
+	Configuration string `json:"configuration"`
 	// Departed lists the targets that receive no requests because they left.
 	Departed []string `json:"departed"`
 	// Members counts the instances that this one knows, itself included, by state.
@@ -49,8 +51,10 @@
 	InFlight func() int64
 	Snapshot func() *control.Snapshot
 	Members  func() map[string]int
-	Ready    func() bool
-	Metrics  http.Handler
+	// Configuration returns the state of the configuration.
+	Configuration func() string
+	Ready         func() bool
+	Metrics       http.Handler
 }
 
 // Server is the admin listener.
@@ -111,6 +115,7 @@
 	}
 	if s.source.Members != nil {
 		status.Members = s.source.Members()
+		status.Configuration = s.source.Configuration()
 	}
 	if snapshot := s.source.Snapshot(); snapshot != nil {
 		status.Departed = snapshot.Departed
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/platform"
@@ -30,6 +31,8 @@
 	events   chan TargetEvent
 	dropped  atomic.Uint64
 	snapshot atomic.Pointer[Snapshot]
+	// state is the statechart of the configuration, nil before TrackState.
+	state *chart.Machine
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
 
@@ -38,7 +41,9 @@
 	departures *departures
 	checkpoint *intent.CheckpointTimer
 	spread     func(peer.Rumor)
-	pools      map[string]*transport.Pool
+	// lastRead is when the log last gave a usable answer.
+	lastRead time.Duration
+	pools    map[string]*transport.Pool
 }
 
 // New returns a loop for an instance in an availability zone.
@@ -78,6 +83,7 @@
 			l.applyEvent(event)
 		case <-expiry.C:
 			l.expireDepartures()
+			l.checkReachable()
 		}
 	}
 }
@@ -125,6 +131,9 @@
 	case !fresh && l.fold.State().Revision != before:
 		l.publish()
 	}
+	if err == nil {
+		l.followed(page)
+	}
 	return err
 }
 
@@ -155,5 +164,6 @@
 	if l.fold.State().Revision != before || l.snapshot.Load() == nil {
 		l.publish()
 	}
+	l.fire(eventMerged)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,10 +43,10 @@
 		return nil, trace.Wrap(err)
 	}
 	d := &Daemon{settings: s, log: telemetry.Component(log, "daemon")}
+	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
 	if err := d.startCharts(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
 	if err := d.connectPeers(log); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -62,8 +62,10 @@
 		InFlight: d.gateway.InFlight,
 		Snapshot: d.loop.Snapshot,
 		Members:  d.memberCounts,
-		Ready:    d.ready,
-		Metrics:  metrics.Handler(),
+
+		Configuration: d.loop.State,
+		Ready:         d.ready,
+		Metrics:       metrics.Handler(),
 	})
 	return d, nil
 }
@@ -72,6 +74,7 @@
 	return telemetry.Gauges{
 		InFlight: d.gateway.InFlight,
 		Ready:    d.ready,
+		Dropped:  func() int64 { return int64(d.loop.DroppedEvents() + d.node.DroppedRumors()) },
 		Revision: func() int64 {
 			if snapshot := d.loop.Snapshot(); snapshot != nil {
 				return int64(snapshot.Revision)
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -31,6 +31,10 @@
 	for i := range 3 {
 		f.allAt(f.publish(fleetService("flightdesk", 5+i, target.Address())), f.all()...)
 	}
+	eventually(t, "the instance that is cut off says so", func() bool {
+		status := f.status(7)
+		return status != nil && status.Configuration == "cut_off"
+	})
 	if status, body := f.lookup(7, "cut"); status != http.StatusOK {
 		t.Fatalf("the instance that is cut off answers %d: %s", status, body)
 	}
--- /dev/null
+++ b/internal/e2e/membership_bench_test.go
@@ -0,0 +1,147 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/standin"
+)
+
+const benchInstances = 20
+
+// everywhere returns the time until check holds on every instance, looking every 5 ms.
+func everywhere(f *testFleet, check func(i int) bool) time.Duration {
+	started := time.Now()
+	var wait sync.WaitGroup
+	for i := range f.instances {
+		wait.Go(func() {
+			for !check(i) && time.Since(started) < time.Minute {
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	wait.Wait()
+	return time.Since(started)
+}
+
+func reportTimes(b *testing.B, times []time.Duration) {
+	b.Helper()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "median-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "slowest-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkTimeInForce measures the time from the answer to a publish until the revision is in force on 20 processes.
+func BenchmarkTimeInForce(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		cut  []int
+	}{{"log up", nil}, {"one instance cut off", []int{7}}, {"all but one cut off", allBut(0)}} {
+		b.Run(c.name, func(b *testing.B) {
+			f := newTestFleet(b, benchInstances)
+			for i := range f.instances {
+				address := f.address
+				if slices.Contains(c.cut, i) {
+					address = f.cutAddress
+				}
+				f.start(i, address)
+			}
+			target := f.target()
+			f.allAt(f.publish(fleetService("flightdesk", 1, target.Address())), f.all()...)
+			waitForMembers(f)
+			var times []time.Duration
+			slots := 1
+			for b.Loop() {
+				slots = slots%1000 + 1
+				revision := f.publish(fleetService("flightdesk", slots, target.Address()))
+				times = append(times, everywhere(f, func(i int) bool { return f.at(i, revision) }))
+			}
+			reportTimes(b, times)
+		})
+	}
+}
+
+func allBut(one int) []int {
+	var rest []int
+	for i := range benchInstances {
+		if i != one {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// BenchmarkDepartureKnown measures the time from the first answer that says that a target is leaving until 20 processes
+// know it, with log and list down.
+func BenchmarkDepartureKnown(b *testing.B) {
+	f := newTestFleet(b, benchInstances)
+	targets := make([]*standin.Target, 60)
+	var addresses []string
+	for i := range targets {
+		targets[i] = f.target()
+		addresses = append(addresses, targets[i].Address())
+	}
+	f.startAll()
+	f.allAt(f.publish(fleetService("flightdesk", 4, addresses...)), f.all()...)
+	waitForMembers(f)
+	f.log.SetFaults(standin.LogFaults{Down: true})
+	f.list.SetDown(true)
+	var times []time.Duration
+	for b.Loop() {
+		i := len(times)
+		if i == len(targets)-1 {
+			b.Fatal("no target is left; run with -benchtime of at most 59x")
+		}
+		targets[i].SetFaults(standin.TargetFaults{Draining: true})
+		for seen := executions(targets[i]); executions(targets[i]) == seen; {
+			f.lookup(0, "seen")
+		}
+		times = append(times, everywhere(f, func(j int) bool {
+			status := f.status(j)
+			return status != nil && slices.Contains(status.Departed, addresses[i])
+		}))
+	}
+	reportTimes(b, times)
+}
+
+// BenchmarkOutageMemory reports the resident memory of an instance at the start and at the end of an outage of the log.
+// The length of the outage is given by -benchtime in seconds, as in 60x.
+func BenchmarkOutageMemory(b *testing.B) {
+	f := newTestFleet(b, 3)
+	target := f.target()
+	f.startAll()
+	f.allAt(f.publish(fleetService("flightdesk", 4, target.Address())), f.all()...)
+	waitForMembers(f)
+	f.log.SetFaults(standin.LogFaults{Down: true})
+	time.Sleep(5 * time.Second)
+	before := residentKB(b, f.instances[0])
+	for b.Loop() {
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if status, body := f.lookup(0, "load"); status != 200 {
+				b.Errorf("status %d during the outage: %s", status, body)
+			}
+		}
+	}
+	b.ReportMetric(float64(before), "start-KB")
+	b.ReportMetric(float64(residentKB(b, f.instances[0])), "end-KB")
+	b.ReportMetric(0, "ns/op")
+}
+
+func residentKB(b *testing.B, n *testInstance) int {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	kilobytes := 0
+	for line := range strings.Lines(string(data)) {
+		_, _ = fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes)
+	}
+	return kilobytes
+}
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -47,7 +47,7 @@
 		id := Identity{ID: fmt.Sprintf("entry-%03d", i), Incarnation: f.random.Uint64()}
 		self := Member{Identity: id, Zone: "tz-north-a", Peer: address + ":7003", Caller: address + ":7001", Admin: address + ":7002"}
 		known := map[string]bool{}
-		g := NewGossip(self, noOffset)
+		g := newTestGossip(self)
 		g.Register(KindDeparture, Handler{Receive: func(r Rumor) bool {
 			news := !known[r.Key]
 			known[r.Key] = true
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/platform"
 )
 
@@ -53,6 +54,7 @@
 // Gossip is the state machine of membership and rumors. It is pure and owned by one goroutine; times are monotonic
 // times since the start of the process.
 type Gossip struct {
+	chart    *chart.Chart
 	self     Member
 	members  map[Identity]*entry
 	order    []Identity
@@ -70,8 +72,13 @@
 }
 
 // NewGossip returns a state machine that knows only itself. Through returns the applied offset.
-func NewGossip(self Member, through func() platform.Offset) *Gossip {
+func NewGossip(self Member, through func() platform.Offset) (*Gossip, error) {
+	members, err := chart.Load("member")
+	if err != nil {
+		return nil, err
+	}
 	g := &Gossip{
+		chart:    members,
 		self:     self,
 		members:  map[Identity]*entry{},
 		handlers: map[Kind]Handler{},
@@ -79,7 +86,7 @@
 		changed:  true,
 	}
 	g.queue.add(g.self.rumor())
-	return g
+	return g, nil
 }
 
 // Register sets the handler of a kind. It must be called before the first message.
@@ -220,7 +227,7 @@
 // replaced marks a member dead because another process answers at its address.
 func (g *Gossip) replaced(now time.Duration, id Identity) {
 	if e := g.members[id]; e != nil && e.live() {
-		g.set(now, e, Dead)
+		g.fire(now, e, eventExpired)
 	}
 }
 
@@ -235,7 +242,7 @@
 		g.retry = append(g.retry, to.Identity)
 		return
 	}
-	g.set(now, e, Suspect)
+	g.fire(now, e, eventMissed)
 }
 
 // Leave announces that this instance stops as planned.
--- a/internal/peer/gossip_test.go
+++ b/internal/peer/gossip_test.go
@@ -24,7 +24,13 @@
 	return Member{Identity: Identity{ID: id, Incarnation: incarnation}, Zone: "tz-north-a", Peer: id + ":1", Caller: id + ":2", Admin: id + ":3"}
 }
 
-func noOffset() platform.Offset { return 0 }
+func newTestGossip(self Member) *Gossip {
+	g, err := NewGossip(self, func() platform.Offset { return 0 })
+	if err != nil {
+		panic(err)
+	}
+	return g
+}
 
 // Guards against changes in how members join, are suspected, refute, leave and are replaced.
 func TestSessions(t *testing.T) {
@@ -41,7 +47,7 @@
 		var incarnation uint64
 		d.ScanArgs(t, "id", &id)
 		d.ScanArgs(t, "incarnation", &incarnation)
-		s.machines[id] = NewGossip(testMember(id, incarnation), noOffset)
+		s.machines[id] = newTestGossip(testMember(id, incarnation))
 		return s.show(id)
 	case "exchange":
 		var from, to string
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 // MemberState is what is known about a member.
@@ -20,10 +23,27 @@
 	Left
 )
 
-var stateNames = []string{"alive", "suspect", "dead", "left"}
+// stateNames are the names in charts/member.toml.
+var stateNames = []chart.State{"alive", "suspect", "dead", "left"}
+
+// Events in charts/member.toml.
+const (
+	eventMissed  = chart.Event("missed")
+	eventRefuted = chart.Event("refuted")
+	eventExpired = chart.Event("expired")
+	eventLeft    = chart.Event("left")
+)
+
+// eventsOfStates holds the event by which a member got into a state.
+var eventsOfStates = []chart.Event{eventRefuted, eventMissed, eventExpired, eventLeft}
 
 // String returns the name of the state.
-func (s MemberState) String() string { return stateNames[min(int(s), len(stateNames)-1)] }
+func (s MemberState) String() string { return string(stateNames[min(int(s), len(stateNames)-1)]) }
+
+// next returns the state after an event.
+func (s MemberState) next(c *chart.Chart, event chart.Event) MemberState {
+	return MemberState(slices.Index(stateNames, c.Next(chart.State(s.String()), event)))
+}
 
 // Identity names one process. A restarted instance has a new incarnation and is a different member.
 type Identity struct {
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 func (e *entry) live() bool { return e.State == Alive || e.State == Suspect }
@@ -21,7 +23,12 @@
 	case !m.overrides(&known.Member):
 		return false
 	}
+	state := known.State
+	if m.Counter > known.Counter {
+		state = state.next(g.chart, eventRefuted)
+	}
 	known.Member = *m
+	known.State = state.next(g.chart, eventsOfStates[m.State])
 	known.since = now
 	known.missed = 0
 	g.touch()
@@ -49,9 +56,9 @@
 	return true
 }
 
-// set changes the state of a member by a decision of this instance and spreads it.
-func (g *Gossip) set(now time.Duration, e *entry, state MemberState) {
-	e.State = state
+// fire changes the state of a member by a decision of this instance and spreads it.
+func (g *Gossip) fire(now time.Duration, e *entry, event chart.Event) {
+	e.State = e.State.next(g.chart, event)
 	e.since = now
 	g.touch()
 	g.queue.add(e.rumor())
@@ -62,7 +69,7 @@
 	for _, id := range g.identities(func(e *entry) bool { return e.expired(now) }) {
 		e := g.members[id]
 		if e.State == Suspect {
-			g.set(now, e, Dead)
+			g.fire(now, e, eventExpired)
 			continue
 		}
 		delete(g.members, id)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -38,6 +38,8 @@
 	Delta(after platform.Offset) *intent.Delta
 	// Merge applies a delta, unless it is older than what is applied.
 	Merge(d *intent.Delta) error
+	// Known takes note of the applied offset of a peer.
+	Known(through platform.Offset)
 }
 
 // Config configures a node.
@@ -84,11 +86,13 @@
 		links:    newLinks(c.Secret, rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64()))),
 		rumors:   make(chan Rumor, spreadQueue),
 		flights:  make(chan struct{}, maxExchanges),
-		gossip:   NewGossip(c.Self, c.Configuration.Through),
 		nextPull: map[Kind]time.Duration{},
 	}
-	n.publishMembers()
 	var err error
+	if n.gossip, err = NewGossip(c.Self, c.Configuration.Through); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.publishMembers()
 	n.server, err = newServer(c.Secret, &Service{node: n}, c.Log)
 	return n, trace.Wrap(err)
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -35,6 +35,7 @@
 
 func (o *testOwner) Through() platform.Offset                  { return o.fold.State().Through }
 func (o *testOwner) Delta(after platform.Offset) *intent.Delta { return o.fold.State().Delta(after) }
+func (o *testOwner) Known(platform.Offset)                     {}
 func (o *testOwner) Merge(d *intent.Delta) error {
 	_, err := o.fold.Merge(d)
 	return err
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -22,6 +22,7 @@
 
 // compare starts a pull when a peer knows more. It runs on the control goroutine.
 func (n *Node) compare(message Exchange, address string) {
+	n.config.Configuration.Known(message.Through)
 	if message.Through > n.config.Configuration.Through() && n.pulling.CompareAndSwap(false, true) {
 		after := n.config.Configuration.Through()
 		go n.pullConfiguration(address, after)
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -12,6 +12,8 @@
 	InFlight func() int64
 	Revision func() int64
 	Ready    func() bool
+	// Dropped counts events and rumors that were dropped because a queue was full.
+	Dropped func() int64
 }
 
 // Observe registers the gauges. It is called once.
@@ -24,6 +26,7 @@
 		{"basillink.requests_in_flight", "Requests that are being served.", g.InFlight},
 		{"basillink.revision", "Revision in force, 0 before the first.", g.Revision},
 		{"basillink.ready", "1 while the instance is ready.", func() int64 { return boolValue(g.Ready()) }},
+		{"basillink.dropped_events", "Events and rumors dropped because a queue was full, since the start.", g.Dropped},
 	}
 	for _, gauge := range gauges {
 		observe := func(_ context.Context, o metric.Int64Observer) error {
