Keep a fresh instance unready when only a departure is known

The process test of a departure keeps callers busy throughout. Conclusion: an instance is ready only with a configuration.

--- a/internal/control/departure_test.go
+++ b/internal/control/departure_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/peer"
 )
 
@@ -127,3 +128,18 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a fresh instance that becomes ready without a configuration because a peer tells it of a departure.
+func TestDepartureAloneIsNoConfiguration(t *testing.T) {
+	loop := New("tz-north-a", balancer.TwoChoices{}, quiet)
+	handler := loop.DepartureHandler(func(peer.Rumor) {})
+	table := newDepartures()
+	table.observe(0, TargetEvent{Address: "10.0.0.7:8080", Incarnation: "a", Draining: true})
+	rumor := peer.Rumor{Kind: peer.KindDeparture, Key: "10.0.0.7:8080", Payload: table.targets["10.0.0.7:8080"].encode(0)}
+	if !handler.Receive(rumor) || handler.Receive(rumor) {
+		t.Error("a rumor is news exactly once")
+	}
+	if loop.Snapshot() != nil {
+		t.Error("a snapshot without configuration is in force")
+	}
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -47,7 +47,7 @@
 	if l.spread != nil {
 		l.spread(l.departureRumor(e.Address))
 	}
-	l.publish()
+	l.republish()
 }
 
 func (l *Loop) departureRumor(address string) peer.Rumor {
@@ -83,13 +83,21 @@
 		return false
 	}
 	l.log.Info("A peer knows of a change of a target.", "target", r.Key, "leaving", l.departures.contains(r.Key))
-	l.publish()
+	l.republish()
 	return true
 }
 
 // expireDepartures forgets old departures, so that a target without incarnations receives requests again.
 func (l *Loop) expireDepartures() {
 	if l.departures.expire(l.now()) {
+		l.republish()
+	}
+}
+
+// republish builds a snapshot after a change of departures. Without a configuration there is none to build, and an
+// empty one would make the instance ready.
+func (l *Loop) republish() {
+	if l.snapshot.Load() != nil {
 		l.publish()
 	}
 }
--- a/internal/e2e/departure_test.go
+++ b/internal/e2e/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,32 +30,19 @@
 	f.list.SetDown(true)
 	waitForMembers(f)
 
-	leaving.SetFaults(standin.TargetFaults{Draining: true, ServiceTime: 400 * time.Millisecond})
-	slow := make(chan int, 8)
-	for i := range 8 {
-		go func() {
-			status, _ := f.lookup(i, fmt.Sprintf("slow-%d", i))
-			slow <- status
-		}()
-	}
-	for range 8 {
-		if status := <-slow; status != http.StatusOK {
-			t.Errorf("a request that was in flight during the departure was answered %d", status)
-		}
+	leaving.SetFaults(standin.TargetFaults{ServiceTime: 400 * time.Millisecond})
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range f.instances {
+		callers.Go(func() { callUntil(f, i, stop) })
 	}
-	eventually(t, "one answer of the leaving target", func() bool {
-		f.lookup(0, "seen")
-		return executions(leaving) > 0
-	})
+	eventually(t, "requests in flight at the target", func() bool { return leaving.InFlight() > 0 })
+	leaving.SetFaults(standin.TargetFaults{Draining: true, ServiceTime: 400 * time.Millisecond})
 	time.Sleep(3 * time.Second) // the stated target for departures
 	before := executions(leaving)
-	for i := range f.instances {
-		for j := range 20 {
-			if status, body := f.lookup(i, fmt.Sprintf("after-%d-%d", i, j)); status != http.StatusOK {
-				t.Errorf("instance %d answers %d: %s", i, status, body)
-			}
-		}
-	}
+	time.Sleep(time.Second)
+	close(stop)
+	callers.Wait()
 	if after := executions(leaving); after != before {
 		t.Errorf("%d requests went to the target after its departure was known", after-before)
 	}
@@ -77,6 +65,20 @@
 	}
 }
 
+// callUntil sends requests through an instance one after another and reports each that is not answered.
+func callUntil(f *testFleet, i int, stop <-chan struct{}) {
+	for j := 0; ; j++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		if status, body := f.lookup(i, fmt.Sprintf("%d-%d", i, j)); status != http.StatusOK {
+			f.t.Errorf("instance %d answers %d: %s", i, status, body)
+		}
+	}
+}
+
 // waitForMembers waits until every instance had time to meet every other through the list.
 func waitForMembers(f *testFleet) {
 	for i := range f.instances {
