--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/basillink/basillink/internal/balancer"
@@ -59,6 +60,7 @@
 			Slots:    entry.Spec.SlotsPerTarget,
 		})
 	}
+	service.AllRepeatable = !slices.ContainsFunc(entry.Spec.Classes, func(c operator.Class) bool { return !c.Repeatable })
 	service.attachLimits(previous)
 	var old balancer.Policy
 	if previous != nil {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -26,6 +26,8 @@
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
+	// AllRepeatable is true when no class needs tickets.
+	AllRepeatable bool
 	// Admission and Retries outlive a revision of the service.
 	Admission *admission.Limiter
 	Retries   *admission.RetryBudget
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -22,7 +23,8 @@
 // all of it.
 func (g *Gateway) answer(ctx context.Context, c *app.RequestContext, call *call, r *result) error {
 	defer r.release()
-	if r.why == nil && !r.answer.Whole() && r.answer.Length() < 0 && !c.Request.Header.IsHTTP11() {
+	g.offerTicket(c, call)
+	if r.why == nil && r.answer != nil && !r.answer.Whole() && r.answer.Length() < 0 && !c.Request.Header.IsHTTP11() {
 		r = refused(reason.AnswerUnbounded)
 	}
 	if err := setWriteDeadline(ctx, c); err != nil {
@@ -31,8 +33,11 @@
 	if r.why != nil {
 		return g.writeRefusal(c, call, r)
 	}
+	if r.kept != nil {
+		return g.writeKept(c, call, r.kept)
+	}
 	g.counter.Answered(call.serviceName, call.class.Name)
-	g.setAnswerHead(c, r.answer)
+	g.setAnswerHead(c, r)
 	if r.answer.Whole() {
 		c.Response.SetBodyRaw(r.answer.Response.Body())
 		return g.write(c)
@@ -50,16 +55,13 @@
 
 // setAnswerHead copies the head of a target's answer without the headers that concern its connection or belong to the
 // protocol.
-func (g *Gateway) setAnswerHead(c *app.RequestContext, answer *transport.Answer) {
+func (g *Gateway) setAnswerHead(c *app.RequestContext, r *result) {
+	answer := r.answer
 	h, source := &c.Response.Header, answer.Response
 	h.SetNoDefaultContentType(true)
 	h.SetNoDefaultDate(true)
 	h.SetStatusCode(source.StatusCode())
-	source.Header.VisitAll(func(key, value []byte) {
-		if passesToCaller(key) && !slices.Contains(answer.Options, string(key)) {
-			addAnswerHeader(h, key, value)
-		}
-	})
+	visitPassed(answer, func(key, value []byte) { addAnswerHeader(h, key, value) })
 	if c.Request.Header.IsHead() {
 		c.Response.SkipBody = true
 		if length := source.Header.ContentLength(); length >= 0 {
@@ -68,6 +70,22 @@
 	}
 	h.Set(header.Outcome, string(reason.Done))
 	h.Set(header.Instance, g.instance)
+	switch {
+	case r.fromOwner:
+		setOwnerClaim(h, &source.Header)
+	case r.claim != "":
+		h.Set(header.Outcome, string(r.claim))
+		h.Set(header.Reason, reason.TargetError.Name)
+	}
+}
+
+// visitPassed calls f for each header of an answer that reaches the caller.
+func visitPassed(answer *transport.Answer, f func(key, value []byte)) {
+	answer.Response.Header.VisitAll(func(key, value []byte) {
+		if passesToCaller(key) && !slices.Contains(answer.Options, string(key)) {
+			f(key, value)
+		}
+	})
 }
 
 func addAnswerHeader(h *protocol.ResponseHeader, key, value []byte) {
@@ -98,7 +116,7 @@
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.why.Name, "error", r.cause)
 	h := &c.Response.Header
 	h.SetStatusCode(r.why.Status)
-	h.Set(header.Outcome, string(r.why.Outcome))
+	h.Set(header.Outcome, string(cmp.Or(r.claim, r.why.Outcome)))
 	h.Set(header.Reason, r.why.Name)
 	h.Set(header.Instance, g.instance)
 	h.SetContentType("text/plain; charset=utf-8")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,9 +34,13 @@
 	// caller identifies the caller for fair sharing.
 	caller string
 	// uri is the path and query that the target sees.
-	uri      string
-	timeout  time.Duration
-	attempts int
+	uri string
+	// once means that the request runs at most once.
+	once bool
+	// forwarded means that another instance passed the request on.
+	forwarded bool
+	timeout   time.Duration
+	attempts  int
 	// waited is the time spent in exchanges with targets.
 	waited time.Duration
 	// end is how the last attempt ended.
@@ -49,7 +53,7 @@
 	var name string
 	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), originForm(string(c.Request.RequestURI())))
 	snapshot := g.snapshot()
-	if snapshot == nil || g.inFlight.draining.Load() {
+	if snapshot == nil {
 		return parsed, reason.NotReady
 	}
 	parsed.service = snapshot.Services[name]
@@ -57,7 +61,13 @@
 		return parsed, reason.UnknownService
 	}
 	parsed.serviceName = name
-	return parsed, parsed.readHeaders(c)
+	if refusal := parsed.readHeaders(c); refusal != nil {
+		return parsed, refusal
+	}
+	if g.inFlight.draining.Load() && (!parsed.once || len(c.GetHeader(header.Ticket)) == 0) {
+		return parsed, reason.NotReady
+	}
+	return parsed, nil
 }
 
 func (p *call) readHeaders(c *app.RequestContext) *reason.Reason {
@@ -66,6 +76,9 @@
 	if p.class == nil {
 		return reason.UnknownClass
 	}
+	p.forwarded = string(c.GetHeader(header.Forwarded)) == "1"
+	// A forwarded request runs at most once even if the owner's configuration still calls its class repeatable.
+	p.once = !p.class.Repeatable || p.forwarded
 	timeoutMS, ok := boundedInt(string(c.GetHeader(header.TimeoutMS)), p.class.TimeoutMS, operator.MaxTimeoutMS)
 	if !ok {
 		return reason.BadTimeout
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -42,7 +42,7 @@
 	case reason.ConnectionLost:
 		return reason.RetryConnectionLost
 	}
-	if !call.class.Repeatable {
+	if call.once {
 		return nil
 	}
 	switch why {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/ticket"
 )
 
 // Counter counts outcomes, refusals and retries. It is safe for concurrent use. The service is empty when the request
@@ -42,6 +43,9 @@
 	server      *server.Hertz
 	connections connections
 	inFlight    *inFlight
+	desk        *ticket.Desk
+	owners      Owners
+	forwards    forwardPools
 }
 
 // New returns a gateway that listens on the caller address of the settings. It opens no port.
@@ -55,6 +59,8 @@
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
 		inFlight: newInFlight(),
+		desk:     newDesk(s.Instance.ID),
+		owners:   noOwners{},
 	}
 	g.server = server.New(
 		server.WithListener(g.listener),
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -57,7 +57,10 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.count.Load() }
 
 // Refuse makes the gateway refuse requests that arrive from now on.
-func (g *Gateway) Refuse() { g.inFlight.draining.Store(true) }
+func (g *Gateway) Refuse() {
+	g.inFlight.draining.Store(true)
+	g.desk.Stop()
+}
 
 // CutShort ends the requests in flight whose class is not long.
 func (g *Gateway) CutShort() { g.inFlight.pass() }
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/ticket"
 	"github.com/basillink/basillink/internal/transport"
 )
 
@@ -13,6 +14,12 @@
 	// answer is the answer of a target. It is nil when why is set. Its body is whole unless it is longer than
 	// wholeAnswerBytes.
 	answer *transport.Answer
+	// kept is the answer of an earlier request with the same ticket.
+	kept *ticket.Answer
+	// fromOwner means that answer comes from the instance that issued the ticket and not from a target.
+	fromOwner bool
+	// claim replaces what is told about the execution, unless it is empty.
+	claim reason.Outcome
 	// cause is the error behind why, for logs.
 	cause error
 	// ended is called once when the exchange with the target has ended. It may be nil.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,7 +72,7 @@
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
 	if refusal := g.receive(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
-		_ = g.answer(ctx, c, &call{request: &c.Request}, refused(refusal))
+		_ = g.answer(ctx, c, &call{request: &c.Request}, g.limitClaim(c, refused(refusal)))
 		return false
 	}
 	ctx, stop := watchCaller(ctx)
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -84,6 +84,7 @@
 	CallerLeft       = add("caller_left_running", Failure, 499, Unknown, "The caller closed its connection while a target ran the request.")
 	ConnectionSilent = add("connection_silent", Failure, 504, Unknown, "The connection to the target went silent.")
 	DrainLimit       = add("drain_limit", Failure, 503, Unknown, "The instance was stopped and drain.limit_ms passed before the target answered.")
+	TargetError      = add("target_error", Failure, 502, Unknown, "The target answered 502, 503 or 504 without Target-Not-Run, which leaves open whether it ran the request.")
 	TicketExpired    = add("ticket_expired", Failure, 410, Unknown, "The ticket's lifetime has passed. The request is not run now; whether it ran before is no longer known.")
 	TicketOwnerGone  = add("ticket_owner_gone", Failure, 503, Unknown, "The instance that issued the ticket is gone. The request will not run any more; whether it ran before is not known.")
 	ForwardLost      = add("forward_lost", Failure, 502, Unknown, "The connection to the instance that issued the ticket failed. Ask again with the same ticket.")
