Refuse requests that crash targets

A request that crashes each target that runs it took down one target for each attempt and each resend. internal/crashguard counts distinct crashes for each fingerprint; the gateway tries suspects one at a time, never two on one target, and refuses them after two crashes without a complete answer in between. Marks are at most 4,096 and age out after 10 min.

Also: a call that already had an attempt with an unknown end no longer ends in a claim of not run when a later attempt is shed or no target is left, and at-most-once requests use connections that carried an answer within the last second, or new ones.

--- /dev/null
+++ b/internal/crashguard/fingerprint.go
@@ -0,0 +1,51 @@
+// Package crashguard finds requests that crash the targets that run them, and
+// stops sending them. A request is suspect after one crash and is refused after
+// two crashes without a complete answer in between. Suspects run one at a time
+// and never two on one target, so that an innocent request that was in flight
+// beside the cause gets its complete answer and is cleared.
+//
+// Time is an argument: the monotonic time since the start of the process.
+package crashguard
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies requests with the same content. 128 bits of SHA-256 keep a caller from refusing the
+// requests of another by a collision.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the fingerprint of a request. The URI is the path and query.
+func FingerprintOf(service, method, uri string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{service, method, uri} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum(nil))
+}
+
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint reads what String returns.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	var f Fingerprint
+	if len(text) != 2*len(f) {
+		return f, &FormatError{Text: text}
+	}
+	if _, err := hex.Decode(f[:], []byte(text)); err != nil {
+		return f, &FormatError{Text: text}
+	}
+	return f, nil
+}
+
+// FormatError reports a fingerprint or mark that cannot be decoded.
+type FormatError struct{ Text string }
+
+func (e *FormatError) Error() string { return "malformed crash mark: " + e.Text }
--- /dev/null
+++ b/internal/crashguard/guard.go
@@ -0,0 +1,192 @@
+package crashguard
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Guard holds the crash marks of one instance. It is safe for concurrent use.
+type Guard struct {
+	// spread passes a mark on to peers. It must not block.
+	spread func(Fingerprint, []byte)
+	// watched is the number of marks with a crash and of losses without a verdict. While it is 0, requests need no
+	// fingerprint.
+	watched atomic.Int64
+
+	mu    sync.Mutex
+	marks map[Fingerprint]*mark
+	// losses holds, by target, requests that lost their answer while it is open whether the target crashed.
+	losses     map[string][]loss
+	lossCount  int
+	suspectsOn map[string]struct{}
+	// vacated is closed and replaced when a suspect leaves a target.
+	vacated chan struct{}
+}
+
+// loss is a request whose answer was lost on one incarnation of a target.
+type loss struct {
+	fingerprint Fingerprint
+	incarnation string
+	at          time.Duration
+}
+
+// New returns a guard. Spread is called with the lock held and must not block; nil disables it.
+func New(spread func(Fingerprint, []byte)) *Guard {
+	if spread == nil {
+		spread = func(Fingerprint, []byte) {}
+	}
+	return &Guard{
+		spread:     spread,
+		marks:      map[Fingerprint]*mark{},
+		losses:     map[string][]loss{},
+		suspectsOn: map[string]struct{}{},
+		vacated:    make(chan struct{}),
+	}
+}
+
+// Watching reports whether any request is suspect. While it is false, Enter admits everything.
+func (g *Guard) Watching() bool { return g.watched.Load() > 0 }
+
+// Lost records that a request lost its answer on a target. The crash is counted when the target refuses a new
+// connection or answers as another incarnation.
+func (g *Guard) Lost(now time.Duration, f Fingerprint, target, incarnation string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire(now)
+	if g.lossCount >= maxMarks {
+		return
+	}
+	g.losses[target] = append(g.losses[target], loss{fingerprint: f, incarnation: incarnation, at: now})
+	g.lossCount++
+	g.watch()
+}
+
+// Refused records that a target refused a new connection: the requests that it lost count as crashes.
+func (g *Guard) Refused(now time.Duration, target string) {
+	g.resolve(now, target, func(loss) bool { return true })
+}
+
+// Seen records that a target answered as an incarnation. Requests that another incarnation lost count as crashes; those
+// of the same incarnation do not.
+func (g *Guard) Seen(now time.Duration, target, incarnation string) {
+	g.resolve(now, target, func(l loss) bool { return l.incarnation != "" && l.incarnation != incarnation })
+}
+
+func (g *Guard) resolve(now time.Duration, target string, crashed func(loss) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := g.losses[target]
+	if len(list) == 0 {
+		return
+	}
+	delete(g.losses, target)
+	g.lossCount -= len(list)
+	for _, l := range list {
+		if crashed(l) {
+			g.count(now, l.fingerprint, crashOf(target, l.incarnation))
+		}
+	}
+	g.watch()
+}
+
+func (g *Guard) count(now time.Duration, f Fingerprint, c crash) {
+	m := g.mark(now, f)
+	if m.add(c) {
+		m.last = now
+		g.spread(f, m.encode(now))
+	}
+}
+
+// Answered records a complete answer, which clears the mark and open losses of the request.
+func (g *Guard) Answered(now time.Duration, f Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	open := g.lossCount
+	for target := range g.losses {
+		g.forgive(target, f)
+	}
+	m := g.marks[f]
+	if m != nil && m.suspect() {
+		m.generation++
+		m.crashes = nil
+		m.last = now
+		g.spread(f, m.encode(now))
+	} else if g.lossCount == open {
+		return
+	}
+	g.watch()
+}
+
+// forgive forgets the open losses of a request on a target.
+func (g *Guard) forgive(target string, f Fingerprint) {
+	before := g.losses[target]
+	kept := slices.DeleteFunc(before, func(l loss) bool { return l.fingerprint == f })
+	g.lossCount -= len(before) - len(kept)
+	g.losses[target] = kept
+	if len(kept) == 0 {
+		delete(g.losses, target)
+	}
+}
+
+// Receive merges a mark of a peer and reports whether it is news.
+func (g *Guard) Receive(now time.Duration, f Fingerprint, data []byte) (bool, error) {
+	remote, err := decodeMark(now, data)
+	if err != nil {
+		return false, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	news := g.mark(now, f).merge(remote)
+	g.watch()
+	return news, nil
+}
+
+// mark returns the mark of a fingerprint. A new one takes the place of the oldest when there is no room.
+func (g *Guard) mark(now time.Duration, f Fingerprint) *mark {
+	if m := g.marks[f]; m != nil {
+		return m
+	}
+	g.expire(now)
+	if len(g.marks) >= maxMarks {
+		g.dropOldest()
+	}
+	m := &mark{last: now}
+	g.marks[f] = m
+	return m
+}
+
+func (g *Guard) dropOldest() {
+	var oldest Fingerprint
+	var found *mark
+	for f, m := range g.marks {
+		if found == nil || m.last < found.last {
+			oldest, found = f, m
+		}
+	}
+	delete(g.marks, oldest)
+}
+
+// expire forgets marks and open losses whose lifetime has passed.
+func (g *Guard) expire(now time.Duration) {
+	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return now-m.last >= markLifetime && m.trial == nil })
+	maps.DeleteFunc(g.losses, func(_ string, list []loss) bool {
+		old := now-list[len(list)-1].at >= markLifetime
+		if old {
+			g.lossCount -= len(list)
+		}
+		return old
+	})
+}
+
+func (g *Guard) watch() {
+	watched := int64(g.lossCount)
+	for _, m := range g.marks {
+		if m.suspect() {
+			watched++
+		}
+	}
+	g.watched.Store(watched)
+}
--- /dev/null
+++ b/internal/crashguard/guard_test.go
@@ -0,0 +1,127 @@
+package crashguard
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// session replays commands on the guards of two instances. Rumors wait until they are delivered.
+type session struct {
+	now     time.Duration
+	guards  map[string]*Guard
+	rumors  []rumor
+	entries map[string]*Entry
+}
+
+type rumor struct {
+	from string
+	f    Fingerprint
+	data []byte
+}
+
+func newSession() *session {
+	s := &session{guards: map[string]*Guard{}, entries: map[string]*Entry{}}
+	for _, name := range []string{"a", "b"} {
+		s.guards[name] = New(func(f Fingerprint, data []byte) { s.rumors = append(s.rumors, rumor{name, f, data}) })
+	}
+	return s
+}
+
+// run executes one line: a time, or an instance, a verb and its arguments.
+func (s *session) run(line string) string {
+	word := strings.Fields(line)
+	if after, ok := strings.CutPrefix(line, "after "); ok {
+		d, _ := time.ParseDuration(after)
+		s.now += d
+		return ""
+	}
+	if line == "deliver" {
+		return s.deliver()
+	}
+	g, verb, argument := s.guards[word[0]], word[1], append(word[2:], "", "")
+	f := FingerprintOf("s", "POST", "/"+argument[0], nil)
+	switch verb {
+	case "enter":
+		entry, wait, refused := g.Enter(s.now, f)
+		if entry.Suspect() {
+			s.entries[word[0]+argument[0]] = &entry
+		}
+		return fmt.Sprintf("suspect=%v waits=%v refused=%v\n", entry.Suspect(), wait != nil, refused)
+	case "place":
+		return fmt.Sprintln(s.entries[word[0]+argument[0]].Place(argument[1]))
+	case "leave":
+		s.entries[word[0]+argument[0]].Leave()
+	case "lost":
+		target, incarnation, _ := strings.Cut(argument[1], "/")
+		g.Lost(s.now, f, target, incarnation)
+	case "refused":
+		g.Refused(s.now, argument[0])
+	case "seen":
+		g.Seen(s.now, argument[0], argument[1])
+	case "answered":
+		g.Answered(s.now, f)
+	case "watching":
+		return fmt.Sprintln(g.Watching())
+	}
+	return ""
+}
+
+func (s *session) deliver() string {
+	news := 0
+	for _, r := range s.rumors {
+		to := "a"
+		if r.from == "a" {
+			to = "b"
+		}
+		if isNews, err := s.guards[to].Receive(s.now, r.f, r.data); err == nil && isNews {
+			news++
+		}
+	}
+	s.rumors = nil
+	return fmt.Sprintf("%d news\n", news)
+}
+
+// Guards against blaming an innocent request, against a third crash, and against marks that never end.
+func TestSession(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newSession()
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			var out strings.Builder
+			for line := range strings.Lines(d.Input) {
+				line = strings.TrimSpace(line)
+				if result := s.run(line); result != "" {
+					fmt.Fprintf(&out, "%s: %s", line, result)
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+// Guards against unbounded memory and against peers whose rumors cannot be decoded.
+func TestBounds(t *testing.T) {
+	g := New(nil)
+	for i := range 2 * maxMarks {
+		f := FingerprintOf("s", "GET", fmt.Sprint(i), nil)
+		g.Lost(time.Duration(i), f, fmt.Sprint(i), "x")
+		if i < maxMarks {
+			g.Refused(time.Duration(i), fmt.Sprint(i))
+		}
+	}
+	if len(g.marks) > maxMarks || g.lossCount > maxMarks {
+		t.Errorf("%d marks and %d losses", len(g.marks), g.lossCount)
+	}
+	for _, data := range []string{"", "\x01", "\x01\x01\x01", "\x01\xff\xff\xff\xff\x0f"} {
+		if _, err := g.Receive(0, Fingerprint{}, []byte(data)); err == nil {
+			t.Errorf("%q is accepted", data)
+		}
+	}
+	g.expire(markLifetime + 3*maxMarks)
+	if len(g.marks) != 0 || g.lossCount != 0 {
+		t.Errorf("%d marks and %d losses after their lifetime", len(g.marks), g.lossCount)
+	}
+}
--- /dev/null
+++ b/internal/crashguard/mark.go
@@ -0,0 +1,113 @@
+package crashguard
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// maxMarks bounds the marks, cleared ones included.
+	maxMarks = 4096
+	// markLifetime is how long a mark is kept after its last crash.
+	markLifetime = 10 * time.Minute
+	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
+	// without a complete answer in between are not.
+	refuseAfter = 2
+)
+
+// crash identifies one crash: the end of one incarnation of a target. Several instances see the same crash, and
+// it counts once, also when one of them has not seen the target's incarnation, which is 0 then.
+type crash struct{ target, incarnation uint32 }
+
+func crashOf(target, incarnation string) crash {
+	c := crash{target: hash(target)}
+	if incarnation != "" {
+		c.incarnation = hash(incarnation)
+	}
+	return c
+}
+
+func hash(text string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum32()
+}
+
+func (c crash) same(other crash) bool {
+	return c.target == other.target && (c.incarnation == other.incarnation || c.incarnation == 0 || other.incarnation == 0)
+}
+
+// mark is what is known about one fingerprint.
+type mark struct {
+	// generation counts the complete answers that cleared the mark. A higher generation overrides a lower one.
+	generation uint32
+	// crashes holds the distinct crashes since the last complete answer, at most refuseAfter.
+	crashes []crash
+	// last is when the last crash or complete answer was known first.
+	last time.Duration
+	// trial is open while a suspect request of this fingerprint runs.
+	trial chan struct{}
+}
+
+func (m *mark) suspect() bool { return len(m.crashes) > 0 }
+
+func (m *mark) refused() bool { return len(m.crashes) >= refuseAfter }
+
+// add adds a crash and reports whether it is news.
+func (m *mark) add(c crash) bool {
+	if len(m.crashes) >= refuseAfter || slices.ContainsFunc(m.crashes, c.same) {
+		return false
+	}
+	m.crashes = append(m.crashes, c)
+	return true
+}
+
+// merge takes over what a peer knows and reports whether it is news. The order of merges does not matter, except
+// for which crashes beyond refuseAfter are named.
+func (m *mark) merge(remote *mark) bool {
+	if remote.generation < m.generation {
+		return false
+	}
+	news := remote.generation > m.generation
+	if news {
+		m.generation = remote.generation
+		m.crashes = nil
+	}
+	for _, c := range remote.crashes {
+		news = m.add(c) || news
+	}
+	if news {
+		m.last = max(m.last, remote.last)
+	}
+	return news
+}
+
+// encode returns the mark for a rumor: generation, age in milliseconds and crashes.
+func (m *mark) encode(now time.Duration) []byte {
+	data := binary.AppendUvarint(nil, uint64(m.generation))
+	data = binary.AppendUvarint(data, uint64((now - m.last).Milliseconds()))
+	for _, c := range m.crashes {
+		data = binary.BigEndian.AppendUint32(data, c.target)
+		data = binary.BigEndian.AppendUint32(data, c.incarnation)
+	}
+	return data
+}
+
+func decodeMark(now time.Duration, data []byte) (*mark, error) {
+	generation, n := binary.Uvarint(data)
+	if n <= 0 {
+		return nil, &FormatError{Text: string(data)}
+	}
+	data = data[n:]
+	age, n := binary.Uvarint(data)
+	if n <= 0 || len(data[n:])%8 != 0 || len(data[n:]) > 8*refuseAfter || age > uint64(markLifetime.Milliseconds()) {
+		return nil, &FormatError{Text: string(data)}
+	}
+	m := &mark{generation: uint32(generation), last: now - time.Duration(age)*time.Millisecond}
+	for data = data[n:]; len(data) > 0; data = data[8:] {
+		m.add(crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:])})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/crashguard/trial.go
@@ -0,0 +1,76 @@
+package crashguard
+
+import "time"
+
+// Entry is the admission of one request. The zero value belongs to a request that is not suspect. It is used by one
+// goroutine, which calls Leave once.
+type Entry struct {
+	guard  *Guard
+	mark   *mark
+	target string
+}
+
+// Enter admits a request. When it is refused, refused is true. When wait is not nil, another request with the same
+// fingerprint is being tried; the caller waits for it and enters again.
+func (g *Guard) Enter(now time.Duration, f Fingerprint) (entry Entry, wait <-chan struct{}, refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.marks[f]
+	if m != nil && now-m.last >= markLifetime && m.trial == nil {
+		delete(g.marks, f)
+		g.watch()
+		m = nil
+	}
+	switch {
+	case m == nil || !m.suspect():
+		return Entry{}, nil, false
+	case m.refused():
+		return Entry{}, nil, true
+	case m.trial != nil:
+		return Entry{}, m.trial, false
+	}
+	m.trial = make(chan struct{})
+	return Entry{guard: g, mark: m}, nil, false
+}
+
+// Suspect reports whether the request is tried as a suspect.
+func (e *Entry) Suspect() bool { return e.guard != nil }
+
+// Place reserves a target for a suspect. It reports false when another suspect runs there.
+func (e *Entry) Place(target string) bool {
+	g := e.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, taken := g.suspectsOn[target]; taken {
+		return false
+	}
+	g.suspectsOn[target] = struct{}{}
+	e.target = target
+	return true
+}
+
+// Vacated returns a channel that is closed when a suspect next leaves a target.
+func (g *Guard) Vacated() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.vacated
+}
+
+// Leave ends the trial and frees its target.
+func (e *Entry) Leave() {
+	g := e.guard
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(e.mark.trial)
+	e.mark.trial = nil
+	e.guard = nil
+	if e.target == "" {
+		return
+	}
+	delete(g.suspectsOn, e.target)
+	close(g.vacated)
+	g.vacated = make(chan struct{})
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -116,7 +115,7 @@
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.why.Name, "error", r.cause)
 	h := &c.Response.Header
 	h.SetStatusCode(r.why.Status)
-	h.Set(header.Outcome, string(cmp.Or(r.claim, r.why.Outcome)))
+	h.Set(header.Outcome, string(r.outcome()))
 	h.Set(header.Reason, r.why.Name)
 	h.Set(header.Instance, g.instance)
 	h.SetContentType("text/plain; charset=utf-8")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,7 +34,10 @@
 
 	started := g.now()
 	policy.Started(index, started)
-	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+	limits := g.answerLimits()
+	if call.once {
+		limits.MaxIdle = onceMaxIdle
+	}
 	answer, err := target.Pool.Start(ctx, request, limits, prepare)
 	answered := g.now()
 	call.waited += answered - started
@@ -57,6 +60,10 @@
 	return r
 }
 
+func (g *Gateway) answerLimits() transport.Limits {
+	return transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+}
+
 func failedResult(err error) *result {
 	var failure *transport.ExchangeError
 	if errors.As(err, &failure) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/operator"
@@ -41,6 +42,10 @@
 	forwarded bool
 	timeout   time.Duration
 	attempts  int
+	// maybeRan is set when an attempt may have reached a target.
+	maybeRan bool
+	// fingerprint identifies the content for the crash guard once it was needed.
+	fingerprint *crashguard.Fingerprint
 	// waited is the time spent in exchanges with targets.
 	waited time.Duration
 	// end is how the last attempt ended.
--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/crashguard"
+	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
+)
+
+// crashCheckTimeout bounds the look whether a target that lost an answer refuses connections. A target opens a
+// connection in about 1 ms.
+const crashCheckTimeout = 250 * time.Millisecond
+
+// OnCrashMark sets the function that passes crash marks on to peers. It must not block and is set before Run.
+func (g *Gateway) OnCrashMark(spread func(key string, payload []byte)) { g.spreadMark = spread }
+
+func (g *Gateway) spreadCrash(f crashguard.Fingerprint, data []byte) {
+	if g.spreadMark != nil {
+		g.spreadMark(f.String(), data)
+	}
+}
+
+// ReceiveCrashMark merges a mark of a peer and reports whether it is news.
+func (g *Gateway) ReceiveCrashMark(key string, payload []byte) bool {
+	f, err := crashguard.ParseFingerprint(key)
+	if err != nil {
+		return false
+	}
+	news, err := g.guard.Receive(g.now(), f, payload)
+	return news && err == nil
+}
+
+// enterGuard admits a request that is not suspect, or waits for its turn as a suspect.
+func (g *Gateway) enterGuard(ctx context.Context, call *call) (crashguard.Entry, *reason.Reason) {
+	for g.guard.Watching() {
+		entry, wait, refused := g.guard.Enter(g.now(), call.identify())
+		if refused {
+			return entry, reason.CrashSuspect
+		}
+		if wait == nil {
+			return entry, nil
+		}
+		if refusal := await(ctx, wait); refusal != nil {
+			return entry, refusal
+		}
+	}
+	return crashguard.Entry{}, nil
+}
+
+func await(ctx context.Context, event <-chan struct{}) *reason.Reason {
+	select {
+	case <-event:
+		return nil
+	case <-ctx.Done():
+		if ctx.Err() == context.Canceled {
+			return reason.CallerLeftEarly
+		}
+		return reason.DeadlineTooShort
+	}
+}
+
+// identify returns the fingerprint of the request.
+func (call *call) identify() crashguard.Fingerprint {
+	if call.fingerprint == nil {
+		f := crashguard.FingerprintOf(call.serviceName, string(call.request.Header.Method()), call.uri, call.request.Body())
+		call.fingerprint = &f
+	}
+	return *call.fingerprint
+}
+
+// pick chooses a target. A suspect waits for one that no other suspect uses.
+func (g *Gateway) pick(ctx context.Context, call *call, entry *crashguard.Entry, tried []int) (int, *reason.Reason) {
+	for {
+		vacated := g.vacated(entry)
+		excluded := tried
+		for {
+			index, ok := call.service.Policy.Pick(balancer.Request{Now: g.now(), Random: randomNumber(), Excluded: excluded})
+			if !ok {
+				break
+			}
+			if !entry.Suspect() || entry.Place(call.service.Targets[index].Address) {
+				return index, nil
+			}
+			excluded = append(slices.Clone(excluded), index)
+		}
+		if len(excluded) == len(tried) {
+			return 0, reason.NoTarget
+		}
+		if refusal := await(ctx, vacated); refusal != nil {
+			return 0, refusal
+		}
+	}
+}
+
+func (g *Gateway) vacated(entry *crashguard.Entry) <-chan struct{} {
+	if !entry.Suspect() {
+		return nil
+	}
+	return g.guard.Vacated()
+}
+
+// judge tells the guard how an attempt ended.
+func (g *Gateway) judge(ctx context.Context, call *call, address string, r *result) {
+	switch {
+	case r.why == nil:
+		g.noteIncarnation(address, r.answer)
+		g.judgeAnswer(ctx, call, address, r)
+	case r.why == reason.ConnectionRefused && errors.Is(r.cause, syscall.ECONNREFUSED):
+		if g.guard.Watching() {
+			g.guard.Refused(g.now(), address)
+		}
+	case lostAnswer(r.why):
+		g.judgeLoss(ctx, call, address)
+	}
+}
+
+func lostAnswer(why *reason.Reason) bool {
+	return why == reason.AnswerLost || why == reason.AnswerTruncated
+}
+
+// judgeAnswer clears a request whose answer is complete, for a stream at its end.
+func (g *Gateway) judgeAnswer(ctx context.Context, call *call, address string, r *result) {
+	if r.answer.Whole() {
+		if g.guard.Watching() {
+			g.guard.Answered(g.now(), call.identify())
+		}
+		return
+	}
+	ended := r.ended
+	r.ended = func(err error) {
+		ended(err)
+		var failure *transport.ExchangeError
+		if errors.As(err, &failure) && lostAnswer(failure.Reason) {
+			g.judgeLoss(context.WithoutCancel(ctx), call, address)
+		}
+	}
+}
+
+// judgeLoss looks at once whether the target is gone, so that a retry already runs as a suspect.
+func (g *Gateway) judgeLoss(ctx context.Context, call *call, address string) {
+	incarnation, _ := g.incarnations.Load(address)
+	known, _ := incarnation.(string)
+	g.guard.Lost(g.now(), call.identify(), address, known)
+	dialer := net.Dialer{Timeout: crashCheckTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.guard.Refused(g.now(), address)
+	}
+}
+
+// noteIncarnation remembers which incarnation of a target answered.
+func (g *Gateway) noteIncarnation(address string, answer *transport.Answer) {
+	seen := answer.Response.Header.Peek(header.TargetIncarnation)
+	if len(seen) == 0 {
+		return
+	}
+	known, _ := g.incarnations.Load(address)
+	if text, ok := known.(string); !ok || text != string(seen) {
+		g.incarnations.Store(address, string(seen))
+	}
+	if g.guard.Watching() {
+		g.guard.Seen(g.now(), address, string(seen))
+	}
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -3,20 +3,35 @@
 import (
 	"context"
 
-	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/reason"
 )
 
 // execute sends the request to targets until one answers or no attempt is left.
 func (g *Gateway) execute(ctx context.Context, call *call) *result {
+	r := g.executeAttempts(ctx, call)
+	if call.maybeRan && r.outcome() == reason.NotRun {
+		r.claim = reason.Unknown
+	}
+	return r
+}
+
+func (g *Gateway) executeAttempts(ctx context.Context, call *call) *result {
 	var tried []int
 	for {
-		index, ok := call.service.Policy.Pick(balancer.Request{Now: g.now(), Random: randomNumber(), Excluded: tried})
-		if !ok {
-			return refused(reason.NoTarget)
+		entry, refusal := g.enterGuard(ctx, call)
+		if refusal != nil {
+			return refused(refusal)
+		}
+		index, refusal := g.pick(ctx, call, &entry, tried)
+		if refusal != nil {
+			entry.Leave()
+			return refused(refusal)
 		}
 		tried = append(tried, index)
 		outcome := g.attempt(ctx, call, index)
+		g.judge(ctx, call, call.service.Targets[index].Address, outcome)
+		entry.Leave()
+		call.maybeRan = call.maybeRan || outcome.outcome() != reason.NotRun
 		call.attempts--
 		call.noteEnd(outcome.why)
 		retry := retryReason(outcome.why, call)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -64,12 +64,6 @@
 	f.pools = map[string]*transport.Pool{}
 }
 
-func (f *forwardPools) close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.drop()
-}
-
 // forward asks the instance that issued the ticket, once. Whatever goes wrong, an earlier copy of the request may have
 // run, so that no failure claims not run.
 func (g *Gateway) forward(ctx context.Context, call *call, text string, owner ticket.Owner) *result {
@@ -84,9 +78,8 @@
 	prepare := func(request *protocol.Request, remaining time.Duration) {
 		request.Header.Set(header.TimeoutMS, strconv.FormatInt(remaining.Milliseconds(), 10))
 	}
-	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
 	started := g.now()
-	answer, err := g.forwards.pool(address).Start(ctx, request, limits, prepare)
+	answer, err := g.forwards.pool(address).Start(ctx, request, g.answerLimits(), prepare)
 	call.waited += g.now() - started
 	if err != nil {
 		return forwardFailure(ctx, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -13,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/ticket"
@@ -46,6 +48,10 @@
 	desk        *ticket.Desk
 	owners      Owners
 	forwards    forwardPools
+	guard       *crashguard.Guard
+	// incarnations holds the latest incarnation seen of each target, by address.
+	incarnations sync.Map
+	spreadMark   func(key string, payload []byte)
 }
 
 // New returns a gateway that listens on the caller address of the settings. It opens no port.
@@ -62,6 +68,7 @@
 		desk:     newDesk(s.Instance.ID),
 		owners:   noOwners{},
 	}
+	g.guard = crashguard.New(g.spreadCrash)
 	g.server = server.New(
 		server.WithListener(g.listener),
 		server.WithTransport(standard.NewTransporter),
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -12,6 +13,10 @@
 	"github.com/basillink/basillink/internal/transport"
 )
 
+// onceMaxIdle is how long ago the connection of a request that runs at most once last carried an answer. A
+// connection that went silent while it was idle would leave the outcome unknown; a new one costs about 1 ms.
+const onceMaxIdle = time.Second
+
 // runOnce runs a started operation and answers its caller. The operation goes on when the caller leaves, because its
 // outcome is what the caller's resend asks for.
 func (g *Gateway) runOnce(ctx context.Context, c *app.RequestContext, call *call, operation *ticket.Operation) error {
@@ -24,7 +29,7 @@
 		g.settleStream(operation, c, err)
 		return err
 	}
-	g.settle(operation, call, r)
+	g.settle(operation, r)
 	return g.answer(ctx, c, call, r)
 }
 
@@ -45,14 +50,14 @@
 }
 
 // settle records the outcome of an operation before its caller is told.
-func (g *Gateway) settle(operation *ticket.Operation, call *call, r *result) {
+func (g *Gateway) settle(operation *ticket.Operation, r *result) {
 	switch {
 	case r.why == nil && unproved(r.answer):
 		r.claim = reason.Unknown
 		operation.Unknown(g.now(), reason.TargetError)
 	case r.why == nil:
 		operation.Done(g.now(), keep(r.answer))
-	case r.why.Outcome == reason.NotRun:
+	case r.outcome() == reason.NotRun:
 		operation.NotRun(g.now())
 	default:
 		operation.Unknown(g.now(), r.why)
--- a/internal/gateway/result.go
+++ b/internal/gateway/result.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/ticket"
 	"github.com/basillink/basillink/internal/transport"
@@ -28,6 +30,14 @@
 
 func refused(why *reason.Reason) *result { return &result{why: why, cause: why} }
 
+// outcome is what the caller is told about the execution.
+func (r *result) outcome() reason.Outcome {
+	if r.claim == "" && r.why != nil {
+		return r.why.Outcome
+	}
+	return cmp.Or(r.claim, reason.Done)
+}
+
 // end reports the end of the exchange.
 func (r *result) end(err error) {
 	if r.ended != nil {
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -14,6 +14,8 @@
 	WholeBytes int
 	// MaxBytes is the longest accepted body.
 	MaxBytes int
+	// MaxIdle is how long the connection may have been unused, 0 for the pool's own limit.
+	MaxIdle time.Duration
 }
 
 // Start sends a request to the pool's address once and reads the answer. A body of at most limits.WholeBytes is read
@@ -24,7 +26,7 @@
 // Prepare, unless it is nil, is called when a connection is at hand, just before the write. It receives the remaining
 // time, which is 0 without a deadline.
 func (p *Pool) Start(ctx context.Context, request *protocol.Request, limits Limits, prepare Prepare) (*Answer, error) {
-	conn, err := p.acquire(ctx)
+	conn, err := p.acquire(ctx, limits.MaxIdle)
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -70,7 +70,10 @@
 }
 
 // acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order.
-func (p *Pool) acquire(ctx context.Context) (*Conn, error) {
+func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+	if maxIdle <= 0 {
+		maxIdle = idleLimit
+	}
 	for {
 		conn, err := p.obtain(ctx)
 		if err != nil {
@@ -79,7 +82,7 @@
 		if conn == nil {
 			return p.openNew(ctx)
 		}
-		if time.Since(conn.lastUsed) < idleLimit && !conn.readable() {
+		if time.Since(conn.lastUsed) < maxIdle && !conn.readable() {
 			return conn, nil
 		}
 		p.discard(conn)
