--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -26,8 +26,12 @@
 
 func (noOwners) CallerAddress(ticket.Owner) (string, bool) { return "", false }
 
-// SetOwners replaces how the owners of tickets are found. It must be called before Run.
-func (g *Gateway) SetOwners(owners Owners) { g.owners = owners }
+// Join sets the incarnation under which peers know this process, and how the owners of tickets are found. It must be
+// called before Run.
+func (g *Gateway) Join(incarnation uint64, owners Owners) {
+	g.desk = newDesk(g.instance, incarnation)
+	g.owners = owners
+}
 
 const (
 	// forwardConnections bounds the connections to one other instance.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,10 @@
 
 // Gateway serves callers.
 type Gateway struct {
+	// ObserveLeaving is called for each answer that says that its target is leaving, with the target's incarnation. It
+	// must not block. Nil disables it. It is set before Run.
+	ObserveLeaving func(target *control.Target, incarnation string)
+
 	instance    string
 	limits      settings.Limits
 	snapshot    func() *control.Snapshot
@@ -65,7 +69,7 @@
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
 		inFlight: newInFlight(),
-		desk:     newDesk(s.Instance.ID),
+		desk:     newDesk(s.Instance.ID, randomNumber()),
 		owners:   noOwners{},
 	}
 	g.guard = crashguard.New(g.spreadCrash)
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/binary"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,20 +15,14 @@
 // ticketPath issues a ticket on request.
 const ticketPath = "/.basillink/ticket"
 
-// newDesk returns a desk for a new incarnation of an instance.
-func newDesk(instance string) *ticket.Desk {
-	var random [8]byte
+// newDesk returns a desk with a new key.
+func newDesk(instance string, incarnation uint64) *ticket.Desk {
 	var key ticket.Key
 	// crypto/rand.Read never returns an error; it ends the process when the system has no randomness.
-	_, _ = rand.Read(random[:])
 	_, _ = rand.Read(key[:])
-	self := ticket.Owner{Instance: instance, Incarnation: binary.BigEndian.Uint64(random[:])}
-	return ticket.NewDesk(self, key, ticket.DefaultLimits())
+	return ticket.NewDesk(ticket.Owner{Instance: instance, Incarnation: incarnation}, key, ticket.DefaultLimits())
 }
 
-// Self returns the instance and incarnation that its tickets name.
-func (g *Gateway) Self() ticket.Owner { return g.desk.Self() }
-
 // AddClosing stores one part of another instance's closing record.
 func (g *Gateway) AddClosing(part []byte) error { return g.desk.Closings().Add(g.now(), part) }
 
--- a/internal/ticket/desk.go
+++ b/internal/ticket/desk.go
@@ -49,9 +49,6 @@
 	return &Desk{self: self, key: key, table: newTable(limits), closings: NewClosings(limits.Lifetime)}
 }
 
-// Self returns the owner of the tickets that this desk issues.
-func (d *Desk) Self() Owner { return d.self }
-
 // Closings returns the closing records of other instances.
 func (d *Desk) Closings() *Closings { return d.closings }
 
