--- a/internal/crashguard/fingerprint.go
+++ b/internal/crashguard/fingerprint.go
@@ -1,6 +1,7 @@
 // Package crashguard finds requests that crash the targets that run them, and
 // stops sending them. A request is suspect after one crash and is refused after
-// two crashes without a complete answer in between. Suspects run one at a time
+// two crashes without a complete answer in between that no other request
+// explains. Suspects run one at a time
 // and never two on one target, so that an innocent request that was in flight
 // beside the cause gets its complete answer and is cleared.
 //
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -15,6 +15,9 @@
 	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
 	// without a complete answer in between are not.
 	refuseAfter = 2
+	// maxCrashes bounds the crashes that are remembered for one mark. Instances that a mark has not reached yet add
+	// their own.
+	maxCrashes = 8
 )
 
 // crash identifies one crash: the end of one incarnation of a target. Several instances see the same crash, and
@@ -43,7 +46,7 @@
 type mark struct {
 	// generation counts the complete answers that cleared the mark. A higher generation overrides a lower one.
 	generation uint32
-	// crashes holds the distinct crashes since the last complete answer, at most refuseAfter.
+	// crashes holds the distinct crashes since the last complete answer, at most maxCrashes.
 	crashes []crash
 	// last is when the last crash or complete answer was known first.
 	last time.Duration
@@ -53,11 +56,16 @@
 
 func (m *mark) suspect() bool { return len(m.crashes) > 0 }
 
-func (m *mark) refused() bool { return len(m.crashes) >= refuseAfter }
+func (m *mark) enough() bool { return len(m.crashes) >= refuseAfter }
+
+// explains reports whether the request of m was in flight at every crash of other.
+func (m *mark) explains(other *mark) bool {
+	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !slices.ContainsFunc(m.crashes, c.same) })
+}
 
 // add adds a crash and reports whether it is news.
 func (m *mark) add(c crash) bool {
-	if len(m.crashes) >= refuseAfter || slices.ContainsFunc(m.crashes, c.same) {
+	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.same) {
 		return false
 	}
 	m.crashes = append(m.crashes, c)
@@ -65,7 +73,7 @@
 }
 
 // merge takes over what a peer knows and reports whether it is news. The order of merges does not matter, except
-// for which crashes beyond refuseAfter are named.
+// for which crashes beyond maxCrashes are named.
 func (m *mark) merge(remote *mark) bool {
 	if remote.generation < m.generation {
 		return false
@@ -102,7 +110,7 @@
 	}
 	data = data[n:]
 	age, n := binary.Uvarint(data)
-	if n <= 0 || len(data[n:])%8 != 0 || len(data[n:]) > 8*refuseAfter || age > uint64(markLifetime.Milliseconds()) {
+	if n <= 0 || len(data[n:])%8 != 0 || len(data[n:]) > 8*maxCrashes || age > uint64(markLifetime.Milliseconds()) {
 		return nil, &FormatError{Text: string(data)}
 	}
 	m := &mark{generation: uint32(generation), last: now - time.Duration(age)*time.Millisecond}
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -24,7 +24,7 @@
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
-	case m.refused():
+	case g.refuses(m):
 		return Entry{}, nil, true
 	case m.trial != nil:
 		return Entry{}, m.trial, false
@@ -33,6 +33,21 @@
 	return Entry{guard: g, mark: m}, nil, false
 }
 
+// refuses reports whether a request is refused. A request is tried once more if another one was in flight at each of
+// its crashes: instances that do not know of each other's suspects may run an innocent request beside the cause twice.
+// A further crash beside no such request refuses it.
+func (g *Guard) refuses(m *mark) bool {
+	if !m.enough() {
+		return false
+	}
+	for _, other := range g.marks {
+		if other != m && other.enough() && other.explains(m) {
+			return false
+		}
+	}
+	return true
+}
+
 // Suspect reports whether the request is tried as a suspect.
 func (e *Entry) Suspect() bool { return e.guard != nil }
 
