--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,10 @@
 
 	started := g.now()
 	policy.Started(index, started)
-	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+	limits := g.answerLimits()
+	if call.once {
+		limits.MaxIdle = onceMaxIdle
+	}
 	answer, err := target.Pool.Start(ctx, request, limits, prepare)
 	answered := g.now()
 	call.waited += answered - started
@@ -59,6 +62,10 @@
 	return r
 }
 
+func (g *Gateway) answerLimits() transport.Limits {
+	return transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+}
+
 // observe hands on what an answer says about its target's departure.
 func (g *Gateway) observe(target *control.Target, response *protocol.Response) {
 	if g.ObserveLeaving != nil && string(response.Header.Peek(header.TargetDraining)) == "1" {
