--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 		server.WithDisablePrintRoute(true),
 	)
 	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
+	g.inFlight.limited = s.Drain.LimitMS > 0
 	return g
 }
 
