--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -35,6 +35,12 @@
 	Through platform.Offset `json:"through"`
 	// Services maps each service in force to its revision.
 	Services map[string]platform.Offset `json:"services"`
+	// Configuration is the state of the configuration: none, in_force, stale or cut_off.
+	Configuration string `json:"configuration"`
+	// Departed lists the targets that receive no requests because they left.
+	Departed []string `json:"departed"`
+	// Members counts the instances that this one knows, itself included, by state.
+	Members map[string]int `json:"members"`
 }
 
 // Source is what the admin listener shows. Its functions are safe for concurrent use.
@@ -44,8 +50,11 @@
 	State    func() string
 	InFlight func() int64
 	Snapshot func() *control.Snapshot
-	Ready    func() bool
-	Metrics  http.Handler
+	Members  func() map[string]int
+	// Configuration returns the state of the configuration.
+	Configuration func() string
+	Ready         func() bool
+	Metrics       http.Handler
 }
 
 // Server is the admin listener.
@@ -104,7 +113,12 @@
 		InFlight: s.source.InFlight(),
 		Services: map[string]platform.Offset{},
 	}
+	if s.source.Members != nil {
+		status.Members = s.source.Members()
+		status.Configuration = s.source.Configuration()
+	}
 	if snapshot := s.source.Snapshot(); snapshot != nil {
+		status.Departed = snapshot.Departed
 		status.Revision = snapshot.Revision
 		status.Through = snapshot.Through
 		for name, service := range snapshot.Services {
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -25,10 +25,10 @@
 // DroppedEvents returns how many events were dropped because the queue was full.
 func (l *Loop) DroppedEvents() uint64 { return l.dropped.Load() }
 
-// ObserveAnswer reports a target that says on an answer that it is leaving. It is called for every answer, from
-// any goroutine, and hands on one event for each target and snapshot.
-func (l *Loop) ObserveAnswer(t *Target, incarnation, draining string) {
-	if draining != "1" || t.reported.Load() {
+// ObserveLeaving reports a target that says on an answer that it is leaving. It may be called from any goroutine for
+// every such answer, and hands on one event for each target and snapshot.
+func (l *Loop) ObserveLeaving(t *Target, incarnation string) {
+	if t.reported.Load() {
 		return
 	}
 	if l.Observe(TargetEvent{Address: t.Address, Incarnation: incarnation, Draining: true}) {
@@ -47,7 +47,7 @@
 	if l.spread != nil {
 		l.spread(l.departureRumor(e.Address))
 	}
-	l.publish()
+	l.republish()
 }
 
 func (l *Loop) departureRumor(address string) peer.Rumor {
@@ -78,18 +78,26 @@
 		l.log.Warn("Ignored a malformed rumor about a target.", "target", r.Key)
 		return false
 	}
-	remote.Departed = lastIncarnations(remote.Departed)
+	remote.Departed = unite(remote.Departed, nil, remote.Current)
 	if !l.departures.merge(l.now(), r.Key, &remote) {
 		return false
 	}
 	l.log.Info("A peer knows of a change of a target.", "target", r.Key, "leaving", l.departures.contains(r.Key))
-	l.publish()
+	l.republish()
 	return true
 }
 
 // expireDepartures forgets old departures, so that a target without incarnations receives requests again.
 func (l *Loop) expireDepartures() {
 	if l.departures.expire(l.now()) {
+		l.republish()
+	}
+}
+
+// republish builds a snapshot after a change of departures. Without a configuration there is none to build, and an
+// empty one would make the instance ready.
+func (l *Loop) republish() {
+	if l.snapshot.Load() != nil {
 		l.publish()
 	}
 }
--- a/internal/ticket/table_test.go
+++ b/internal/ticket/table_test.go
@@ -35,7 +35,7 @@
 func TestAuthenticity(t *testing.T) {
 	d := smallDesk(DefaultLimits())
 	text := d.Issue(0)
-	other := NewDesk(d.Self(), Key{4}, DefaultLimits())
+	other := NewDesk(d.self, Key{4}, DefaultLimits())
 	expectReason(t, other.Decide(0, text, Digest{1}, false), reason.TicketInvalid)
 	expectReason(t, d.Decide(0, text[:len(text)-4]+"AAAA", Digest{1}, false), reason.TicketInvalid)
 	expectReason(t, d.Decide(0, "x", Digest{1}, false), reason.TicketInvalid)
