--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -67,6 +67,7 @@
 		InFlight: func() int64 { return 3 },
 		Revision: func() int64 { return revision },
 		Ready:    func() bool { return ready },
+		Dropped:  func() int64 { return 5 },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +77,7 @@
 	m.Added(650 * time.Microsecond)
 	text := scrape(t, m)
 	for _, line := range []string{
-		"basillink_revision 8", "basillink_ready 1", "basillink_requests_in_flight 3",
+		"basillink_revision 8", "basillink_ready 1", "basillink_requests_in_flight 3", "basillink_dropped_events 5",
 		`basillink_added_time_seconds_bucket{le="0.0006"} 0`, `basillink_added_time_seconds_bucket{le="0.0007"} 1`,
 	} {
 		if !strings.Contains(text, line+"\n") {
