Record tickets in the golden session

Cause: the gateway now needs tickets for classes that may not be repeated. Change: the session records a refusal with a ticket, the run, a resend with the same ticket (recorded answer, one run), another request with the same ticket, a forged ticket and the ticket on request; and that a lookup whose answer two targets cut is answered unknown. Open: that lookup carries the reason no_target, which names the last step and not the lost answers, and the answer of /.basillink/ticket carries no outcome.

--- a/internal/e2e/session_test.go
+++ b/internal/e2e/session_test.go
@@ -36,7 +36,8 @@
 	stop     context.CancelFunc
 	exited   chan error
 	pending  map[string]<-chan *seen
-	ticket   string
+	ticket   string // from the last answer that carried one
+	used     string // sent with the last request that carried one
 	sequence int
 }
 
@@ -184,9 +185,12 @@
 	request.Header.Set(standin.TokenHeader, fmt.Sprintf("t%d", s.sequence))
 	for _, line := range strings.Split(headers, "\n") {
 		if name, value, ok := strings.Cut(line, ": "); ok {
-			request.Header.Set(name, strings.ReplaceAll(value, "$ticket", s.ticket))
+			request.Header.Set(name, strings.NewReplacer("$ticket", s.ticket, "$used", s.used).Replace(value))
 		}
 	}
+	if ticket := request.Header.Get(header.Ticket); ticket != "" {
+		s.used = ticket
+	}
 	// A connection for each request, because net/http repeats requests on connections that break.
 	caller := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := caller.Do(request)
@@ -239,7 +243,11 @@
 		s.ticket = ticket
 		fmt.Fprintf(&b, "%s: <ticket>\n", header.NextTicket)
 	}
-	fmt.Fprintf(&b, "%s\n", strings.TrimRight(answer.body, "\n"))
+	body := answer.body
+	if s.ticket != "" {
+		body = strings.ReplaceAll(body, s.ticket, "<ticket>")
+	}
+	fmt.Fprintf(&b, "%s\n", strings.TrimRight(body, "\n"))
 	if answer.err != nil {
 		fmt.Fprintf(&b, "broken transfer\n")
 	}
