--- a/internal/devmode/guide.go
+++ b/internal/devmode/guide.go
@@ -18,7 +18,9 @@
   curl -i 'http://%[1]s/flightdesk/slots?day=saturday'
   curl -i 'http://%[1]s/banco-app/stock?size=3'
   curl -i 'http://%[1]s/volontari-report/summaries/today'
-  curl -i -X POST -d 'channel=72' 'http://%[1]s/flightdesk/reservations'
+  curl -i -X POST -d 'channel=72' 'http://%[1]s/flightdesk/reservations'   (428: needs a ticket)
+  curl -i -X POST -d 'channel=72' -H "Basillink-Ticket: $(curl -s 'http://%[1]s/.basillink/ticket')" \
+    'http://%[1]s/flightdesk/reservations'
   go run ./cmd/basillink explain -admin %[2]s '/flightdesk/slots?day=saturday'
   go run ./cmd/basillink status -platform %[3]s
   go run ./cmd/basillink load -url 'http://%[1]s/flightdesk/slots' -rate 200 -duration 5s
