--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -206,7 +206,7 @@
 
 // Guards against a panic of the HTTP server, or a silent start, when an address is in use.
 func TestAddressInUse(t *testing.T) {
-	for i, key := range []string{"listen.caller", "listen.admin"} {
+	for i, key := range []string{"listen.caller", "listen.admin", "listen.peer"} {
 		t.Run(key, func(t *testing.T) {
 			addresses := freeAddresses(t, 4)
 			listener, err := net.Listen("tcp", addresses[1+i])
