--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"os/exec"
 	"strconv"
 	"strings"
@@ -296,14 +295,3 @@
 		})
 	}
 }
-
-func replaceInFile(t testing.TB, file, old, replacement string) {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	if err == nil {
-		err = os.WriteFile(file, []byte(strings.Replace(string(data), old, replacement, 1)), 0o600)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
--- a/internal/e2e/settings_test.go
+++ b/internal/e2e/settings_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-func replaceInFile(t *testing.T, file, old, replacement string) {
+func replaceInFile(t testing.TB, file, old, replacement string) {
 	t.Helper()
 	data, err := os.ReadFile(file)
 	if err == nil {
