--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -94,7 +94,7 @@
 
 func (g *Guard) count(now time.Duration, f Fingerprint, c crash) {
 	m := g.mark(now, f)
-	if m.add(c) {
+	if m.add(now, c) {
 		m.last = now
 		g.spread(f, m.encode(now))
 	}
@@ -139,7 +139,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	news := g.mark(now, f).merge(remote)
+	news := g.mark(now, f).merge(now, remote)
 	g.watch()
 	return news, nil
 }
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -34,6 +34,9 @@
 // run executes one line: a time, or an instance, a verb and its arguments.
 func (s *session) run(line string) string {
 	word := strings.Fields(line)
+	if line == "" {
+		return ""
+	}
 	if after, ok := strings.CutPrefix(line, "after "); ok {
 		d, _ := time.ParseDuration(after)
 		s.now += d
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -15,6 +15,10 @@
 	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
 	// without a complete answer in between are not.
 	refuseAfter = 2
+	// holdTime is how long requests wait before a new mark with enough crashes refuses them: the mark of the
+	// cause, which explains the crashes of an innocent request, may still be on its way from another instance. It
+	// exceeds the spread of a rumor over 20 instances of 1.4 s.
+	holdTime = 2 * time.Second
 	// maxCrashes bounds the crashes that are remembered for one mark. Instances that a mark has not reached yet add
 	// their own.
 	maxCrashes = 8
@@ -50,6 +54,8 @@
 	crashes []crash
 	// last is when the last crash or complete answer was known first.
 	last time.Duration
+	// enoughSince is when the mark had refuseAfter crashes first.
+	enoughSince time.Duration
 	// trial is open while a suspect request of this fingerprint runs.
 	trial chan struct{}
 }
@@ -64,17 +70,20 @@
 }
 
 // add adds a crash and reports whether it is news.
-func (m *mark) add(c crash) bool {
+func (m *mark) add(now time.Duration, c crash) bool {
 	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.same) {
 		return false
 	}
 	m.crashes = append(m.crashes, c)
+	if len(m.crashes) == refuseAfter {
+		m.enoughSince = now
+	}
 	return true
 }
 
 // merge takes over what a peer knows and reports whether it is news. The order of merges does not matter, except
 // for which crashes beyond maxCrashes are named.
-func (m *mark) merge(remote *mark) bool {
+func (m *mark) merge(now time.Duration, remote *mark) bool {
 	if remote.generation < m.generation {
 		return false
 	}
@@ -84,7 +93,7 @@
 		m.crashes = nil
 	}
 	for _, c := range remote.crashes {
-		news = m.add(c) || news
+		news = m.add(now, c) || news
 	}
 	if news {
 		m.last = max(m.last, remote.last)
@@ -115,7 +124,7 @@
 	}
 	m := &mark{generation: uint32(generation), last: now - time.Duration(age)*time.Millisecond}
 	for data = data[n:]; len(data) > 0; data = data[8:] {
-		m.add(crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:])})
+		m.add(now, crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:])})
 	}
 	return m, nil
 }
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// PollInterval is how long a waiting request waits at most before it enters again.
+const PollInterval = 50 * time.Millisecond
+
 // Entry is the admission of one request. The zero value belongs to a request that is not suspect. It is used by one
 // goroutine, which calls Leave once.
 type Entry struct {
@@ -11,7 +14,7 @@
 }
 
 // Enter admits a request. When it is refused, refused is true. When wait is not nil, another request with the same
-// fingerprint is being tried; the caller waits for it and enters again.
+// fingerprint is being tried or the verdict is held; the caller waits for it, at most PollInterval, and enters again.
 func (g *Guard) Enter(now time.Duration, f Fingerprint) (entry Entry, wait <-chan struct{}, refused bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -24,19 +27,26 @@
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
-	case g.refuses(m):
+	case !g.unexplained(m):
+	case now-m.enoughSince < holdTime:
+		return Entry{}, neverClosed, false
+	default:
 		return Entry{}, nil, true
-	case m.trial != nil:
+	}
+	if m.trial != nil {
 		return Entry{}, m.trial, false
 	}
 	m.trial = make(chan struct{})
 	return Entry{guard: g, mark: m}, nil, false
 }
 
-// refuses reports whether a request is refused. A request is tried once more if another one was in flight at each of
-// its crashes: instances that do not know of each other's suspects may run an innocent request beside the cause twice.
-// A further crash beside no such request refuses it.
-func (g *Guard) refuses(m *mark) bool {
+// neverClosed makes held requests wait for their poll.
+var neverClosed = make(chan struct{})
+
+// unexplained reports whether a request has enough crashes to be refused. A request is tried once more if another one
+// was in flight at each of its crashes: instances that do not know of each other's suspects may run an innocent request
+// beside the cause twice. A further crash beside no such request refuses it.
+func (g *Guard) unexplained(m *mark) bool {
 	if !m.enough() {
 		return false
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -48,13 +48,22 @@
 		if wait == nil {
 			return entry, nil
 		}
-		if refusal := await(ctx, wait); refusal != nil {
+		if refusal := awaitBriefly(ctx, wait); refusal != nil {
 			return entry, refusal
 		}
 	}
 	return crashguard.Entry{}, nil
 }
 
+func awaitBriefly(ctx context.Context, event <-chan struct{}) *reason.Reason {
+	brief, cancel := context.WithTimeout(ctx, crashguard.PollInterval)
+	defer cancel()
+	if refusal := await(brief, event); ctx.Err() != nil {
+		return refusal
+	}
+	return nil
+}
+
 func await(ctx context.Context, event <-chan struct{}) *reason.Reason {
 	select {
 	case <-event:
