Pull members until nothing is new, and measure the fold at two-year size

Change: a joining instance pulls the members again, within the byte bound of pulls, until a pull brings nothing new. Benchmark of fold, delta, merge and checkpoint with 4,600 targets.

--- /dev/null
+++ b/internal/intent/bench_test.go
@@ -0,0 +1,86 @@
+package intent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/operator"
+)
+
+// twoYearState returns 130 services with 4,600 targets.
+func twoYearState(b *testing.B) *State {
+	b.Helper()
+	s := NewState()
+	for i := range 130 {
+		payload, err := (&Record{Kind: KindChange, Change: twoYearChange(b, i, 0)}).Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if d := s.Apply(platform.Record{Offset: platform.Offset(i + 1), Payload: payload}); d.Verdict != Accepted {
+			b.Fatal(d.Err)
+		}
+	}
+	return s
+}
+
+func twoYearChange(b *testing.B, i int, base platform.Offset) *Change {
+	b.Helper()
+	name := fmt.Sprintf("service-%03d", i)
+	s := operator.Service{Name: name, Region: "tz-north", Zones: []string{"tz-north-a"}, Classes: []operator.Class{{Name: "lookup"}}}
+	for j := range 4600 / 130 {
+		s.Targets = append(s.Targets, operator.Target{Address: fmt.Sprintf("10.%d.0.%d:8080", i, j+1), Zone: "tz-north-a"})
+	}
+	s.Provision()
+	spec, err := EncodeService(s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return &Change{ID: name, Author: "anna", Service: name, Base: base, Spec: spec}
+}
+
+// BenchmarkTwoYear measures what control spends on one change at the two-year size, and the size of a checkpoint.
+func BenchmarkTwoYear(b *testing.B) {
+	s := twoYearState(b)
+	payload, err := (&Record{Kind: KindChange, Change: twoYearChange(b, 0, 1)}).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	record := platform.Record{Offset: 131, Payload: payload}
+	b.Run("fold one change", func(b *testing.B) {
+		for b.Loop() {
+			if d := s.Clone().Apply(record); d.Err != nil {
+				b.Fatal(d.Err)
+			}
+		}
+	})
+	b.Run("serve a delta", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := s.Delta(129).Encode(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	newer := s.Clone()
+	newer.Apply(record)
+	delta := newer.Delta(130)
+	b.Run("merge a delta", func(b *testing.B) {
+		for b.Loop() {
+			if moved, err := s.Clone().Merge(delta); !moved {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("encode a checkpoint", func(b *testing.B) {
+		size := 0
+		for b.Loop() {
+			data, err := (&Record{Kind: KindCheckpoint, Checkpoint: NewCheckpoint(s, time.Time{})}).Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+		}
+		b.ReportMetric(float64(size), "bytes")
+	})
+}
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -69,9 +69,11 @@
 		}
 	}
 	_ = n.config.Owner.Do(ctx, func() {
+		before := len(n.gossip.members)
 		n.gossip.Merge(n.now(), rumors)
 		n.publishMembers()
-		n.joined = n.joined || kind == KindMember && err == nil
+		// Instances that start together know few others at first, so that a joining one pulls until nothing is new.
+		n.joined = n.joined || kind == KindMember && err == nil && len(n.gossip.members) == before
 		n.nextPull[kind] = n.now() + max(pullPause, time.Duration(bytes)*time.Second/pullBytesPerSecond)
 	})
 }
