--- a/internal/client/commands.go
+++ b/internal/client/commands.go
@@ -33,5 +33,6 @@
 		diffCommand(out),
 		drainCommand(out),
 		loadCommand(out),
+		explainCommand(out),
 	}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -74,6 +74,7 @@
 func (d *Daemon) leavePeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
+	d.handOver(ctx)
 	if err := d.node.Leave(ctx); err != nil {
 		d.log.Warn("Cannot tell peers of the stop.", "error", err)
 	}
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-func publish(t *testing.T, log platform.Log, service operator.Service) {
+func publish(t testing.TB, log platform.Log, service operator.Service) {
 	t.Helper()
 	service.Provision()
 	var state, err = client.ReadState(context.Background(), log)
