Find all exchanges on a silent path, and verify idle connections for bookings

Cause: the first finding used up the only idle connection that could be compared with, so that further silent exchanges waited for their deadline; a connection opened after the path broke could vouch for one opened before; and a request that may not be repeated could start on a connection that went silent while idle, which ends as unknown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,8 @@
 	started := g.now()
 	policy.Started(index, started)
 	limits := transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
+	// A request that may not be repeated does not risk a connection that went silent while idle.
+	limits.Verified = !call.class.Repeatable
 	answer, err := target.Pool.Start(ctx, request, limits, prepare)
 	answered := g.now()
 	call.waited += answered - started
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,11 +43,9 @@
 	probed atomic.Bool
 
 	mu sync.Mutex
-	// exchange counts exchanges, so that a late finding about an earlier one is ignored.
-	exchange uint64
-	// began is when the current exchange began.
-	began time.Time
-	busy  bool
+	// exchange describes the current exchange. Its number keeps a late finding about an earlier one from taking effect.
+	exchange pending
+	busy     bool
 	// silent is set when the watch closed the connection.
 	silent bool
 	watch  *time.Timer
@@ -79,8 +77,7 @@
 	c.failed = nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange++
-	c.began = time.Now()
+	c.exchange = pending{number: c.exchange.number + 1, opened: c.opened, proof: c.lastUsed, began: time.Now()}
 	c.busy = true
 }
 
@@ -96,17 +93,17 @@
 }
 
 // current returns the exchange in progress.
-func (c *Conn) current() (exchange uint64, began time.Time, busy bool) {
+func (c *Conn) current() (e pending, busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.exchange, c.began, c.busy
+	return c.exchange, c.busy
 }
 
 // rearm sets the watch again unless the exchange has ended.
 func (c *Conn) rearm(exchange uint64, after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy && c.exchange == exchange {
+	if c.busy && c.exchange.number == exchange {
 		c.watch.Reset(after)
 	}
 }
@@ -115,7 +112,7 @@
 func (c *Conn) interruptSilent(exchange uint64, atLeast time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy && c.exchange == exchange && c.silence() >= atLeast {
+	if c.busy && c.exchange.number == exchange && c.silence() >= atLeast {
 		c.silent = true
 		_ = c.raw.Close()
 	}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -8,12 +8,15 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 )
 
-// Limits bounds the answer of one exchange.
+// Limits bounds one exchange and its answer.
 type Limits struct {
 	// WholeBytes is the longest body that is read whole. A longer one is streamed.
 	WholeBytes int
 	// MaxBytes is the longest accepted body.
 	MaxBytes int
+	// Verified asks for a connection that is known to be alive. It costs a round trip if the connection was idle for
+	// DefaultSilenceAfter.
+	Verified bool
 }
 
 // Start sends a request to the pool's address once and reads the answer. A body of at most limits.WholeBytes is read
@@ -24,7 +27,7 @@
 // Prepare, unless it is nil, is called when a connection is at hand, just before the write. It receives the remaining
 // time, which is 0 without a deadline.
 func (p *Pool) Start(ctx context.Context, request *protocol.Request, limits Limits, prepare Prepare) (*Answer, error) {
-	conn, err := p.acquire(ctx)
+	conn, err := p.acquire(ctx, limits.Verified)
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
--- a/internal/transport/ping.go
+++ b/internal/transport/ping.go
@@ -35,7 +35,7 @@
 	result := p.ping(conn)
 	if result == signAlive {
 		p.mu.Lock()
-		p.lastAlive = time.Now()
+		p.path.noteAlive(conn.opened, time.Now())
 		p.mu.Unlock()
 	}
 	return result
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -44,8 +44,7 @@
 	reap *time.Timer
 	// opening is true while a spare connection is being opened.
 	opening bool
-	// lastAlive is when an old connection last answered a check.
-	lastAlive time.Time
+	path    pathState
 }
 
 // NewPool returns a pool that opens at most limit connections. Its exchanges may be quiet for long.
@@ -69,8 +68,9 @@
 	err  error
 }
 
-// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order.
-func (p *Pool) acquire(ctx context.Context) (*Conn, error) {
+// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A verified
+// connection is new, was used lately, or has answered a check.
+func (p *Pool) acquire(ctx context.Context, verified bool) (*Conn, error) {
 	for {
 		conn, err := p.obtain(ctx)
 		if err != nil {
@@ -79,10 +79,24 @@
 		if conn == nil {
 			return p.openNew(ctx)
 		}
-		if time.Since(conn.lastUsed) < idleLimit && !conn.readable() {
+		age := time.Since(conn.lastUsed)
+		switch {
+		case age >= idleLimit || conn.readable():
+			p.discard(conn)
+		case verified && age >= DefaultSilenceAfter:
+			p.verifyBeforeUse(conn)
+		default:
 			return conn, nil
 		}
-		p.discard(conn)
+	}
+}
+
+// verifyBeforeUse checks a connection and returns it to the pool if it is alive. When it is silent, the other idle
+// connections are checked as well instead of one by one.
+func (p *Pool) verifyBeforeUse(conn *Conn) {
+	opened := conn.opened
+	if p.verify(conn) == signSilent {
+		p.distrust(opened)
 	}
 }
 
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -1,6 +1,9 @@
 package transport
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// DefaultSilenceAfter is how long a connection may carry no byte before it is checked.
@@ -26,74 +29,80 @@
 
 // inspect checks a connection whose exchange takes long. It runs on the timer's goroutine.
 func (p *Pool) inspect(conn *Conn) {
-	exchange, began, busy := conn.current()
+	e, busy := conn.current()
 	if !busy {
 		return
 	}
 	silence := conn.silence()
 	if silence < p.silenceAfter {
-		conn.rearm(exchange, p.silenceAfter-silence)
+		conn.rearm(e.number, p.silenceAfter-silence)
 		return
 	}
-	if p.isSilent(conn, began) {
-		conn.interruptSilent(exchange, p.silenceAfter)
-		p.suspectIdle(time.Now().Add(-silence))
+	if p.isSilent(conn, e) {
+		conn.interruptSilent(e.number, p.silenceAfter)
+		p.distrust(e.opened)
 		return
 	}
-	conn.rearm(exchange, p.silenceAfter)
+	conn.rearm(e.number, p.silenceAfter)
 }
 
 // isSilent decides whether a quiet connection is dead rather than its request slow. Either the kernel reports that the
-// peer stopped acknowledging, or an idle connection as old as the exchange does not answer a check; and the target
-// answers on a fresh connection. A connection that alone goes silent behind a relay which acknowledges for the target
-// cannot be told from a slow request; the deadline of the request ends it.
-func (p *Pool) isSilent(conn *Conn, began time.Time) bool {
-	if p.pathAlive(began) {
-		return false
+// peer stopped acknowledging, or other connections of the same age do not answer a check; and the target answers on a
+// fresh connection. A connection that alone goes silent behind a relay which acknowledges for the target cannot be
+// told from a slow request; the deadline of the request ends it.
+func (p *Pool) isSilent(conn *Conn, e pending) bool {
+	if conn.peerSilent(p.silenceAfter) {
+		return p.freshAnswers()
 	}
-	evidence := conn.peerSilent(p.silenceAfter)
-	if !evidence {
-		conn.askKernel()
-		evidence = p.witnessSilent(began)
+	conn.askKernel()
+	p.mu.Lock()
+	alive := p.path.alive(e, time.Now(), p.silenceAfter)
+	broken := p.path.broken(e)
+	p.mu.Unlock()
+	if alive {
+		return false
 	}
-	return evidence && p.freshAnswers()
+	return (broken || p.witnessSilent(e)) && p.freshAnswers()
 }
 
 // witnessSilent reports whether an idle connection that is as old as the exchange does not answer.
-func (p *Pool) witnessSilent(began time.Time) bool {
-	witness := p.takeWitness(began)
-	return witness != nil && p.verify(witness) == signSilent
+func (p *Pool) witnessSilent(e pending) bool {
+	witness := p.takeWitness(e)
+	if witness == nil || p.verify(witness) != signSilent {
+		return false
+	}
+	p.distrust(witness.opened)
+	return true
 }
 
-// takeWitness takes an idle connection that existed soon after the exchange began and has not answered since.
-func (p *Pool) takeWitness(began time.Time) *Conn {
+// takeWitness takes the oldest idle connection that can witness for the exchange.
+func (p *Pool) takeWitness(e pending) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	oldest := -1
 	for i, idle := range p.idle {
-		if idle.opened.Before(began.Add(p.silenceAfter/2)) && idle.lastUsed.Before(began.Add(p.silenceAfter/2)) {
-			p.idle = append(p.idle[:i:i], p.idle[i+1:]...)
-			return idle
+		if mayWitness(idle.opened, idle.lastUsed, e) && (oldest < 0 || idle.opened.Before(p.idle[oldest].opened)) {
+			oldest = i
 		}
 	}
-	return nil
-}
-
-// pathAlive reports whether a check showed after the exchange began, and at most SilenceAfter ago, that connections
-// of its age answer. Exchanges that are slow at the same time share one check.
-func (p *Pool) pathAlive(began time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lastAlive.After(began) && time.Since(p.lastAlive) < p.silenceAfter
+	if oldest < 0 {
+		return nil
+	}
+	witness := p.idle[oldest]
+	p.idle = slices.Delete(p.idle, oldest, oldest+1)
+	return witness
 }
 
-// suspectIdle verifies the idle connections that have not answered since the path broke. They carry no request until
-// they have answered. The checks run at the same time and open no connection.
-func (p *Pool) suspectIdle(since time.Time) {
+// distrust records that a connection was found silent, and verifies the idle connections that have not been used for a
+// while. They carry no request until they have answered. The checks run at the same time and open no connection.
+func (p *Pool) distrust(opened time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.path.noteBroken(opened, now)
 	kept := p.idle[:0]
 	for _, conn := range p.idle {
-		if conn.lastUsed.After(since) && conn.opened.After(since) {
+		if now.Sub(conn.lastUsed) < checkTimeout {
 			kept = append(kept, conn)
 			continue
 		}
--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -87,6 +88,50 @@
 	}
 }
 
+// Guards against silent exchanges that are found one by one: several wait at once, and there is one idle connection to
+// compare with.
+func TestAllSilentExchangesAreFound(t *testing.T) {
+	target := newWireTarget(t, slowPath(100*time.Millisecond))
+	pool, path := silentPool(t, target, 16)
+	var sent sync.WaitGroup
+	for range 5 {
+		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.address(), "/slow", "")) })
+	}
+	sent.Wait()
+	eventually(t, "all connections at the relay", func() bool { return path.opened() == pool.openCount() })
+	path.freeze()
+	for range pool.idleCount() - 1 {
+		sent.Go(func() {
+			_, err := send(pool, newRequest("GET", path.address(), "/", ""))
+			var failure *ExchangeError
+			if err != nil && (!errors.As(err, &failure) || failure.Reason != reason.ConnectionSilent) {
+				t.Errorf("got %v, want connection_silent", err)
+			}
+		})
+	}
+	sent.Wait()
+}
+
+// Guards against a request that may not be repeated on a connection that went silent while it was idle.
+func TestVerifiedConnection(t *testing.T) {
+	target := newWireTarget(t, always(okAnswer))
+	pool, path := silentPool(t, target, 8)
+	path.freeze()
+	time.Sleep(DefaultSilenceAfter)
+	limits := testLimits
+	limits.Verified = true
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, err := pool.Start(ctx, newRequest("POST", path.address(), "/", "x"), limits, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Close()
+	if got := target.requests.Load(); got != 2 {
+		t.Errorf("the target read %d requests, want 2", got)
+	}
+}
+
 // Guards against cutting a request merely because it is slow. The time is longer than two checks.
 func TestSlowRequestIsNotCut(t *testing.T) {
 	target := newWireTarget(t, slowPath(5*DefaultSilenceAfter/2))
