Select targets by scored draws and compare policies in a model

Cause: the daemon knew only two choices, and no figure showed what another policy would gain. Change: policies share one engine that draws a few candidates and takes the lowest score; random, round_robin, two_choices, probing, latency_weighted, reported and combined are registered by name and validated in the settings. Policy gains NextProbe, because only the policy knows which target it knows least about. targetmodel runs the real policies against slots, queues and slow episodes; the settings fix utilisation against the capacity at full speed, so 75 % leaves 82 % of the capacity that slow episodes leave.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -19,6 +19,10 @@
 type Config struct {
 	Service string
 	Targets []Target
+	// Instance is a hash of this instance's identity. It selects the subset of targets of this instance.
+	Instance uint64
+	// SubsetSize bounds the targets that this instance uses. 0 means all.
+	SubsetSize int
 	// ProbesPerRequest is the agreed measuring rate. 0 means no probes.
 	ProbesPerRequest float64
 }
@@ -75,6 +79,9 @@
 	Started(target int, now time.Duration)
 	// Finished records the end of an exchange. Each Started is followed by one Finished.
 	Finished(target int, result Result)
+	// NextProbe returns the index of the target whose load should be probed next, or false when the policy
+	// has no use for probes.
+	NextProbe(now time.Duration, random uint64) (int, bool)
 	// Probed records the answer to a load probe.
 	Probed(target int, probe Probe)
 }
--- /dev/null
+++ b/internal/balancer/engine.go
@@ -0,0 +1,198 @@
+package balancer
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// kind is what distinguishes the policies that share the engine.
+type kind struct {
+	name string
+	// draws is the number of candidates that a choice compares.
+	draws int
+	// probes and answers say which load reports the policy uses.
+	probes, answers bool
+	// score returns the cost of sending a request to a target. The lowest wins.
+	score func(p *engine, c *cell, now time.Duration) float64
+	// rotate takes targets in turn instead of at random.
+	rotate bool
+}
+
+// Name implements Builder.
+func (k *kind) Name() string { return k.name }
+
+// Build implements Builder.
+func (k *kind) Build(config Config, previous Policy) Policy {
+	p := &engine{
+		kind:     k,
+		index:    make(map[string]int, len(config.Targets)),
+		cells:    make([]*cell, len(config.Targets)),
+		sameZone: make([]bool, len(config.Targets)),
+		slots:    1,
+	}
+	old, _ := previous.(*engine)
+	p.adopt(config, old)
+	p.members = subset(config)
+	for _, i := range p.members {
+		if config.Targets[i].SameZone {
+			p.local = append(p.local, i)
+		}
+	}
+	return p
+}
+
+// engine is a policy that draws a few candidates and takes the one with the lowest score.
+type engine struct {
+	kind     *kind
+	index    map[string]int
+	cells    []*cell
+	sameZone []bool
+	slots    float64
+	// members are the targets that this instance uses, and local those of them in its availability zone.
+	members []int
+	local   []int
+	turn    atomic.Uint64
+	shared  *shared
+}
+
+// shared is what an instance knows about the service as a whole. It outlives rebuilds of the policy.
+type shared struct {
+	// load is the smoothed load report over all targets, in thousandths of a request.
+	load atomic.Int64
+	// latency is the smoothed latency of answers over all targets in nanoseconds.
+	latency atomic.Int64
+	// ejected is the number of ejected targets.
+	ejected atomic.Int64
+	// limit is the highest number of ejected targets.
+	limit atomic.Int64
+}
+
+// adopt takes over the cells of targets that stay. Targets that join a service which is already served start cold.
+func (p *engine) adopt(config Config, old *engine) {
+	p.shared = &shared{}
+	if old != nil {
+		p.shared = old.shared
+	}
+	for i, target := range config.Targets {
+		p.index[target.Address] = i
+		p.sameZone[i] = target.SameZone
+		p.slots = max(p.slots, float64(target.Slots))
+		p.cells[i] = &cell{}
+		if old == nil {
+			continue
+		}
+		if at, ok := old.index[target.Address]; ok {
+			p.cells[i] = old.cells[at]
+			continue
+		}
+		p.cells[i].rampFrom.Store(rampPending)
+	}
+	p.recountEjected()
+}
+
+// Pick implements Policy.
+func (p *engine) Pick(req Request) (int, bool) {
+	d := drawing{p: p, req: &req, state: req.Random}
+	best, ok := d.next(0)
+	if !ok || p.kind.draws < 2 {
+		return best, ok
+	}
+	score := p.cost(best, req.Now)
+	for k := 1; k < p.kind.draws; k++ {
+		candidate, _ := d.next(k)
+		if candidate == best {
+			continue
+		}
+		if other := p.cost(candidate, req.Now); other < score {
+			best, score = candidate, other
+		}
+	}
+	p.cells[best].reportUses.Add(1)
+	return best, true
+}
+
+const (
+	// refusalCost is the cost of a target that refuses everything, in requests waiting per slot.
+	refusalCost = 20
+	// remoteCost is the cost of leaving the availability zone.
+	remoteCost = 0.3
+)
+
+func (p *engine) cost(target int, now time.Duration) float64 {
+	c := p.cells[target]
+	cost := p.kind.score(p, c, now) + refusalCost*c.refusalShare(now)
+	if !p.sameZone[target] && len(p.local) > 0 {
+		cost += remoteCost
+	}
+	return cost
+}
+
+// Started implements Policy.
+func (p *engine) Started(target int, now time.Duration) {
+	c := p.cells[target]
+	c.starts.Add(int64(now))
+	c.own.Add(1)
+}
+
+// Finished implements Policy.
+func (p *engine) Finished(target int, result Result) {
+	c := p.cells[target]
+	c.own.Add(-1)
+	c.starts.Add(-int64(result.Now - result.Elapsed))
+	switch result.Verdict {
+	case Answered:
+		c.learnLatency(result.Elapsed, result.Now)
+		smooth(&p.shared.latency, int64(result.Elapsed))
+		if p.kind.answers && result.Load != NoLoad {
+			c.report(result.Load, result.Now)
+			smooth(&p.shared.load, int64(result.Load)*loadUnit)
+		}
+		p.succeeded(c, result.Now)
+	case Rejected, Failed:
+		p.failed(c, result.Now)
+	}
+}
+
+// NextProbe implements Policy. It prefers the target of which least is known at present.
+func (p *engine) NextProbe(now time.Duration, random uint64) (int, bool) {
+	if !p.kind.probes || len(p.members) == 0 {
+		return 0, false
+	}
+	best := -1
+	for range probeDraws {
+		candidate := p.members[below(&random, len(p.members))]
+		if best < 0 || p.cells[candidate].heardAt.Load() < p.cells[best].heardAt.Load() {
+			best = candidate
+		}
+	}
+	p.cells[best].heardAt.Store(int64(now))
+	return best, true
+}
+
+// probeDraws is how many targets compete for the next probe.
+const probeDraws = 4
+
+// Probed implements Policy.
+func (p *engine) Probed(target int, probe Probe) {
+	if !p.kind.probes {
+		return
+	}
+	p.cells[target].report(probe.InFlight, probe.Now)
+	smooth(&p.shared.load, int64(probe.InFlight)*loadUnit)
+}
+
+// loadUnit scales loads for smoothing in integers.
+const loadUnit = 1000
+
+// smoothShift sets the weight of one value in a service-wide average to 1/64.
+const smoothShift = 6
+
+// smooth moves an average towards a value. A lost update between goroutines only delays the average.
+func smooth(average *atomic.Int64, value int64) {
+	old := average.Load()
+	if old == 0 {
+		average.Store(value)
+		return
+	}
+	average.Store(old + (value-old)>>smoothShift)
+}
--- /dev/null
+++ b/internal/balancer/policies.go
@@ -0,0 +1,106 @@
+package balancer
+
+import (
+	"math"
+	"strconv"
+	"time"
+)
+
+// Names of the policies.
+const (
+	NameRandom          = "random"
+	NameRoundRobin      = "round_robin"
+	NameTwoChoices      = "two_choices"
+	NameProbing         = "probing"
+	NameLatencyWeighted = "latency_weighted"
+	NameReported        = "reported"
+	NameCombined        = "combined"
+)
+
+var registered = []Builder{
+	&kind{name: NameRandom, draws: 1},
+	&kind{name: NameRoundRobin, draws: 1, rotate: true},
+	&kind{name: NameTwoChoices, draws: 2, score: (*engine).ownInFlight},
+	&kind{name: NameProbing, draws: 4, probes: true, score: (*engine).reportedLoad},
+	&kind{name: NameLatencyWeighted, draws: 2, score: (*engine).latencyTimesInFlight},
+	&kind{name: NameReported, draws: 4, answers: true, score: (*engine).reportedLoad},
+	&kind{name: NameCombined, draws: 4, probes: true, answers: true, score: (*engine).combined},
+}
+
+// Builders returns the registered builders. The slice must not be modified.
+func Builders() []Builder { return registered }
+
+// Find returns the builder of a name.
+func Find(name string) (Builder, bool) {
+	for _, b := range registered {
+		if b.Name() == name {
+			return b, true
+		}
+	}
+	return nil, false
+}
+
+// UnknownPolicyError reports a name under which no policy is registered.
+type UnknownPolicyError struct{ Name string }
+
+func (e *UnknownPolicyError) Error() string {
+	return "no policy is registered as " + strconv.Quote(e.Name)
+}
+
+// Names returns the names of the registered policies.
+func Names() []string {
+	names := make([]string, len(registered))
+	for i, b := range registered {
+		names[i] = b.Name()
+	}
+	return names
+}
+
+func (p *engine) ownInFlight(c *cell, _ time.Duration) float64 {
+	return float64(c.own.Load())
+}
+
+func (p *engine) latencyTimesInFlight(c *cell, _ time.Duration) float64 {
+	return float64(c.latency.Load()) * float64(c.own.Load()+1)
+}
+
+const (
+	// reportFresh is the age up to which a report counts in full.
+	reportFresh = 20 * time.Millisecond
+	// reportExpiry is the age at which a report is of no use.
+	reportExpiry = 200 * time.Millisecond
+	// maxReportUses is how many choices a report may decide.
+	maxReportUses = 16
+)
+
+// estimate returns the load of a target: its report, corrected by what this instance has sent since, and with
+// growing age the mean load of the service instead.
+func (p *engine) estimate(c *cell, now time.Duration) float64 {
+	own := float64(c.own.Load())
+	prior := float64(p.shared.load.Load())/loadUnit + own
+	at := c.reportAt.Load()
+	age := time.Duration(int64(now) - at)
+	if at == 0 || age >= reportExpiry || c.reportUses.Load() >= maxReportUses {
+		return prior
+	}
+	corrected := max(own, float64(c.reportBase.Load())+own)
+	if age <= reportFresh {
+		return corrected
+	}
+	weight := math.Exp2(-float64(age-reportFresh) / float64(reportFresh))
+	return weight*corrected + (1-weight)*prior
+}
+
+func (p *engine) reportedLoad(c *cell, now time.Duration) float64 {
+	return p.estimate(c, now) / p.slots
+}
+
+// combined adds the age of this instance's requests in flight, which shows a slow target before any report does.
+func (p *engine) combined(c *cell, now time.Duration) float64 {
+	score := p.estimate(c, now) / p.slots
+	typical := float64(p.shared.latency.Load())
+	if typical > 0 {
+		score += float64(c.outstanding(now)) / typical
+	}
+	return score
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,8 +37,12 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	builder, ok := balancer.Find(s.Balancer.Policy)
+	if !ok {
+		return nil, trace.Wrap(&balancer.UnknownPolicyError{Name: s.Balancer.Policy})
+	}
 	d := &Daemon{settings: s, log: telemetry.Component(log, "daemon")}
-	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
+	d.loop = control.New(s.Instance.Zone, builder, telemetry.Component(log, "control"))
 	d.reader = &control.Reader{
 		Log:    platform.NewClient(s.Platform.Address),
 		Loop:   d.loop,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,7 +56,8 @@
 
 // Balancer configures target selection.
 type Balancer struct {
-	// Policy names the selection policy. Default "two_choices".
+	// Policy names the selection policy: "random", "round_robin", "two_choices", "probing",
+	// "latency_weighted", "reported" or "combined". Default "combined".
 	Policy string `toml:"policy"`
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,11 +5,14 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
+
+	"github.com/basillink/basillink/internal/balancer"
 )
 
 // Defaults of settings.
 const (
-	DefaultPolicy              = "two_choices"
+	DefaultPolicy              = balancer.NameCombined
 	DefaultMaxRequestBodyBytes = 1 << 20
 	DefaultMaxHeaderBytes      = 16 << 10
 	DefaultMaxAnswerBytes      = 64 << 20
@@ -36,7 +39,8 @@
 // Validate returns the first setting that is not accepted as *Error.
 func (s *Settings) Validate(file string) error {
 	checks := []func(string) error{
-		s.validateInstance, s.validateListen, s.validatePlatform, s.validatePeer, s.validateLimits, s.validateLog,
+		s.validateInstance, s.validateListen, s.validatePlatform, s.validatePeer, s.validateBalancer,
+		s.validateLimits, s.validateLog,
 	}
 	for _, check := range checks {
 		if err := check(file); err != nil {
@@ -92,6 +96,13 @@
 	return nil
 }
 
+func (s *Settings) validateBalancer(file string) error {
+	if _, ok := balancer.Find(s.Balancer.Policy); !ok {
+		return &Error{file, "balancer.policy", s.Balancer.Policy, strings.Join(balancer.Names(), ", ")}
+	}
+	return nil
+}
+
 func (s *Settings) validateLimits(file string) error {
 	limits := []struct {
 		key                    string
--- /dev/null
+++ b/internal/targetmodel/table_test.go
@@ -0,0 +1,66 @@
+package targetmodel
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/balancer"
+)
+
+var tableSeeds = flag.Int("table.seeds", 10, "seeds per row of the policy table")
+
+// BenchmarkPolicyTable prints the table of all policies and probe rates:
+//
+//	go test ./internal/targetmodel -run '^$' -bench PolicyTable -benchtime 1x
+func BenchmarkPolicyTable(b *testing.B) {
+	for b.Loop() {
+		for _, service := range services() {
+			for _, utilisation := range []float64{0.5, 0.75, 0.9} {
+				service.settings.Utilisation = utilisation
+				printTable(service.name, service.settings)
+			}
+		}
+	}
+}
+
+type namedSettings struct {
+	name     string
+	settings Settings
+}
+
+func services() []namedSettings {
+	return []namedSettings{{"flightdesk", Flightdesk()}, {"banco-app", BancoApp()}}
+}
+
+func printTable(service string, s Settings) {
+	fmt.Printf("\n%s, %.0f %% utilisation, %d seeds (mean ± spread, ms)\n", service, 100*s.Utilisation, *tableSeeds)
+	fmt.Println("| policy | p50 | p99 | p99.9 | late % | probes/request | bytes/request |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
+	printRow("all-knowing", s, nil, 0)
+	hedged := s
+	hedged.HedgeAfter, hedged.HedgeBudget = 15*time.Millisecond, 0.05
+	printRow("all-knowing, hedged", hedged, nil, 0)
+	for _, builder := range balancer.Builders() {
+		switch builder.Name() {
+		case balancer.NameProbing, balancer.NameCombined:
+			for _, rate := range []float64{0, 0.1, 0.25, 0.5, 1, 2} {
+				printRow(builder.Name(), s, builder, rate)
+			}
+		default:
+			printRow(builder.Name(), s, builder, 0)
+		}
+	}
+	combined, _ := balancer.Find(balancer.NameCombined)
+	printRow("combined, hedged", hedged, combined, 0.25)
+}
+
+func printRow(name string, s Settings, builder balancer.Builder, rate float64) {
+	s.Builder, s.ProbesPerRequest = builder, rate
+	row := Measure(s, *tableSeeds)
+	onAnswers := builder != nil && (builder.Name() == balancer.NameReported || builder.Name() == balancer.NameCombined)
+	fmt.Printf("| %s | %.1f ± %.1f | %.1f ± %.1f | %.1f ± %.1f | %.2f ± %.2f | %.2f | %.0f |\n", name,
+		row.P50.Mean, row.P50.Spread, row.P99.Mean, row.P99.Spread, row.P999.Mean, row.P999.Spread,
+		100*row.Late.Mean, 100*row.Late.Spread, row.ProbesPerRequest, row.Reports[0].BytesPerRequest(onAnswers))
+}
