Expire load reports within milliseconds and remember slow answers

Hypothesis 1: probing gets no better with more probes because instances follow the same outdated reports. Confirmed; reports count for 5 ms, then fade. Hypothesis 2: a slow target whose queue has drained reports an idle state and attracts requests: it kept 10 % of its share through an episode.

--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -177,8 +177,12 @@
 		return 0, false
 	}
 	best := -1
+	list := p.preferred
+	if below(&random, wideProbeEvery) == 0 {
+		list = p.members
+	}
 	for range probeDraws {
-		candidate := p.members[below(&random, len(p.members))]
+		candidate := list[below(&random, len(list))]
 		if best < 0 || p.cells[candidate].heardAt.Load() < p.cells[best].heardAt.Load() {
 			best = candidate
 		}
@@ -187,6 +191,10 @@
 	return best, true
 }
 
+// wideProbeEvery is how many probes there are to each one that may go to any target. The others go to preferred
+// targets, because the choice of a request depends on those.
+const wideProbeEvery = 4
+
 // probeDraws is how many targets compete for the next probe.
 const probeDraws = 4
 
--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -65,10 +65,12 @@
 }
 
 const (
-	// reportFresh is the age up to which a report counts in full.
-	reportFresh = 20 * time.Millisecond
+	// reportFresh is the age up to which a report counts in full, and the half-life of its weight beyond. The load of
+	// targets shifts within milliseconds: in the model, with reports that count for 20 ms and more, instances follow
+	// the same outdated reports, and more probes make the tail longer.
+	reportFresh = 5 * time.Millisecond
 	// reportExpiry is the age at which a report is of no use.
-	reportExpiry = 200 * time.Millisecond
+	reportExpiry = 50 * time.Millisecond
 	// maxReportUses is how many choices a report may decide.
 	maxReportUses = 16
 )
@@ -91,15 +93,19 @@
 	return known*corrected + (1-known)*prior, known
 }
 
+// typical returns the smoothed latency of answers over all targets.
+func (p *engine) typical() time.Duration { return time.Duration(p.shared.latency.Load()) }
+
 func (p *engine) reportedLoad(c *cell, now time.Duration) (float64, float64) {
 	load, known := p.estimate(c, now)
 	return load / p.slots, known
 }
 
-// combined adds the age of this instance's requests in flight, which shows a slow target before any report does.
+// combined adds the age of this instance's requests in flight, which shows a slow target before any report does, and
+// the latency of the last answers.
 func (p *engine) combined(c *cell, now time.Duration) (float64, float64) {
 	load, known := p.estimate(c, now)
-	return (load + p.overdue(c, now)) / p.slots, known
+	return (load+p.overdue(c, now))/p.slots + p.slowness(c, now), known
 }
 
 // overdueWeight is the cost of a request in flight that is as old as a typical answer, in requests. Values from 1 to
@@ -108,7 +114,7 @@
 
 // overdue counts each request in flight from this instance by its age in typical latencies.
 func (p *engine) overdue(c *cell, now time.Duration) float64 {
-	typical := float64(p.shared.latency.Load())
+	typical := float64(p.typical())
 	if typical <= 0 {
 		return 0
 	}
@@ -120,3 +126,29 @@
 	c := p.cells[target]
 	return float64(c.own.Load()) + refusalCost*c.refusalShare(now)
 }
+
+const (
+	// slowFrom is the latency, in typical latencies, from which a target counts as slow. Waiting for a slot at high
+	// utilisation stays below.
+	slowFrom = 2
+	// slowWeight is the cost of each further typical latency, in requests per slot.
+	slowWeight = 0.3
+	// slowHalfLife is how fast a slow answer is forgotten. The latency of an avoided target is not refreshed, so
+	// it must fade. From 10 to 80 ms the tail in the model is the same within the spread.
+	slowHalfLife = 30 * time.Millisecond
+)
+
+// slowness is the cost of a target whose last answers were slow. Without it a slow target whose queue has drained
+// reports an idle state and attracts requests.
+func (p *engine) slowness(c *cell, now time.Duration) float64 {
+	typical := float64(p.typical())
+	if typical <= 0 {
+		return 0
+	}
+	excess := float64(c.latency.Load())/typical - slowFrom
+	if excess <= 0 {
+		return 0
+	}
+	age := time.Duration(int64(now) - c.latencyAt.Load())
+	return slowWeight * excess * math.Exp2(-float64(age)/float64(slowHalfLife))
+}
