--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -160,7 +160,7 @@
 	switch result.Verdict {
 	case Answered:
 		c.learnLatency(result.Elapsed, result.Now)
-		smooth(&p.shared.latency, int64(result.Elapsed))
+		p.learnTypical(result.Elapsed)
 		if p.kind.answers && result.Load != NoLoad {
 			c.report(result.Load, result.Now)
 			smooth(&p.shared.load, int64(result.Load)*loadUnit)
@@ -171,6 +171,18 @@
 	}
 }
 
+// maxTypical bounds what one answer counts in the typical latency.
+const maxTypical = 4
+
+// learnTypical smooths the typical latency. A single answer counts as a few typical latencies at most, so that long
+// summaries do not hide slow targets.
+func (p *engine) learnTypical(latency time.Duration) {
+	if typical := p.typical(); typical > 0 {
+		latency = min(latency, maxTypical*typical)
+	}
+	smooth(&p.shared.latency, int64(latency))
+}
+
 // NextProbe implements Policy. It prefers the target of which least is known at present.
 func (p *engine) NextProbe(now time.Duration, random uint64) (int, bool) {
 	if !p.kind.probes || len(p.members) == 0 {
--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -112,13 +112,17 @@
 // 3 differ little in the model; without it the tail of the combined policy grows by a fifth.
 const overdueWeight = 2
 
+// maxAges bounds what one request in flight counts, so that a long summary does not keep other requests away.
+const maxAges = 4
+
 // overdue counts each request in flight from this instance by its age in typical latencies.
 func (p *engine) overdue(c *cell, now time.Duration) float64 {
 	typical := float64(p.typical())
 	if typical <= 0 {
 		return 0
 	}
-	return overdueWeight * float64(c.outstanding(now)) / typical
+	ages := float64(c.outstanding(now)) / typical
+	return overdueWeight * min(ages, maxAges*float64(c.own.Load()))
 }
 
 // ownCost is what this instance knows of a target without any report.
@@ -131,6 +135,8 @@
 	// slowFrom is the latency, in typical latencies, from which a target counts as slow. Waiting for a slot at high
 	// utilisation stays below.
 	slowFrom = 2
+	// maxSlow bounds what a single long answer counts.
+	maxSlow = 10
 	// slowWeight is the cost of each further typical latency, in requests per slot.
 	slowWeight = 0.3
 	// slowHalfLife is how fast a slow answer is forgotten. The latency of an avoided target is not refreshed, so
@@ -145,7 +151,7 @@
 	if typical <= 0 {
 		return 0
 	}
-	excess := float64(c.latency.Load())/typical - slowFrom
+	excess := min(maxSlow, float64(c.latency.Load())/typical) - slowFrom
 	if excess <= 0 {
 		return 0
 	}
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -49,3 +49,19 @@
 		p.distance[i] = distantCost
 	}
 }
+
+// ForInstance returns a builder whose policies use the targets that fall to an instance.
+func ForInstance(b Builder, id string) Builder {
+	return &instanceBuilder{Builder: b, instance: xxhash.Sum64String(id)}
+}
+
+type instanceBuilder struct {
+	Builder
+	instance uint64
+}
+
+// Build implements Builder.
+func (b *instanceBuilder) Build(config Config, previous Policy) Policy {
+	config.Instance = b.instance
+	return b.Builder.Build(config, previous)
+}
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"strings"
+
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/transport"
@@ -10,19 +12,24 @@
 // publish builds a snapshot from the state and makes it visible to traffic.
 func (l *Loop) publish() {
 	previous := l.snapshot.Load()
+	state := l.fold.State()
 	next := &Snapshot{
-		Revision: l.state.Revision,
-		Through:  l.state.Through,
-		Services: make(map[string]*Service, len(l.state.Services)),
+		Revision: state.Revision,
+		Through:  state.Through,
+		Services: make(map[string]*Service, len(state.Services)),
 	}
-	for name, entry := range l.state.Services {
-		if old := previous.service(name); old != nil && old.Revision == entry.Revision {
+	for name, entry := range state.Services {
+		departed := l.departedTargets(&entry.Spec)
+		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.departed == departed {
 			next.Services[name] = old
 			continue
 		}
 		next.Services[name] = l.buildService(entry, previous.service(name))
 	}
 	l.snapshot.Store(next)
+	if previous == nil {
+		close(l.configured)
+	}
 	l.closeUnusedPools(next)
 	l.log.Info("Configuration is in force.", "revision", next.Revision, "services", len(next.Services))
 }
@@ -35,10 +42,10 @@
 }
 
 func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision, departed: l.departedTargets(&entry.Spec)}
 	config := balancer.Config{Service: entry.Spec.Name, ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest}
 	for _, target := range entry.Spec.Targets {
-		if target.State == operator.TargetLeaving {
+		if target.State == operator.TargetLeaving || l.departures.contains(target.Address) {
 			continue
 		}
 		service.Targets = append(service.Targets, &Target{
@@ -52,6 +59,7 @@
 			Slots:    entry.Spec.SlotsPerTarget,
 		})
 	}
+	service.attachLimits(previous)
 	var old balancer.Policy
 	if previous != nil {
 		old = previous.Policy
@@ -60,10 +68,21 @@
 	return service
 }
 
+// departedTargets names the targets of a service that left without the operator's decision.
+func (l *Loop) departedTargets(spec *operator.Service) string {
+	var list []string
+	for _, target := range spec.Targets {
+		if l.departures.contains(target.Address) {
+			list = append(list, target.Address)
+		}
+	}
+	return strings.Join(list, " ")
+}
+
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewPool(address, max(1, spec.ConnectionsPerTarget/spec.MaxInstances))
+		pool = transport.NewTargetPool(address, connectionShare(spec))
 		l.pools[address] = pool
 	}
 	return pool
@@ -78,7 +97,7 @@
 	}
 	for address, pool := range l.pools {
 		if !used[address] {
-			pool.CloseIdle()
+			pool.Close()
 			delete(l.pools, address)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,23 +1,24 @@
 // Package gateway accepts requests of callers, sends them to targets and returns
-// the answers. Each request is served by one goroutine, which reads the snapshot
-// of the control loop and never writes control state.
+// the answers. Each connection of a caller is served by one goroutine, which
+// reads the snapshot of the control loop and never writes control state.
 package gateway
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
 )
 
-// Counter counts outcomes, refusals and retries. It is safe for concurrent use.
+// Counter counts outcomes, refusals and retries. It is safe for concurrent use. The service is empty when the request
+// names none that is in force, so that callers cannot create metric labels.
 type Counter interface {
 	// Answered counts an answer passed on from a target.
 	Answered(service, class string)
@@ -25,20 +26,25 @@
 	Refused(service string, why *reason.Reason)
 	// Retried counts a retry.
 	Retried(service string, why *reason.Reason)
+	// Added records the time of a request outside exchanges with targets.
+	Added(time.Duration)
 }
 
 // Gateway serves callers.
 type Gateway struct {
-	instance string
-	limits   settings.Limits
-	snapshot func() *control.Snapshot
-	counter  Counter
-	log      *slog.Logger
-	start    time.Time
-	server   *server.Hertz
+	instance    string
+	limits      settings.Limits
+	snapshot    func() *control.Snapshot
+	counter     Counter
+	log         *slog.Logger
+	start       time.Time
+	listener    *listener
+	server      *server.Hertz
+	connections connections
+	inFlight    *inFlight
 }
 
-// New returns a gateway that listens on the caller address of the settings.
+// New returns a gateway that listens on the caller address of the settings. It opens no port.
 func New(s *settings.Settings, snapshot func() *control.Snapshot, counter Counter, log *slog.Logger) *Gateway {
 	g := &Gateway{
 		instance: s.Instance.ID,
@@ -47,41 +53,28 @@
 		counter:  counter,
 		log:      log,
 		start:    time.Now(),
+		listener: &listener{address: s.Listen.Caller},
+		inFlight: newInFlight(),
 	}
 	g.server = server.New(
-		server.WithHostPorts(s.Listen.Caller),
-		server.WithMaxRequestBodySize(s.Limits.MaxRequestBodyBytes),
-		server.WithMaxHeaderBytes(s.Limits.MaxHeaderBytes),
+		server.WithListener(g.listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(rememberSocket),
 		server.WithDisablePrintRoute(true),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithSenseClientDisconnection(true),
-		server.WithUseRawPath(true),
 	)
-	g.server.NoRoute(g.serve)
+	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
 	return g
 }
 
-// Run serves until Shutdown.
+// Open opens the caller listener, so that an address that cannot be used is reported before anything runs.
+func (g *Gateway) Open() error { return g.listener.open() }
+
+// Run serves until Shutdown. Open comes first.
 func (g *Gateway) Run() error { return g.server.Run() }
 
-// Shutdown stops accepting and waits for the requests in flight until the context ends.
-func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
+// Address returns the listening address. It is empty before Open.
+func (g *Gateway) Address() string { return g.listener.boundAddress() }
 
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
-func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) {
-	call, refusal := g.parse(c)
-	if refusal != nil {
-		g.refuse(c, call.serviceName, refusal)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, call.timeout)
-	defer cancel()
-	if failure := g.dispatch(ctx, c, call); failure != nil {
-		g.refuse(c, call.serviceName, failure)
-		return
-	}
-	g.counter.Answered(call.serviceName, call.class.Name)
-}
-
 func randomNumber() uint64 { return rand.Uint64() }
