--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -17,10 +17,12 @@
 	NameCombined        = "combined"
 )
 
+var twoChoices = &kind{name: NameTwoChoices, draws: 2, score: (*engine).ownInFlight}
+
 var registered = []Builder{
 	&kind{name: NameRandom, draws: 1},
 	&kind{name: NameRoundRobin, draws: 1, rotate: true},
-	&kind{name: NameTwoChoices, draws: 2, score: (*engine).ownInFlight},
+	twoChoices,
 	&kind{name: NameProbing, draws: 4, probes: true, score: (*engine).reportedLoad},
 	&kind{name: NameLatencyWeighted, draws: 2, score: (*engine).latencyTimesInFlight},
 	&kind{name: NameReported, draws: 4, answers: true, score: (*engine).reportedLoad},
@@ -158,3 +160,15 @@
 	age := time.Duration(int64(now) - c.latencyAt.Load())
 	return slowWeight * excess * math.Exp2(-float64(age)/float64(slowHalfLife))
 }
+
+// TwoChoices builds policies that draw two targets at random and take the one with fewer requests in flight from
+// this instance. It needs no settings and serves as the plain policy in tests of other packages.
+type TwoChoices struct{}
+
+// Name implements Builder.
+func (TwoChoices) Name() string { return NameTwoChoices }
+
+// Build implements Builder.
+func (TwoChoices) Build(config Config, previous Policy) Policy {
+	return twoChoices.Build(config, previous)
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -17,6 +17,8 @@
 	// Through is the offset of the last folded record.
 	Through  platform.Offset
 	Services map[string]*Service
+	// Departed lists the targets that receive no requests because they left.
+	Departed []string
 }
 
 // Service is one service in force. It is immutable; the policy and the pools synchronize themselves.
@@ -26,6 +28,8 @@
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
+	// AllRepeatable is true when no class needs tickets.
+	AllRepeatable bool
 	// Admission and Retries outlive a revision of the service.
 	Admission *admission.Limiter
 	Retries   *admission.RetryBudget
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -38,6 +38,8 @@
 	Delta(after platform.Offset) *intent.Delta
 	// Merge applies a delta, unless it is older than what is applied.
 	Merge(d *intent.Delta) error
+	// Known takes note of the applied offset of a peer.
+	Known(through platform.Offset)
 }
 
 // Config configures a node.
@@ -84,11 +86,13 @@
 		links:    newLinks(c.Secret, rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64()))),
 		rumors:   make(chan Rumor, spreadQueue),
 		flights:  make(chan struct{}, maxExchanges),
-		gossip:   NewGossip(c.Self, c.Configuration.Through),
 		nextPull: map[Kind]time.Duration{},
 	}
-	n.publishMembers()
 	var err error
+	if n.gossip, err = NewGossip(c.Self, c.Configuration.Through); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.publishMembers()
 	n.server, err = newServer(c.Secret, &Service{node: n}, c.Log)
 	return n, trace.Wrap(err)
 }
@@ -127,8 +131,11 @@
 	return n.config.Owner.Do(ctx, func() { n.gossip.SetContacts(addresses) })
 }
 
-// Listen accepts peers until Close.
-func (n *Node) Listen() error { return n.server.run(n.config.Listen) }
+// Open opens the listener, so that an address that cannot be used is reported before anything runs.
+func (n *Node) Open() error { return n.server.open(n.config.Listen) }
+
+// Serve accepts peers until Close. Open comes first.
+func (n *Node) Serve() error { return n.server.run() }
 
 // Run exchanges with peers until the context ends.
 func (n *Node) Run(ctx context.Context) {
