--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/gateway"
 	"github.com/basillink/basillink/internal/peer"
+	"github.com/basillink/basillink/internal/prober"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
 )
@@ -32,6 +33,7 @@
 	returns     *control.ReturnChecker
 	checkpoints *control.Checkpointer
 	gateway     *gateway.Gateway
+	prober      *prober.Prober
 	admin       *admin.Server
 }
 
@@ -42,8 +44,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	builder, ok := balancer.Find(s.Balancer.Policy)
+	if !ok {
+		return nil, trace.Wrap(&balancer.UnknownPolicyError{Name: s.Balancer.Policy})
+	}
 	d := &Daemon{settings: s, log: telemetry.Component(log, "daemon")}
-	d.loop = control.New(s.Instance.Zone, balancer.TwoChoices{}, telemetry.Component(log, "control"))
+	builder = balancer.ForInstance(builder, s.Instance.ID)
+	d.loop = control.New(s.Instance.Zone, builder, telemetry.Component(log, "control"))
 	if err := d.startCharts(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -51,6 +58,8 @@
 		return nil, trace.Wrap(err)
 	}
 	d.gateway = gateway.New(s, d.loop.Snapshot, metrics, telemetry.Component(log, "gateway"))
+	d.prober = prober.New(d.gateway.Now)
+	d.gateway.ObserveRequest = d.prober.Requested
 	d.gateway.ObserveLeaving = d.loop.ObserveLeaving
 	d.connectGateway()
 	if err := metrics.Observe(d.gauges()); err != nil {
@@ -93,6 +102,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go d.loop.Run(background)
+	go d.prober.Run(background)
 	d.runPeers(background)
 	failed := make(chan error, 3)
 	go func() { failed <- d.node.Serve() }()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 
 // Gateway serves callers.
 type Gateway struct {
+	// ObserveRequest is called before the first attempt of each request. It must not block. It may be nil.
+	ObserveRequest func(*control.Service)
 	// ObserveLeaving is called for each answer that says that its target is leaving, with the target's incarnation. It
 	// must not block. Nil disables it. It is set before Run.
 	ObserveLeaving func(target *control.Target, incarnation string)
@@ -93,6 +95,9 @@
 // Address returns the listening address. It is empty before Open.
 func (g *Gateway) Address() string { return g.listener.boundAddress() }
 
+// Now is the monotonic time that the policies see.
+func (g *Gateway) Now() time.Duration { return g.now() }
+
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
 func randomNumber() uint64 { return rand.Uint64() }
