--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -8,6 +8,9 @@
 
 // execute sends the request to targets until one answers or no attempt is left.
 func (g *Gateway) execute(ctx context.Context, call *call) *result {
+	if g.ObserveRequest != nil {
+		g.ObserveRequest(call.service)
+	}
 	r := g.executeAttempts(ctx, call)
 	if call.maybeRan && r.outcome() == reason.NotRun {
 		r.claim = reason.Unknown
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -13,10 +12,6 @@
 	"github.com/basillink/basillink/internal/transport"
 )
 
-// onceMaxIdle is how long ago the connection of a request that runs at most once last carried an answer. A
-// connection that went silent while it was idle would leave the outcome unknown; a new one costs about 1 ms.
-const onceMaxIdle = time.Second
-
 // runOnce runs a started operation and answers its caller. The operation goes on when the caller leaves, because its
 // outcome is what the caller's resend asks for.
 func (g *Gateway) runOnce(ctx context.Context, c *app.RequestContext, call *call, operation *ticket.Operation) error {
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,148 @@
+package prober
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/operator"
+)
+
+// recorder probes targets in turn and keeps the answers.
+type recorder struct {
+	balancer.Policy
+	mu      sync.Mutex
+	turn    int
+	targets int
+	probes  []balancer.Probe
+}
+
+func (r *recorder) NextProbe(time.Duration, uint64) (int, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn++
+	return r.turn % r.targets, true
+}
+
+func (r *recorder) Probed(_ int, probe balancer.Probe) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probes = append(r.probes, probe)
+}
+
+func (r *recorder) answers() []balancer.Probe {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.probes
+}
+
+func service(measuring operator.Measuring, policy balancer.Policy, addresses ...string) *control.Service {
+	s := &control.Service{Policy: policy, Revision: 1}
+	s.Spec = operator.Service{Name: "flightdesk", MaxInstances: 1, Measuring: measuring}
+	for _, address := range addresses {
+		s.Targets = append(s.Targets, &control.Target{Address: address})
+	}
+	return s
+}
+
+// run serves requests from a prober whose clock is set to after the first window.
+func run(t *testing.T, s *control.Service, requests int) *Prober {
+	t.Helper()
+	var clock atomic.Int64
+	p := New(func() time.Duration { return time.Duration(clock.Load()) })
+	p.account(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Run(ctx)
+	}()
+	for range requests {
+		p.Requested(s)
+	}
+	waitIdle(p)
+	if sent := p.Counts().Sent; sent != 0 {
+		t.Errorf("%d probes in the first window of the process", sent)
+	}
+	clock.Store(int64(11 * time.Second))
+	for range requests {
+		p.Requested(s)
+		waitIdle(p)
+	}
+	cancel()
+	<-done
+	return p
+}
+
+func waitIdle(p *Prober) {
+	for len(p.jobs) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards G1 at the wire: targets count no more probes than the allowance permits, and the reports reach the policy.
+func TestTargetsSeeNoMoreProbesThanTheBudget(t *testing.T) {
+	var addresses []string
+	var targets []*standin.Target
+	for range 3 {
+		target, err := standin.NewTarget("127.0.0.1:0", 6)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = target.Run() }()
+		defer func() { _ = target.Close() }()
+		load := int64(17)
+		target.SetFaults(standin.TargetFaults{ReportedLoad: &load})
+		targets, addresses = append(targets, target), append(addresses, target.Address())
+	}
+	policy := &recorder{targets: 3}
+	s := service(operator.Measuring{ProbesPerSecond: 4, BytesPerSecond: 1e6, ProbesPerRequest: 0.5}, policy, addresses...)
+	p := run(t, s, 200)
+	seen := 0
+	for _, target := range targets {
+		seen += target.Probes()
+	}
+	if seen != 40 || p.Counts().Sent != 40 {
+		t.Errorf("targets saw %d probes and %d were sent, want 40 in one window", seen, p.Counts().Sent)
+	}
+	if len(policy.answers()) != 40 || policy.answers()[0].InFlight != 17 {
+		t.Errorf("the policy received %d reports: %+v", len(policy.answers()), policy.answers())
+	}
+}
+
+// Guards against probes that are free when they fail: a target that refuses connections is charged like others.
+func TestFailedProbesAreCharged(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	policy := &recorder{targets: 1}
+	s := service(operator.Measuring{ProbesPerSecond: 2, BytesPerSecond: 1e6, ProbesPerRequest: 1}, policy, listener.Addr().String())
+	if counts := run(t, s, 100).Counts(); counts.Sent != 20 || counts.Failed != 20 {
+		t.Errorf("%+v, want 20 sent and failed", counts)
+	}
+}
+
+// Guards against an answer that costs more than its charge.
+func TestLongAnswersAreCut(t *testing.T) {
+	client, server := net.Pipe()
+	read := make(chan int, 1)
+	go func() {
+		buffer := make([]byte, 256)
+		_, _ = server.Read(buffer)
+		n, _ := server.Write(append([]byte("HTTP/1.1 200 OK\r\nX-Filler: "), make([]byte, 10_000)...))
+		read <- n
+	}()
+	_, err := exchange(client, "127.0.0.1:1")
+	_ = client.Close()
+	if n := <-read; err == nil || n >= 400 {
+		t.Errorf("read %d bytes, error %v; want an error within 400 bytes", n, err)
+	}
+}
