--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/basillink/basillink/internal/balancer"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // policies lists the names of the selection policies.
-func policies() []string { return []string{"two_choices"} }
+func policies() []string { return balancer.Names() }
 
 // rule is the meaning of an accept tag.
 type rule struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,7 +34,7 @@
 		{"above range", "[platform]", "[drain]\nlimit_ms = 86400001\n[platform]", "drain.limit_ms", "86400001", "0 to 86400000"},
 		{"beyond integers", "[platform]", "[drain]\nlimit_ms = 99999999999999999999\n[platform]", "drain.limit_ms", "99999999999999999999", "0 to 86400000"},
 		{"empty level", "[platform]", "[log]\nlevel = \"\"\n[platform]", "log.level", "", "debug, info, warn, error"},
-		{"unknown policy", "[platform]", "[balancer]\npolicy = \"fastest\"\n[platform]", "balancer.policy", "fastest", "two_choices"},
+		{"unknown policy", "[platform]", "[balancer]\npolicy = \"fastest\"\n[platform]", "balancer.policy", "fastest", "random, round_robin, two_choices, probing, latency_weighted, reported, combined"},
 		{"missing", `zone = "tz-north-a"`, "", "instance.zone", "", "lower-case letters"},
 		{"host name", `"127.0.0.1:7000"`, `"localhost:7000"`, "platform.address", "localhost:7000", "an IP address and port"},
 		{"port zero", `"127.0.0.1:7000"`, `"127.0.0.1:0"`, "platform.address", "127.0.0.1:0", "an IP address and port"},
@@ -83,7 +83,7 @@
 			t.Errorf("%s: the default %q is not accepted", field.Key, text)
 		}
 	}
-	if s.Limits.MaxHeaderBytes != 16384 || s.Log.Level != "info" || s.Balancer.Policy != "two_choices" || s.Peer.Seeds != nil {
+	if s.Limits.MaxHeaderBytes != 16384 || s.Log.Level != "info" || s.Balancer.Policy != "combined" || s.Peer.Seeds != nil {
 		t.Errorf("defaults: %+v", s)
 	}
 }
