--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,7 +14,6 @@
 	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
-	"github.com/basillink/basillink/internal/ticket"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -82,7 +81,7 @@
 	if p.class == nil {
 		return reason.UnknownClass
 	}
-	p.forwarded = isForwarded(c)
+	p.forwarded = string(c.GetHeader(header.Forwarded)) == "1"
 	// A forwarded request runs at most once even if the owner's configuration still calls its class repeatable.
 	p.once = !p.class.Repeatable || p.forwarded
 	timeoutMS, ok := boundedInt(string(c.GetHeader(header.TimeoutMS)), p.class.TimeoutMS, operator.MaxTimeoutMS)
@@ -97,16 +96,6 @@
 	return nil
 }
 
-// isForwarded reports whether another instance passed the request on. A forward always carries a ticket, so that the
-// header alone changes nothing.
-func isForwarded(c *app.RequestContext) bool {
-	if string(c.GetHeader(header.Forwarded)) != "1" {
-		return false
-	}
-	_, err := ticket.Parse(string(c.GetHeader(header.Ticket)))
-	return err == nil
-}
-
 // splitService returns the service name and the URI for the target. The name comes from the header, or from
 // the first path segment, which is then removed.
 func splitService(fromHeader, uri string) (string, string) {
