Notice targets that crash while the kernel still accepts for them

In 1 of 2 runs of TestRequestThatCrashesTargets/lookup_sent_again 3 targets crashed instead of 2: the look at a target that lost an answer connected to a process that was just ending, so that the first crash was not known when the request was sent again. The look now watches that connection for 10 ms and connects a second time.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -19,6 +19,9 @@
 // connection in about 1 ms.
 const crashCheckTimeout = 250 * time.Millisecond
 
+// crashExitTime is how long an ending process may take between closing its connections and its listener.
+const crashExitTime = 10 * time.Millisecond
+
 // OnCrashMark sets the function that passes crash marks on to peers. It must not block and is set before Run.
 func (g *Gateway) OnCrashMark(spread func(key string, payload []byte)) { g.spreadMark = spread }
 
@@ -158,15 +161,25 @@
 	incarnation, _ := g.incarnations.Load(address)
 	known, _ := incarnation.(string)
 	g.guard.Lost(g.now(), call.identify(), address, known)
+	if refusesConnections(ctx, address) {
+		g.guard.Refused(g.now(), address)
+	}
+}
+
+// refusesConnections reports whether a target refuses connections. The kernel still accepts for a process that is just
+// ending, so that a first connection is watched for its end and a second one is tried.
+func refusesConnections(ctx context.Context, address string) bool {
 	dialer := net.Dialer{Timeout: crashCheckTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
+	for range 2 {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(crashExitTime))
+		_, _ = conn.Read(make([]byte, 1))
 		_ = conn.Close()
-		return
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.guard.Refused(g.now(), address)
 	}
+	return false
 }
 
 // noteIncarnation remembers which incarnation of a target answered.
