Take test ports from below the range of outgoing connections

An instance could not listen because a target on port 0, or an outgoing connection, had taken a port that freeAddresses had found free before. Change: freeAddresses draws ports from 12000 to 32000.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,19 +18,32 @@
 	"github.com/basillink/basillink/operator"
 )
 
+// Ports of processes that are started later lie below the range from which the system takes the ports of outgoing
+// connections and of listeners on port 0; otherwise one of those takes a port before its process opens it.
+const (
+	lowestPort  = 12_000
+	highestPort = 32_000
+	portTries   = 10_000
+)
+
 // freeAddresses returns loopback addresses with ports that were free a moment ago.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var addresses []string
+	for range portTries {
+		if len(addresses) == count {
+			return addresses
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
+		addresses = append(addresses, address)
 	}
-	return addresses
+	t.Fatalf("only %d of %d ports are free", len(addresses), count)
+	return nil
 }
 
 func writeSettings(t testing.TB, id, platformAddress string, listen []string) string {
--- a/internal/e2e/settings_test.go
+++ b/internal/e2e/settings_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"flag"
 	"net"
-	"os"
 	"strings"
 	"testing"
 
@@ -39,17 +38,6 @@
 	}
 }
 
-func replaceInFile(t *testing.T, file, old, replacement string) {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	if err == nil {
-		err = os.WriteFile(file, []byte(strings.Replace(string(data), old, replacement, 1)), 0o600)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 // Guards against a check command that disagrees with what run accepts.
 func TestCheckSettings(t *testing.T) {
 	addresses := freeAddresses(t, 4)
