--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,9 +36,8 @@
 	started := g.now()
 	policy.Started(index, started)
 	limits := g.answerLimits()
-	if call.once {
-		limits.MaxIdle = onceMaxIdle
-	}
+	// A request that runs at most once does not risk a connection that went silent while idle.
+	limits.Verified = call.once
 	answer, err := target.Pool.Start(ctx, request, limits, prepare)
 	answered := g.now()
 	call.waited += answered - started
