--- /dev/null
+++ b/internal/e2e/once_test.go
@@ -0,0 +1,309 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/client"
+	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/operator"
+)
+
+// onceFleet is a platform, targets and instances as processes. Its service has a class of bookings and one of lookups.
+type onceFleet struct {
+	platform  *exec.Cmd
+	targets   []string
+	processes []*exec.Cmd
+	callers   []string
+	files     []string
+}
+
+func startOnceFleet(t testing.TB, instances, targets int, bookingsRepeatable bool) *onceFleet {
+	t.Helper()
+	addresses := freeAddresses(t, 1+targets+3*instances)
+	f := &onceFleet{targets: addresses[1 : 1+targets]}
+	listeners := addresses[1+targets:]
+	role := "platform " + addresses[0]
+	for i := range instances {
+		role += fmt.Sprintf(" i%d=%s", i, listeners[3*i+1])
+	}
+	f.platform = start(t, role)
+	service := operator.Service{
+		Name: "banco-app", Region: "nord-italia", Zones: []string{"padova-a"},
+		Classes: []operator.Class{
+			{Name: "booking", Methods: []string{"POST"}, Repeatable: bookingsRepeatable, TimeoutMS: 1000},
+			{Name: "lookup", Repeatable: true, TimeoutMS: 5000},
+		},
+	}
+	for _, address := range f.targets {
+		start(t, "target "+address)
+		service.Targets = append(service.Targets, operator.Target{Address: address, Zone: "padova-a"})
+	}
+	for i := range instances {
+		listen := listeners[3*i : 3*i+3]
+		file := writeSettings(t, fmt.Sprintf("i%d", i), addresses[0], listen)
+		seeds := ""
+		for j := range instances {
+			seeds += fmt.Sprintf("%q, ", listeners[3*j+2])
+		}
+		replaceInFile(t, file, "[peer]", "[peer]\nseeds = ["+seeds+"]")
+		f.files = append(f.files, file)
+		f.callers = append(f.callers, listen[0])
+		f.processes = append(f.processes, start(t, "daemon "+file))
+	}
+	publish(t, platform.NewClient(addresses[0]), service)
+	for i := range instances {
+		eventually(t, "the revision in force", func() bool {
+			status, err := client.Status(t.Context(), listeners[3*i+1])
+			return err == nil && status.Ready && status.Revision > 0
+		})
+	}
+	f.awaitMembers(t)
+	return f
+}
+
+// awaitMembers waits until each instance forwards to each other.
+func (f *onceFleet) awaitMembers(t testing.TB) {
+	t.Helper()
+	for i, owner := range f.callers {
+		for j, other := range f.callers {
+			eventually(t, "a forward between instances", func() bool {
+				a := f.book(other, fmt.Sprint("members-", i, j), issue(owner), time.Second)
+				return a.outcome == string(reason.Done)
+			})
+		}
+	}
+}
+
+func issue(address string) string {
+	response, err := http.Get("http://" + address + "/.basillink/ticket")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.Header.Get(header.NextTicket)
+}
+
+// book sends one booking on a connection of its own and leaves after a time.
+func (f *onceFleet) book(address, token, ticket string, leaveAfter time.Duration, headers ...string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/banco-app/pickups", strings.NewReader("packs=2"))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set(standin.TokenHeader, token)
+	request.Header.Set(header.Ticket, ticket)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	caller := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: leaveAfter}
+	response, err := caller.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err}
+}
+
+// executions returns how often each token ran on any target that answers.
+func (f *onceFleet) executions(t testing.TB) map[string]int {
+	t.Helper()
+	total := map[string]int{}
+	for _, address := range f.targets {
+		response, err := http.Get("http://" + address + "/executions")
+		if err != nil {
+			continue
+		}
+		var counts map[string]int
+		if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		for token, count := range counts {
+			total[token] += count
+		}
+	}
+	return total
+}
+
+func sendSignal(t *testing.T, process *exec.Cmd, s syscall.Signal) {
+	t.Helper()
+	if err := process.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// claims holds the last outcome that the caller of each token was told.
+type claims struct {
+	mu   sync.Mutex
+	last map[string]string
+}
+
+const (
+	onceCallers     = 12
+	onceOperations  = 6
+	onceResends     = 5
+	serviceTime     = 40 * time.Millisecond
+	impatience      = 20 * time.Millisecond
+	patience        = 1500 * time.Millisecond
+	resendPause     = 50 * time.Millisecond
+	bookingDeadline = 600
+)
+
+// callAll lets callers book through all instances, with tickets that they hold from the start, so that they use
+// tickets of an instance that fails meanwhile. Every other first sending is abandoned before its answer; each
+// booking without a certain outcome is sent again with the same ticket through another instance.
+func (f *onceFleet) callAll(seed uint64) *claims {
+	told := &claims{last: map[string]string{}}
+	var wait sync.WaitGroup
+	for i := range onceCallers {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		wait.Go(func() {
+			var tickets []string
+			for j := range onceOperations {
+				tickets = append(tickets, issue(f.callers[j%2]))
+			}
+			for j, ticket := range tickets {
+				token := fmt.Sprintf("booking-%d-%d", i, j)
+				outcome := f.bookUntilCertain(random, token, ticket)
+				told.mu.Lock()
+				told.last[token] = outcome
+				told.mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return told
+}
+
+func (f *onceFleet) bookUntilCertain(random *rand.Rand, token, ticket string) string {
+	outcome := ""
+	leave := patience
+	if random.IntN(2) == 0 {
+		leave = impatience
+	}
+	at := random.IntN(len(f.callers))
+	for range onceResends {
+		a := f.book(f.callers[at], token, ticket, leave, standin.ServiceMSHeader, strconv.Itoa(int(serviceTime.Milliseconds())),
+			header.TimeoutMS, strconv.Itoa(bookingDeadline))
+		if a.err == nil {
+			outcome = a.outcome
+		}
+		if outcome == string(reason.Done) || outcome == string(reason.NotRun) {
+			break
+		}
+		time.Sleep(resendPause)
+		leave = patience
+		at = (at + 1) % len(f.callers)
+	}
+	return outcome
+}
+
+// verdict counts bookings that ran twice, and told outcomes that the executions contradict.
+type verdict struct{ doubled, contradicted, done, notRun, unknown int }
+
+func judge(told *claims, executions map[string]int) verdict {
+	var v verdict
+	for token, outcome := range told.last {
+		ran := executions[token]
+		if ran > 1 {
+			v.doubled++
+		}
+		switch reason.Outcome(outcome) {
+		case reason.Done:
+			v.done++
+		case reason.NotRun:
+			v.notRun++
+		default:
+			v.unknown++
+		}
+		if outcome == string(reason.Done) && ran == 0 || outcome == string(reason.NotRun) && ran > 0 {
+			v.contradicted++
+		}
+	}
+	return v
+}
+
+// Guards against a booking that runs twice and against claims that are not true, while answers are lost and instance
+// i0, which issues half of the tickets, fails in different ways. The control without tickets must show doubled
+// bookings, or the test would find nothing.
+func TestAtMostOnce(t *testing.T) {
+	kill := func(t *testing.T, f *onceFleet) { sendSignal(t, f.processes[0], syscall.SIGKILL) }
+	freeze := func(t *testing.T, f *onceFleet) {
+		sendSignal(t, f.processes[0], syscall.SIGSTOP)
+		time.Sleep(time.Second)
+		sendSignal(t, f.processes[0], syscall.SIGCONT)
+	}
+	cases := []struct {
+		name      string
+		noTickets bool
+		logDown   bool
+		fault     func(*testing.T, *onceFleet)
+		// unknown and notRun are the least numbers of such outcomes that the fault must cause.
+		unknown, notRun int
+	}{
+		{name: "control without tickets", noTickets: true},
+		{name: "lost answers"},
+		{name: "owner killed", fault: kill, unknown: 1},
+		{name: "owner frozen", fault: freeze},
+		{name: "owner stopped", notRun: 1, fault: func(t *testing.T, f *onceFleet) { sendSignal(t, f.processes[0], syscall.SIGTERM) }},
+		{name: "log down", logDown: true},
+		{name: "owner killed, log down", logDown: true, fault: kill, unknown: 1},
+		{name: "owner frozen, log down", logDown: true, fault: freeze},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := startOnceFleet(t, 3, 3, c.noTickets)
+			if c.logDown {
+				sendSignal(t, f.platform, syscall.SIGKILL)
+			}
+			finished := make(chan *claims)
+			go func() { finished <- f.callAll(1) }()
+			time.Sleep(3 * serviceTime)
+			if c.fault != nil {
+				c.fault(t, f)
+			}
+			told := <-finished
+			time.Sleep(bookingDeadline * time.Millisecond)
+			v := judge(told, f.executions(t))
+			t.Logf("%+v", v)
+			if c.noTickets != (v.doubled > 0) || v.contradicted > 0 {
+				t.Errorf("%d of %d bookings ran twice, %d claims are not true", v.doubled, len(told.last), v.contradicted)
+			}
+			if v.unknown < c.unknown || v.notRun < c.notRun {
+				t.Errorf("%d unknown and %d not run: the fault did not hit any booking", v.unknown, v.notRun)
+			}
+			if c.notRun > 0 && v.unknown > 0 {
+				t.Errorf("%d outcomes are unknown although the instance stopped as planned", v.unknown)
+			}
+			if c.fault == nil && v.done != len(told.last) {
+				t.Errorf("%d of %d bookings are done although no instance failed", v.done, len(told.last))
+			}
+		})
+	}
+}
+
+func replaceInFile(t testing.TB, file, old, replacement string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err == nil {
+		err = os.WriteFile(file, []byte(strings.Replace(string(data), old, replacement, 1)), 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -13,8 +14,10 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/ticket"
 )
 
 // Counter counts outcomes, refusals and retries. It is safe for concurrent use. The service is empty when the request
@@ -32,6 +35,10 @@
 
 // Gateway serves callers.
 type Gateway struct {
+	// ObserveLeaving is called for each answer that says that its target is leaving, with the target's incarnation. It
+	// must not block. Nil disables it. It is set before Run.
+	ObserveLeaving func(target *control.Target, incarnation string)
+
 	instance    string
 	limits      settings.Limits
 	snapshot    func() *control.Snapshot
@@ -42,6 +49,13 @@
 	server      *server.Hertz
 	connections connections
 	inFlight    *inFlight
+	desk        *ticket.Desk
+	owners      Owners
+	forwards    forwardPools
+	guard       *crashguard.Guard
+	// incarnations holds the latest incarnation seen of each target, by address.
+	incarnations sync.Map
+	spreadMark   func(key string, payload []byte)
 }
 
 // New returns a gateway that listens on the caller address of the settings. It opens no port.
@@ -55,7 +69,10 @@
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
 		inFlight: newInFlight(),
+		desk:     newDesk(s.Instance.ID, randomNumber()),
+		owners:   noOwners{},
 	}
+	g.guard = crashguard.New(g.spreadCrash)
 	g.server = server.New(
 		server.WithListener(g.listener),
 		server.WithTransport(standard.NewTransporter),
@@ -63,6 +80,7 @@
 		server.WithDisablePrintRoute(true),
 	)
 	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
+	g.inFlight.limited = s.Drain.LimitMS > 0
 	return g
 }
 
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -12,8 +12,10 @@
 type inFlight struct {
 	count    atomic.Int64
 	draining atomic.Bool
-	limit    context.Context
-	pass     context.CancelFunc
+	// limited is false without a drain limit, which saves each request a context. It is set before the first request.
+	limited bool
+	limit   context.Context
+	pass    context.CancelFunc
 }
 
 func newInFlight() *inFlight {
@@ -30,7 +32,7 @@
 // The returned function is called once, when the answer is complete.
 func (f *inFlight) begin(ctx context.Context, long bool) (context.Context, func()) {
 	f.count.Add(1)
-	if long {
+	if long || !f.limited {
 		return ctx, func() { f.count.Add(-1) }
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -57,7 +59,10 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.count.Load() }
 
 // Refuse makes the gateway refuse requests that arrive from now on.
-func (g *Gateway) Refuse() { g.inFlight.draining.Store(true) }
+func (g *Gateway) Refuse() {
+	g.inFlight.draining.Store(true)
+	g.desk.Stop()
+}
 
 // CutShort ends the requests in flight whose class is not long.
 func (g *Gateway) CutShort() { g.inFlight.pass() }
--- a/internal/transport/path_test.go
+++ b/internal/transport/path_test.go
@@ -20,11 +20,16 @@
 		{"younger connection answered", func(s *pathState) { s.noteAlive(at(1500), at(3000)) }, false, false},
 		{"old connection answered too long ago", func(s *pathState) { s.noteAlive(at(500), at(2100)) }, false, false},
 		{"old connection answered before the request", func(s *pathState) { s.noteAlive(at(500), at(1900)) }, false, false},
-		{"as old was silent", func(s *pathState) { s.noteBroken(at(0), at(3000)) }, false, true},
-		{"older was silent", func(s *pathState) { s.noteBroken(at(-500), at(3000)) }, false, false},
-		{"silent before the request began", func(s *pathState) { s.noteBroken(at(0), at(1900)) }, false, false},
+		{"as old was silent", func(s *pathState) { s.noteBroken(at(0), at(1500), at(3000)) }, false, true},
+		{"older was silent", func(s *pathState) { s.noteBroken(at(-500), at(1500), at(3000)) }, false, true},
+		{"silent before the connection was opened", func(s *pathState) { s.noteBroken(at(-500), at(-100), at(3000)) }, false, false},
+		{"silent before the request began", func(s *pathState) { s.noteBroken(at(0), at(1500), at(1900)) }, false, false},
+		{"silent, then a younger one answered", func(s *pathState) {
+			s.noteBroken(at(0), at(1500), at(2900))
+			s.noteAlive(at(1200), at(3000))
+		}, false, true},
 		{"silent, then another answered", func(s *pathState) {
-			s.noteBroken(at(500), at(2900))
+			s.noteBroken(at(500), at(1500), at(2900))
 			s.noteAlive(at(400), at(3000))
 		}, true, false},
 	}
