--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -17,8 +17,9 @@
 	"github.com/basillink/basillink/internal/standin"
 )
 
-// exchangeRaw writes bytes on a connection of its own, closes the sending half, and reads one answer.
-func exchangeRaw(t *testing.T, address, raw string) (int, http.Header) {
+// exchangeRaw writes bytes on a connection of its own, closes the sending half if the bytes are all that will come, and
+// reads one answer.
+func exchangeRaw(t *testing.T, address, raw string, closeSending bool) (int, http.Header) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -29,7 +30,9 @@
 	if _, err := io.WriteString(conn, raw); err != nil {
 		t.Errorf("%.60q: %v", raw, err)
 	}
-	_ = conn.(*net.TCPConn).CloseWrite()
+	if closeSending {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatalf("%.60q: no answer: %v", raw, err)
@@ -80,7 +83,7 @@
 	f := newFixture(t, target.Address())
 	for _, c := range cases {
 		before := f.counts.refusals(c.reason)
-		status, headers := exchangeRaw(t, f.address, c.raw)
+		status, headers := exchangeRaw(t, f.address, c.raw, true)
 		if status != c.status || headers.Get(header.Reason) != c.reason {
 			t.Errorf("%s: status %d, reason %q", c.name, status, headers.Get(header.Reason))
 		}
@@ -122,11 +125,11 @@
 	})
 	f := newFixture(t, target)
 	_, headers := exchangeRaw(t, f.address, "GET /desk/x HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, X-Secret\r\nConnection: close\r\nX-Secret: 1\r\n"+
-		"Te: trailers\r\nUpgrade: h2c\r\nBasillink-Run-Id: forged\r\nBasillink-Ticket: t\r\n"+
-		"Cookie: a=b; =odd; c\r\nUser-Agent: u\r\nX-Kept: a\r\nx-kept: b\r\nContent-Type: p/q\r\n\r\n")
+		"Te: trailers\r\nUpgrade: h2c\r\nBasillink-Run-Id: forged\r\nBasillink-Forwarded: 0\r\nBasillink-Next-Ticket: t\r\n"+
+		"Cookie: a=b; =odd; c\r\nUser-Agent: u\r\nX-Kept: a\r\nx-kept: b\r\nContent-Type: p/q\r\n\r\n", false)
 	mu.Lock()
 	defer mu.Unlock()
-	for _, name := range []string{"Connection", "X-Secret", "Te", "Upgrade", "Basillink-Ticket"} {
+	for _, name := range []string{"Connection", "X-Secret", "Te", "Upgrade", "Basillink-Forwarded", "Basillink-Next-Ticket"} {
 		if seen.Get(name) != "" {
 			t.Errorf("the target saw %s: %s", name, seen.Get(name))
 		}
