Bound the trust in load reports and test selection under faults

Hypothesis: reports that lag make all instances follow the same outdated picture. Change: a report counts a quarter of its difference from the mean load, at most one request per slot. Ruled out: weight 0 (52 ms with reports in time), weight 0.25 without bound (260 ms at 90 %), weight 0.5 with a bound of one (82 ms late at 75 %). Further causes found by the new tests: a target in its ramp won every choice that drew it (23.6 % of choices for targets that had just joined), so the share is now per choice; retries after the loss of an availability zone went to the same zone again (7 requests failed, then 5 with draws from all targets, 0 with a cost for preferred targets on retries).

--- a/internal/balancer/draw.go
+++ b/internal/balancer/draw.go
@@ -13,10 +13,11 @@
 const maxRedraws = 8
 
 // next returns the candidate of rank k, or false when every target is excluded. The last regular candidate and
-// those of a spill come from all targets, the others from the preferred ones.
+// those of a spill come from all targets, the others from the preferred ones. A retry draws from all targets, because
+// a lost availability zone takes the preferred ones away together.
 func (d *drawing) next(k int) (int, bool) {
 	list := d.p.members
-	if len(d.p.preferred) > 0 && (k == 0 || k < d.p.kind.draws-1) {
+	if len(d.p.preferred) > 0 && len(d.req.Excluded) == 0 && (k == 0 || k < d.p.kind.draws-1) {
 		list = d.p.preferred
 	}
 	return d.from(list)
@@ -66,6 +67,7 @@
 }
 
 // permitted reports whether a target may be chosen. Strict respects ejection and ramps besides exclusion.
+// An idle target in a ramp wins every choice that draws it, so the share is divided by the number of draws.
 func (d *drawing) permitted(candidate int, strict bool) bool {
 	if slices.Contains(d.req.Excluded, candidate) {
 		return false
@@ -78,7 +80,7 @@
 		return false
 	}
 	share := rampShare(c, d.req.Now)
-	return share >= 1 || uniform(&d.state) < share
+	return share >= 1 || uniform(&d.state) < share/float64(d.p.kind.draws+d.p.kind.spills)
 }
 
 // below returns a number below n and advances the state.
--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -103,11 +103,11 @@
 	if !ok || p.kind.draws < 2 {
 		return first, ok
 	}
-	best := p.judge(first, req.Now)
+	best := p.judge(first, &req)
 	known := best.known
 	for k := 1; k < p.kind.draws || k < p.kind.draws+p.kind.spills && best.cost > spillCost; k++ {
 		target, _ := d.next(k)
-		other := p.judge(target, req.Now)
+		other := p.judge(target, &req)
 		known = max(known, other.known)
 		if other.cost < best.cost {
 			best = other
@@ -131,16 +131,22 @@
 const (
 	// refusalCost is the cost of a target that refuses everything, in requests per slot.
 	refusalCost = 20
+	// retryCost is the cost of a preferred target for a retry. A lost availability zone takes the preferred targets
+	// away together, so a retry goes elsewhere.
+	retryCost = 2
 	// spillCost is the cost of a target whose slots are all taken.
 	spillCost = 1
 )
 
-func (p *engine) judge(target int, now time.Duration) candidate {
+func (p *engine) judge(target int, req *Request) candidate {
 	c := p.cells[target]
-	cost, known := p.kind.score(p, c, now)
-	cost += refusalCost * c.refusalShare(now)
-	if extra := p.distance[target]; extra > 0 {
+	cost, known := p.kind.score(p, c, req.Now)
+	cost += refusalCost * c.refusalShare(req.Now)
+	switch extra := p.distance[target]; {
+	case extra > 0:
 		cost += extra + (1-known)*unknownCost
+	case len(req.Excluded) > 0:
+		cost += retryCost
 	}
 	return candidate{target: target, cost: cost, known: known}
 }
--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -81,7 +81,7 @@
 // sent since, and with growing age the mean load of the service instead.
 func (p *engine) estimate(c *cell, now time.Duration) (load, known float64) {
 	own := float64(c.own.Load())
-	prior := float64(p.shared.load.Load())/loadUnit + own
+	prior := p.prior(c)
 	at := c.reportAt.Load()
 	age := time.Duration(int64(now) - at)
 	if at == 0 || age >= reportExpiry || c.reportUses.Load() >= maxReportUses {
@@ -103,11 +103,28 @@
 	return load / p.slots, known
 }
 
-// combined adds the age of this instance's requests in flight, which shows a slow target before any report does, and
-// the latency of the last answers.
+const (
+	// reportWeight is the weight of the difference between a report and the mean load. Instances that trust reports in
+	// full all follow them; when reports are 100 ms late, that takes p99 in the model from 44 to 280 ms at 75 %
+	// utilisation. A quarter keeps nearly all of the gain of reports that are in time.
+	reportWeight = 0.25
+	// maxReportGap bounds that difference, in requests per slot, so that what the instance sees itself outweighs it.
+	maxReportGap = 1
+)
+
+// combined weighs the reported load, the age of this instance's requests in flight, which shows a slow target before
+// any report does, and the latency of the last answers.
 func (p *engine) combined(c *cell, now time.Duration) (float64, float64) {
 	load, known := p.estimate(c, now)
-	return (load+p.overdue(c, now))/p.slots + p.slowness(c, now), known
+	prior := p.prior(c)
+	gap := max(-maxReportGap, min(maxReportGap, (load-prior)/p.slots))
+	own := (prior + p.overdue(c, now)) / p.slots
+	return own + reportWeight*gap + p.slowness(c, now), known
+}
+
+// prior is the load that is assumed without a report: the mean, and what this instance has in flight.
+func (p *engine) prior(c *cell) float64 {
+	return float64(p.shared.load.Load())/loadUnit + float64(c.own.Load())
 }
 
 // overdueWeight is the cost of a request in flight that is as old as a typical answer, in requests. Values from 1 to
