--- /dev/null
+++ b/internal/balancer/outlier_test.go
@@ -0,0 +1,122 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+)
+
+// respond gives requests to a policy for a while and answers them with the verdict of each target. It returns the
+// number of requests of each target.
+func respond(p Policy, targets int, from, until time.Duration, verdict func(target int) Verdict) []int {
+	counts := make([]int, targets)
+	random := uint64(from)
+	for now := from; now < until; now += time.Millisecond {
+		target, ok := p.Pick(Request{Now: now, Random: mix(&random)})
+		if !ok {
+			continue
+		}
+		counts[target]++
+		p.Started(target, now)
+		p.Finished(target, Result{Now: now + time.Millisecond, Elapsed: time.Millisecond, Verdict: verdict(target), Load: NoLoad})
+	}
+	return counts
+}
+
+func failing(first, last int) func(int) Verdict {
+	return func(target int) Verdict {
+		if target >= first && target <= last {
+			return Rejected
+		}
+		return Answered
+	}
+}
+
+// Guards F3: a target that refuses everything is ejected by every policy and comes back through a trickle.
+func TestEjectionAndReadmission(t *testing.T) {
+	for _, b := range Builders() {
+		p := fleet(b, 10, 1)[0]
+		respond(p, 10, 0, time.Second, failing(0, 0))
+		if refused := respond(p, 10, time.Second, 3*time.Second, failing(0, 0))[0]; refused > 20 {
+			t.Errorf("%s: a refusing target received %d of 2,000 requests", b.Name(), refused)
+		}
+		respond(p, 10, 3*time.Second, 15*time.Second, failing(-1, -1))
+		if back := respond(p, 10, 15*time.Second, 17*time.Second, failing(-1, -1))[0]; back < 20 {
+			t.Errorf("%s: a recovered target received %d of 2,000 requests", b.Name(), back)
+		}
+	}
+}
+
+// Guards against ejecting a service away: at most half of the targets are ejected, however many refuse.
+func TestAtMostHalfEjected(t *testing.T) {
+	p := fleet(TwoChoices{}, 10, 1)[0]
+	for end := time.Second; end <= 20*time.Second; end += time.Second {
+		respond(p, 10, end-time.Second, end, failing(0, 9))
+		ejected := 0
+		for _, c := range p.(*engine).cells {
+			if c.ejectedUntil.Load() > int64(end) {
+				ejected++
+			}
+		}
+		if ejected > 5 {
+			t.Fatalf("%d of 10 targets are ejected at %v", ejected, end)
+		}
+	}
+}
+
+// Guards against learned state that a new configuration loses or that follows the index instead of the address.
+func TestStateFollowsAddress(t *testing.T) {
+	a, b, c := Target{Address: "a", Slots: 4}, Target{Address: "b", Slots: 4}, Target{Address: "c", Slots: 4}
+	old := TwoChoices{}.Build(Config{Targets: []Target{a, b}}, nil)
+	old.Started(1, 0)
+	next := TwoChoices{}.Build(Config{Targets: []Target{b, a, c}}, old).(*engine)
+	if next.cells[0].own.Load() != 1 || next.cells[1].own.Load() != 0 || next.cells[2].rampFrom.Load() != rampPending {
+		t.Errorf("cells after the rebuild: %+v", next.cells)
+	}
+}
+
+// Guards retries: an excluded target is never chosen, and a choice fails when all are excluded.
+func TestExcludedTargetsAreRespected(t *testing.T) {
+	for _, b := range Builders() {
+		p := fleet(b, 3, 1)[0]
+		random := uint64(1)
+		for range 500 {
+			if target, ok := p.Pick(Request{Random: mix(&random), Excluded: []int{0, 2}}); !ok || target != 1 {
+				t.Fatalf("%s: chose %d, %v", b.Name(), target, ok)
+			}
+		}
+		if _, ok := p.Pick(Request{Excluded: []int{0, 1, 2}}); ok {
+			t.Errorf("%s: chose an excluded target", b.Name())
+		}
+	}
+}
+
+// Guards the deterministic subset: stable for an instance, even over instances, and little changed by a new target.
+func TestSubset(t *testing.T) {
+	const instances, size = 400, 5
+	counts := make([]int, 21)
+	moved := 0
+	for i := range instances {
+		config := Config{Instance: uint64(i), SubsetSize: size}
+		for n := range 20 {
+			config.Targets = append(config.Targets, Target{Address: string(rune('a' + n))})
+		}
+		before := append([]int(nil), TwoChoices{}.Build(config, nil).(*engine).members...)
+		config.Targets = append(config.Targets, Target{Address: "new"})
+		for _, m := range before {
+			counts[m]++
+		}
+		for _, m := range (TwoChoices{}).Build(config, nil).(*engine).members {
+			if m == 20 {
+				moved++
+			}
+		}
+	}
+	for target, n := range counts[:20] {
+		if n < 60 || n > 140 {
+			t.Errorf("target %d is used by %d of %d instances, want about 100", target, n, instances)
+		}
+	}
+	if moved < 60 || moved > 140 {
+		t.Errorf("a new target changed %d subsets, want about 95", moved)
+	}
+}
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -45,7 +45,11 @@
 
 func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
 	service := &Service{Spec: entry.Spec, Revision: entry.Revision, departed: l.departedTargets(&entry.Spec)}
-	config := balancer.Config{Service: entry.Spec.Name, ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest}
+	config := balancer.Config{
+		Service:          entry.Spec.Name,
+		ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest,
+		SubsetSize:       subsetSize(&entry.Spec),
+	}
 	for _, target := range entry.Spec.Targets {
 		if target.State == operator.TargetLeaving || l.departures.contains(target.Address) {
 			continue
@@ -71,6 +75,15 @@
 	return service
 }
 
+// subsetSize bounds the targets of an instance when a target has fewer connections than there may be instances, and
+// is 0 otherwise. The subsets of instances are independent, so a quarter of the connections is left for uneven ones.
+func subsetSize(spec *operator.Service) int {
+	if spec.ConnectionsPerTarget >= spec.MaxInstances {
+		return 0
+	}
+	return max(1, len(spec.Targets)*spec.ConnectionsPerTarget*3/4/spec.MaxInstances)
+}
+
 // departedTargets names the targets of a service that left without the operator's decision.
 func (l *Loop) departedTargets(spec *operator.Service) string {
 	var list []string
