--- a/internal/client/explain.go
+++ b/internal/client/explain.go
@@ -50,12 +50,10 @@
 				return usageError(&UsageError{Detail: "exactly one URI that starts with / is expected"})
 			}
 			e, err := Explain(ctx, address, service, method, class, f.Arg(0))
-			if err == nil {
-				err = printExplanation(out, e, asJSON)
-			}
 			if err != nil {
 				return failure(err)
 			}
+			printExplanation(out, e, asJSON)
 			if e.Refusal != "" {
 				return ExitRefused
 			}
@@ -64,9 +62,10 @@
 	}
 }
 
-func printExplanation(out io.Writer, e *admin.Explanation, asJSON bool) error {
+func printExplanation(out io.Writer, e *admin.Explanation, asJSON bool) {
 	if asJSON {
-		return writeJSON(out, e)
+		printJSON(out, e)
+		return
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "instance %s: %s %s of service %q\n", e.Instance, e.Method, e.URI, e.Service)
@@ -83,6 +82,5 @@
 	if e.Refusal != "" {
 		fmt.Fprintf(&b, "refused: %s: %s\n", e.Refusal, e.Help)
 	}
-	_, err := io.WriteString(out, b.String())
-	return err
+	_, _ = io.WriteString(out, b.String())
 }
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -2,20 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
-	"time"
-
-	"github.com/cloudwego/hertz/pkg/protocol"
+	"sync"
 
 	"github.com/basillink/basillink/internal/admin"
 	"github.com/basillink/basillink/internal/platform"
-	"github.com/basillink/basillink/internal/transport"
-)
-
-const (
-	statusTimeout  = 2 * time.Second
-	maxStatusBytes = 4 << 20
 )
 
 // InstanceStatus is the status of one listed instance.
@@ -32,18 +23,18 @@
 		return nil, err
 	}
 	instances = slices.DeleteFunc(instances, func(l platform.ListedInstance) bool { return l.TargetAddress != "" })
+	return askAll(ctx, instances), nil
+}
+
+// askAll asks all instances at once and returns their status in the order of the list.
+func askAll(ctx context.Context, instances []platform.ListedInstance) []InstanceStatus {
 	result := make([]InstanceStatus, len(instances))
-	done := make(chan int)
+	var group sync.WaitGroup
 	for i, listed := range instances {
-		go func() {
-			result[i] = askStatus(ctx, listed)
-			done <- i
-		}()
-	}
-	for range instances {
-		<-done
+		group.Go(func() { result[i] = askStatus(ctx, listed) })
 	}
-	return result, nil
+	group.Wait()
+	return result
 }
 
 func askStatus(ctx context.Context, listed platform.ListedInstance) InstanceStatus {
@@ -56,19 +47,8 @@
 
 // Status asks the admin listener at an address.
 func Status(ctx context.Context, address string) (*admin.Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	pool := transport.NewPool(address, 1)
-	defer pool.CloseIdle()
-	request, answer := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(answer)
-	request.SetRequestURI("http://" + address + "/status")
-	if err := pool.Exchange(ctx, request, answer, maxStatusBytes); err != nil {
-		return nil, err
-	}
 	var status admin.Status
-	if err := json.Unmarshal(answer.Body(), &status); err != nil {
+	if err := askAdmin(ctx, address, "/status", &status); err != nil {
 		return nil, err
 	}
 	return &status, nil
--- a/internal/client/status_command.go
+++ b/internal/client/status_command.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"strings"
-	"sync"
 
 	"github.com/google/subcommands"
 
@@ -32,12 +30,10 @@
 		},
 		run: func(ctx context.Context, _ *flag.FlagSet) subcommands.ExitStatus {
 			list, err := readStatus(ctx, address, admins)
-			if err == nil {
-				err = printStatusList(out, list, asJSON)
-			}
 			if err != nil {
 				return failure(err)
 			}
+			printStatusList(out, list, asJSON)
 			return statusExit(list)
 		},
 	}
@@ -54,17 +50,6 @@
 	return askAll(ctx, instances), nil
 }
 
-// askAll asks all instances at once and returns their status in the order of the list.
-func askAll(ctx context.Context, instances []platform.ListedInstance) []InstanceStatus {
-	result := make([]InstanceStatus, len(instances))
-	var group sync.WaitGroup
-	for i, listed := range instances {
-		group.Go(func() { result[i] = askStatus(ctx, listed) })
-	}
-	group.Wait()
-	return result
-}
-
 func statusExit(list []InstanceStatus) subcommands.ExitStatus {
 	for _, s := range list {
 		if s.Status == nil {
@@ -74,14 +59,14 @@
 	return subcommands.ExitSuccess
 }
 
-func printStatusList(out io.Writer, list []InstanceStatus, asJSON bool) error {
+func printStatusList(out io.Writer, list []InstanceStatus, asJSON bool) {
 	if asJSON {
-		return writeJSON(out, list)
+		printJSON(out, list)
+		return
 	}
 	for _, s := range list {
 		printStatus(out, s)
 	}
-	return nil
 }
 
 func printStatus(out io.Writer, s InstanceStatus) {
@@ -92,9 +77,3 @@
 	_, _ = fmt.Fprintf(out, "%s zone=%s state=%s ready=%t in_flight=%d revision=%d\n",
 		s.Status.Instance, s.Status.Zone, s.Status.State, s.Status.Ready, s.Status.InFlight, s.Status.Revision)
 }
-
-func writeJSON(out io.Writer, v any) error {
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(v)
-}
