Print the outcome of publish as the golden session records it

Change: the line reads "accepted, revision N" as in the golden file, which also suits "unchanged, revision N".

Result: go test -run TestSession ./internal/e2e passes; it failed before.

--- a/internal/client/publish_command.go
+++ b/internal/client/publish_command.go
@@ -170,7 +170,7 @@
 	}
 	for _, r := range results {
 		if r.Outcome != outcomeRefused {
-			_, _ = fmt.Fprintf(out, "%s: %s as revision %d\n", r.Service, r.Outcome, r.Revision)
+			_, _ = fmt.Fprintf(out, "%s: %s, revision %d\n", r.Service, r.Outcome, r.Revision)
 		}
 	}
 }
