--- a/internal/gateway/main_test.go
+++ b/internal/gateway/main_test.go
@@ -110,9 +110,10 @@
 
 func newService(t testing.TB, addresses []string) *control.Service {
 	service := &control.Service{
-		Spec:      operator.Service{Name: "desk", Classes: deskClasses},
-		Admission: admission.NewLimiter(admission.Config{MaxInFlight: 4096, MinInFlight: 4096, MaxWaiting: 256, MaxWait: time.Second}),
-		Retries:   admission.NewRetryBudget(),
+		Spec:          operator.Service{Name: "desk", Classes: deskClasses},
+		AllRepeatable: true,
+		Admission:     admission.NewLimiter(admission.Config{MaxInFlight: 4096, MinInFlight: 4096, MaxWaiting: 256, MaxWait: time.Second}),
+		Retries:       admission.NewRetryBudget(),
 	}
 	config := balancer.Config{Service: "desk"}
 	for _, address := range addresses {
