--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -138,12 +138,39 @@
 		t.Errorf("run id %q", id)
 	}
 	expectValues(t, seen, map[string][]string{"Cookie": {"a=b; =odd; c"}, "User-Agent": {"u"}, "X-Kept": {"a", "b"}, "Content-Type": {"p/q"}, "Basillink-Attempts": {"3"}})
+	if ticket := headers.Get(header.NextTicket); ticket == "forged" {
+		t.Error("a target's ticket reached the caller")
+	}
 	expectValues(t, headers, map[string][]string{
 		"X-Kept": {"a", "b"}, "Set-Cookie": {"a=1; Path=/", "b=2"}, "Content-Type": {"x/y"}, "Content-Encoding": {"gzip"}, "Server": {"s"},
-		"Basillink-Outcome": {"done"}, "Basillink-Next-Ticket": nil, "X-Hop": nil, "Keep-Alive": nil, "Target-Load": nil, "Date": nil,
+		"Basillink-Outcome": {"done"}, "X-Hop": nil, "Keep-Alive": nil, "Target-Load": nil, "Date": nil,
 	})
 }
 
+// Guards against a caller that marks its own request as forwarded to reach a target without a ticket of this instance.
+func TestForgedForwardIsRefused(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	target := rawTarget(t, func(net.Conn, *http.Request) bool {
+		reached <- struct{}{}
+		return false
+	})
+	f := newFixture(t, target)
+	request, err := http.NewRequest(http.MethodGet, "http://"+f.address+"/desk/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(header.Forwarded, "1")
+	request.Header.Set(header.Ticket, "t")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if got := answer.Header.Get(header.Reason); got != "ticket_invalid" || len(reached) > 0 {
+		t.Errorf("status %d, reason %q, target reached %d times", answer.StatusCode, got, len(reached))
+	}
+}
+
 func expectValues(t *testing.T, got http.Header, want map[string][]string) {
 	t.Helper()
 	for name, values := range want {
--- /dev/null
+++ b/internal/prober/exchange.go
@@ -0,0 +1,103 @@
+package prober
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/budget"
+)
+
+// requestFormat is the probe. Its length and the longest answer together stay within budget.ProbeBytes.
+const requestFormat = "GET /load HTTP/1.1\r\nHost: %s\r\n\r\n"
+
+// AnswerError reports an answer to a probe that is no load report.
+type AnswerError struct {
+	Address string
+	Detail  string
+}
+
+func (e *AnswerError) Error() string { return fmt.Sprintf("%s: load probe: %s", e.Address, e.Detail) }
+
+// connections keeps at most one idle connection to each target. It is safe for concurrent use.
+type connections struct {
+	idle sync.Map // address to net.Conn
+}
+
+// loadReport is the body of the answer to a probe.
+type loadReport struct {
+	InFlight  int   `json:"in_flight"`
+	LatencyUS int64 `json:"latency_us"`
+}
+
+// ask sends one probe and reads the answer. The connection is kept only after a whole answer.
+func (c *connections) ask(address string) (balancer.Probe, error) {
+	conn, err := c.take(address)
+	if err != nil {
+		return balancer.Probe{}, trace.Wrap(err)
+	}
+	report, err := exchange(conn, address)
+	if err != nil {
+		_ = conn.Close()
+		return balancer.Probe{}, err
+	}
+	if _, occupied := c.idle.LoadOrStore(address, conn); occupied {
+		_ = conn.Close()
+	}
+	return balancer.Probe{
+		InFlight: report.InFlight,
+		Latency:  time.Duration(report.LatencyUS) * time.Microsecond,
+	}, nil
+}
+
+func (c *connections) take(address string) (net.Conn, error) {
+	if kept, ok := c.idle.LoadAndDelete(address); ok {
+		return kept.(net.Conn), nil
+	}
+	return net.DialTimeout("tcp", address, probeTimeout)
+}
+
+func (c *connections) closeAll() {
+	c.idle.Range(func(address, conn any) bool {
+		c.idle.Delete(address)
+		_ = conn.(net.Conn).Close()
+		return true
+	})
+}
+
+// exchange never reads more bytes than the probe was charged for.
+func exchange(conn net.Conn, address string) (loadReport, error) {
+	var report loadReport
+	if err := conn.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
+		return report, trace.Wrap(err)
+	}
+	written, err := fmt.Fprintf(conn, requestFormat, address)
+	if err != nil {
+		return report, trace.Wrap(err)
+	}
+	reader := bufio.NewReader(io.LimitReader(conn, int64(budget.ProbeBytes-written)))
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return report, trace.Wrap(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return report, trace.Wrap(err)
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return report, trace.Wrap(err)
+	}
+	if answer.StatusCode != http.StatusOK || report.InFlight < 0 || answer.Close || reader.Buffered() > 0 {
+		return report, &AnswerError{Address: address, Detail: "not a load report on a reusable connection"}
+	}
+	return report, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,7 +55,7 @@
 // Balancer configures target selection.
 type Balancer struct {
 	// Policy names the selection policy.
-	Policy string `toml:"policy" accept:"policy" default:"two_choices"`
+	Policy string `toml:"policy" accept:"policy" default:"combined"`
 }
 
 // Limits bounds what one request may cost.
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -14,9 +14,9 @@
 	WholeBytes int
 	// MaxBytes is the longest accepted body.
 	MaxBytes int
-	// MaxIdle is how long the connection may have been unused. An older one must answer a check first, which costs a
-	// round trip. 0 asks for no check.
-	MaxIdle time.Duration
+	// Verified asks for a connection that is known to be alive. It costs a round trip if the connection was idle for
+	// DefaultSilenceAfter.
+	Verified bool
 }
 
 // Start sends a request to the pool's address once and reads the answer. A body of at most limits.WholeBytes is read
@@ -27,7 +27,7 @@
 // Prepare, unless it is nil, is called when a connection is at hand, just before the write. It receives the remaining
 // time, which is 0 without a deadline.
 func (p *Pool) Start(ctx context.Context, request *protocol.Request, limits Limits, prepare Prepare) (*Answer, error) {
-	conn, err := p.acquire(ctx, limits.MaxIdle)
+	conn, err := p.acquire(ctx, limits.Verified)
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -68,9 +68,9 @@
 	err  error
 }
 
-// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A connection
-// that was unused for maxIdle must answer a check first; 0 asks for none.
-func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A verified
+// connection is new, was used lately, or has answered a check.
+func (p *Pool) acquire(ctx context.Context, verified bool) (*Conn, error) {
 	for {
 		conn, err := p.obtain(ctx)
 		if err != nil {
@@ -83,7 +83,7 @@
 		switch {
 		case age >= idleLimit || conn.readable():
 			p.discard(conn)
-		case maxIdle > 0 && age >= maxIdle:
+		case verified && age >= DefaultSilenceAfter:
 			p.verifyBeforeUse(conn)
 		default:
 			return conn, nil
