--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -17,6 +17,7 @@
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/internal/standin/relay"
 )
 
 // claim is what a caller was told.
@@ -124,6 +125,33 @@
 	}
 }
 
+// Guards against a repeatable request that is lost on a path that went silent: it is run by another target.
+func TestSilentPathIsRetried(t *testing.T) {
+	silent, good := newTarget(t), newTarget(t)
+	path, err := relay.New(silent.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	f := newFixture(t, path.Address(), good.Address())
+	client := newClient(t, false)
+	for i := 0; path.Opened() < 2; i++ {
+		ask(client, f.request(t, "GET", fmt.Sprint("before", i), standin.FaultNone, 0))
+	}
+	path.Freeze()
+	var sent sync.WaitGroup
+	for i := range 8 {
+		sent.Go(func() {
+			token := fmt.Sprint("after", i)
+			checkToken(t, token, 0, ask(client, f.request(t, "GET", token, standin.FaultNone, 0)))
+		})
+	}
+	sent.Wait()
+	if f.counts.retried["retry_connection_silent"] == 0 {
+		t.Errorf("retried %v, refused %v", f.counts.retried, f.counts.refused)
+	}
+}
+
 // Guards against a broken answer that looks whole to the caller: chunks must not end after a fault in mid-body.
 func TestBrokenStreamIsVisible(t *testing.T) {
 	part := strings.Repeat("x", 3<<20)
