--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -40,7 +40,7 @@
 	}
 	if p.isSilent(conn, e) {
 		conn.interruptSilent(e.number, p.silenceAfter)
-		p.distrust(e.opened)
+		p.distrust(e.opened, e.began)
 		return
 	}
 	conn.rearm(e.number, p.silenceAfter)
@@ -71,7 +71,7 @@
 	if witness == nil || p.verify(witness) != signSilent {
 		return false
 	}
-	p.distrust(witness.opened)
+	p.distrust(witness.opened, e.began)
 	return true
 }
 
@@ -93,13 +93,13 @@
 	return witness
 }
 
-// distrust records that a connection was found silent, and verifies the idle connections that have not been used for a
+// distrust records that a connection was found silent which began to wait at since, and verifies the idle connections that have not been used for a
 // while. They carry no request until they have answered. The checks run at the same time and open no connection.
-func (p *Pool) distrust(opened time.Time) {
+func (p *Pool) distrust(opened, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.path.noteBroken(opened, now)
+	p.path.noteBroken(opened, since, now)
 	kept := p.idle[:0]
 	for _, conn := range p.idle {
 		if now.Sub(conn.lastUsed) < checkTimeout {
