Use own evidence in the fallback and record the selection measurements

Hypothesis: without load reports on answers and without probes the combined policy loses its gain in the fallback, because two choices on counts ignore the ages of requests in flight. Change: the fallback of the combined policy adds ages and slow answers to the counts. The table has rows without load reports on answers.

--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -17,6 +17,8 @@
 	// score returns the cost of sending a request to a target, the lowest of which wins, and how far the load of
 	// the target is known.
 	score func(p *engine, c *cell, now time.Duration) (cost, known float64)
+	// ages says that the policy uses the ages of requests in flight and the latency of answers.
+	ages bool
 	// prefers limits the targets that an instance uses first.
 	prefers bool
 	// rotate takes targets in turn instead of at random.
--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -26,7 +26,7 @@
 	&kind{name: NameProbing, draws: 4, probes: true, score: (*engine).reportedLoad},
 	&kind{name: NameLatencyWeighted, draws: 2, score: (*engine).latencyTimesInFlight},
 	&kind{name: NameReported, draws: 4, answers: true, score: (*engine).reportedLoad},
-	&kind{name: NameCombined, draws: 6, spills: 6, probes: true, answers: true, prefers: true, score: (*engine).combined},
+	&kind{name: NameCombined, draws: 6, spills: 6, ages: true, probes: true, answers: true, prefers: true, score: (*engine).combined},
 }
 
 // Builders returns the registered builders. The slice must not be modified.
@@ -144,10 +144,15 @@
 	return overdueWeight * min(ages, maxAges*float64(c.own.Load()))
 }
 
-// ownCost is what this instance knows of a target without any report.
+// ownCost is what this instance knows of a target without any report: its requests in flight, and for the combined
+// policy their ages and the latency of the last answers, which are evidence of its own.
 func (p *engine) ownCost(target int, now time.Duration) float64 {
 	c := p.cells[target]
-	return float64(c.own.Load()) + refusalCost*c.refusalShare(now)
+	cost := float64(c.own.Load()) + refusalCost*c.refusalShare(now)
+	if p.kind.ages {
+		cost += p.overdue(c, now) + p.slots*p.slowness(c, now)
+	}
+	return cost
 }
 
 const (
--- a/internal/targetmodel/instance.go
+++ b/internal/targetmodel/instance.go
@@ -209,7 +209,7 @@
 		return
 	}
 	load := copied.report.inFlight
-	if verdict == balancer.Failed || verdict == balancer.Cancelled {
+	if verdict == balancer.Failed || verdict == balancer.Cancelled || m.settings.SilentAnswers {
 		load = balancer.NoLoad
 	}
 	in.policy.Finished(in.positions[copied.target], balancer.Result{
--- a/internal/targetmodel/settings.go
+++ b/internal/targetmodel/settings.go
@@ -41,6 +41,8 @@
 	Zones int
 	// ZoneDelay is the additional one-way delay between zones.
 	ZoneDelay time.Duration
+	// SilentAnswers leaves the load reports on answers out.
+	SilentAnswers bool
 	// Warmup is excluded from the report. Length is the arrival time of the last request.
 	Warmup, Length time.Duration
 	// HedgeAfter is when a second copy of a request is sent. 0 disables hedging.
--- a/internal/targetmodel/table_test.go
+++ b/internal/targetmodel/table_test.go
@@ -9,7 +9,10 @@
 	"github.com/basillink/basillink/internal/balancer"
 )
 
-var tableSeeds = flag.Int("table.seeds", 10, "seeds per row of the policy table")
+var (
+	tableSeeds = flag.Int("table.seeds", 10, "seeds per row of the policy table")
+	tableOnly  = flag.String("table.only", "", "a single table, such as flightdesk-75")
+)
 
 // BenchmarkPolicyTable prints the table of all policies and probe rates:
 //
@@ -35,6 +38,9 @@
 }
 
 func printTable(service string, s Settings) {
+	if *tableOnly != "" && *tableOnly != fmt.Sprintf("%s-%.0f", service, 100*s.Utilisation) {
+		return
+	}
 	fmt.Printf("\n%s, %.0f %% utilisation, %d seeds (mean ± spread, ms)\n", service, 100*s.Utilisation, *tableSeeds)
 	fmt.Println("| policy | p50 | p99 | p99.9 | late % | probes/request | bytes/request |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
@@ -45,7 +51,7 @@
 	for _, builder := range balancer.Builders() {
 		switch builder.Name() {
 		case balancer.NameProbing, balancer.NameCombined:
-			for _, rate := range []float64{0, 0.1, 0.25, 0.5, 1, 2} {
+			for _, rate := range rates() {
 				printRow(builder.Name(), s, builder, rate)
 			}
 		default:
@@ -54,12 +60,17 @@
 	}
 	combined, _ := balancer.Find(balancer.NameCombined)
 	printRow("combined, hedged", hedged, combined, 0.25)
+	silent := s
+	silent.SilentAnswers = true
+	for _, rate := range rates() {
+		printRow("combined, no loads on answers", silent, combined, rate)
+	}
 }
 
 func printRow(name string, s Settings, builder balancer.Builder, rate float64) {
 	s.Builder, s.ProbesPerRequest = builder, rate
 	row := Measure(s, *tableSeeds)
-	onAnswers := builder != nil && (builder.Name() == balancer.NameReported || builder.Name() == balancer.NameCombined)
+	onAnswers := builder != nil && !s.SilentAnswers && (builder.Name() == balancer.NameReported || builder.Name() == balancer.NameCombined)
 	fmt.Printf("| %s | %.1f ± %.1f | %.1f ± %.1f | %.1f ± %.1f | %.2f ± %.2f | %.2f | %.0f |\n", name,
 		row.P50.Mean, row.P50.Spread, row.P99.Mean, row.P99.Spread, row.P999.Mean, row.P999.Spread,
 		100*row.Late.Mean, 100*row.Late.Spread, row.ProbesPerRequest, row.Reports[0].BytesPerRequest(onAnswers))
