--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -119,7 +119,7 @@
 	path.freeze()
 	time.Sleep(DefaultSilenceAfter)
 	limits := testLimits
-	limits.Verified = true
+	limits.MaxIdle = DefaultSilenceAfter
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	answer, err := pool.Start(ctx, newRequest("POST", path.address(), "/", "x"), limits, nil)
