--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -20,6 +20,7 @@
 
 func (g *Gateway) executeAttempts(ctx context.Context, call *call) *result {
 	var tried []int
+	var failure *reason.Reason
 	for {
 		entry, refusal := g.enterGuard(ctx, call)
 		if refusal != nil {
@@ -28,7 +29,7 @@
 		index, refusal := g.pick(ctx, call, &entry, tried)
 		if refusal != nil {
 			entry.Leave()
-			return refused(refusal)
+			return refused(moreTelling(failure, refusal))
 		}
 		tried = append(tried, index)
 		outcome := g.attempt(ctx, call, index)
@@ -43,10 +44,19 @@
 		}
 		g.counter.Retried(call.serviceName, retry)
 		g.log.Debug("Retrying on another target.", "service", call.serviceName, "reason", retry.Name, "error", outcome.cause)
+		failure = outcome.why
 		outcome.release()
 	}
 }
 
+// moreTelling returns the failure of the last attempt instead of the lack of a further target.
+func moreTelling(failure, refusal *reason.Reason) *reason.Reason {
+	if failure != nil && refusal == reason.NoTarget {
+		return failure
+	}
+	return refusal
+}
+
 // retryReason says why the request may be sent to a further target, or returns nil.
 func retryReason(why *reason.Reason, call *call) *reason.Reason {
 	if why == nil || call.attempts <= 0 {
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -52,6 +52,7 @@
 	h := &c.Response.Header
 	h.SetStatusCode(http.StatusOK)
 	h.SetContentType("text/plain; charset=utf-8")
+	h.Set(header.Outcome, string(reason.Done))
 	h.Set(header.Instance, g.instance)
 	h.Set(header.NextTicket, text)
 	c.Response.SetBodyString(text + "\n")
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -99,8 +99,6 @@
 	RetryAnswerLost        = add("retry_answer_lost", Retry, 0, "", "A repeatable request lost its answer.")
 	RetryAnswerTruncated   = add("retry_answer_truncated", Retry, 0, "", "A repeatable request received an incomplete answer.")
 	RetryConnectionSilent  = add("retry_connection_silent", Retry, 0, "", "A repeatable request was on a connection that went silent.")
-	RetryTargetError       = add("retry_target_error", Retry, 0, "", "A repeatable request was answered 502, 503 or 504 by the target.")
-	RetryHedge             = add("retry_hedge", Retry, 0, "", "A repeatable request was slow and was sent to a second target.")
 )
 
 var all []*Reason
