Drain a target that the policy chooses in the departure benchmark

Cause: with the combined policy none of 5,000 sequential requests over 60 targets reached the first target, so that the benchmark waited for ever. Change: the benchmark drains a target that has just answered, and bounds the search for its answer.

--- a/internal/e2e/membership_bench_test.go
+++ b/internal/e2e/membership_bench_test.go
@@ -12,7 +12,11 @@
 	"github.com/basillink/basillink/internal/standin"
 )
 
-const benchInstances = 20
+const (
+	benchInstances = 20
+	// maxSearch bounds the requests until a given one of 60 targets answers.
+	maxSearch = 5000
+)
 
 // everywhere returns the time until check holds on every instance, looking every 5 ms.
 func everywhere(f *testFleet, check func(i int) bool) time.Duration {
@@ -94,12 +98,17 @@
 	f.list.SetDown(true)
 	var times []time.Duration
 	for b.Loop() {
-		i := len(times)
-		if i == len(targets)-1 {
+		if len(times) == len(targets)-1 {
 			b.Fatal("no target is left; run with -benchtime of at most 59x")
 		}
+		i := chosenTarget(f, targets)
 		targets[i].SetFaults(standin.TargetFaults{Draining: true})
-		for seen := executions(targets[i]); executions(targets[i]) == seen; {
+		// A policy need not choose a given target, so that the search for its answer is bounded.
+		seen := executions(targets[i])
+		for try := 0; executions(targets[i]) == seen; try++ {
+			if try == maxSearch {
+				b.Fatalf("target %d got none of %d requests", i, maxSearch)
+			}
 			f.lookup(0, "seen")
 		}
 		times = append(times, everywhere(f, func(j int) bool {
@@ -110,6 +119,18 @@
 	reportTimes(b, times)
 }
 
+// chosenTarget returns a target that the policy of the first instance chooses now.
+func chosenTarget(f *testFleet, targets []*standin.Target) int {
+	before := make([]int, len(targets))
+	for i, target := range targets {
+		before[i] = executions(target)
+	}
+	f.lookup(0, "choose")
+	return max(0, slices.IndexFunc(targets, func(t *standin.Target) bool {
+		return executions(t) > before[slices.Index(targets, t)]
+	}))
+}
+
 // BenchmarkOutageMemory reports the resident memory of an instance at the start and at the end of an outage of the log.
 // The length of the outage is given by -benchtime in seconds, as in 60x.
 func BenchmarkOutageMemory(b *testing.B) {
