--- a/internal/transport/relay_test.go
+++ b/internal/standin/relay/relay.go
@@ -1,15 +1,15 @@
-package transport
+// Package relay is a fake network path for tests: a TCP relay that can stop passing bytes on the connections that exist.
+package relay
 
 import (
 	"io"
 	"net"
 	"sync"
-	"testing"
 )
 
-// relay is a fake network path. It can stop passing bytes on the connections that exist while new ones work. Like a
-// relay on a real path it still acknowledges what it receives.
-type relay struct {
+// Relay passes bytes to a target. It can stop passing them on the connections that exist while new ones work. Like a
+// relay on a real path it still acknowledges what it receives. It is safe for concurrent use.
+type Relay struct {
 	listener net.Listener
 	target   string
 
@@ -25,21 +25,21 @@
 	frozen    bool
 }
 
-func newRelay(t testing.TB, target string) *relay {
-	t.Helper()
+// New returns a relay to a target on a loopback address. Close must be called.
+func New(target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	r := &relay{listener: listener, target: target}
+	r := &Relay{listener: listener, target: target}
 	r.running.Go(r.accept)
-	t.Cleanup(r.close)
-	return r
+	return r, nil
 }
 
-func (r *relay) address() string { return r.listener.Addr().String() }
+// Address returns the listening address.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		near, err := r.listener.Accept()
 		if err != nil {
@@ -80,8 +80,8 @@
 	}
 }
 
-// freeze silences the connections that exist.
-func (r *relay) freeze() {
+// Freeze silences the connections that exist.
+func (r *Relay) Freeze() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, l := range r.links {
@@ -91,13 +91,15 @@
 	}
 }
 
-func (r *relay) opened() int {
+// Opened returns the number of connections that were accepted.
+func (r *Relay) Opened() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.accepted
 }
 
-func (r *relay) close() {
+// Close ends all connections and waits for the goroutines of the relay.
+func (r *Relay) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	for _, l := range r.links {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -68,9 +68,9 @@
 	err  error
 }
 
-// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A verified
-// connection is new, was used lately, or has answered a check.
-func (p *Pool) acquire(ctx context.Context, verified bool) (*Conn, error) {
+// acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A connection
+// that was unused for maxIdle must answer a check first; 0 asks for none.
+func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
 	for {
 		conn, err := p.obtain(ctx)
 		if err != nil {
@@ -83,7 +83,7 @@
 		switch {
 		case age >= idleLimit || conn.readable():
 			p.discard(conn)
-		case verified && age >= DefaultSilenceAfter:
+		case maxIdle > 0 && age >= maxIdle:
 			p.verifyBeforeUse(conn)
 		default:
 			return conn, nil
@@ -94,9 +94,9 @@
 // verifyBeforeUse checks a connection and returns it to the pool if it is alive. When it is silent, the other idle
 // connections are checked as well instead of one by one.
 func (p *Pool) verifyBeforeUse(conn *Conn) {
-	opened := conn.opened
+	opened, lastUsed := conn.opened, conn.lastUsed
 	if p.verify(conn) == signSilent {
-		p.distrust(opened)
+		p.distrust(opened, lastUsed)
 	}
 }
 
@@ -145,19 +145,21 @@
 	return &LimitError{Address: p.address, Limit: p.limit}
 }
 
-// next takes an idle connection or reserves room for a new one. The lock is held.
+// next takes an idle connection or reserves room for a new one. The last idle connection of a target pool is kept to
+// compare silent ones with, as long as a new one may be opened. The lock is held.
 func (p *Pool) next() (grant, bool) {
-	if n := len(p.idle); n > 0 {
-		conn := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.keepSpare()
-		return grant{conn: conn}, true
-	}
-	if p.open < p.limit && p.rate.take(time.Now()) {
+	n := len(p.idle)
+	if (n == 0 || n == 1 && p.spare) && p.open < p.limit && p.rate.take(time.Now()) {
 		p.open++
 		return grant{}, true
 	}
-	return grant{}, false
+	if n == 0 {
+		return grant{}, false
+	}
+	conn := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	p.keepSpare()
+	return grant{conn: conn}, true
 }
 
 // serve hands out what is available to the waiters in order. The lock is held.
