Charge checks of departed targets to the measuring budget

Ruled out: a check that reads no load, because only an answer of the target names its incarnation.

Change: the prober sends these checks within the service's allowance and byte limit; the account of a service exists from its first request on.

Conclusion: a service without a budget learns of a return from the list or after the lifetime of the departure, 10 minutes.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -36,8 +36,23 @@
 	}
 }
 
-// Departed returns the addresses of targets that are known to have left. It must be called on the control goroutine.
-func (l *Loop) Departed() []string { return l.departures.addresses() }
+// departedFrom returns the departed targets with the service in force that names them. It must be called on the control
+// goroutine.
+func (l *Loop) departedFrom() map[string]*Service {
+	departed := map[string]*Service{}
+	snapshot := l.Snapshot()
+	if snapshot == nil || len(l.departures.addresses()) == 0 {
+		return departed
+	}
+	for _, service := range snapshot.Services {
+		for _, target := range service.Spec.Targets {
+			if l.departures.contains(target.Address) {
+				departed[target.Address] = service
+			}
+		}
+	}
+	return departed
+}
 
 func (l *Loop) applyEvent(e TargetEvent) {
 	if !l.departures.observe(l.now(), e) {
--- a/internal/control/returns.go
+++ b/internal/control/returns.go
@@ -4,11 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"time"
-
-	"github.com/cloudwego/hertz/pkg/protocol"
-
-	"github.com/basillink/basillink/internal/header"
-	"github.com/basillink/basillink/internal/transport"
 )
 
 const (
@@ -17,8 +12,6 @@
 	// returnInterval is the mean time between two checks of one departed target by all instances together. Checks
 	// stop with the target's return or after departureLifetime.
 	returnInterval = 2 * time.Second
-	returnTimeout  = time.Second
-	maxReturnBytes = 64 << 10
 )
 
 // ReturnChecker asks departed targets whether they are back as a new incarnation. A departed target receives no
@@ -28,19 +21,21 @@
 	// Instances returns the number of live instances, which share the checks by chance.
 	Instances func() int
 	Random    *rand.Rand
+	// Check asks one target within the measuring budget of its service.
+	Check func(service *Service, address string) (incarnation string, draining, ok bool)
 }
 
 // Run checks until the context ends.
 func (r *ReturnChecker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, returnPoll)
-		var departed []string
-		if r.Loop.Do(ctx, func() { departed = r.Loop.Departed() }) != nil {
+		var departed map[string]*Service
+		if r.Loop.Do(ctx, func() { departed = r.Loop.departedFrom() }) != nil {
 			return
 		}
-		for _, address := range departed {
+		for address, service := range departed {
 			if r.due() {
-				r.check(ctx, address)
+				r.check(service, address)
 			}
 		}
 	}
@@ -52,21 +47,9 @@
 	return r.Random.Float64() < chance
 }
 
-func (r *ReturnChecker) check(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
-	defer cancel()
-	pool := transport.NewPool(address, 1)
-	defer pool.CloseIdle()
-	request, answer := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(request)
-	defer protocol.ReleaseResponse(answer)
-	request.SetRequestURI("http://" + address + "/load")
-	if pool.Exchange(ctx, request, answer, maxReturnBytes) != nil {
-		return
+func (r *ReturnChecker) check(service *Service, address string) {
+	incarnation, draining, ok := r.Check(service, address)
+	if ok {
+		r.Loop.Observe(TargetEvent{Address: address, Incarnation: incarnation, Draining: draining})
 	}
-	r.Loop.Observe(TargetEvent{
-		Address:     address,
-		Incarnation: string(answer.Header.Peek(header.TargetIncarnation)),
-		Draining:    string(answer.Header.Peek(header.TargetDraining)) == "1",
-	})
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -47,10 +47,20 @@
 		Random:   newRandom(),
 		Logger:   telemetry.Component(log, "list"),
 	}
-	d.returns = &control.ReturnChecker{Loop: d.loop, Instances: d.liveInstances, Random: newRandom()}
+	d.returns = &control.ReturnChecker{
+		Loop:      d.loop,
+		Instances: d.liveInstances,
+		Random:    newRandom(),
+		Check:     d.checkReturn,
+	}
 	return nil
 }
 
+func (d *Daemon) checkReturn(service *control.Service, address string) (string, bool, bool) {
+	presence, ok := d.prober.Check(service, address)
+	return presence.Incarnation, presence.Draining, ok
+}
+
 func (d *Daemon) self() peer.Member {
 	return peer.Member{
 		Identity: peer.Identity{ID: d.settings.Instance.ID, Incarnation: d.incarnation},
--- a/internal/prober/exchange.go
+++ b/internal/prober/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/budget"
+	"github.com/basillink/basillink/internal/header"
 )
 
 // requestFormat is the probe. Its length and the longest answer together stay within budget.ProbeBytes.
@@ -36,26 +37,36 @@
 type loadReport struct {
 	InFlight  int   `json:"in_flight"`
 	LatencyUS int64 `json:"latency_us"`
+
+	// presence comes from the headers of the answer.
+	presence Presence
+}
+
+// Presence is what a target says about itself besides its load.
+type Presence struct {
+	Incarnation string
+	Draining    bool
 }
 
 // ask sends one probe and reads the answer. The connection is kept only after a whole answer.
-func (c *connections) ask(address string) (balancer.Probe, error) {
+func (c *connections) ask(address string) (loadReport, error) {
 	conn, err := c.take(address)
 	if err != nil {
-		return balancer.Probe{}, trace.Wrap(err)
+		return loadReport{}, trace.Wrap(err)
 	}
 	report, err := exchange(conn, address)
 	if err != nil {
 		_ = conn.Close()
-		return balancer.Probe{}, err
+		return report, err
 	}
 	if _, occupied := c.idle.LoadOrStore(address, conn); occupied {
 		_ = conn.Close()
 	}
-	return balancer.Probe{
-		InFlight: report.InFlight,
-		Latency:  time.Duration(report.LatencyUS) * time.Microsecond,
-	}, nil
+	return report, nil
+}
+
+func (r *loadReport) probe(now time.Duration) balancer.Probe {
+	return balancer.Probe{Now: now, InFlight: r.InFlight, Latency: time.Duration(r.LatencyUS) * time.Microsecond}
 }
 
 func (c *connections) take(address string) (net.Conn, error) {
@@ -89,6 +100,10 @@
 		return report, trace.Wrap(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	report.presence = Presence{
+		Incarnation: answer.Header.Get(header.TargetIncarnation),
+		Draining:    answer.Header.Get(header.TargetDraining) == "1",
+	}
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
 		return report, trace.Wrap(err)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -63,11 +63,13 @@
 
 // Requested records a request to a service and queues the probes that it pays for. It does not block.
 func (p *Prober) Requested(service *control.Service) {
+	// The account exists from the first request on, so that its first window passes before a check is needed.
+	account := p.account(service)
 	measuring := service.Spec.Measuring
 	if measuring.ProbesPerRequest <= 0 {
 		return
 	}
-	for range p.account(service).rate.Earn(measuring.ProbesPerRequest) {
+	for range account.rate.Earn(measuring.ProbesPerRequest) {
 		select {
 		case p.jobs <- service:
 		default:
@@ -125,12 +127,27 @@
 	if !ok || !p.account(service).allowance.Spend(p.now(), budget.ProbeBytes) {
 		return
 	}
+	if report, ok := p.send(service.Targets[index].Address); ok {
+		service.Policy.Probed(index, report.probe(p.now()))
+	}
+}
+
+// Check asks a target that receives no requests whether it is back. It is charged like a probe, and reports false when
+// the allowance is spent or the target does not answer.
+func (p *Prober) Check(service *control.Service, address string) (Presence, bool) {
+	if !p.account(service).allowance.Spend(p.now(), budget.ProbeBytes) {
+		return Presence{}, false
+	}
+	report, ok := p.send(address)
+	return report.presence, ok
+}
+
+// send sends one charged probe.
+func (p *Prober) send(address string) (loadReport, bool) {
 	p.sent.Add(1)
-	answer, err := p.conns.ask(service.Targets[index].Address)
+	report, err := p.conns.ask(address)
 	if err != nil {
 		p.failed.Add(1)
-		return
 	}
-	answer.Now = p.now()
-	service.Policy.Probed(index, answer)
+	return report, err == nil
 }
