Open the channel for admission only when a request waits

Cause: every request made a channel and a function for a decision that most requests get at once.

Ruled out: a race with the decision. The queue notifies only under the lock that Offer was called under, so that the channel may be made after it.

Change: the channel is made when Offer neither admits nor refuses.

Result: go test ./internal/gateway -run NONE -bench Serve -benchtime 2000x, one run each: 46 to 43 allocations for 100 B, 47 to 44 for 1 MB; times are within noise. go test -race ./internal/admission and the flood test (twice) pass.

Conclusion: behaviour and bounds are unchanged.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -36,18 +36,12 @@
 
 // Admit waits until the request may be sent to a target. The deadline is that of the context, which must have one.
 func (l *Limiter) Admit(ctx context.Context, caller string, priority int, waits bool) (*Admission, *reason.Reason) {
-	answer := make(chan *reason.Reason, 1)
-	request := &Request{
-		Caller:   caller,
-		Priority: priority,
-		Waits:    waits,
-		Notify:   func(why *reason.Reason) { answer <- why },
-	}
+	request := &Request{Caller: caller, Priority: priority, Waits: waits}
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Deadline = deadline.Sub(l.start)
 	}
-	admitted, refusal := l.offer(request)
-	if !admitted && refusal == nil {
+	answer, refusal := l.offer(request)
+	if answer != nil {
 		refusal = l.wait(ctx, request, answer)
 	}
 	if refusal != nil {
@@ -56,10 +50,18 @@
 	return &Admission{limiter: l, request: request, begun: l.now()}, nil
 }
 
-func (l *Limiter) offer(r *Request) (bool, *reason.Reason) {
+// offer returns a channel for the decision if the request has to wait. The queue notifies under the lock, so that the
+// channel is only needed once Offer has returned.
+func (l *Limiter) offer(r *Request) (<-chan *reason.Reason, *reason.Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Offer(l.now(), r)
+	admitted, refusal := l.queue.Offer(l.now(), r)
+	if admitted || refusal != nil {
+		return nil, refusal
+	}
+	answer := make(chan *reason.Reason, 1)
+	r.Notify = func(why *reason.Reason) { answer <- why }
+	return answer, nil
 }
 
 // wait blocks until the queue decides on the request or its caller leaves.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -22,7 +22,8 @@
 	Waits bool
 
 	offered time.Duration
-	// Notify is called once with nil on admission or with the reason of a refusal, unless Offer returns either.
+	// Notify is called once with nil on admission or with the reason of a refusal, unless Offer returns either. It may
+	// be set after Offer, before the next call of a method of the queue.
 	Notify func(*reason.Reason)
 }
 
