Hold requests whose crashes are the same until they can be told apart

A trace of the guard in a failing run shows that a lookup was in flight beside the cause at both of its crashes, through the other instance. Each of the two marks then explained the other, and both were tried once more, which ran the cause on a third target of one instance.

Ruled out: a missed crash.

Change: a mark explains another one at once only if it has a crash that the other lacks. Marks with the same crashes wait for the hold of 2 s, in which the crashes that other instances saw arrive.

Conclusion: two crashes for each instance hold unless no other instance saw a crash that tells the two requests apart; then both are tried after the hold.

--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -27,7 +27,7 @@
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
-	case !g.unexplained(m):
+	case !g.unexplained(now, m):
 	case now-m.enoughSince < holdTime:
 		return Entry{}, neverClosed, false
 	default:
@@ -46,12 +46,18 @@
 // unexplained reports whether a request has enough crashes to be refused. A request is tried once more if another one
 // was in flight at each of its crashes: instances that do not know of each other's suspects may run an innocent request
 // beside the cause twice. A further crash beside no such request refuses it.
-func (g *Guard) unexplained(m *mark) bool {
+//
+// Two requests with the same crashes explain each other. They wait for the hold, in which the crashes that other
+// instances saw tell them apart: trying both at once ran the cause on a third target of one instance.
+func (g *Guard) unexplained(now time.Duration, m *mark) bool {
 	if !m.enough() {
 		return false
 	}
 	for _, other := range g.marks {
-		if other != m && other.enough() && other.explains(m) {
+		if other == m || !other.enough() || !other.explains(m) {
+			continue
+		}
+		if now-m.enoughSince >= holdTime || !m.explains(other) {
 			return false
 		}
 	}
