Let instances pull crash marks, and try the request that was answered before first

Cause: marks spread as rumors only, so an instance that starts later, or that was cut off, ran the cause again on two more targets. Two requests with the same crashes that no other instance tells apart were both tried after the hold, which runs the cause on one target more than the stated bound.

Ruled out: trying the two in the order of their fingerprints, which runs the cause first in half of the cases; refusing both, which refuses an innocent caller.

Change: the marks have a digest and a list, which the gossip compares and pulls. A pulled mark keeps its age.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -22,6 +22,11 @@
 	losses     map[string][]loss
 	lossCount  int
 	suspectsOn map[string]struct{}
+	// sum is the digest of the marks while summed is true.
+	sum    uint64
+	summed bool
+	// answered holds requests that had a complete answer lately.
+	answered history
 	// vacated is closed and replaced when a suspect leaves a target.
 	vacated chan struct{}
 }
@@ -104,6 +109,10 @@
 func (g *Guard) Answered(now time.Duration, f Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.answered.add(f)
+	if g.watched.Load() == 0 {
+		return
+	}
 	open := g.lossCount
 	for target := range g.losses {
 		g.forgive(target, f)
@@ -139,7 +148,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	news := g.mark(now, f).merge(now, remote)
+	g.expire(now)
+	if g.marks[f] == nil {
+		// A mark that was pulled from a peer keeps its age, so that marks do not renew each other.
+		g.mark(now, f).last = remote.last
+	}
+	news := g.marks[f].merge(now, remote)
 	g.watch()
 	return news, nil
 }
@@ -181,7 +195,9 @@
 	})
 }
 
+// watch counts what is watched after a change.
 func (g *Guard) watch() {
+	g.summed = false
 	watched := int64(g.lossCount)
 	for _, m := range g.marks {
 		if m.suspect() {
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -42,8 +42,12 @@
 		s.now += d
 		return ""
 	}
-	if line == "deliver" {
-		return s.deliver()
+	if line == "lose" {
+		s.rumors = nil
+		return ""
+	}
+	if line == "deliver" || line == "pull" {
+		return s.deliver(line == "pull")
 	}
 	g, verb, argument := s.guards[word[0]], word[1], append(word[2:], "", "")
 	f := FingerprintOf("s", "POST", "/"+argument[0], nil)
@@ -73,8 +77,14 @@
 	return ""
 }
 
-func (s *session) deliver() string {
+// deliver passes the waiting rumors on, or all marks in a pull, and reports whether the digests agree afterwards.
+func (s *session) deliver(pull bool) string {
 	news := 0
+	for name, g := range s.guards {
+		if pull {
+			g.List(s.now, func(f Fingerprint, data []byte) { s.rumors = append(s.rumors, rumor{name, f, data}) })
+		}
+	}
 	for _, r := range s.rumors {
 		to := "a"
 		if r.from == "a" {
@@ -85,7 +95,8 @@
 		}
 	}
 	s.rumors = nil
-	return fmt.Sprintf("%d news\n", news)
+	agree := s.guards["a"].Digest(s.now) == s.guards["b"].Digest(s.now)
+	return fmt.Sprintf("%d news, agree=%v\n", news, agree)
 }
 
 // Guards against blaming an innocent request, against a third crash, and against marks that never end.
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -27,7 +27,7 @@
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
-	case !g.unexplained(now, m):
+	case !g.unexplained(now, f, m):
 	case now-m.enoughSince < holdTime:
 		return Entry{}, neverClosed, false
 	default:
@@ -47,23 +47,33 @@
 // was in flight at each of its crashes: instances that do not know of each other's suspects may run an innocent request
 // beside the cause twice. A further crash beside no such request refuses it.
 //
-// Two requests with the same crashes explain each other. They wait for the hold, in which the crashes that other
-// instances saw tell them apart: trying both at once ran the cause on a third target of one instance.
-func (g *Guard) unexplained(now time.Duration, m *mark) bool {
+// Two requests with the same crashes explain each other. One that was answered before is tried at once, and the other
+// one waits. If neither or both were, they wait for the hold, in which the crashes that other instances saw tell them
+// apart: trying both at once ran the cause on a third target of one instance.
+func (g *Guard) unexplained(now time.Duration, f Fingerprint, m *mark) bool {
 	if !m.enough() {
 		return false
 	}
-	for _, other := range g.marks {
-		if other == m || !other.enough() || !other.explains(m) {
+	for other, o := range g.marks {
+		if o == m || !o.enough() || !o.explains(m) {
 			continue
 		}
-		if now-m.enoughSince >= holdTime || !m.explains(other) {
+		if !m.explains(o) || g.triedFirst(now, f, other, m) {
 			return false
 		}
 	}
 	return true
 }
 
+// triedFirst reports whether a request is tried although another one has the same crashes.
+func (g *Guard) triedFirst(now time.Duration, f, other Fingerprint, m *mark) bool {
+	answered, otherAnswered := g.answered.has(f), g.answered.has(other)
+	if answered != otherAnswered {
+		return answered
+	}
+	return now-m.enoughSince >= holdTime
+}
+
 // Suspect reports whether the request is tried as a suspect.
 func (e *Entry) Suspect() bool { return e.guard != nil }
 
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -38,9 +38,19 @@
 	})
 	d.node.Register(peer.KindCrash, peer.Handler{
 		Receive: func(r peer.Rumor) bool { return d.gateway.ReceiveCrashMark(r.Key, r.Payload) },
+		Digest:  d.gateway.CrashDigest,
+		List:    d.crashMarks,
 	})
 }
 
+func (d *Daemon) crashMarks() []peer.Rumor {
+	var rumors []peer.Rumor
+	d.gateway.CrashMarks(func(key string, payload []byte) {
+		rumors = append(rumors, peer.Rumor{Kind: peer.KindCrash, Key: key, Payload: payload})
+	})
+	return rumors
+}
+
 // handOver sends the closing record to the live peers, so that they can answer resends to this instance.
 func (d *Daemon) handOver(ctx context.Context) {
 	payloads := d.gateway.ClosingRecord(peer.MaxClosingPayloadBytes)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -22,6 +22,10 @@
 // crashExitTime is how long an ending process may take between closing its connections and its listener.
 const crashExitTime = 10 * time.Millisecond
 
+// historyBodyBytes bounds the body of the requests that the guard remembers as answered, because hashing a body of
+// 1 MiB takes longer than the rest of a call.
+const historyBodyBytes = 4 << 10
+
 // OnCrashMark sets the function that passes crash marks on to peers. It must not block and is set before Run.
 func (g *Gateway) OnCrashMark(spread func(key string, payload []byte)) { g.spreadMark = spread }
 
@@ -41,6 +45,14 @@
 	return news && err == nil
 }
 
+// CrashDigest identifies the crash marks, 0 for none.
+func (g *Gateway) CrashDigest() uint64 { return g.guard.Digest(g.now()) }
+
+// CrashMarks calls add for each crash mark.
+func (g *Gateway) CrashMarks(add func(key string, payload []byte)) {
+	g.guard.List(g.now(), func(f crashguard.Fingerprint, data []byte) { add(f.String(), data) })
+}
+
 // enterGuard admits a request that is not suspect, or waits for its turn as a suspect.
 func (g *Gateway) enterGuard(ctx context.Context, call *call) (crashguard.Entry, *reason.Reason) {
 	for g.guard.Watching() {
@@ -141,7 +153,7 @@
 // judgeAnswer clears a request whose answer is complete, for a stream at its end.
 func (g *Gateway) judgeAnswer(ctx context.Context, call *call, address string, r *result) {
 	if r.answer.Whole() {
-		if g.guard.Watching() {
+		if g.guard.Watching() || !call.once && len(call.request.Body()) <= historyBodyBytes {
 			g.guard.Answered(g.now(), call.identify())
 		}
 		return
