Send a crashing request through an instance that starts later

Cause: the crash test had two instances, and none that missed the rumors.

Change: a case with three instances. The last one is killed and started anew before the last sending, which goes through it. It guards against marks that reach only the instances that were there.

--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +53,17 @@
 	return reasons
 }
 
+// replace kills an instance, starts it anew and waits until it is ready.
+func (f *onceFleet) replace(t *testing.T, i int) {
+	t.Helper()
+	sendSignal(t, f.processes[i], syscall.SIGKILL)
+	_ = f.processes[i].Wait()
+	f.processes[i] = start(t, "daemon "+f.files[i])
+	eventually(t, "the new instance serves", func() bool {
+		return (<-ask(f.callers[i], "/banco-app/stock?item=0")).status == http.StatusOK
+	})
+}
+
 // markSpread is the stated time in which a rumor reaches all of 20 instances.
 const markSpread = 1400 * time.Millisecond
 
@@ -63,22 +75,26 @@
 		name     string
 		once     bool
 		parallel bool
+		// restart replaces the last instance before the last sending, which goes through it.
+		restart   bool
+		instances int
 		// allowed is the stated bound: two crashes over all instances when each sending follows the spread of the
 		// marks, and two for each instance that is sent a copy before that.
 		allowed int
 	}{
-		{name: "lookup sent again", allowed: 2},
-		{name: "booking sent again", once: true, allowed: 2},
-		{name: "lookup sent through both instances at once", parallel: true, allowed: 4},
+		{name: "lookup sent again", instances: 2, allowed: 2},
+		{name: "booking sent again", once: true, instances: 2, allowed: 2},
+		{name: "lookup sent through both instances at once", parallel: true, instances: 2, allowed: 4},
+		{name: "lookup sent through three instances, one of which starts later", restart: true, instances: 3, allowed: 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := startOnceFleet(t, 2, targets, false)
+			f := startOnceFleet(t, c.instances, targets, false)
 			stop, innocents := make(chan struct{}), make(chan map[string]int)
 			go func() { innocents <- f.lookUpUntil(stop) }()
 			send := func(i int) answer {
-				address := f.callers[i%2]
+				address := f.callers[i%c.instances]
 				if c.once {
 					return f.book(address, "bad", issue(address), patience, standin.FaultHeader, string(standin.FaultCrash))
 				}
@@ -93,7 +109,11 @@
 				wait.Wait()
 				time.Sleep(markSpread)
 			}
-			last := send(0)
+			if c.restart {
+				f.replace(t, c.instances-1)
+				time.Sleep(markSpread)
+			}
+			last := send(c.instances - 1)
 			close(stop)
 			told := <-innocents
 			crashed := f.gone()
