Give each test process a range of ports of its own

Cause: "the revision in force did not happen within 15s" in a run of TestRequestThatCrashesTargets under load. freeAddresses drew ports at random and closed them before the processes listened, so two tests that run in parallel could be given the same port: four fleets of 18 ports out of 20,000 collide in about one start of ten.

Ruled out: a daemon that does not follow the log. Its log shows refused connections to a platform process that had not been able to listen.

Change: a test process claims a range of 2,000 ports by a listener on the first one, and hands the others out in turn.

Conclusion: test processes no longer share ports with each other.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/basillink/basillink/internal/client"
@@ -22,24 +22,50 @@
 const (
 	lowestPort  = 12_000
 	highestPort = 32_000
-	portTries   = 10_000
+	blockPorts  = 2_000
 )
 
-// freeAddresses returns loopback addresses with ports that were free a moment ago.
+// portBlock is a range of ports that belongs to this test process: tests that run in parallel once picked the same
+// port, and one of their processes could not listen.
+type portBlock struct {
+	mu          sync.Mutex
+	first, next int
+	// claim is the listener on the first port. It keeps the range from other test processes.
+	claim net.Listener
+}
+
+var claimPorts = sync.OnceValue(func() *portBlock {
+	for first := lowestPort; first < highestPort; first += blockPorts {
+		if claim, err := net.Listen("tcp", loopback(first)); err == nil {
+			return &portBlock{first: first, claim: claim}
+		}
+	}
+	return nil
+})
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// freeAddresses returns loopback addresses that were free a moment ago. An address returns only after all others of the
+// range.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
+	block := claimPorts()
+	if block == nil {
+		t.Fatal("every range of ports is taken")
+	}
+	block.mu.Lock()
+	defer block.mu.Unlock()
 	var addresses []string
-	for range portTries {
+	for range blockPorts {
 		if len(addresses) == count {
 			return addresses
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		block.next = block.next%(blockPorts-1) + 1
+		address := loopback(block.first + block.next)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			addresses = append(addresses, address)
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, address)
 	}
 	t.Fatalf("only %d of %d ports are free", len(addresses), count)
 	return nil
