--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -20,19 +20,22 @@
 		Services: make(map[string]*Service, len(state.Services)),
 		Departed: l.departures.addresses(),
 	}
+	// Looking up every target of every service costs more than the change itself, so it is done only when the
+	// departures differ.
+	sameDepartures := previous != nil && slices.Equal(previous.Departed, next.Departed)
 	for name, entry := range state.Services {
-		departed := l.departedTargets(&entry.Spec)
-		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.departed == departed {
+		old := previous.service(name)
+		if old != nil && old.Revision == entry.Revision && (sameDepartures || old.departed == l.departedTargets(&entry.Spec)) {
 			next.Services[name] = old
 			continue
 		}
-		next.Services[name] = l.buildService(entry, previous.service(name))
+		next.Services[name] = l.buildService(entry, old)
 	}
 	l.snapshot.Store(next)
 	if previous == nil {
 		close(l.configured)
 	}
-	l.closeUnusedPools(next)
+	l.releasePools(previous, next)
 	l.log.Info("Configuration is in force.", "revision", next.Revision, "services", len(next.Services))
 }
 
@@ -57,7 +60,7 @@
 		service.Targets = append(service.Targets, &Target{
 			Address: target.Address,
 			Zone:    target.Zone,
-			Pool:    l.pool(target.Address, &entry.Spec),
+			Pool:    l.acquirePool(target.Address, &entry.Spec),
 		})
 		config.Targets = append(config.Targets, balancer.Target{
 			Address:  target.Address,
@@ -95,26 +98,45 @@
 	return strings.Join(list, " ")
 }
 
-func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
+// targetPool is the pool of one target.
+type targetPool struct {
+	*transport.Pool
+	// users counts the targets of services in the snapshot that use the pool.
+	users int
+}
+
+// acquirePool returns the pool of a target and counts one more user.
+func (l *Loop) acquirePool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewTargetPool(address, connectionShare(spec))
+		pool = &targetPool{Pool: transport.NewTargetPool(address, connectionShare(spec))}
 		l.pools[address] = pool
 	}
-	return pool
+	pool.users++
+	return pool.Pool
 }
 
-func (l *Loop) closeUnusedPools(s *Snapshot) {
-	used := map[string]bool{}
-	for _, service := range s.Services {
-		for _, target := range service.Targets {
-			used[target.Address] = true
-		}
+// releasePools takes the services of the previous snapshot that are not in the next one off their pools and closes
+// pools without users. Only these services are visited: a search through all targets was the largest part of a change.
+func (l *Loop) releasePools(previous, next *Snapshot) {
+	if previous == nil {
+		return
 	}
-	for address, pool := range l.pools {
-		if !used[address] {
-			pool.Close()
-			delete(l.pools, address)
+	for name, old := range previous.Services {
+		if next.Services[name] == old {
+			continue
 		}
+		for _, target := range old.Targets {
+			l.releasePool(target.Address)
+		}
+	}
+}
+
+func (l *Loop) releasePool(address string) {
+	pool := l.pools[address]
+	pool.users--
+	if pool.users == 0 {
+		pool.Close()
+		delete(l.pools, address)
 	}
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -15,7 +15,6 @@
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/platform"
-	"github.com/basillink/basillink/internal/transport"
 )
 
 const expiryInterval = time.Second
@@ -43,7 +42,7 @@
 	spread     func(peer.Rumor)
 	// lastRead is when the log last gave a usable answer.
 	lastRead time.Duration
-	pools    map[string]*transport.Pool
+	pools    map[string]*targetPool
 }
 
 // New returns a loop for an instance in an availability zone.
@@ -59,7 +58,7 @@
 		fold:       intent.NewFold(),
 		departures: newDepartures(),
 		checkpoint: intent.NewCheckpointTimer(newRandom()),
-		pools:      map[string]*transport.Pool{},
+		pools:      map[string]*targetPool{},
 	}
 }
 
