Drive connections to targets by their chart

Cause: whether a connection may carry a request followed from four places: busy and silent in Conn, the result of stop in Answer, membership in the idle list, and the order of calls. Nothing named a step that must not happen, such as the return of a connection whose exchange was cancelled.

Change: Conn has a state that follows charts/connection.toml. busy, silent and the interrupted flag are gone. A refused release closes the connection, a refused begin fails the request as not sent, and a refused close is not counted a second time. A connection to be verified is distrusted: it can only be checked or closed. Three faults mended on the way: a connection granted to a waiter that gives up after Close stayed open in the closed pool; an exchange that received a byte while its silence was being proved was never watched again; a check armed the watch for slow requests.

--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -8,6 +8,8 @@
 	"slices"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 // Answer is the answer of a target. It is used by one goroutine, which must call Close.
@@ -38,13 +40,18 @@
 	return &Answer{Response: protocol.AcquireResponse(), pool: p, conn: conn, limits: limits}
 }
 
-// begin binds the exchange to the context: when it ends, the connection is closed, which cancels the request.
-func (a *Answer) begin(ctx context.Context) {
+// begin starts an exchange by eventBegin or a check by eventCheck, and binds it to the context: when it ends, the
+// connection is closed, which cancels the request. A connection that may not carry it is discarded.
+func (a *Answer) begin(ctx context.Context, event chart.EventID) error {
 	conn := a.conn
-	conn.begin()
+	if err := conn.begin(event); err != nil {
+		a.conn = nil
+		a.pool.discard(conn)
+		return err
+	}
 	a.ctx = ctx
-	a.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	a.pool.watch(conn)
+	a.stop = context.AfterFunc(ctx, conn.interrupt)
+	return nil
 }
 
 // Whole reports whether Response holds the whole body.
@@ -103,11 +110,13 @@
 func (a *Answer) finish() {
 	conn := a.conn
 	a.conn, a.remainder = nil, nil
-	interrupted := !a.stop()
-	silent := conn.end()
+	if !a.stop() {
+		// The function of begin runs or has run. It must not meet a later exchange.
+		conn.interrupt()
+	}
+	conn.end(eventAnswered)
 	closing := a.Response.Header.ConnectionClose() || slices.Contains(a.Options, "Close")
-	reusable := !interrupted && !silent && !closing && conn.reader.Buffered() == 0
-	if reusable {
+	if conn.is(stateTaken) && !closing && conn.reader.Buffered() == 0 {
 		conn.rest()
 		a.pool.release(conn)
 		return
@@ -115,12 +124,13 @@
 	a.pool.discard(conn)
 }
 
-// drop closes the connection of an exchange that did not end.
-func (a *Answer) drop() bool {
+// drop closes the connection of an exchange that did not end. It reports whether the watch found it silent.
+func (a *Answer) drop() (silent bool) {
 	conn := a.conn
 	a.conn, a.remainder = nil, nil
 	a.stop()
-	silent := conn.end()
+	conn.end(eventAbort)
+	silent = conn.is(stateSilent)
 	a.pool.discard(conn)
 	return silent
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 const (
@@ -23,8 +25,10 @@
 )
 
 // Conn is one connection. It carries one exchange at a time and is not safe for
-// concurrent use, except for Close and the silence watch.
+// concurrent use, except for its state and the silence watch.
 type Conn struct {
+	// state follows charts/connection.toml.
+	state  chart.Cursor
 	raw    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -43,77 +47,64 @@
 	probed atomic.Bool
 
 	mu sync.Mutex
-	// exchange describes the current exchange. Its number keeps a late finding about an earlier one from taking effect.
+	// exchange describes the last exchange or check. Its number keeps a late finding about an earlier one from taking
+	// effect.
 	exchange pending
-	busy     bool
-	// silent is set when the watch closed the connection.
-	silent bool
-	watch  *time.Timer
+	watch    *time.Timer
 }
 
-func dial(ctx context.Context, address string) (*Conn, error) {
+// dial establishes the connection.
+func (c *Conn) dial(ctx context.Context, address string) error {
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive}}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return newConn(raw), nil
+	return c.attach(raw)
 }
 
-func newConn(raw net.Conn) *Conn {
-	now := time.Now()
-	c := &Conn{raw: raw, opened: now, lastUsed: now}
+// attach makes an open socket the connection's own.
+func (c *Conn) attach(raw net.Conn) error {
+	c.raw = raw
+	c.opened = time.Now()
+	c.lastUsed = c.opened
 	c.reader = bufio.NewReaderSize(socket{c}, connBufferBytes)
 	c.writer = bufio.NewWriterSize(socket{c}, writeBufferBytes)
-	return c
+	return c.fire(eventOpened)
 }
 
-// Close closes the connection and interrupts an exchange on it.
-func (c *Conn) Close() error { return c.raw.Close() }
-
-// begin starts an exchange.
-func (c *Conn) begin() {
+// begin starts an exchange by eventBegin or a check by eventCheck.
+func (c *Conn) begin(event chart.EventID) error {
 	c.written = false
 	c.failed = nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err := c.fire(event); err != nil {
+		return err
+	}
 	c.exchange = pending{number: c.exchange.number + 1, opened: c.opened, proof: c.lastUsed, began: time.Now()}
-	c.busy = true
+	return nil
 }
 
-// end finishes an exchange and reports whether the watch found the connection silent.
-func (c *Conn) end() bool {
+// end finishes an exchange or a check by eventAnswered or eventAbort.
+func (c *Conn) end(event chart.EventID) {
+	_ = c.fire(event)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
 	if c.watch != nil {
 		c.watch.Stop()
 	}
-	return c.silent
-}
-
-// current returns the exchange in progress.
-func (c *Conn) current() (e pending, busy bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.exchange, c.busy
 }
 
-// rearm sets the watch again unless the exchange has ended.
-func (c *Conn) rearm(exchange uint64, after time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.busy && c.exchange.number == exchange {
-		c.watch.Reset(after)
-	}
+// interrupt ends an exchange from another goroutine, which fails its pending Read or Write.
+func (c *Conn) interrupt() {
+	_ = c.fire(eventAbort)
+	c.closeSocket()
 }
 
-// interruptSilent closes the connection unless the exchange has ended or received a byte meanwhile.
-func (c *Conn) interruptSilent(exchange uint64, atLeast time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.busy && c.exchange.number == exchange && c.silence() >= atLeast {
-		c.silent = true
+// closeSocket closes the socket. A connection that could not be dialed has none.
+func (c *Conn) closeSocket() {
+	if c.raw != nil {
 		_ = c.raw.Close()
 	}
 }
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -40,7 +40,11 @@
 		prepare(request, remaining)
 	}
 	answer := newAnswer(p, conn, limits)
-	answer.begin(ctx)
+	if err := answer.begin(ctx, eventBegin); err != nil {
+		answer.Close()
+		return nil, p.exchangeError(ctx, err, conn, false)
+	}
+	p.watch(conn)
 	if err := conn.run(ctx, request, answer); err != nil {
 		failure := answer.fail(err)
 		answer.Close()
--- a/internal/transport/main_test.go
+++ b/internal/transport/main_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,9 +15,23 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"go.uber.org/goleak"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// wantRefusals counts the events that tests fire although the chart refuses them.
+var wantRefusals atomic.Uint64
+
+// TestMain guards against leaked goroutines, and against code that relies on an event that the chart refuses.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		if got := chart.Refusals(); got != wantRefusals.Load() {
+			fmt.Fprintf(os.Stderr, "charts refused %d events, want %d\n", got, wantRefusals.Load())
+			code = 1
+		}
+		os.Exit(code)
+	}))
+}
 
 // wireTarget reads whole requests, counts them, and lets a script write raw bytes. The connection is closed when the
 // script returns false.
--- a/internal/transport/ping.go
+++ b/internal/transport/ping.go
@@ -25,7 +25,7 @@
 // pingAnswerBytes bounds the answer to a check.
 const pingAnswerBytes = 4 << 10
 
-// verify asks an idle connection for a sign of life, and returns it to the pool or closes it. The question is
+// verify asks a distrusted connection for a sign of life, and returns it to the pool or closes it. The question is
 // "OPTIONS *", the no-operation of HTTP: it starts no request at the target and reads no load. Any answer counts.
 func (p *Pool) verify(conn *Conn) sign {
 	if conn.readable() {
@@ -49,12 +49,8 @@
 	}
 	ctx, cancel := context.WithTimeout(p.background, checkTimeout)
 	defer cancel()
-	conn, err := dial(ctx, p.address)
-	if err != nil {
-		p.forget()
-		return false
-	}
-	return p.ping(conn) == signAlive
+	conn, err := p.dial(ctx)
+	return err == nil && p.ping(conn) == signAlive
 }
 
 // reserve takes room for a new connection if the limit allows one. Checks are rare and not bound by the rate.
@@ -81,7 +77,9 @@
 
 	answer := newAnswer(p, conn, Limits{WholeBytes: pingAnswerBytes, MaxBytes: pingAnswerBytes})
 	defer answer.Close()
-	answer.begin(ctx)
+	if answer.begin(ctx, eventCheck) != nil {
+		return signClosed
+	}
 	err := conn.run(ctx, request, answer)
 	if err == nil {
 		answer.finish()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -42,9 +42,9 @@
 	refill *time.Timer
 	// reap closes connections that were idle for too long.
 	reap *time.Timer
-	// opening is true while a spare connection is being opened.
-	opening bool
-	path    pathState
+	// openingSpare is true while a spare connection is being opened.
+	openingSpare bool
+	path         pathState
 }
 
 // NewPool returns a pool that opens at most limit connections. Its exchanges may be quiet for long.
@@ -94,6 +94,7 @@
 // verifyBeforeUse checks a connection and returns it to the pool if it is alive. When it is silent, the other idle
 // connections are checked as well instead of one by one.
 func (p *Pool) verifyBeforeUse(conn *Conn) {
+	_ = conn.fire(eventDistrust)
 	opened, lastUsed := conn.opened, conn.lastUsed
 	if p.verify(conn) == signSilent {
 		p.distrust(opened, lastUsed)
@@ -134,11 +135,11 @@
 	case g := <-ready:
 		switch {
 		case g.conn != nil:
-			p.idle = append(p.idle, g.conn)
+			p.putBack(g.conn)
 		case g.err == nil:
 			p.open--
+			p.serve()
 		}
-		p.serve()
 	default:
 		p.waiters.Remove(element)
 	}
@@ -158,6 +159,7 @@
 	}
 	conn := p.idle[n-1]
 	p.idle = p.idle[:n-1]
+	_ = conn.fire(eventTake)
 	p.keepSpare()
 	return grant{conn: conn}, true
 }
@@ -189,9 +191,8 @@
 }
 
 func (p *Pool) openNew(ctx context.Context) (*Conn, error) {
-	conn, err := dial(ctx, p.address)
+	conn, err := p.dial(ctx)
 	if err != nil {
-		p.forget()
 		return nil, err
 	}
 	p.mu.Lock()
@@ -200,32 +201,50 @@
 	return conn, nil
 }
 
-// release returns a connection after an exchange that ended cleanly.
+// dial opens a connection in the room that was reserved for it, and gives the room back when that fails.
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	conn := &Conn{}
+	err := conn.dial(ctx, p.address)
+	if err != nil {
+		p.discard(conn)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// release returns a connection to the pool.
 func (p *Pool) release(conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		p.open--
-		_ = conn.Close()
-		return
+	p.putBack(conn)
+}
+
+// putBack makes a connection idle. It closes one that the chart does not let back or whose pool is closed. The lock is
+// held.
+func (p *Pool) putBack(conn *Conn) {
+	if p.closed || conn.fire(eventRelease) != nil {
+		conn.closeSocket()
+		p.forget(conn)
+	} else {
+		p.idle = append(p.idle, conn)
 	}
-	p.idle = append(p.idle, conn)
 	p.serve()
 	p.armReap()
 }
 
-// discard closes a connection.
+// discard closes a connection and offers its room to the waiters.
 func (p *Pool) discard(conn *Conn) {
-	_ = conn.Close()
-	p.forget()
-}
-
-func (p *Pool) forget() {
+	conn.closeSocket()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
-	if !p.closed {
-		p.serve()
+	p.forget(conn)
+	p.serve()
+}
+
+// forget counts a connection as closed. The lock is held.
+func (p *Pool) forget(conn *Conn) {
+	if conn.fire(eventClose) == nil {
+		p.open--
 	}
 }
 
@@ -246,8 +265,8 @@
 			kept = append(kept, conn)
 			continue
 		}
-		p.open--
-		_ = conn.Close()
+		conn.closeSocket()
+		p.forget(conn)
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
@@ -264,8 +283,8 @@
 // dropIdle closes the idle connections. The lock is held.
 func (p *Pool) dropIdle() {
 	for _, conn := range p.idle {
-		p.open--
-		_ = conn.Close()
+		conn.closeSocket()
+		p.forget(conn)
 	}
 	p.idle = nil
 }
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -135,6 +136,78 @@
 	}
 }
 
+// Guards against the use of a connection that may carry a late answer or was not verified, and against one that is
+// forgotten or counted twice: the chart refuses the step with a typed error, and the pool closes the connection.
+func TestUnusableConnectionsAreClosed(t *testing.T) {
+	release := func(p *Pool, conn *Conn) { p.release(conn) }
+	start := func(p *Pool, conn *Conn) { p.idle = append(p.idle, conn) }
+	cases := []struct {
+		name   string
+		events []chart.EventID
+		use    func(*Pool, *Conn)
+		// refused is how many events the chart refuses.
+		refused uint64
+	}{
+		{"released in an exchange", []chart.EventID{eventBegin}, release, 1},
+		{"released after an abort", []chart.EventID{eventBegin, eventAbort}, release, 1},
+		{"released after silence", []chart.EventID{eventBegin, eventQuiet, eventSilent}, release, 1},
+		{"released without a check", []chart.EventID{eventDistrust}, release, 1},
+		{"released after a failed check", []chart.EventID{eventCheck, eventAbort}, release, 1},
+		{"started after an abort", []chart.EventID{eventBegin, eventAbort}, start, 2},
+		{"started without a check", []chart.EventID{eventDistrust}, start, 2},
+		{"discarded twice", []chart.EventID{eventClose}, func(p *Pool, conn *Conn) {
+			p.open--
+			p.discard(conn)
+		}, 1},
+		{"cancelled at the end of the answer", nil, func(p *Pool, conn *Conn) {
+			answer := newAnswer(p, conn, testLimits)
+			_ = answer.begin(t.Context(), eventBegin)
+			stop := answer.stop
+			answer.stop = func() bool { return !stop() }
+			answer.finish()
+			answer.Close()
+		}, 0},
+		{"granted before the pool was closed", nil, func(p *Pool, conn *Conn) {
+			ready := make(chan grant, 1)
+			ready <- grant{conn: conn}
+			p.Close()
+			_ = p.abandon(nil, ready)
+		}, 0},
+	}
+	for _, c := range cases {
+		target := newWireTarget(t, always(okAnswer))
+		pool := testPool(t, target.address(), 1)
+		conn, err := net.Dial("tcp", target.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		used := &Conn{}
+		if err := used.attach(conn); err != nil {
+			t.Fatal(err)
+		}
+		pool.open = 1
+		for _, event := range c.events {
+			if err := used.fire(event); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before := chart.Refusals()
+		c.use(pool, used)
+		if pool.idleCount() == 1 {
+			_, err := send(pool, newRequest("GET", target.address(), "/", ""))
+			var failure *ExchangeError
+			var refused *chart.TransitionError
+			if !errors.As(err, &failure) || failure.Sent || !errors.As(err, &refused) {
+				t.Errorf("%s: got %v, want a refused transition without sending", c.name, err)
+			}
+		}
+		if got := chart.Refusals() - before; got != c.refused || pool.openCount() != 0 || pool.idleCount() != 0 || target.requests.Load() != 0 {
+			t.Errorf("%s: %d refused events, %d open, %d idle", c.name, got, pool.openCount(), pool.idleCount())
+		}
+		wantRefusals.Add(c.refused)
+	}
+}
+
 // Guards against idle connections that stay open while no request comes.
 func TestIdleConnectionsAgeOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -143,7 +216,11 @@
 		near, far := net.Pipe()
 		defer func() { _ = far.Close() }()
 		pool.open = 1
-		pool.release(newConn(near))
+		conn := &Conn{}
+		if err := conn.attach(near); err != nil {
+			t.Fatal(err)
+		}
+		pool.release(conn)
 		time.Sleep(idleLimit - time.Second)
 		if pool.idleCount() != 1 {
 			t.Error("the connection was closed early")
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -29,23 +29,62 @@
 
 // inspect checks a connection whose exchange takes long. It runs on the timer's goroutine.
 func (p *Pool) inspect(conn *Conn) {
-	e, busy := conn.current()
-	if !busy {
+	e := conn.current()
+	if silence := conn.silence(); silence < p.silenceAfter {
+		conn.rearm(e.number, p.silenceAfter-silence)
 		return
 	}
-	silence := conn.silence()
-	if silence < p.silenceAfter {
-		conn.rearm(e.number, p.silenceAfter-silence)
+	if !conn.suspect(e.number) {
 		return
 	}
 	if p.isSilent(conn, e) {
-		conn.interruptSilent(e.number, p.silenceAfter)
+		conn.cut(e.number, p.silenceAfter)
 		p.distrust(e.opened, e.began)
-		return
 	}
 	conn.rearm(e.number, p.silenceAfter)
 }
 
+// current returns the last exchange or check.
+func (c *Conn) current() pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange
+}
+
+// suspect notes that an exchange waits long. It reports false when the exchange has ended.
+func (c *Conn) suspect(exchange uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange.number == exchange && c.fire(eventQuiet) == nil && c.is(stateSuspected)
+}
+
+// cut closes the connection of a suspected exchange unless it has ended or received a byte meanwhile.
+func (c *Conn) cut(exchange uint64, atLeast time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchange.number != exchange || c.silence() < atLeast {
+		return
+	}
+	if c.fire(eventSilent) == nil && c.is(stateSilent) {
+		c.closeSocket()
+	}
+}
+
+// rearm sets the watch again and lifts a suspicion, unless the exchange has ended or its connection was cut.
+func (c *Conn) rearm(exchange uint64, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchange.number != exchange {
+		return
+	}
+	if c.is(stateSuspected) {
+		_ = c.fire(eventTrust)
+	}
+	if c.is(stateExchange) {
+		c.watch.Reset(after)
+	}
+}
+
 // isSilent decides whether a quiet connection is dead rather than its request slow. Either the kernel reports that the
 // peer stopped acknowledging, or other connections of the same age do not answer a check; and the target answers on a
 // fresh connection. A connection that alone goes silent behind a relay which acknowledges for the target cannot be
@@ -90,11 +129,13 @@
 	}
 	witness := p.idle[oldest]
 	p.idle = slices.Delete(p.idle, oldest, oldest+1)
+	_ = witness.fire(eventDistrust)
 	return witness
 }
 
-// distrust records that a connection was found silent which began to wait at since, and verifies the idle connections that have not been used for a
-// while. They carry no request until they have answered. The checks run at the same time and open no connection.
+// distrust records that a connection was found silent which began to wait at since, and verifies the idle connections
+// that have not been used for a while. They carry no request until they have answered. The checks run at the same time
+// and open no connection.
 func (p *Pool) distrust(opened, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,6 +147,7 @@
 			kept = append(kept, conn)
 			continue
 		}
+		_ = conn.fire(eventDistrust)
 		go p.verify(conn)
 	}
 	clear(p.idle[len(kept):])
--- a/internal/transport/spare.go
+++ b/internal/transport/spare.go
@@ -9,10 +9,10 @@
 // wait for a handshake, and a check of a silent connection has another connection of the same path to compare with.
 // The lock is held.
 func (p *Pool) keepSpare() {
-	if !p.spare || p.closed || p.opening || len(p.idle) > 0 || p.open >= p.limit || !p.rate.take(time.Now()) {
+	if !p.spare || p.closed || p.openingSpare || len(p.idle) > 0 || p.open >= p.limit || !p.rate.take(time.Now()) {
 		return
 	}
-	p.opening = true
+	p.openingSpare = true
 	p.open++
 	go p.openSpare()
 }
@@ -20,13 +20,11 @@
 func (p *Pool) openSpare() {
 	ctx, cancel := context.WithTimeout(p.background, dialTimeout)
 	defer cancel()
-	conn, err := dial(ctx, p.address)
+	conn, err := p.dial(ctx)
 	p.mu.Lock()
-	p.opening = false
+	p.openingSpare = false
 	p.mu.Unlock()
-	if err != nil {
-		p.forget()
-		return
+	if err == nil {
+		p.release(conn)
 	}
-	p.release(conn)
 }
