Wait until a paused process has stopped

Cause: TestForwardFaults gave an owner 100 ms to stop. On a loaded machine it ran on for longer, answered the booking, and the test failed with outcome done and one execution. Ruled out: a fault of the product; the owner was running when the request arrived. Change: pause waits for the kernel's report that the whole process has stopped, instead of a fixed delay.

--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// pause stops a process and waits until the kernel reports that each of its threads has stopped.
+func pause(t *testing.T, process *exec.Cmd) {
+	t.Helper()
+	sendSignal(t, process, syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(process.Process.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		t.Fatalf("the process did not stop: status %v, error %v", status, err)
+	}
+}
+
 // claims holds the last outcome that the caller of each token was told.
 type claims struct {
 	mu   sync.Mutex
@@ -243,7 +253,7 @@
 func TestAtMostOnce(t *testing.T) {
 	kill := func(t *testing.T, f *onceFleet) { sendSignal(t, f.processes[0], syscall.SIGKILL) }
 	freeze := func(t *testing.T, f *onceFleet) {
-		sendSignal(t, f.processes[0], syscall.SIGSTOP)
+		pause(t, f.processes[0])
 		time.Sleep(time.Second)
 		sendSignal(t, f.processes[0], syscall.SIGCONT)
 	}
--- a/internal/e2e/ticket_test.go
+++ b/internal/e2e/ticket_test.go
@@ -72,9 +72,6 @@
 	}
 }
 
-// stopDelay lets all threads of a process stop.
-const stopDelay = 100 * time.Millisecond
-
 // Guards against a forward that ends a broken transfer like a whole one, and against a forward that outlives its
 // deadline when the owner is silent, or that a paused owner starts after the caller has left.
 func TestForwardFaults(t *testing.T) {
@@ -85,8 +82,7 @@
 		t.Errorf("a cut answer of %d bytes arrived as whole", len(cut.body))
 	}
 	ticket := issue(f.callers[0])
-	sendSignal(t, f.processes[0], syscall.SIGSTOP)
-	time.Sleep(stopDelay)
+	pause(t, f.processes[0])
 	silent := f.book(f.callers[1], "silent", ticket, 10*time.Second, header.TimeoutMS, "300")
 	if silent.outcome != string(reason.Unknown) || silent.reason != reason.AnswerTimeout.Name {
 		t.Errorf("the owner is silent: %+v", silent)
