Give each test process a loopback address of its own

Cause: freeAddresses picks ports from a range that all test processes on the machine share and closes them before the daemons open them. With another test process starting a fleet at the same time, a daemon found its port taken, ended with exit status 1, and the test waited 15 s for it: 'revision 1 on instance N did not happen within 15s'. One of 8 runs of TestCutOffInstanceLearnsFromPeers itself ended with the same message, but without the daemon's error on the output, so that its cause is not proved. Ruled out: a slow start; 20 instances had the revision in force at most 3.7 s after the first start, at load average 94. Change: ports are taken on 127.0.0.0/8 under an address that is derived from the process id, so that neither ports nor leftover peers of another test process meet.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -25,15 +25,17 @@
 	portTries   = 10_000
 )
 
-// freeAddresses returns loopback addresses with ports that were free a moment ago.
+// freeAddresses returns addresses with ports that were free a moment ago. Each test process has a loopback address of its
+// own, so that no other test process takes a port before its listener opens.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
+	pid := os.Getpid()
 	var addresses []string
 	for range portTries {
 		if len(addresses) == count {
 			return addresses
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16, pid>>8&255, pid&255, lowestPort+rand.IntN(highestPort-lowestPort))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
