Test the claim after an attempt that may have run, and the deadline of a forward

Ruled out: requests that run at most once; they are never sent again after an attempt that may have run, so that only repeatable classes reach the rule. Change: a target that loses the first answer and sheds the second attempt; a context whose timer is late.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +101,39 @@
 	}
 }
 
+// Guards against a claim of not run that is about the last attempt only, when an earlier one may have run.
+func TestEarlierAttemptLowersClaim(t *testing.T) {
+	var asked atomic.Int64
+	loseThenShed := func(conn net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/x" && asked.Add(1) == 2 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 x\r\nTarget-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		return false
+	}
+	f := newFixture(t, rawTarget(t, loseThenShed), rawTarget(t, loseThenShed))
+	for range 100 {
+		f.service.Retries.Answered()
+	}
+	request := f.request(t, "GET", "t1", standin.FaultNone, 0)
+	request.Header.Set(header.Attempts, "2")
+	got := ask(newClient(t, false), request)
+	if asked.Load() != 2 || got.outcome != string(reason.Unknown) || got.reason != reason.TargetShed.Name {
+		t.Errorf("%d attempts, told %q %q", asked.Load(), got.outcome, got.reason)
+	}
+}
+
+// lateTimer is a context whose deadline has passed and whose timer has not fired yet.
+type lateTimer struct{ context.Context }
+
+func (lateTimer) Deadline() (time.Time, bool) { return time.Now(), true }
+
+// Guards against a passed deadline that is taken for a lost connection to the owner of a ticket.
+func TestForwardDeadline(t *testing.T) {
+	if why := forwardFailure(lateTimer{t.Context()}, io.ErrUnexpectedEOF).why; why != reason.AnswerTimeout {
+		t.Errorf("reason %s", why.Name)
+	}
+}
+
 // Guards against an answer that is lost although another target could give it: cut answers of repeatable and long
 // classes are asked for again while nothing was passed on.
 func TestCutAnswerIsRetried(t *testing.T) {
