Merge branch 'once': at-most-once under faults, and test addresses

Both sides kept test processes from sharing ports. The loopback address of each process comes from this branch; the ports in turn, which keep tests of one process apart, from main. The claimed range of ports is left out as no longer needed.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -8,7 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/basillink/basillink/internal/client"
@@ -22,46 +22,24 @@
 const (
 	lowestPort  = 12_000
 	highestPort = 32_000
-	blockPorts  = 2_000
 )
 
-// portBlock is a range of ports that belongs to this test process: tests that run in parallel once picked the same
-// port, and one of their processes could not listen.
-type portBlock struct {
-	mu          sync.Mutex
-	first, next int
-	// claim is the listener on the first port. It keeps the range from other test processes.
-	claim net.Listener
-}
+// lastPort is the port that freeAddresses returned last.
+var lastPort atomic.Int64
 
-var claimPorts = sync.OnceValue(func() *portBlock {
-	for first := lowestPort; first < highestPort; first += blockPorts {
-		if claim, err := net.Listen("tcp", loopback(first)); err == nil {
-			return &portBlock{first: first, claim: claim}
-		}
-	}
-	return nil
-})
-
-func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-
-// freeAddresses returns loopback addresses that were free a moment ago. An address returns only after all others of the
-// range.
+// freeAddresses returns addresses with ports that were free a moment ago. Each test process has a loopback address of its
+// own, and tests that run in parallel get the ports in turn, so that nothing else takes a port before its listener opens.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
-	block := claimPorts()
-	if block == nil {
-		t.Fatal("every range of ports is taken")
-	}
-	block.mu.Lock()
-	defer block.mu.Unlock()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>16, pid>>8&255, pid&255)
 	var addresses []string
-	for range blockPorts {
+	for range highestPort - lowestPort {
 		if len(addresses) == count {
 			return addresses
 		}
-		block.next = block.next%(blockPorts-1) + 1
-		address := loopback(block.first + block.next)
+		port := lowestPort + lastPort.Add(1)%(highestPort-lowestPort)
+		address := fmt.Sprintf("%s:%d", host, port)
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			addresses = append(addresses, address)
