Find returned targets within seconds: turns, a reserve and the window of the process

Cause: a target that came back as a new incarnation got no requests for 11 to 13 s after its restart (36 s in the old form of the test, which asked ten instances in turn and so added ten ramps). The first window of the allowance began with the first request of a service instead of the process start, checks came by chance every 2 s on average, load probes could use up the allowance, and a kept connection to the old process failed the first check.

Ruled out: the instance list (not used for targets), the ramp (at most 2 s once an instance draws the target), rumors (945 ms on the slowest of 20). Considered and not built: a shorter mean interval by chance, checks by every instance, one fixed checker for each target, a shorter ramp.

Change: one instance has the turn in each second, by the highest hash of instance, target and second. The first window begins with the process. Load probes leave a tenth of the allowance while a target is left out. Checks use a new connection. The test asks all instances at once and bounds the time by the stated 5 s.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -64,13 +64,32 @@
 	return int(min(total, math.MaxInt32))
 }
 
+// reserveShare is the part of the allowance that SpendBeyondReserve leaves, as a divisor.
+const reserveShare = 10
+
 // Spend charges one measurement of a number of bytes, and reports false when the allowance does not permit it. The
 // charge precedes the measurement and is never returned, so that failed measurements count.
 func (a *Allowance) Spend(now time.Duration, bytes int) bool {
+	return a.spend(now, bytes, 0)
+}
+
+// SpendBeyondReserve is Spend for measurements that leave a tenth of the allowance, at least one measurement, to more
+// urgent ones.
+func (a *Allowance) SpendBeyondReserve(now time.Duration, bytes int) bool {
+	return a.spend(now, bytes, reserveShare)
+}
+
+// spend charges one measurement unless it takes what is kept: a part of the allowance, or nothing when the divisor is 0.
+func (a *Allowance) spend(now time.Duration, bytes, keepDivisor int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expire(now)
-	if now < a.startFull || a.spends.len() >= a.probes || a.windowBytes+bytes > a.bytes {
+	keepProbes, keepBytes := 0, 0
+	if keepDivisor > 0 {
+		keepProbes = max(1, a.probes/keepDivisor)
+		keepBytes = max(bytes, a.bytes/keepDivisor)
+	}
+	if now < a.startFull || a.spends.len()+keepProbes >= a.probes || a.windowBytes+bytes+keepBytes > a.bytes {
 		a.refused++
 		return false
 	}
--- a/internal/control/returns.go
+++ b/internal/control/returns.go
@@ -2,51 +2,50 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 )
 
 const (
 	// returnPoll is how often the table of departed targets is looked at.
-	returnPoll = 500 * time.Millisecond
-	// returnInterval is the mean time between two checks of one departed target by all instances together. Checks
-	// stop with the target's return or after departureLifetime.
-	returnInterval = 2 * time.Second
+	returnPoll = 250 * time.Millisecond
+	// returnInterval is the time between two checks of one departed target by all instances together. Users expect
+	// requests at a returned target within a few seconds, of which rumors take up to 2.4 s. Checks stop with the
+	// target's return or after departureLifetime.
+	returnInterval = time.Second
 )
 
 // ReturnChecker asks departed targets whether they are back as a new incarnation. A departed target receives no
 // requests, so that its answers cannot tell. Its fields are set before Run and belong to the goroutine in Run.
 type ReturnChecker struct {
 	Loop *Loop
-	// Instances returns the number of live instances, which share the checks by chance.
-	Instances func() int
-	Random    *rand.Rand
+	// Self is the id of this instance, and Members returns those of all live ones, which take turns.
+	Self    string
+	Members func() []string
 	// Check asks one target within the measuring budget of its service.
 	Check func(service *Service, address string) (incarnation string, draining, ok bool)
 }
 
 // Run checks until the context ends.
 func (r *ReturnChecker) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for last := int64(0); ctx.Err() == nil; {
 		sleep(ctx, returnPoll)
+		turn := turns{self: r.Self, members: r.Members(), slot: slotAt(time.Now())}
+		if turn.slot == last {
+			continue
+		}
+		last = turn.slot
 		var departed map[string]*Service
 		if r.Loop.Do(ctx, func() { departed = r.Loop.departedFrom() }) != nil {
 			return
 		}
 		for address, service := range departed {
-			if r.due() {
+			if turn.due(address) {
 				r.check(service, address)
 			}
 		}
 	}
 }
 
-// due decides at random, so that the checks of all instances together keep the mean interval.
-func (r *ReturnChecker) due() bool {
-	chance := float64(returnPoll) / float64(returnInterval) / float64(max(1, r.Instances()))
-	return r.Random.Float64() < chance
-}
-
 func (r *ReturnChecker) check(service *Service, address string) {
 	incarnation, draining, ok := r.Check(service, address)
 	if ok {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -48,10 +48,10 @@
 		Logger:   telemetry.Component(log, "list"),
 	}
 	d.returns = &control.ReturnChecker{
-		Loop:      d.loop,
-		Instances: d.liveInstances,
-		Random:    newRandom(),
-		Check:     d.checkReturn,
+		Loop:    d.loop,
+		Self:    d.settings.Instance.ID,
+		Members: d.liveInstances,
+		Check:   d.checkReturn,
 	}
 	return nil
 }
@@ -91,10 +91,15 @@
 	d.node.Close()
 }
 
-// liveInstances counts the instances that are not known to be gone.
-func (d *Daemon) liveInstances() int {
-	counts := d.memberCounts()
-	return counts[peer.Alive.String()] + counts[peer.Suspect.String()]
+// liveInstances returns the ids of the instances that are not known to be gone.
+func (d *Daemon) liveInstances() []string {
+	var ids []string
+	for _, m := range d.node.Members() {
+		if m.State == peer.Alive || m.State == peer.Suspect {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
 }
 
 // memberCounts counts the known instances by state.
--- a/internal/e2e/departure_test.go
+++ b/internal/e2e/departure_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/budget"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/operator"
 )
@@ -25,6 +26,7 @@
 func TestDepartureIsKnownEverywhereDuringOutage(t *testing.T) {
 	f := newTestFleet(t, 10)
 	leaving, staying := f.target(), f.target()
+	started := time.Now()
 	f.startAll()
 	service := fleetService("flightdesk", 4, leaving.Address(), staying.Address())
 	// Checks of departed targets are charged to the budget.
@@ -60,13 +62,38 @@
 	}
 	go func() { _ = back.Run() }()
 	t.Cleanup(func() { _ = back.Close() })
+	checkReturn(f, back, started)
+}
+
+// checkReturn waits until each instance sends requests to a returned target. The bound is the stated one, counted from
+// the end of the first window of the measuring budget when the target returns before.
+func checkReturn(f *testFleet, back *standin.Target, started time.Time) {
+	const stated = 5 * time.Second
+	returned := time.Now()
+	bound := max(0, budget.Window-returned.Sub(started)) + stated
+	var callers sync.WaitGroup
 	for i := range f.instances {
-		eventually(t, fmt.Sprintf("requests to the returned target from instance %d", i), func() bool {
-			before := executions(back)
-			f.lookup(i, "back")
-			return executions(back) > before
+		callers.Go(func() {
+			if !reaches(f, i, back, returned.Add(bound)) {
+				f.t.Errorf("instance %d sends no request to the returned target within %v", i, bound)
+			}
+			f.t.Logf("requests from instance %d after %v, bound %v", i, time.Since(returned), bound)
 		})
 	}
+	callers.Wait()
+}
+
+// reaches sends requests through an instance and reports whether one reached a target in time.
+func reaches(f *testFleet, i int, target *standin.Target, until time.Time) bool {
+	for time.Now().Before(until) {
+		token := fmt.Sprintf("back-%d-%d", i, time.Now().UnixNano())
+		f.lookup(i, token)
+		if target.Executions()[token] > 0 {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
 }
 
 // callUntil sends requests through an instance one after another and reports each that is not answered.
--- a/internal/prober/exchange.go
+++ b/internal/prober/exchange.go
@@ -76,6 +76,13 @@
 	return net.DialTimeout("tcp", address, probeTimeout)
 }
 
+// drop closes the idle connection to a target.
+func (c *connections) drop(address string) {
+	if kept, ok := c.idle.LoadAndDelete(address); ok {
+		_ = kept.(net.Conn).Close()
+	}
+}
+
 func (c *connections) closeAll() {
 	c.idle.Range(func(address, conn any) bool {
 		c.idle.Delete(address)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -27,7 +27,9 @@
 
 // Prober sends load probes. Requested and Counts may be called from any goroutine.
 type Prober struct {
-	now     func() time.Duration
+	now func() time.Duration
+	// started is when the process started. What a predecessor spent just before counts for the first window after it.
+	started time.Duration
 	jobs    chan *control.Service
 	dropped atomic.Uint64
 	sent    atomic.Uint64
@@ -47,7 +49,7 @@
 
 // New returns a prober. Now is the monotonic time that the policies see.
 func New(now func() time.Duration) *Prober {
-	return &Prober{now: now, jobs: make(chan *control.Service, queueLength)}
+	return &Prober{now: now, started: now(), jobs: make(chan *control.Service, queueLength)}
 }
 
 // Counts are the numbers of probes since the start.
@@ -63,13 +65,11 @@
 
 // Requested records a request to a service and queues the probes that it pays for. It does not block.
 func (p *Prober) Requested(service *control.Service) {
-	// The account exists from the first request on, so that its first window passes before a check is needed.
-	account := p.account(service)
 	measuring := service.Spec.Measuring
 	if measuring.ProbesPerRequest <= 0 {
 		return
 	}
-	for range account.rate.Earn(measuring.ProbesPerRequest) {
+	for range p.account(service).rate.Earn(measuring.ProbesPerRequest) {
 		select {
 		case p.jobs <- service:
 		default:
@@ -81,7 +81,7 @@
 func (p *Prober) account(service *control.Service) *account {
 	found, ok := p.services.Load(service.Spec.Name)
 	if !ok {
-		allowance := budget.New(service.Spec.Measuring, service.Spec.MaxInstances, p.now())
+		allowance := budget.New(service.Spec.Measuring, service.Spec.MaxInstances, p.started)
 		fresh := &account{allowance: allowance}
 		fresh.revision.Store(int64(service.Revision))
 		found, _ = p.services.LoadOrStore(service.Spec.Name, fresh)
@@ -124,7 +124,7 @@
 // probe charges and sends one probe. A probe without a usable answer stays charged.
 func (p *Prober) probe(service *control.Service, random uint64) {
 	index, ok := service.Policy.NextProbe(p.now(), random)
-	if !ok || !p.account(service).allowance.Spend(p.now(), budget.ProbeBytes) {
+	if !ok || !p.spend(service) {
 		return
 	}
 	if report, ok := p.send(service.Targets[index].Address); ok {
@@ -132,13 +132,26 @@
 	}
 }
 
+// spend charges a load probe. While a target of the service is left out, a part of the allowance is kept for checks
+// whether it is back, because probes may otherwise use up the allowance at any time.
+func (p *Prober) spend(service *control.Service) bool {
+	allowance := p.account(service).allowance
+	if len(service.Targets) < len(service.Spec.Targets) {
+		return allowance.SpendBeyondReserve(p.now(), budget.ProbeBytes)
+	}
+	return allowance.Spend(p.now(), budget.ProbeBytes)
+}
+
 // Check asks a target that receives no requests whether it is back. It is charged like a probe, and reports false when
-// the allowance is spent or the target does not answer.
+// the allowance is spent or the target does not answer. The connection is a new one, because a kept one leads to the
+// process that left.
 func (p *Prober) Check(service *control.Service, address string) (Presence, bool) {
 	if !p.account(service).allowance.Spend(p.now(), budget.ProbeBytes) {
 		return Presence{}, false
 	}
+	p.conns.drop(address)
 	report, ok := p.send(address)
+	p.conns.drop(address)
 	return report.presence, ok
 }
 
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -86,17 +86,23 @@
 	}
 }
 
+func startTarget(t *testing.T, address string) *standin.Target {
+	t.Helper()
+	target, err := standin.NewTarget(address, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = target.Run() }()
+	t.Cleanup(func() { _ = target.Close() })
+	return target
+}
+
 // Guards G1 at the wire: targets count no more probes than the allowance permits, and the reports reach the policy.
 func TestTargetsSeeNoMoreProbesThanTheBudget(t *testing.T) {
 	var addresses []string
 	var targets []*standin.Target
 	for range 3 {
-		target, err := standin.NewTarget("127.0.0.1:0", 6)
-		if err != nil {
-			t.Fatal(err)
-		}
-		go func() { _ = target.Run() }()
-		defer func() { _ = target.Close() }()
+		target := startTarget(t, "127.0.0.1:0")
 		load := int64(17)
 		target.SetFaults(standin.TargetFaults{ReportedLoad: &load})
 		targets, addresses = append(targets, target), append(addresses, target.Address())
@@ -130,6 +136,30 @@
 	}
 }
 
+// Guards against a departed target that stays out: load probes that use up the allowance, a kept connection to the
+// process that left, and a window that begins only with the first use must not keep the first check from seeing it.
+func TestCheckSeesAReturnedTargetAtOnce(t *testing.T) {
+	var clock atomic.Int64
+	p := New(func() time.Duration { return time.Duration(clock.Load()) })
+	clock.Store(int64(11 * time.Second))
+	target := startTarget(t, "127.0.0.1:0")
+	address := target.Address()
+	s := service(operator.Measuring{ProbesPerSecond: 2, BytesPerSecond: 1e6}, &recorder{targets: 1}, address)
+	s.Spec.Targets = make([]operator.Target, 2)
+	for range 100 {
+		p.probe(s, 0)
+	}
+	before, _ := p.conns.ask(address)
+	_ = target.Close()
+	startTarget(t, address)
+	if presence, ok := p.Check(s, address); !ok || presence.Incarnation == before.presence.Incarnation {
+		t.Errorf("the first check after the return found %+v, %t; before it %+v", presence, ok, before.presence)
+	}
+	if sent := p.Counts().Sent; sent != 19 {
+		t.Errorf("%d probes and checks, want 18 and 1 of an allowance of 20", sent)
+	}
+}
+
 // Guards against an answer that costs more than its charge.
 func TestLongAnswersAreCut(t *testing.T) {
 	client, server := net.Pipe()
