Measure a cut between two halves of a fleet and the replacement of all instances

Ruled out: the relay of internal/standin/relay cannot tell which half a connection comes from, because a member advertises one address and processes on loopback share theirs. So the process that opens a connection cuts it: the two halves listen at 127.0.0.1 and 127.0.0.2, and peer.DialContext may be replaced before a daemon runs. Written bytes are lost and new connections time out, as with dropped packets.

--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -27,6 +27,8 @@
 		os.Exit(m.Run())
 	case "daemon":
 		runDaemon(ctx, argument)
+	case "divided-daemon":
+		runDividedDaemon(ctx, argument)
 	case "dev":
 		runDev(ctx, argument)
 	case "platform":
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -28,6 +28,9 @@
 // keepAlive makes the kernel check connections that are silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3}
 
+// DialContext opens the connections to peers. It is replaced only before a node runs, by tests that cut a fleet in two.
+var DialContext = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
+
 // links keeps the outgoing connections. It is safe for concurrent use.
 type links struct {
 	secret string
@@ -177,8 +180,7 @@
 }
 
 func (l *links) open(ctx context.Context, address string) (*rpc.Client, error) {
-	dialer := net.Dialer{KeepAliveConfig: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
