Derive the addresses of a divided fleet from the test process

The divided fleet told its halves apart by 127.0.0.1 and 127.0.0.2, which no test process uses any more.

Change: each test process has two loopback addresses, one for each half.

--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -15,10 +15,7 @@
 	"github.com/basillink/basillink/internal/platform"
 )
 
-// The peer listeners of the two halves of a divided fleet differ in their loopback address.
 const (
-	oneHalf   = "127.0.0.1:"
-	otherHalf = "127.0.0.2:"
 	// cutTime is longer than the 6 s after which a suspect is declared dead, plus the time to suspect all members.
 	cutTime = 20 * time.Second
 	// inForceLimit is the stated time until a change is in force everywhere.
@@ -63,7 +60,7 @@
 	return c.Conn.Write(p)
 }
 
-// dividedFleet is a fleet whose halves can lose each other. The second half never reaches the log.
+// dividedFleet is a fleet whose halves can lose each other. Their peer listeners differ in their address. The second half never reaches the log.
 type dividedFleet struct {
 	*testFleet
 	cutFile string
@@ -72,6 +69,7 @@
 func newDividedFleet(t testing.TB, size int) *dividedFleet {
 	t.Helper()
 	f := &dividedFleet{testFleet: newTestFleet(t, size), cutFile: filepath.Join(t.TempDir(), "cut")}
+	oneHalf, otherHalf := processHost(0), processHost(1)
 	var listed []platform.ListedInstance
 	for i, n := range f.instances {
 		address, other := f.address, otherHalf
