Pass on an answer without a content type as it is

Cause: the codec reports text/plain for an answer without a content type, so that callers received a Content-Type that the target had not sent, with owned and forwarded answers alike. Ruled out: the response to the caller; its own default was off already. Change: the default is switched off on the answers of targets and owners.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,7 @@
 		policy.Finished(index, failureResult(started, answered, err))
 		return failedResult(err)
 	}
+	omitDefaultType(answer)
 	g.observe(target, answer.Response)
 	finished := answerResult(started, answered, answer.Response)
 	r := answerOrShed(answer)
@@ -62,6 +63,9 @@
 	return r
 }
 
+// omitDefaultType keeps the codec from reporting text/plain for an answer without a content type.
+func omitDefaultType(answer *transport.Answer) { answer.Response.Header.SetNoDefaultContentType(true) }
+
 func (g *Gateway) answerLimits() transport.Limits {
 	return transport.Limits{WholeBytes: min(wholeAnswerBytes, g.limits.MaxAnswerBytes), MaxBytes: g.limits.MaxAnswerBytes}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return forwardFailure(ctx, err)
 	}
+	omitDefaultType(answer)
 	return &result{answer: answer, fromOwner: true}
 }
 
