Tell the status, type and length of an answer that is not kept

Cause: an operation that ran but whose answer was too long to keep, or gave way to later ones, was answered 200 with answer_not_kept. A caller that asked again could not tell a booking from the target's refusal of it, such as 409. Ruled out: keeping the status in the closing record, which would double its size per operation; a repeat after a planned stop still learns the outcome alone, with status 200 and without the new headers. Change: the ticket table keeps status, content type (up to 64 bytes) and length of each answer. A repeat is answered with the target's own status and the headers Basillink-Answer-Status, -Type and -Length, also through another instance.

--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -27,6 +27,8 @@
 	reason  string
 	body    string
 	err     error
+	// length is the announced length of an answer that is not kept.
+	length string
 }
 
 // ask sends one request with headers given as pairs on a connection of its own and delivers the answer.
@@ -49,7 +51,7 @@
 		}
 		defer func() { _ = response.Body.Close() }()
 		body, err := io.ReadAll(response.Body)
-		result <- answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err}
+		result <- answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err, ""}
 	}()
 	return result
 }
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -115,7 +115,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err}
+	return answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err, response.Header.Get(header.AnswerLength)}
 }
 
 // executions returns how often each token ran on any target that answers.
--- a/internal/e2e/ticket_test.go
+++ b/internal/e2e/ticket_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -38,9 +39,9 @@
 		{"unused ticket refused by parsing", owner, "b", "b", []string{header.TimeoutMS, "x"}, reason.NotRun, reason.BadTimeout, 0, 0},
 		{"ticket closed by that claim", owner, "b", "b", nil, reason.NotRun, reason.TicketClosed, 0, 0},
 		{"answer too large to keep", other, "c", "c", []string{standin.BytesHeader, "100000"}, reason.Done, nil, 100_000, 1},
-		{"its outcome is kept", other, "c", "c", nil, reason.Done, reason.AnswerNotKept, 0, 1},
+		{"its outcome is kept", other, "c", "c", nil, reason.Done, reason.AnswerNotKept, 100_000, 1},
 		{"long answer through another instance", other, "d", "d", []string{standin.BytesHeader, "3000000"}, reason.Done, nil, 3_000_000, 1},
-		{"its outcome is kept", owner, "d", "d", nil, reason.Done, reason.AnswerNotKept, 0, 1},
+		{"its outcome is kept", owner, "d", "d", nil, reason.Done, reason.AnswerNotKept, 3_000_000, 1},
 		{"lost answer", other, "e", "e", []string{standin.FaultHeader, string(standin.FaultClose)}, reason.Unknown, reason.AnswerLost, 0, 1},
 		{"its repeat does not run", owner, "e", "e", nil, reason.Unknown, reason.AnswerLost, 0, 1},
 		{"shed by the target", other, "f", "f", []string{standin.FaultHeader, string(standin.FaultShed)}, reason.NotRun, reason.TargetShed, 0, 0},
@@ -60,7 +61,10 @@
 		if s.reason != nil {
 			why = s.reason.Name
 		}
-		if a.err != nil || a.outcome != string(s.outcome) || a.reason != why || s.bytes > 0 && len(a.body) != s.bytes {
+		if a.length == "" {
+			a.length = strconv.Itoa(len(a.body))
+		}
+		if a.err != nil || a.outcome != string(s.outcome) || a.reason != why || s.bytes > 0 && a.length != strconv.Itoa(s.bytes) {
 			t.Errorf("%s: outcome %q, reason %q, %d bytes, error %v", s.name, a.outcome, a.reason, len(a.body), a.err)
 		}
 		if s.bytes == 0 && s.reason == nil && !strings.Contains(a.body, "token="+s.token+" ") {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -115,6 +115,7 @@
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.why.Name, "error", r.cause)
 	h := &c.Response.Header
 	h.SetStatusCode(r.why.Status)
+	setHead(h, r.head)
 	h.Set(header.Outcome, string(r.outcome()))
 	h.Set(header.Reason, r.why.Name)
 	h.Set(header.Instance, g.instance)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -116,10 +116,15 @@
 	h.Set(header.Attempts, strconv.Itoa(call.attempts))
 }
 
+// ownerClaims are the headers with which an owner tells about the execution.
+var ownerClaims = []string{
+	header.Outcome, header.Reason, header.Instance, header.AnswerStatus, header.AnswerType, header.AnswerLength,
+}
+
 // setOwnerClaim passes on what the owner says about the execution. An answer without a claim proves nothing.
 func setOwnerClaim(h *protocol.ResponseHeader, answer *protocol.ResponseHeader) {
 	h.Set(header.Outcome, string(reason.Unknown))
-	for _, name := range []string{header.Outcome, header.Reason, header.Instance} {
+	for _, name := range ownerClaims {
 		if value := answer.Peek(name); len(value) > 0 {
 			h.SetBytesV(name, value)
 		}
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
@@ -25,8 +27,9 @@
 	r, release := g.admitAndExecute(ctx, call)
 	defer release()
 	if r.why == nil && !r.answer.Whole() {
+		head := headOf(r.answer)
 		err := g.answer(ctx, c, call, r)
-		g.settleStream(operation, c, err)
+		g.settleStream(operation, c, head, err)
 		return err
 	}
 	g.settle(operation, r)
@@ -56,7 +59,7 @@
 		r.claim = reason.Unknown
 		operation.Unknown(g.now(), reason.TargetError)
 	case r.why == nil:
-		operation.Done(g.now(), keep(r.answer))
+		operation.Done(g.now(), headOf(r.answer), keep(r.answer))
 	case r.outcome() == reason.NotRun:
 		operation.NotRun(g.now())
 	default:
@@ -65,9 +68,9 @@
 }
 
 // settleStream records the outcome of an operation with a long answer after it was passed on.
-func (g *Gateway) settleStream(operation *ticket.Operation, c *app.RequestContext, err error) {
+func (g *Gateway) settleStream(operation *ticket.Operation, c *app.RequestContext, head ticket.Head, err error) {
 	if err == nil && string(c.Response.Header.Peek(header.Outcome)) == string(reason.Done) {
-		operation.Done(g.now(), nil)
+		operation.Done(g.now(), head, nil)
 		return
 	}
 	operation.Unknown(g.now(), reason.AnswerTruncated)
@@ -82,6 +85,31 @@
 	return false
 }
 
+// headOf returns what is remembered of an answer that is not kept.
+func headOf(answer *transport.Answer) ticket.Head {
+	return ticket.Head{
+		Status: answer.Response.StatusCode(),
+		Length: answer.Length(),
+		Type:   string(answer.Response.Header.ContentType()),
+	}
+}
+
+// setHead tells what is known of an answer that is not kept. The target's own status replaces the one of the reason,
+// so that a caller that looks only at the status does not take a refusal of the target for a success.
+func setHead(h *protocol.ResponseHeader, head ticket.Head) {
+	if head.Status == 0 {
+		return
+	}
+	h.SetStatusCode(head.Status)
+	h.Set(header.AnswerStatus, strconv.Itoa(head.Status))
+	if head.Type != "" {
+		h.Set(header.AnswerType, head.Type)
+	}
+	if head.Length >= 0 {
+		h.Set(header.AnswerLength, strconv.Itoa(head.Length))
+	}
+}
+
 // keep copies an answer with the headers that reach the caller.
 func keep(answer *transport.Answer) *ticket.Answer {
 	body := answer.Response.Body()
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -92,7 +92,7 @@
 		case ticket.Forward:
 			return g.answer(ctx, c, call, g.forward(ctx, call, text, decision.Owner))
 		case ticket.Refuse:
-			return g.answer(ctx, c, call, refused(decision.Reason))
+			return g.answer(ctx, c, call, &result{why: decision.Reason, cause: decision.Reason, head: decision.Head})
 		}
 		select {
 		case <-decision.Settled:
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -147,6 +147,31 @@
 	})
 }
 
+// Guards against a repeat that hides the target's own status when the answer is too long to keep, or that invents a
+// length or a content type.
+func TestAnswerNotKept(t *testing.T) {
+	const length = 2_000_000
+	long := strings.Repeat("x", length)
+	for _, c := range []struct{ raw, kind, length string }{
+		{"Content-Type: a/b\r\nContent-Length: 100000\r\n\r\n" + long[:100_000], "a/b", "100000"},
+		{"Content-Length: 2000000\r\n\r\n" + long, "", "2000000"},
+		{"Transfer-Encoding: chunked\r\n\r\n1e8480\r\n" + long + "\r\n0\r\n\r\n", "", ""},
+	} {
+		f := newFixture(t, rawTarget(t, func(conn net.Conn, _ *http.Request) bool {
+			_, err := io.WriteString(conn, "HTTP/1.1 409 x\r\n"+c.raw)
+			return err == nil
+		}))
+		_, headers := exchangeRaw(t, f.address, "GET /.basillink/ticket HTTP/1.1\r\nHost: a\r\n\r\n", false)
+		request := "POST /desk/x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nBasillink-Forwarded: 1\r\nBasillink-Ticket: " + headers.Get(header.NextTicket) + "\r\n\r\n"
+		_, first := exchangeRaw(t, f.address, request, false)
+		status, headers := exchangeRaw(t, f.address, request, false)
+		got := []string{headers.Get(header.Reason), headers.Get(header.AnswerStatus), headers.Get(header.AnswerType), headers.Get(header.AnswerLength)}
+		if want := []string{"answer_not_kept", "409", c.kind, c.length}; status != 409 || !slices.Equal(got, want) || first.Get("Content-Type") != c.kind {
+			t.Errorf("status %d, told %q, want %q, first %v", status, got, want, first)
+		}
+	}
+}
+
 // Guards against a caller that marks its own request as forwarded to reach a target without a ticket of this instance.
 func TestForgedForwardIsRefused(t *testing.T) {
 	reached := make(chan struct{}, 1)
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -28,6 +28,10 @@
 	Reason     = "Basillink-Reason"
 	Instance   = "Basillink-Instance"
 	NextTicket = "Basillink-Next-Ticket"
+	// AnswerStatus, AnswerType and AnswerLength tell of a target's answer that is no longer kept.
+	AnswerStatus = "Basillink-Answer-Status"
+	AnswerType   = "Basillink-Answer-Type"
+	AnswerLength = "Basillink-Answer-Length"
 )
 
 // Headers of answers of targets.
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -88,7 +88,7 @@
 	TicketExpired    = add("ticket_expired", Failure, 410, Unknown, "The ticket's lifetime has passed. The request is not run now; whether it ran before is no longer known.")
 	TicketOwnerGone  = add("ticket_owner_gone", Failure, 503, Unknown, "The instance that issued the ticket is gone or does not take part in the fleet, and no other instance runs the request. Whether it ran is not known.")
 	ForwardLost      = add("forward_lost", Failure, 502, Unknown, "The connection to the instance that issued the ticket failed. Ask again with the same ticket.")
-	AnswerNotKept    = add("answer_not_kept", Failure, 200, Done, "The operation ran, but its answer is no longer kept or is too large to be kept.")
+	AnswerNotKept    = add("answer_not_kept", Failure, 200, Done, "The operation ran and its answer was whole, but it is no longer kept or is too large to be kept. The status is the target's own, repeated in Basillink-Answer-Status; Basillink-Answer-Type and Basillink-Answer-Length tell its content type and length where known. Without Basillink-Answer-Status the instance that ran it has stopped and the target's status is not known.")
 )
 
 // Retries: the request went to a further target.
--- a/internal/ticket/answer.go
+++ b/internal/ticket/answer.go
@@ -10,6 +10,27 @@
 	Body   []byte
 }
 
+// Head is what is remembered of a target's answer that is not kept.
+type Head struct {
+	// Status is the HTTP status, 0 when it is not known.
+	Status int
+	// Length is the length of the body, or -1 when it was not announced.
+	Length int
+	// Type is the content type, empty when there was none or it is longer than maxTypeBytes.
+	Type string
+}
+
+// maxTypeBytes bounds the content types in a full table to 4 MiB; registered types with a charset are shorter.
+const maxTypeBytes = 64
+
+// bounded returns the head within the memory that an entry may take.
+func (h Head) bounded() Head {
+	if len(h.Type) > maxTypeBytes {
+		h.Type = ""
+	}
+	return h
+}
+
 // answerOverhead is the estimated memory of an answer besides its bytes, and of a field likewise.
 const (
 	answerOverhead = 128
--- a/internal/ticket/desk.go
+++ b/internal/ticket/desk.go
@@ -29,8 +29,10 @@
 	Operation *Operation
 	Settled   <-chan struct{}
 	Answer    *Answer
-	Owner     Owner
-	Reason    *reason.Reason
+	// Head is what is known of an answer that is not kept.
+	Head   Head
+	Owner  Owner
+	Reason *reason.Reason
 }
 
 func refuse(why *reason.Reason) Decision { return Decision{Action: Refuse, Reason: why} }
--- a/internal/ticket/entry.go
+++ b/internal/ticket/entry.go
@@ -24,6 +24,8 @@
 	state  state
 	// why is the reason of an unknown outcome.
 	why *reason.Reason
+	// head is the head of the answer of a done operation. It stays when the answer is not kept.
+	head Head
 	// answer is the kept answer of a done operation, or nil.
 	answer *Answer
 	// settled is closed when the operation is no longer running.
@@ -43,7 +45,7 @@
 		return Decision{Action: Wait, Settled: e.settled}
 	case done:
 		if e.answer == nil {
-			return refuse(reason.AnswerNotKept)
+			return Decision{Action: Refuse, Reason: reason.AnswerNotKept, Head: e.head}
 		}
 		return Decision{Action: Replay, Answer: e.answer}
 	default:
--- a/internal/ticket/explore_test.go
+++ b/internal/ticket/explore_test.go
@@ -360,7 +360,7 @@
 	operation := &Operation{table: table, serial: 1, entry: table.entries[1]}
 	switch outcome {
 	case reason.Done:
-		operation.Done(w.now, &Answer{Status: 200})
+		operation.Done(w.now, Head{}, &Answer{Status: 200})
 	case reason.NotRun:
 		operation.NotRun(w.now)
 		if w.model.reuse {
--- a/internal/ticket/operation.go
+++ b/internal/ticket/operation.go
@@ -14,18 +14,18 @@
 	entry  *entry
 }
 
-// Done records that a target ran the operation and answered. The answer is kept within the limits; a nil answer
-// records the outcome alone.
-func (o *Operation) Done(now time.Duration, answer *Answer) {
-	o.table.settle(now, o.serial, o.entry, done, nil, answer)
+// Done records that a target ran the operation and answered. The head is always kept, the answer within the limits
+// unless it is nil.
+func (o *Operation) Done(now time.Duration, head Head, answer *Answer) {
+	o.table.settle(now, o.serial, o.entry, ending{state: done, head: head.bounded(), answer: answer})
 }
 
 // NotRun records that provably no target ran the operation, and closes the ticket.
 func (o *Operation) NotRun(now time.Duration) {
-	o.table.settle(now, o.serial, o.entry, closed, nil, nil)
+	o.table.settle(now, o.serial, o.entry, ending{state: closed})
 }
 
 // Unknown records that a target may have run the operation.
 func (o *Operation) Unknown(now time.Duration, why *reason.Reason) {
-	o.table.settle(now, o.serial, o.entry, unknown, why, nil)
+	o.table.settle(now, o.serial, o.entry, ending{state: unknown, why: why})
 }
--- a/internal/ticket/table.go
+++ b/internal/ticket/table.go
@@ -101,22 +101,30 @@
 	heap.Push(&t.closedOrder, ticket.Serial)
 }
 
+// ending is how an operation ended.
+type ending struct {
+	state  state
+	why    *reason.Reason
+	head   Head
+	answer *Answer
+}
+
 // settle ends a running operation.
-func (t *table) settle(now time.Duration, serial uint64, e *entry, to state, why *reason.Reason, answer *Answer) {
+func (t *table) settle(now time.Duration, serial uint64, e *entry, end ending) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e.state != running {
 		return
 	}
-	e.state, e.why = to, why
+	e.state, e.why, e.head = end.state, end.why, end.head
 	close(e.settled)
-	if to == closed {
+	if end.state == closed {
 		heap.Push(&t.closedOrder, serial)
 	} else {
 		heap.Push(&t.settledOrder, serial)
 	}
-	if answer != nil {
-		t.keep(serial, e, answer)
+	if end.answer != nil {
+		t.keep(serial, e, end.answer)
 	}
 	t.advance(now)
 }
--- a/internal/ticket/table_test.go
+++ b/internal/ticket/table_test.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 func TestExpiry(t *testing.T) {
 	d := smallDesk(DefaultLimits())
 	text := d.Issue(time.Second)
-	run(t, d, 2*time.Second, text).Done(3*time.Second, &Answer{Status: 200})
+	run(t, d, 2*time.Second, text).Done(3*time.Second, Head{}, &Answer{Status: 200})
 	d.Issue(time.Second + DefaultLimits().Lifetime)
 	if len(d.table.entries) != 0 {
 		t.Fatal("the expired entry is still there")
@@ -64,7 +65,7 @@
 func TestFullTable(t *testing.T) {
 	d := smallDesk(limitsOf(2, 1<<20))
 	older, first, second, third := d.Issue(0), d.Issue(0), d.Issue(0), d.Issue(0)
-	run(t, d, 0, first).Done(0, &Answer{Status: 201})
+	run(t, d, 0, first).Done(0, Head{}, &Answer{Status: 201})
 	stillRunning := run(t, d, 0, second)
 	expectReason(t, d.Decide(0, third, Digest{1}, false), reason.TicketTableFull)
 	if got := d.Decide(0, first, Digest{1}, false); got.Action != Replay || got.Answer.Status != 201 {
@@ -77,15 +78,21 @@
 	expectReason(t, d.Decide(0, second, Digest{1}, false), reason.TicketClosed)
 }
 
-// Guards against unbounded kept answers, and against an outcome that is lost with its answer.
+// Guards against unbounded kept answers and content types, and against an outcome or status that is lost with its answer.
 func TestKeptAnswers(t *testing.T) {
 	d := smallDesk(limitsOf(10, 3000))
 	texts := []string{d.Issue(0), d.Issue(0), d.Issue(0)}
 	for i, size := range []int{1500, 1500, 4000} {
-		run(t, d, 0, texts[i]).Done(0, &Answer{Body: make([]byte, size)})
+		head := Head{Status: 200 + i, Length: size, Type: strings.Repeat("x", maxTypeBytes+1)}
+		run(t, d, 0, texts[i]).Done(0, head, &Answer{Body: make([]byte, size)})
+	}
+	for i, want := range map[int]Head{0: {Status: 200, Length: 1500}, 2: {Status: 202, Length: 4000}} {
+		got := d.Decide(0, texts[i], Digest{1}, false)
+		expectReason(t, got, reason.AnswerNotKept)
+		if got.Head != want {
+			t.Errorf("head %+v, want %+v", got.Head, want)
+		}
 	}
-	expectReason(t, d.Decide(0, texts[0], Digest{1}, false), reason.AnswerNotKept)
-	expectReason(t, d.Decide(0, texts[2], Digest{1}, false), reason.AnswerNotKept)
 	if d.Decide(0, texts[1], Digest{1}, false).Action != Replay || d.table.keptBytes > 3000 {
 		t.Errorf("the latest answer that fits is not kept within the limit: %d bytes", d.table.keptBytes)
 	}
@@ -128,7 +135,7 @@
 		now := DefaultLimits().Lifetime
 		for i := range 30 {
 			if operation := run(t, d, now, texts[i]); i%3 == 0 {
-				operation.Done(now, nil)
+				operation.Done(now, Head{}, nil)
 			}
 		}
 		d.Stop()
@@ -165,6 +172,6 @@
 	b.ReportAllocs()
 	for i := range b.N {
 		now := time.Duration(i) * 20 * time.Millisecond
-		d.Decide(now, d.Issue(now), Digest{1}, false).Operation.Done(now, answer)
+		d.Decide(now, d.Issue(now), Digest{1}, false).Operation.Done(now, Head{Status: 200}, answer)
 	}
 }
