Freeze an owner beyond its death for its peers, and kill a target in mid-count

Change: TestAtMostOnce has two more cases. An owner stays frozen until both peers have declared it dead, which takes about 7 s, and for 1 s more; its callers resend elsewhere all the time and at least five times after it resumes. A target in the test's process, so that its counts outlive it, is closed while it runs bookings. The cases run in parallel, the fault comes once all callers hold their tickets instead of after a fixed time, and the log of a case names the reasons that were told. Ports are counted on, because tests in parallel could pick the same one. The benchmark starts its instances through the fleet of the other tests. Ruled out: a target process for the killed target; its counts would be lost with it and done could not be checked.

--- a/internal/e2e/once_bench_test.go
+++ b/internal/e2e/once_bench_test.go
@@ -13,10 +13,8 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/daemon"
 	"github.com/basillink/basillink/internal/header"
-	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/operator"
@@ -30,19 +28,10 @@
 
 func startOnceBench(b *testing.B) *onceBench {
 	b.Helper()
-	addresses := freeAddresses(b, 7)
-	server := standin.NewPlatformServer(addresses[0], standin.NewLog(), standin.NewList(0))
-	go func() { _ = server.Run() }()
-	target, err := standin.NewTarget("127.0.0.1:0", 6)
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = target.Run() }()
-	b.Cleanup(func() { _ = target.Close() })
-	for i := range 2 {
-		file := writeSettings(b, fmt.Sprintf("i%d", i), addresses[0], addresses[1+3*i:4+3*i])
-		replaceInFile(b, file, "[peer]", fmt.Sprintf("[peer]\nseeds = [%q, %q]", addresses[3], addresses[6]))
-		s, err := settings.Load(file)
+	f := newTestFleet(b, 2)
+	bench := &onceBench{target: f.target()}
+	for _, n := range f.instances {
+		s, err := settings.Load(writeSettings(b, n.id, f.address, []string{n.caller, n.admin, n.peer}))
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -53,24 +42,16 @@
 		ctx, stop := context.WithCancel(context.Background())
 		b.Cleanup(stop)
 		go func() { _ = d.Run(ctx) }()
+		bench.callers = append(bench.callers, n.caller)
 	}
-	log := platform.NewClient(addresses[0])
 	for _, name := range []string{"plain", "banco-app"} {
-		publish(b, log, operator.Service{
+		f.allAt(f.publish(operator.Service{
 			Name: name, Region: "nord-italia", Zones: []string{"padova-a"},
 			Classes: []operator.Class{{Name: "all", Repeatable: name == "plain"}},
-			Targets: []operator.Target{{Address: target.Address(), Zone: "padova-a"}},
-		})
-	}
-	for _, admin := range []string{addresses[2], addresses[5]} {
-		eventually(b, "both services in force", func() bool {
-			status, err := client.Status(b.Context(), admin)
-			return err == nil && len(status.Services) == 2
-		})
+			Targets: []operator.Target{{Address: bench.target.Address(), Zone: "padova-a"}},
+		}), f.all()...)
 	}
-	bench := &onceBench{target: target, callers: []string{addresses[1], addresses[4]}}
-	f := &onceFleet{callers: bench.callers}
-	f.awaitMembers(b)
+	(&onceFleet{callers: bench.callers}).awaitMembers(b)
 	return bench
 }
 
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,17 +26,24 @@
 
 // onceFleet is a platform, targets and instances as processes. Its service has a class of bookings and one of lookups.
 type onceFleet struct {
-	platform  *exec.Cmd
+	platform *exec.Cmd
+	// local are further targets, in the process of the test, so that their counts can be read after their end.
+	local     []*standin.Target
 	targets   []string
 	processes []*exec.Cmd
 	callers   []string
+	admins    []string
 	files     []string
+	// faultOver is set when the fault of a test has ended. Until then callers do not give up.
+	faultOver atomic.Bool
+	// ticketed waits until all callers hold their tickets.
+	ticketed sync.WaitGroup
 }
 
-func startOnceFleet(t testing.TB, instances, targets int, bookingsRepeatable bool) *onceFleet {
+func startOnceFleet(t testing.TB, instances, targets int, bookingsRepeatable bool, local ...*standin.Target) *onceFleet {
 	t.Helper()
 	addresses := freeAddresses(t, 1+targets+3*instances)
-	f := &onceFleet{targets: addresses[1 : 1+targets]}
+	f := &onceFleet{targets: addresses[1 : 1+targets], local: local}
 	listeners := addresses[1+targets:]
 	role := "platform " + addresses[0]
 	for i := range instances {
@@ -52,6 +61,9 @@
 		start(t, "target "+address)
 		service.Targets = append(service.Targets, operator.Target{Address: address, Zone: "padova-a"})
 	}
+	for _, target := range local {
+		service.Targets = append(service.Targets, operator.Target{Address: target.Address(), Zone: "padova-a"})
+	}
 	for i := range instances {
 		listen := listeners[3*i : 3*i+3]
 		file := writeSettings(t, fmt.Sprintf("i%d", i), addresses[0], listen)
@@ -62,6 +74,7 @@
 		replaceInFile(t, file, "[peer]", "[peer]\nseeds = ["+seeds+"]")
 		f.files = append(f.files, file)
 		f.callers = append(f.callers, listen[0])
+		f.admins = append(f.admins, listen[1])
 		f.processes = append(f.processes, start(t, "daemon "+file))
 	}
 	publish(t, platform.NewClient(addresses[0]), service)
@@ -118,10 +131,13 @@
 	return answer{response.StatusCode, response.Header.Get(header.Outcome), response.Header.Get(header.Reason), string(body), err, response.Header.Get(header.AnswerLength)}
 }
 
-// executions returns how often each token ran on any target that answers.
+// executions returns how often each token ran on any target that answers or is local.
 func (f *onceFleet) executions(t testing.TB) map[string]int {
 	t.Helper()
 	total := map[string]int{}
+	for _, target := range f.local {
+		maps.Copy(total, target.Executions())
+	}
 	for _, address := range f.targets {
 		response, err := http.Get("http://" + address + "/executions")
 		if err != nil {
@@ -156,12 +172,6 @@
 	}
 }
 
-// claims holds the last outcome that the caller of each token was told.
-type claims struct {
-	mu   sync.Mutex
-	last map[string]string
-}
-
 const (
 	onceCallers     = 12
 	onceOperations  = 6
@@ -175,9 +185,10 @@
 
 // callAll lets callers book through all instances, with tickets that they hold from the start, so that they use
 // tickets of an instance that fails meanwhile. Every other first sending is abandoned before its answer; each
-// booking without a certain outcome is sent again with the same ticket through another instance.
-func (f *onceFleet) callAll(seed uint64) *claims {
-	told := &claims{last: map[string]string{}}
+// booking without a certain outcome is sent again with the same ticket through another instance. The result holds the
+// last answer to each booking.
+func (f *onceFleet) callAll(seed uint64) []answer {
+	told := make([]answer, onceCallers*onceOperations)
 	var wait sync.WaitGroup
 	for i := range onceCallers {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
@@ -186,12 +197,11 @@
 			for j := range onceOperations {
 				tickets = append(tickets, issue(f.callers[j%2]))
 			}
+			f.ticketed.Done()
+			f.ticketed.Wait()
 			for j, ticket := range tickets {
-				token := fmt.Sprintf("booking-%d-%d", i, j)
-				outcome := f.bookUntilCertain(random, token, ticket)
-				told.mu.Lock()
-				told.last[token] = outcome
-				told.mu.Unlock()
+				n := i*onceOperations + j
+				told[n] = f.bookUntilCertain(random, bookingToken(n), ticket)
 			}
 		})
 	}
@@ -199,36 +209,44 @@
 	return told
 }
 
-func (f *onceFleet) bookUntilCertain(random *rand.Rand, token, ticket string) string {
-	outcome := ""
+func bookingToken(n int) string { return fmt.Sprint("booking-", n) }
+
+func (f *onceFleet) bookUntilCertain(random *rand.Rand, token, ticket string) (last answer) {
 	leave := patience
 	if random.IntN(2) == 0 {
 		leave = impatience
 	}
 	at := random.IntN(len(f.callers))
-	for range onceResends {
+	for left := onceResends; left > 0; {
+		if f.faultOver.Load() {
+			left--
+		}
 		a := f.book(f.callers[at], token, ticket, leave, standin.ServiceMSHeader, strconv.Itoa(int(serviceTime.Milliseconds())),
 			header.TimeoutMS, strconv.Itoa(bookingDeadline))
 		if a.err == nil {
-			outcome = a.outcome
+			last = a
 		}
-		if outcome == string(reason.Done) || outcome == string(reason.NotRun) {
+		if last.outcome == string(reason.Done) || last.outcome == string(reason.NotRun) {
 			break
 		}
 		time.Sleep(resendPause)
 		leave = patience
 		at = (at + 1) % len(f.callers)
 	}
-	return outcome
+	return last
 }
 
-// verdict counts bookings that ran twice, and told outcomes that the executions contradict.
-type verdict struct{ doubled, contradicted, done, notRun, unknown int }
+// verdict counts bookings that ran twice, told outcomes that the executions contradict, and reasons that were told.
+type verdict struct {
+	doubled, contradicted, done, notRun, unknown int
+	reasons                                      map[string]int
+}
 
-func judge(told *claims, executions map[string]int) verdict {
-	var v verdict
-	for token, outcome := range told.last {
-		ran := executions[token]
+func judge(told []answer, executions map[string]int) verdict {
+	v := verdict{reasons: map[string]int{}}
+	for n, last := range told {
+		ran, outcome := executions[bookingToken(n)], last.outcome
+		v.reasons[last.reason]++
 		if ran > 1 {
 			v.doubled++
 		}
@@ -257,6 +275,22 @@
 		time.Sleep(time.Second)
 		sendSignal(t, f.processes[0], syscall.SIGCONT)
 	}
+	// Peers declare an instance dead after 6 s of suspicion. Callers send on while it is dead and when it resumes.
+	freezeUntilDead := func(t *testing.T, f *onceFleet) {
+		pause(t, f.processes[0])
+		for _, peer := range f.admins[1:] {
+			eventually(t, "the frozen owner dead for its peers", func() bool {
+				status, err := client.Status(t.Context(), peer)
+				return err == nil && status.Members["dead"] == 1
+			})
+		}
+		time.Sleep(time.Second)
+		sendSignal(t, f.processes[0], syscall.SIGCONT)
+	}
+	killTarget := func(t *testing.T, f *onceFleet) {
+		eventually(t, "bookings at the target", func() bool { return f.local[0].InFlight() > 1 })
+		_ = f.local[0].Close()
+	}
 	cases := []struct {
 		name      string
 		noTickets bool
@@ -265,7 +299,9 @@
 		// unknown and notRun are the least numbers of such outcomes that the fault must cause.
 		unknown, notRun int
 	}{
+		{name: "owner frozen beyond its death for peers", fault: freezeUntilDead},
 		{name: "control without tickets", noTickets: true},
+		{name: "target killed", fault: killTarget, unknown: 1},
 		{name: "lost answers"},
 		{name: "owner killed", fault: kill, unknown: 1},
 		{name: "owner frozen", fault: freeze},
@@ -276,22 +312,27 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := startOnceFleet(t, 3, 3, c.noTickets)
+			t.Parallel()
+			f := startOnceFleet(t, 3, 2, c.noTickets, (&testFleet{t: t}).target())
+			defer f.faultOver.Store(true)
 			if c.logDown {
 				sendSignal(t, f.platform, syscall.SIGKILL)
 			}
-			finished := make(chan *claims)
+			f.ticketed.Add(onceCallers)
+			finished := make(chan []answer)
 			go func() { finished <- f.callAll(1) }()
+			f.ticketed.Wait()
 			time.Sleep(3 * serviceTime)
 			if c.fault != nil {
 				c.fault(t, f)
 			}
+			f.faultOver.Store(true)
 			told := <-finished
 			time.Sleep(bookingDeadline * time.Millisecond)
 			v := judge(told, f.executions(t))
 			t.Logf("%+v", v)
 			if c.noTickets != (v.doubled > 0) || v.contradicted > 0 {
-				t.Errorf("%d of %d bookings ran twice, %d claims are not true", v.doubled, len(told.last), v.contradicted)
+				t.Errorf("%d of %d bookings ran twice, %d claims are not true", v.doubled, len(told), v.contradicted)
 			}
 			if v.unknown < c.unknown || v.notRun < c.notRun {
 				t.Errorf("%d unknown and %d not run: the fault did not hit any booking", v.unknown, v.notRun)
@@ -299,8 +340,8 @@
 			if c.notRun > 0 && v.unknown > 0 {
 				t.Errorf("%d outcomes are unknown although the instance stopped as planned", v.unknown)
 			}
-			if c.fault == nil && v.done != len(told.last) {
-				t.Errorf("%d of %d bookings are done although no instance failed", v.done, len(told.last))
+			if c.fault == nil && v.done != len(told) {
+				t.Errorf("%d of %d bookings are done although no instance failed", v.done, len(told))
 			}
 		})
 	}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/basillink/basillink/internal/client"
@@ -25,6 +25,9 @@
 	portTries   = 10_000
 )
 
+// nextPort counts the ports that were tried, so that tests in parallel do not pick the same one.
+var nextPort atomic.Uint32
+
 // freeAddresses returns addresses with ports that were free a moment ago. Each test process has a loopback address of its
 // own, so that no other test process takes a port before its listener opens.
 func freeAddresses(t testing.TB, count int) []string {
@@ -35,7 +38,8 @@
 		if len(addresses) == count {
 			return addresses
 		}
-		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16, pid>>8&255, pid&255, lowestPort+rand.IntN(highestPort-lowestPort))
+		port := lowestPort + int(nextPort.Add(1))%(highestPort-lowestPort)
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16, pid>>8&255, pid&255, port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
