--- a/internal/e2e/once_bench_test.go
+++ b/internal/e2e/once_bench_test.go
@@ -20,16 +20,12 @@
 	"github.com/basillink/basillink/operator"
 )
 
-// onceBench is two instances and a target in this process, so that allocations are counted.
-type onceBench struct {
-	target  *standin.Target
-	callers []string
-}
-
-func startOnceBench(b *testing.B) *onceBench {
+// startOnceBench starts two instances and a target in this process, so that allocations are counted. It returns the
+// target and the caller addresses of the instances.
+func startOnceBench(b *testing.B) (target *standin.Target, callers []string) {
 	b.Helper()
 	f := newTestFleet(b, 2)
-	bench := &onceBench{target: f.target()}
+	target = f.target()
 	for _, n := range f.instances {
 		s, err := settings.Load(writeSettings(b, n.id, f.address, []string{n.caller, n.admin, n.peer}))
 		if err != nil {
@@ -42,17 +38,17 @@
 		ctx, stop := context.WithCancel(context.Background())
 		b.Cleanup(stop)
 		go func() { _ = d.Run(ctx) }()
-		bench.callers = append(bench.callers, n.caller)
+		callers = append(callers, n.caller)
 	}
 	for _, name := range []string{"plain", "banco-app"} {
 		f.allAt(f.publish(operator.Service{
 			Name: name, Region: "nord-italia", Zones: []string{"padova-a"},
 			Classes: []operator.Class{{Name: "all", Repeatable: name == "plain"}},
-			Targets: []operator.Target{{Address: bench.target.Address(), Zone: "padova-a"}},
+			Targets: []operator.Target{{Address: target.Address(), Zone: "padova-a"}},
 		}), f.all()...)
 	}
-	(&onceFleet{callers: bench.callers}).awaitMembers(b)
-	return bench
+	(&onceFleet{callers: callers}).awaitMembers(b)
+	return target, callers
 }
 
 // benchCaller sends bookings on one connection.
@@ -113,27 +109,27 @@
 // caller, instances and target.
 func BenchmarkAtMostOnce(b *testing.B) {
 	const block = 50
-	bench := startOnceBench(b)
-	issuer := newBenchCaller(b, bench.callers[0], "banco-app", nil)
+	target, callers := startOnceBench(b)
+	issuer := newBenchCaller(b, callers[0], "banco-app", nil)
 	kinds := []struct {
 		name   string
 		caller *benchCaller
 	}{
-		{"plain", newBenchCaller(b, bench.callers[0], "plain", nil)},
-		{"once", newBenchCaller(b, bench.callers[0], "banco-app", nil)},
-		{"forwarded", newBenchCaller(b, bench.callers[1], "banco-app", issuer)},
+		{"plain", newBenchCaller(b, callers[0], "plain", nil)},
+		{"once", newBenchCaller(b, callers[0], "banco-app", nil)},
+		{"forwarded", newBenchCaller(b, callers[1], "banco-app", issuer)},
 	}
-	kinds[1].caller.ticket = issue(bench.callers[0])
+	kinds[1].caller.ticket = issue(callers[0])
 	times := make([][]time.Duration, len(kinds))
 	allocations, runs := make([]uint64, len(kinds)), make([]int, len(kinds))
 	for b.Loop() {
 		for k, kind := range kinds {
-			before, ranBefore := mallocs(), bench.target.Executions()[""]
+			before, ranBefore := mallocs(), target.Executions()[""]
 			for range block {
 				times[k] = append(times[k], kind.caller.book(b))
 			}
 			allocations[k] += mallocs() - before
-			runs[k] += bench.target.Executions()[""] - ranBefore
+			runs[k] += target.Executions()[""] - ranBefore
 		}
 	}
 	for k, kind := range kinds {
