--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -22,30 +22,33 @@
 const (
 	lowestPort  = 12_000
 	highestPort = 32_000
-	portTries   = 10_000
 )
 
-// nextPort counts the ports that were tried, so that tests in parallel do not pick the same one.
-var nextPort atomic.Uint32
+// lastPort is the port that freeAddresses returned last.
+var lastPort atomic.Int64
+
+// processHost returns a loopback address of this test process, with a colon. Half 1 is the one of the instances on the
+// other side of a divided fleet.
+func processHost(half int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:", 1+pid>>16+128*half, pid>>8&255, pid&255)
+}
 
 // freeAddresses returns addresses with ports that were free a moment ago. Each test process has a loopback address of its
-// own, so that no other test process takes a port before its listener opens.
+// own, and tests that run in parallel get the ports in turn, so that nothing else takes a port before its listener opens.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
-	pid := os.Getpid()
 	var addresses []string
-	for range portTries {
+	for range highestPort - lowestPort {
 		if len(addresses) == count {
 			return addresses
 		}
-		port := lowestPort + int(nextPort.Add(1))%(highestPort-lowestPort)
-		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16, pid>>8&255, pid&255, port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		port := lowestPort + lastPort.Add(1)%(highestPort-lowestPort)
+		address := fmt.Sprintf("%s%d", processHost(0), port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			addresses = append(addresses, address)
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, address)
 	}
 	t.Fatalf("only %d of %d ports are free", len(addresses), count)
 	return nil
