--- a/internal/e2e/once_bench_test.go
+++ b/internal/e2e/once_bench_test.go
@@ -13,36 +13,21 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/daemon"
 	"github.com/basillink/basillink/internal/header"
-	"github.com/basillink/basillink/internal/platform"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/operator"
 )
 
-// onceBench is two instances and a target in this process, so that allocations are counted.
-type onceBench struct {
-	target  *standin.Target
-	callers []string
-}
-
-func startOnceBench(b *testing.B) *onceBench {
+// startOnceBench starts two instances and a target in this process, so that allocations are counted. It returns the
+// target and the caller addresses of the instances.
+func startOnceBench(b *testing.B) (target *standin.Target, callers []string) {
 	b.Helper()
-	addresses := freeAddresses(b, 7)
-	server := standin.NewPlatformServer(addresses[0], standin.NewLog(), standin.NewList(0))
-	go func() { _ = server.Run() }()
-	target, err := standin.NewTarget("127.0.0.1:0", 6)
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = target.Run() }()
-	b.Cleanup(func() { _ = target.Close() })
-	for i := range 2 {
-		file := writeSettings(b, fmt.Sprintf("i%d", i), addresses[0], addresses[1+3*i:4+3*i])
-		replaceInFile(b, file, "[peer]", fmt.Sprintf("[peer]\nseeds = [%q, %q]", addresses[3], addresses[6]))
-		s, err := settings.Load(file)
+	f := newTestFleet(b, 2)
+	target = f.target()
+	for _, n := range f.instances {
+		s, err := settings.Load(writeSettings(b, n.id, f.address, []string{n.caller, n.admin, n.peer}))
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -53,25 +38,17 @@
 		ctx, stop := context.WithCancel(context.Background())
 		b.Cleanup(stop)
 		go func() { _ = d.Run(ctx) }()
+		callers = append(callers, n.caller)
 	}
-	log := platform.NewClient(addresses[0])
 	for _, name := range []string{"plain", "banco-app"} {
-		publish(b, log, operator.Service{
+		f.allAt(f.publish(operator.Service{
 			Name: name, Region: "nord-italia", Zones: []string{"padova-a"},
 			Classes: []operator.Class{{Name: "all", Repeatable: name == "plain"}},
 			Targets: []operator.Target{{Address: target.Address(), Zone: "padova-a"}},
-		})
-	}
-	for _, admin := range []string{addresses[2], addresses[5]} {
-		eventually(b, "both services in force", func() bool {
-			status, err := client.Status(b.Context(), admin)
-			return err == nil && len(status.Services) == 2
-		})
+		}), f.all()...)
 	}
-	bench := &onceBench{target: target, callers: []string{addresses[1], addresses[4]}}
-	f := &onceFleet{callers: bench.callers}
-	f.awaitMembers(b)
-	return bench
+	(&onceFleet{callers: callers}).awaitMembers(b)
+	return target, callers
 }
 
 // benchCaller sends bookings on one connection.
@@ -132,27 +109,27 @@
 // caller, instances and target.
 func BenchmarkAtMostOnce(b *testing.B) {
 	const block = 50
-	bench := startOnceBench(b)
-	issuer := newBenchCaller(b, bench.callers[0], "banco-app", nil)
+	target, callers := startOnceBench(b)
+	issuer := newBenchCaller(b, callers[0], "banco-app", nil)
 	kinds := []struct {
 		name   string
 		caller *benchCaller
 	}{
-		{"plain", newBenchCaller(b, bench.callers[0], "plain", nil)},
-		{"once", newBenchCaller(b, bench.callers[0], "banco-app", nil)},
-		{"forwarded", newBenchCaller(b, bench.callers[1], "banco-app", issuer)},
+		{"plain", newBenchCaller(b, callers[0], "plain", nil)},
+		{"once", newBenchCaller(b, callers[0], "banco-app", nil)},
+		{"forwarded", newBenchCaller(b, callers[1], "banco-app", issuer)},
 	}
-	kinds[1].caller.ticket = issue(bench.callers[0])
+	kinds[1].caller.ticket = issue(callers[0])
 	times := make([][]time.Duration, len(kinds))
 	allocations, runs := make([]uint64, len(kinds)), make([]int, len(kinds))
 	for b.Loop() {
 		for k, kind := range kinds {
-			before, ranBefore := mallocs(), bench.target.Executions()[""]
+			before, ranBefore := mallocs(), target.Executions()[""]
 			for range block {
 				times[k] = append(times[k], kind.caller.book(b))
 			}
 			allocations[k] += mallocs() - before
-			runs[k] += bench.target.Executions()[""] - ranBefore
+			runs[k] += target.Executions()[""] - ranBefore
 		}
 	}
 	for k, kind := range kinds {
