Leave out records of a newer format instead of calling them malformed

Cause: the fold refuses a change record with an unknown field, so an instance of an earlier version took a newer change for malformed, went on as if its state were whole, and could write that state as a checkpoint or send it to a fresh instance, which would go back to an older revision.

Ruled out: decoding leniently, which would put a change into force without the part that is not understood; accepting later changes of the service, whose base may be the revision that newer instances have replaced.

Change: a record may carry a format number, absent for format 1. A record of a newer format gets the verdict not_understood and a warning. Its service keeps its revision and later changes of it are left out as well. A state that lacks a change is not due as a checkpoint, its deltas move no peer, and the client does not publish on it. A checkpoint, or a delta with an equal digest, makes it whole. The digest of a state is held in a test, because a new field of a service would change it.

TestNewerFormatIsLeftOut fails without the hold and without the check in Due.

--- a/internal/client/publish.go
+++ b/internal/client/publish.go
@@ -112,6 +112,9 @@
 	if err != nil {
 		return intent.Decision{}, trace.Wrap(err)
 	}
+	if err := state.Complete(); err != nil {
+		return intent.Decision{}, trace.Wrap(err)
+	}
 	fold := intent.FoldFrom(state)
 	defer func() { *state = *fold.State() }()
 	var lastErr error
@@ -122,6 +125,9 @@
 		}
 		decision, found, err := findDecision(ctx, log, fold, change)
 		if found {
+			if err := fold.State().Complete(); err != nil {
+				return decision, &UnresolvedError{Change: change.ID, Err: err}
+			}
 			return decision, conflict(decision)
 		}
 		// Only a log that was read to its end shows that the change is absent.
--- a/internal/client/publish_test.go
+++ b/internal/client/publish_test.go
@@ -140,4 +140,13 @@
 			t.Errorf("%q is missing in %q", part, text)
 		}
 	}
+	// A record of a newer format may be what is in force, so that neither a verdict nor a further append is right.
+	_, _ = log.Append(t.Context(), []byte(`{"kind":"change","format":2}`))
+	_, err = Publish(t.Context(), log, old, "bruno", lookupService(5))
+	_, again := Publish(t.Context(), log, old, "bruno", lookupService(5))
+	var unresolved *UnresolvedError
+	var newer *intent.FormatError
+	if !errors.As(err, &unresolved) || !errors.As(again, &newer) || errors.As(again, &unresolved) {
+		t.Errorf("after a record of a newer format: %v, then %v", err, again)
+	}
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -144,6 +144,8 @@
 		l.log.Warn("Refused a change with an old base.", "service", d.Change.Service, "base", d.Change.Base, "current", d.Current)
 	case intent.Malformed:
 		l.log.Error("Ignored a malformed record.", "offset", d.Offset, "error", d.Err)
+	case intent.NotUnderstood:
+		l.log.Warn("Left out a record of a newer format.", "offset", d.Offset, "error", d.Err)
 	}
 }
 
--- a/internal/intent/delta.go
+++ b/internal/intent/delta.go
@@ -22,8 +22,11 @@
 }
 
 // Delta returns what changed after an offset. A reader that is older than forgotten removals gets the whole
-// state: After is 0.
+// state: After is 0. A state that lacks a change of a newer format has nothing to offer, and its delta moves no reader.
 func (s *State) Delta(after platform.Offset) *Delta {
+	if len(s.LeftOut) > 0 {
+		return &Delta{}
+	}
 	if after < s.Forgotten {
 		after = 0
 	}
@@ -87,6 +90,8 @@
 	if digest := next.Digest(); digest != d.Digest {
 		return false, &RecordError{Detail: "the state after a delta has the digest " + digest + ", not " + d.Digest}
 	}
+	// The sender lacks no change, and the digests are equal, so that what was left out here made no difference.
+	next.LeftOut = nil
 	*s = *next
 	return true, nil
 }
--- a/internal/intent/due.go
+++ b/internal/intent/due.go
@@ -60,9 +60,10 @@
 	t.schedule(now + left + t.delay(spread))
 }
 
-// Due reports whether to append a checkpoint of the state now, and schedules the next attempt.
+// Due reports whether to append a checkpoint of the state now, and schedules the next attempt. A state that lacks a
+// change of a newer format is never due: a fresh instance that started from it would go back to an older revision.
 func (t *CheckpointTimer) Due(now time.Duration, s *State) bool {
-	if !t.scheduled || now < t.due || s.Revision == 0 {
+	if !t.scheduled || now < t.due || s.Revision == 0 || len(s.LeftOut) > 0 {
 		return false
 	}
 	retry := min(checkpointRetry, t.retention/retryDivisor)
--- a/internal/intent/fold_test.go
+++ b/internal/intent/fold_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,3 +278,48 @@
 		}
 	}
 }
+
+// Guards against a newer record that counts as malformed, and against the state that lacks it spreading to instances
+// that would go back to it.
+func TestNewerFormatIsLeftOut(t *testing.T) {
+	cases := []struct {
+		payload string
+		verdict Verdict
+		leftOut bool
+	}{
+		{`{"kind":"change","format":2,"change":{"service":"s","hedging":1}}`, NotUnderstood, true},
+		{`{"kind":"change","format":2,"change":{"id":"2","service":"s","base":1,"spec":""}}`, NotUnderstood, true},
+		{`{"kind":"schedule","format":3}`, NotUnderstood, true},
+		{`{"kind":"checkpoint","format":2,"checkpoint":{"shards":[]}}`, NotUnderstood, false},
+		{`{"kind":"change","change":{"hedging":1}}`, Malformed, false},
+		{`{"kind":"change","format":-1,"change":{"id":"2","service":"s","base":1,"spec":""}}`, Malformed, false},
+		{`{"kind":"change","format":1,"change":{"id":"2","service":"s","base":1,"spec":""}}`, Accepted, false},
+	}
+	for _, c := range cases {
+		log := &fakeLog{earliest: 1}
+		log.append(Record{Kind: KindChange, Change: &Change{ID: "1", Service: "s", Spec: testSpec("s", 1)}})
+		s, newer := NewState(), NewState()
+		s.Apply(log.history[0])
+		d := s.Apply(platform.Record{Offset: 2, Payload: []byte(c.payload)})
+		timer := NewCheckpointTimer(rand.New(rand.NewPCG(1, 1)))
+		timer.Retain(0, time.Minute)
+		moved, _ := NewState().Merge(s.Delta(0))
+		if d.Verdict != c.verdict || s.Through != 2 || (s.Clone().Complete() != nil) != c.leftOut || moved == c.leftOut || timer.Due(time.Hour, s) == c.leftOut {
+			t.Errorf("%s: %s, %v, spreads %t", c.payload, d.Verdict, s.Complete(), moved)
+		}
+		newer.Apply(log.history[0])
+		if digest := newer.Digest(); digest != "d4ab604d2759917857b9e33d04a86f18" {
+			t.Errorf("the digest of a state without new fields is %s, so that instances of earlier versions refuse it", digest)
+		}
+		late := platform.Record{Offset: 3, Payload: []byte(`{"kind":"change","change":{"id":"3","service":"s","base":1,"spec":""}}`)}
+		if held := strings.Contains(c.payload, `"s"`); c.leftOut && held != (s.Apply(late).Verdict == NotUnderstood) {
+			t.Errorf("%s: a later change that others may have refused is held back: %t", c.payload, !held)
+		}
+		newer.Apply(platform.Record{Offset: 2})
+		newer.Apply(late)
+		newer.Through = 4
+		if moved, err := s.Merge(newer.Delta(2)); c.leftOut && (!moved || err != nil || s.Complete() != nil) {
+			t.Errorf("%s: a peer that lacks nothing did not complete the state: %v", c.payload, err)
+		}
+	}
+}
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -32,9 +32,15 @@
 	Spec string `json:"spec"`
 }
 
+// RecordFormat is the highest format of records that this version understands. A writer marks a record with the lowest
+// format whose readers understand it, and leaves the mark out for format 1, because the first version refuses it.
+const RecordFormat = 1
+
 // Record is the payload of a log record.
 type Record struct {
-	Kind       RecordKind  `json:"kind"`
+	Kind RecordKind `json:"kind"`
+	// Format is 0 for a record of format 1.
+	Format     int         `json:"format,omitempty"`
 	Change     *Change     `json:"change,omitempty"`
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
 }
@@ -44,6 +50,19 @@
 
 func (e *RecordError) Error() string { return "log record: " + e.Detail }
 
+// FormatError reports a log record of a newer format.
+type FormatError struct {
+	Offset platform.Offset
+	Kind   RecordKind
+	Format int
+	// Service is the service that a change names, empty if it is not known.
+	Service string
+}
+
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("log record %d has the format %d, and this version understands %d", e.Offset, e.Format, RecordFormat)
+}
+
 // EncodeService returns a service as TOML intent.
 func EncodeService(s operator.Service) (string, error) {
 	var b bytes.Buffer
@@ -54,15 +73,20 @@
 	return b.String(), nil
 }
 
-// DecodeRecord decodes the payload of a log record.
+// DecodeRecord decodes the payload of a log record. It returns a *FormatError for a record of a newer format, of which
+// it relies on the kind, the format and the name of the service alone.
 func DecodeRecord(payload []byte) (*Record, error) {
 	var r Record
 	decoder := json.NewDecoder(bytes.NewReader(payload))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&r); err != nil {
-		return nil, &RecordError{Detail: err.Error()}
+		return nil, explainRecord(payload, err)
 	}
 	switch {
+	case r.Format > RecordFormat:
+		return nil, explainRecord(payload, nil)
+	case r.Format < 0:
+		return nil, &RecordError{Detail: fmt.Sprintf("format %d", r.Format)}
 	case r.Kind == KindChange && r.Change != nil:
 	case r.Kind == KindCheckpoint && r.Checkpoint != nil:
 	default:
@@ -71,6 +95,23 @@
 	return &r, nil
 }
 
+// explainRecord tells a record of a newer format from a malformed one.
+func explainRecord(payload []byte, cause error) error {
+	var mark struct {
+		Kind   RecordKind      `json:"kind"`
+		Format int             `json:"format"`
+		Change json.RawMessage `json:"change"`
+	}
+	if json.Unmarshal(payload, &mark) != nil || mark.Format <= RecordFormat {
+		return &RecordError{Detail: cause.Error()}
+	}
+	var change struct {
+		Service string `json:"service"`
+	}
+	_ = json.Unmarshal(mark.Change, &change) // the name stays empty when the change has another shape
+	return &FormatError{Kind: mark.Kind, Format: mark.Format, Service: change.Service}
+}
+
 // Encode returns the payload of a log record.
 func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
 
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -1,7 +1,9 @@
 package intent
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -64,6 +66,10 @@
 	// Forgotten is the highest revision that was dropped from Removed. It is the current revision of every
 	// service that is neither in force nor in Removed, so that no old base becomes acceptable again.
 	Forgotten platform.Offset `json:"forgotten"`
+	// LeftOut holds, by service, the last change that was left out because of its newer format. The service keeps its
+	// revision, and later changes of it are left out too, because their verdict depends on the one that is missing.
+	// Such a state may lack what other instances have in force: it is no checkpoint, and it is not sent to peers.
+	LeftOut map[string]*FormatError `json:"-"`
 }
 
 // NewState returns the empty configuration.
@@ -83,6 +89,8 @@
 	Duplicate Verdict = "duplicate"
 	// Malformed means that the record or its spec is invalid.
 	Malformed Verdict = "malformed"
+	// NotUnderstood means that the record has a newer format, or follows one of the same service, and was left out.
+	NotUnderstood Verdict = "not_understood"
 	// NotAChange means that the record is of another kind or was folded before.
 	NotAChange Verdict = "not_a_change"
 	// Gap means that records before this one are missing; nothing was folded.
@@ -98,7 +106,7 @@
 	Current platform.Offset
 	// Previous is the service before the change, nil if it was not in force.
 	Previous *Entry
-	// Err is the cause of Malformed.
+	// Err is the cause of Malformed and NotUnderstood.
 	Err error
 }
 
@@ -113,6 +121,10 @@
 	}
 	s.Through = r.Offset
 	record, err := DecodeRecord(r.Payload)
+	var newer *FormatError
+	if errors.As(err, &newer) {
+		return s.leaveOut(r.Offset, newer)
+	}
 	if err != nil {
 		return Decision{Offset: r.Offset, Verdict: Malformed, Err: err}
 	}
@@ -122,10 +134,35 @@
 	return s.applyChange(r.Offset, record.Change)
 }
 
+// leaveOut takes note of a record of a newer format. A checkpoint changes no state.
+func (s *State) leaveOut(offset platform.Offset, newer *FormatError) Decision {
+	newer.Offset = offset
+	if newer.Kind != KindCheckpoint {
+		if s.LeftOut == nil {
+			s.LeftOut = map[string]*FormatError{}
+		}
+		s.LeftOut[newer.Service] = newer
+	}
+	return Decision{Offset: offset, Verdict: NotUnderstood, Err: newer}
+}
+
+// Complete returns the last *FormatError of a change that was left out, nil if there is none.
+func (s *State) Complete() error {
+	if len(s.LeftOut) == 0 {
+		return nil
+	}
+	byOffset := func(a, b *FormatError) int { return cmp.Compare(a.Offset, b.Offset) }
+	return slices.MaxFunc(slices.Collect(maps.Values(s.LeftOut)), byOffset)
+}
+
 func (s *State) applyChange(offset platform.Offset, c *Change) Decision {
 	entry := s.Services[c.Service]
 	d := Decision{Offset: offset, Change: c, Current: s.Current(c.Service), Previous: entry}
+	missing := s.LeftOut[c.Service]
 	switch {
+	case missing != nil:
+		d.Verdict, d.Err = NotUnderstood, missing
+		return d
 	case entry != nil && entry.ChangeID == c.ID:
 		d.Verdict = Duplicate
 		return d
@@ -217,5 +254,6 @@
 		Services:  maps.Clone(s.Services),
 		Removed:   maps.Clone(s.Removed),
 		Forgotten: s.Forgotten,
+		LeftOut:   maps.Clone(s.LeftOut),
 	}
 }
