Drive ejection of targets by its chart

Cause: whether a target is ejected, cold, warming or being readmitted followed from ejectedUntil, rampFrom with two special values, and a count. Readmission was not atomic: a choice that was overtaken restarted the ramp and admitted a target that had been ejected again.

Ruled out: an event for each request. Choices read the phase with one atomic load, and events are fired on transitions only.

Change: each cell has a phase that follows charts/ejection.toml and changes under the lock of the cell. The special values are gone. An answer that was in flight when its target was ejected no longer resets the length of the next ejection.

--- a/internal/balancer/cell.go
+++ b/internal/balancer/cell.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 // cell is what an instance knows about one target. It outlives rebuilds of the policy. Choices read it without
@@ -34,10 +36,11 @@
 	// heardAt is when this instance last learnt anything about the target's load or asked for it.
 	heardAt atomic.Int64
 
-	// rampFrom is when a cold or readmitted target began to receive requests, 0 for no ramp, or
-	// rampPending before its first draw.
+	// phase follows charts/ejection.toml. It changes while mu is held.
+	phase chart.Cursor
+	// rampFrom is when a warming or readmitted target began to receive requests.
 	rampFrom atomic.Int64
-	// ejectedUntil is when an ejected target is readmitted, 0 while it is not ejected.
+	// ejectedUntil is when an ejected target is readmitted.
 	ejectedUntil atomic.Int64
 
 	mu sync.Mutex
--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -93,7 +93,7 @@
 			p.cells[i] = old.cells[at]
 			continue
 		}
-		p.cells[i].rampFrom.Store(rampPending)
+		p.cells[i].join()
 	}
 	p.recountEjected()
 }
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"github.com/basillink/basillink/internal/chart"
+)
 
 const (
 	// ejectAfter is the number of results in a row without an answer that eject a target.
@@ -13,10 +17,36 @@
 	rampFor = 2 * time.Second
 	// rampFloor is the share with which a ramp begins.
 	rampFloor = 0.05
-	// rampPending marks a cold target that was not drawn yet.
-	rampPending = -1
 )
 
+// ejectionChart is charts/ejection.toml. It is compiled, because choices read the phase of each target that they draw.
+var ejectionChart = chart.MustTable("ejection")
+
+var (
+	phaseServing     = ejectionChart.MustState("serving")
+	phaseCold        = ejectionChart.MustState("cold")
+	phaseWarming     = ejectionChart.MustState("warming")
+	phaseEjected     = ejectionChart.MustState("ejected")
+	phaseReadmitting = ejectionChart.MustState("readmitting")
+
+	eventJoin    = ejectionChart.MustEvent("join")
+	eventDraw    = ejectionChart.MustEvent("draw")
+	eventEject   = ejectionChart.MustEvent("eject")
+	eventReadmit = ejectionChart.MustEvent("readmit")
+	eventRamped  = ejectionChart.MustEvent("ramped")
+)
+
+// fire takes the transition of an event. Choices read the phase without the lock, so the times of the next phase are
+// stored before. The lock is held.
+func (c *cell) fire(event chart.EventID) error { return c.phase.Fire(ejectionChart, event) }
+
+// join makes a new target cold.
+func (c *cell) join() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.fire(eventJoin)
+}
+
 // succeeded records an answer of the target.
 func (p *engine) succeeded(c *cell, now time.Duration) {
 	if c.refusals.Load() != 0 {
@@ -25,7 +55,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failuresInRow = 0
-	if c.ejections > 0 && rampShare(c, now) >= 1 {
+	if c.ejections == 0 {
+		return
+	}
+	c.endRamp(now)
+	if c.phase.State() == phaseServing {
 		c.ejections = 0
 	}
 }
@@ -37,17 +71,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failuresInRow++
-	readmitting := c.ejections > 0 && rampShare(c, now) < 1
-	if c.failuresInRow < ejectAfter && !readmitting {
+	c.endRamp(now)
+	phase := c.phase.State()
+	if c.failuresInRow < ejectAfter && phase != phaseReadmitting {
 		return
 	}
-	if c.ejectedUntil.Load() != 0 || !p.reserveEjection() {
+	if phase == phaseEjected || !p.reserveEjection() {
 		return
 	}
 	length := ejectFor << min(c.ejections, maxEjectDoublings)
 	c.ejections++
 	c.failuresInRow = 0
 	c.ejectedUntil.Store(int64(now + length))
+	_ = c.fire(eventEject)
 }
 
 // reserveEjection counts one more ejected target unless half of them are ejected.
@@ -61,43 +97,76 @@
 
 // admitted reports whether a target is not ejected, and readmits it when its time has come.
 func (p *engine) admitted(c *cell, now time.Duration) bool {
-	until := c.ejectedUntil.Load()
-	if until == 0 {
+	return c.phase.State() != phaseEjected || p.readmit(c, now)
+}
+
+// readmit ends an ejection whose time has passed. It reports whether the target is not ejected any more.
+func (p *engine) readmit(c *cell, now time.Duration) bool {
+	if int64(now) < c.ejectedUntil.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase.State() != phaseEjected {
 		return true
 	}
-	if int64(now) < until {
+	// Another choice may have readmitted the target, and it may have been ejected again.
+	if int64(now) < c.ejectedUntil.Load() {
 		return false
 	}
-	c.rampFrom.Store(max(1, int64(now)))
-	if c.ejectedUntil.CompareAndSwap(until, 0) {
-		p.shared.ejected.Add(-1)
-	}
+	c.rampFrom.Store(int64(now))
+	_ = c.fire(eventReadmit)
+	p.shared.ejected.Add(-1)
 	return true
 }
 
-// rampShare returns the share of its draws that a target accepts.
+// rampShare returns the share of its draws that a target accepts. It is small enough to be inlined into each draw.
 func rampShare(c *cell, now time.Duration) float64 {
-	from := c.rampFrom.Load()
-	if from == 0 {
+	if c.phase.State() == phaseServing {
 		return 1
 	}
-	if from == rampPending {
-		c.rampFrom.CompareAndSwap(from, max(1, int64(now)))
+	return c.rampShare(now)
+}
+
+func (c *cell) rampShare(now time.Duration) float64 {
+	if c.phase.State() == phaseCold {
+		c.beginRamp(now)
 		return rampFloor
 	}
-	age := time.Duration(int64(now) - from)
-	if age >= rampFor {
-		c.rampFrom.CompareAndSwap(from, 0)
-		return 1
+	age := now - time.Duration(c.rampFrom.Load())
+	if age < rampFor {
+		return max(rampFloor, float64(age)/float64(rampFor))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endRamp(now)
+	return 1
+}
+
+// beginRamp starts the ramp of a target that was drawn for the first time.
+func (c *cell) beginRamp(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase.State() == phaseCold {
+		c.rampFrom.Store(int64(now))
+		_ = c.fire(eventDraw)
+	}
+}
+
+// endRamp gives a target its full share when its ramp is over. The lock is held.
+func (c *cell) endRamp(now time.Duration) {
+	phase := c.phase.State()
+	ramping := phase == phaseWarming || phase == phaseReadmitting
+	if ramping && now-time.Duration(c.rampFrom.Load()) >= rampFor {
+		_ = c.fire(eventRamped)
 	}
-	return max(rampFloor, float64(age)/float64(rampFor))
 }
 
 // recountEjected counts the ejected targets after a rebuild.
 func (p *engine) recountEjected() {
 	var ejected int64
 	for _, c := range p.cells {
-		if c.ejectedUntil.Load() != 0 {
+		if c.phase.State() == phaseEjected {
 			ejected++
 		}
 	}
--- a/internal/balancer/outlier_test.go
+++ b/internal/balancer/outlier_test.go
@@ -1,8 +1,12 @@
 package balancer
 
 import (
+	"errors"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 // respond gives requests to a policy for a while and answers them with the verdict of each target. It returns the
@@ -46,21 +50,39 @@
 	}
 }
 
-// Guards against ejecting a service away: at most half of the targets are ejected, however many refuse.
+// Guards against ejecting a service away: at most half of the targets are ejected, however many refuse. Guards against
+// goroutines that take a transition twice, which the count of ejected targets or the chart would show. Run with -race.
 func TestAtMostHalfEjected(t *testing.T) {
-	p := fleet(TwoChoices{}, 10, 1)[0]
+	p, before := fleet(TwoChoices{}, 10, 1)[0], chart.Refusals()
 	for end := time.Second; end <= 20*time.Second; end += time.Second {
-		respond(p, 10, end-time.Second, end, failing(0, 9))
+		var group sync.WaitGroup
+		for worker := range time.Duration(8) {
+			group.Go(func() { respond(p, 10, end-time.Second+worker*time.Microsecond, end, failing(0, 9)) })
+		}
+		group.Wait()
 		ejected := 0
 		for _, c := range p.(*engine).cells {
-			if c.ejectedUntil.Load() > int64(end) {
+			if c.phase.State() == phaseEjected {
 				ejected++
 			}
 		}
-		if ejected > 5 {
-			t.Fatalf("%d of 10 targets are ejected at %v", ejected, end)
+		if counted := p.(*engine).shared.ejected.Load(); ejected > 5 || int64(ejected) != counted {
+			t.Fatalf("%d of 10 targets are ejected at %v, counted %d", ejected, end, counted)
 		}
 	}
+	if refused := chart.Refusals() - before; refused != 0 {
+		t.Errorf("the chart refused %d events", refused)
+	}
+}
+
+// Guards against a step that the chart lacks and that is taken without a typed error and a count.
+func TestRefusedPhaseChange(t *testing.T) {
+	c, before := &cell{}, chart.Refusals()
+	c.join()
+	var refused *chart.TransitionError
+	if err := c.fire(eventReadmit); !errors.As(err, &refused) || c.phase.State() != phaseCold || chart.Refusals() != before+1 {
+		t.Errorf("got %v in state %d, %d refusals", err, c.phase.State(), chart.Refusals()-before)
+	}
 }
 
 // Guards against learned state that a new configuration loses or that follows the index instead of the address.
@@ -69,7 +91,7 @@
 	old := TwoChoices{}.Build(Config{Targets: []Target{a, b}}, nil)
 	old.Started(1, 0)
 	next := TwoChoices{}.Build(Config{Targets: []Target{b, a, c}}, old).(*engine)
-	if next.cells[0].own.Load() != 1 || next.cells[1].own.Load() != 0 || next.cells[2].rampFrom.Load() != rampPending {
+	if next.cells[0].own.Load() != 1 || next.cells[1].own.Load() != 0 || next.cells[2].phase.State() != phaseCold {
 		t.Errorf("cells after the rebuild: %+v", next.cells)
 	}
 }
