Drive departures of targets by their chart

Cause: whether a target has departed was worked out from its incarnations at each use, and the table was written at five places.

Ruled out: one chart for departure and ejection. Departures belong to the control goroutine, ejections to each balancer under the lock of the target; one chart would have two owners. A target that operators mark as leaving has no state: it is left out by the configuration.

Change: an entry of the table has a state that follows charts/departure.toml. All writes go through store, all removals through forget. What peers exchange is unchanged.

Measured: go test ./internal/control: ok. With the state not stored, the event fixed or the refusal of forget ignored, TestDeparturesOfOneTarget fails.

Conclusion: two charts, one owner each.

--- a/internal/control/departure.go
+++ b/internal/control/departure.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/basillink/basillink/internal/chart"
 )
 
 const (
@@ -21,6 +23,18 @@
 	maxIncarnationBytes = 64
 )
 
+// departureChart is charts/departure.toml. It is compiled, because the table holds a state for each target that left.
+var departureChart = chart.MustTable("departure")
+
+var (
+	statePresent  = departureChart.MustState("present")
+	stateDeparted = departureChart.MustState("departed")
+
+	eventDeparted  = departureChart.MustEvent("departed")
+	eventReturned  = departureChart.MustEvent("returned")
+	eventForgotten = departureChart.MustEvent("forgotten")
+)
+
 // TargetEvent is what a traffic goroutine or the list learned about a target.
 type TargetEvent struct {
 	Address string
@@ -42,8 +56,11 @@
 	AgeMS int64 `json:"a"`
 
 	since time.Duration
+	// state follows charts/departure.toml. It is set by departures.store.
+	state chart.StateID
 }
 
+// departed reports whether the incarnation seen last has left.
 func (d *departure) departed() bool { return slices.Contains(d.Departed, d.Current) }
 
 // departures is the table of targets that left. It is owned by the control goroutine; times are monotonic times since
@@ -53,16 +70,20 @@
 func newDepartures() *departures { return &departures{targets: map[string]*departure{}} }
 
 // contains reports whether the target at an address must not receive new requests.
-func (t *departures) contains(address string) bool {
-	d := t.targets[address]
-	return d != nil && d.departed()
+func (t *departures) contains(address string) bool { return t.state(address) == stateDeparted }
+
+func (t *departures) state(address string) chart.StateID {
+	if d := t.targets[address]; d != nil {
+		return d.state
+	}
+	return statePresent
 }
 
 // addresses returns the departed targets in order.
 func (t *departures) addresses() []string {
 	var list []string
 	for address, d := range t.targets {
-		if d.departed() {
+		if d.state == stateDeparted {
 			list = append(list, address)
 		}
 	}
@@ -85,14 +106,12 @@
 	next := *d
 	next.Current = e.Incarnation
 	next.Version++
-	t.targets[e.Address] = &next
-	return true
+	return t.store(e.Address, &next)
 }
 
 func (t *departures) depart(now time.Duration, e TargetEvent, d *departure) bool {
 	if d == nil {
-		t.store(e.Address, &departure{Departed: []string{e.Incarnation}, Current: e.Incarnation, Version: 1, since: now})
-		return true
+		return t.store(e.Address, &departure{Departed: []string{e.Incarnation}, Current: e.Incarnation, Version: 1, since: now})
 	}
 	if slices.Contains(d.Departed, e.Incarnation) {
 		return false
@@ -103,8 +122,7 @@
 		Version:  d.Version + 1,
 		since:    now,
 	}
-	t.targets[e.Address] = &next
-	return true
+	return t.store(e.Address, &next)
 }
 
 // merge takes over what a peer knows and reports whether it changed the table. The result does not depend on the
@@ -116,8 +134,7 @@
 	}
 	local := t.targets[address]
 	if local == nil {
-		t.store(address, remote)
-		return true
+		return t.store(address, remote)
 	}
 	merged := *local
 	if newer(remote, local) {
@@ -128,8 +145,7 @@
 	if merged.Version == local.Version && merged.Current == local.Current && slices.Equal(merged.Departed, local.Departed) {
 		return false
 	}
-	t.targets[address] = &merged
-	return true
+	return t.store(address, &merged)
 }
 
 // newer orders two views of one target. Of equal versions, the one that says departed wins, because sending a
@@ -160,22 +176,49 @@
 	return united
 }
 
-// store adds a target and drops the oldest one when the table is full.
-func (t *departures) store(address string, d *departure) {
+// store takes over what is known about a target by the event that it means. It drops the oldest target when the table
+// is full, and reports false when the chart refuses the event.
+func (t *departures) store(address string, d *departure) bool {
+	event := eventReturned
+	if d.departed() {
+		event = eventDeparted
+	}
+	next, err := departureChart.Next(t.state(address), event)
+	if err != nil {
+		return false
+	}
+	d.state = next
 	t.targets[address] = d
-	if len(t.targets) <= maxDepartures {
-		return
+	if len(t.targets) > maxDepartures {
+		t.dropOldest()
 	}
+	return true
+}
+
+func (t *departures) dropOldest() {
 	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.targets)), func(a, b string) int {
 		return cmp.Or(cmp.Compare(t.targets[a].since, t.targets[b].since), cmp.Compare(a, b))
 	})
-	delete(t.targets, oldest)
+	_ = t.forget(oldest)
+}
+
+// forget drops a target. It fails when none is known at the address.
+func (t *departures) forget(address string) error {
+	if _, err := departureChart.Next(t.state(address), eventForgotten); err != nil {
+		return err
+	}
+	delete(t.targets, address)
+	return nil
 }
 
 // expire drops targets whose lifetime has passed and reports whether there were any.
 func (t *departures) expire(now time.Duration) bool {
 	before := len(t.targets)
-	maps.DeleteFunc(t.targets, func(_ string, d *departure) bool { return now-d.since >= departureLifetime })
+	for address, d := range t.targets {
+		if now-d.since >= departureLifetime {
+			_ = t.forget(address)
+		}
+	}
 	return len(t.targets) != before
 }
 
--- a/internal/control/departure_test.go
+++ b/internal/control/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/balancer"
+	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/peer"
 )
 
@@ -43,6 +45,10 @@
 		if got := table.contains(address); got != c.departed {
 			t.Errorf("%s: departed is %t", c.name, got)
 		}
+		var refused *chart.TransitionError
+		if err := table.forget("10.0.0.8:8080"); !errors.As(err, &refused) {
+			t.Errorf("%s: an unknown target was forgotten: %v", c.name, err)
+		}
 	}
 }
 
@@ -78,6 +84,11 @@
 				}
 			}
 		}
+		for address, d := range tables[0].targets {
+			if tables[0].contains(address) != d.departed() {
+				t.Fatalf("seed %d: target %s is in state %d, its last incarnation departed is %t", seed, address, d.state, d.departed())
+			}
+		}
 		if tables[0].digest() != tables[1].digest() || tables[1].digest() != tables[2].digest() {
 			t.Fatalf("seed %d: tables differ", seed)
 		}
