--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,6 +90,8 @@
 		ProbesFailed:  func() int64 { return int64(d.prober.Counts().Failed) },
 		ProbesDropped: func() int64 { return int64(d.prober.Counts().Dropped) },
 
+		RefusedTransitions: func() int64 { return int64(chart.Refusals()) },
+
 		Revision: func() int64 {
 			if snapshot := d.loop.Snapshot(); snapshot != nil {
 				return int64(snapshot.Revision)
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -19,6 +19,8 @@
 	ProbesSent    func() int64
 	ProbesFailed  func() int64
 	ProbesDropped func() int64
+	// RefusedTransitions counts events that statecharts refused.
+	RefusedTransitions func() int64
 }
 
 // Observe registers the gauges. It is called once.
@@ -46,11 +48,11 @@
 			return trace.Wrap(err, "gauge %s", gauge.name)
 		}
 	}
-	return m.observeProbes(g)
+	return m.observeCounters(g)
 }
 
-// observeProbes registers what measuring costs, beside the budgets in the intent.
-func (m *Metrics) observeProbes(g Gauges) error {
+// observeCounters registers what measuring costs, beside the budgets in the intent, and refused transitions.
+func (m *Metrics) observeCounters(g Gauges) error {
 	counters := []struct {
 		name string
 		help string
@@ -59,6 +61,7 @@
 		{"basillink.probes_sent", "Load probes and checks of departed targets that were charged and sent.", g.ProbesSent},
 		{"basillink.probes_failed", "Sent probes without a usable answer.", g.ProbesFailed},
 		{"basillink.probes_dropped", "Probes that found no free worker and were not sent.", g.ProbesDropped},
+		{"basillink.refused_transitions", "Events that a statechart refused. Each is a fault of the program.", g.RefusedTransitions},
 	}
 	for _, counter := range counters {
 		if counter.read == nil {
