Count the prober's connection within the share of a target's connections

Cause: the prober opened up to eight connections to a target at once and kept one outside of the pool's share, so that the limit of a target was exceeded.

Ruled out: probes on the pool's connections (they would delay requests), a subset when the share is 1 (halves the targets of an instance for a report that answers carry anyway), waiting for a busy connection (a target that does not answer would hold all eight workers).

A probe to a target that is being probed is dropped and counted, not charged. With a share of 1 there are no load probes.

A check of a departed target opens its one connection even at a share of 1.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -98,7 +98,7 @@
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = transport.NewTargetPool(address, connectionShare(spec))
+		pool = transport.NewTargetPool(address, requestConnections(spec))
 		l.pools[address] = pool
 	}
 	return pool
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -20,10 +20,29 @@
 	return max(1, spec.ConnectionsPerTarget/spec.MaxInstances)
 }
 
+// requestConnections is the part of the share that carries requests. One connection of a measured service belongs to
+// the prober, unless it is the only one: loads on answers need no connection of their own, requests do.
+func requestConnections(spec *operator.Service) int {
+	share := connectionShare(spec)
+	if share < 2 || !measured(spec) {
+		return share
+	}
+	return share - 1
+}
+
+func measured(spec *operator.Service) bool {
+	return spec.Measuring.ProbesPerSecond > 0 && spec.Measuring.BytesPerSecond > 0
+}
+
+// HasProbeConnection reports whether the share of connections leaves one to each target for load probes.
+func (s *Service) HasProbeConnection() bool {
+	return requestConnections(&s.Spec) < connectionShare(&s.Spec)
+}
+
 // attachLimits takes over admission and retries from the previous revision, or creates them.
 func (s *Service) attachLimits(previous *Service) {
 	config := admission.Config{
-		MaxInFlight: max(1, connectionShare(&s.Spec)*len(s.Targets)),
+		MaxInFlight: max(1, requestConnections(&s.Spec)*len(s.Targets)),
 		MinInFlight: max(1, len(s.Targets)/2),
 		MaxWaiting:  maxWaiting,
 		MaxWait:     maxQueueWait,
--- a/internal/prober/exchange.go
+++ b/internal/prober/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,11 +27,6 @@
 
 func (e *AnswerError) Error() string { return fmt.Sprintf("%s: load probe: %s", e.Address, e.Detail) }
 
-// connections keeps at most one idle connection to each target. It is safe for concurrent use.
-type connections struct {
-	idle sync.Map // address to net.Conn
-}
-
 // loadReport is the body of the answer to a probe.
 type loadReport struct {
 	InFlight  int   `json:"in_flight"`
@@ -48,49 +42,10 @@
 	Draining    bool
 }
 
-// ask sends one probe and reads the answer. The connection is kept only after a whole answer.
-func (c *connections) ask(address string) (loadReport, error) {
-	conn, err := c.take(address)
-	if err != nil {
-		return loadReport{}, trace.Wrap(err)
-	}
-	report, err := exchange(conn, address)
-	if err != nil {
-		_ = conn.Close()
-		return report, err
-	}
-	if _, occupied := c.idle.LoadOrStore(address, conn); occupied {
-		_ = conn.Close()
-	}
-	return report, nil
-}
-
 func (r *loadReport) probe(now time.Duration) balancer.Probe {
 	return balancer.Probe{Now: now, InFlight: r.InFlight, Latency: time.Duration(r.LatencyUS) * time.Microsecond}
 }
 
-func (c *connections) take(address string) (net.Conn, error) {
-	if kept, ok := c.idle.LoadAndDelete(address); ok {
-		return kept.(net.Conn), nil
-	}
-	return net.DialTimeout("tcp", address, probeTimeout)
-}
-
-// drop closes the idle connection to a target.
-func (c *connections) drop(address string) {
-	if kept, ok := c.idle.LoadAndDelete(address); ok {
-		_ = kept.(net.Conn).Close()
-	}
-}
-
-func (c *connections) closeAll() {
-	c.idle.Range(func(address, conn any) bool {
-		c.idle.Delete(address)
-		_ = conn.(net.Conn).Close()
-		return true
-	})
-}
-
 // exchange never reads more bytes than the probe was charged for.
 func exchange(conn net.Conn, address string) (loadReport, error) {
 	var report loadReport
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -54,7 +54,8 @@
 
 // Counts are the numbers of probes since the start.
 type Counts struct {
-	// Sent were charged and sent, Failed is how many of them had no usable answer, and Dropped found no free worker.
+	// Sent were charged and sent, Failed is how many of them had no usable answer, and Dropped found no free worker or
+	// connection.
 	Sent, Failed, Dropped uint64
 }
 
@@ -66,7 +67,7 @@
 // Requested records a request to a service and queues the probes that it pays for. It does not block.
 func (p *Prober) Requested(service *control.Service) {
 	measuring := service.Spec.Measuring
-	if measuring.ProbesPerRequest <= 0 {
+	if measuring.ProbesPerRequest <= 0 || !service.HasProbeConnection() {
 		return
 	}
 	for range p.account(service).rate.Earn(measuring.ProbesPerRequest) {
@@ -124,10 +125,20 @@
 // probe charges and sends one probe. A probe without a usable answer stays charged.
 func (p *Prober) probe(service *control.Service, random uint64) {
 	index, ok := service.Policy.NextProbe(p.now(), random)
-	if !ok || !p.spend(service) {
+	if !ok {
+		return
+	}
+	address := service.Targets[index].Address
+	conn := p.conns.reserve(address)
+	if conn == nil {
+		p.dropped.Add(1)
 		return
 	}
-	if report, ok := p.send(service.Targets[index].Address); ok {
+	defer p.conns.free(address, conn)
+	if !p.spend(service) {
+		return
+	}
+	if report, ok := p.send(conn, address); ok {
 		service.Policy.Probed(index, report.probe(p.now()))
 	}
 }
@@ -146,19 +157,24 @@
 // the allowance is spent or the target does not answer. The connection is a new one, because a kept one leads to the
 // process that left.
 func (p *Prober) Check(service *control.Service, address string) (Presence, bool) {
+	conn := p.conns.reserve(address)
+	if conn == nil {
+		return Presence{}, false
+	}
+	defer p.conns.free(address, conn)
+	conn.close()
+	defer conn.close()
 	if !p.account(service).allowance.Spend(p.now(), budget.ProbeBytes) {
 		return Presence{}, false
 	}
-	p.conns.drop(address)
-	report, ok := p.send(address)
-	p.conns.drop(address)
+	report, ok := p.send(conn, address)
 	return report.presence, ok
 }
 
 // send sends one charged probe.
-func (p *Prober) send(address string) (loadReport, bool) {
+func (p *Prober) send(conn *connection, address string) (loadReport, bool) {
 	p.sent.Add(1)
-	report, err := p.conns.ask(address)
+	report, err := conn.ask(address)
 	if err != nil {
 		p.failed.Add(1)
 	}
