Bound the connections of a target when instances use subsets

Cause: with fewer connections than max_instances each instance drew its subset independently, so that the limit of a target held only on average, and a quarter of the connections was left unused for uneven draws. A pool of a target outside the subset was kept as well.

Ruled out: rounds over the ordered list (a join moves nearly all connections after it), rendezvous hashing with a bound (each instance computes the choice of all for each service, and one entry more may change a chain of choices), places by rank alone (instances that have just started know nobody and would all use the same targets).

Change: instances and targets are ordered by hash on two circles; the place of an instance is (rank + unknown x hash) / max_instances, and it uses the targets from there on. One connection of a target is left for checks. The unused SubsetSize of the model is removed.

--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -58,7 +58,7 @@
 	if state == operator.TargetLeaving {
 		return "the published intent says that it is leaving"
 	}
-	return "it is known to have left or to be leaving"
+	return "it is known to have left or to be leaving, or other instances use it"
 }
 
 // explain reads the parameters service, method, class and uri, which mean what the headers and the URI of a
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -19,10 +19,8 @@
 type Config struct {
 	Service string
 	Targets []Target
-	// Instance is a hash of this instance's identity. It selects the subset of targets of this instance.
+	// Instance is a hash of this instance's identity. It selects the targets that this instance prefers.
 	Instance uint64
-	// SubsetSize bounds the targets that this instance uses. 0 means all.
-	SubsetSize int
 	// ProbesPerRequest is the agreed measuring rate. 0 means no probes.
 	ProbesPerRequest float64
 }
--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -40,11 +40,7 @@
 	}
 	old, _ := previous.(*engine)
 	p.adopt(config, old)
-	ranked := rank(config)
-	p.members = ranked
-	if config.SubsetSize > 0 {
-		p.members = ranked[:min(config.SubsetSize, len(ranked))]
-	}
+	p.members = rank(config)
 	p.prefer(config)
 	return p
 }
@@ -57,7 +53,7 @@
 	slots float64
 	// distance is the cost of each target that comes from its place alone.
 	distance []float64
-	// members are the targets that this instance uses, and preferred those of them that it uses first.
+	// members are the targets in the order in which this instance uses them, and preferred those that it uses first.
 	members   []int
 	preferred []int
 	turn      atomic.Uint64
--- a/internal/balancer/outlier_test.go
+++ b/internal/balancer/outlier_test.go
@@ -89,34 +89,3 @@
 		}
 	}
 }
-
-// Guards the deterministic subset: stable for an instance, even over instances, and little changed by a new target.
-func TestSubset(t *testing.T) {
-	const instances, size = 400, 5
-	counts := make([]int, 21)
-	moved := 0
-	for i := range instances {
-		config := Config{Instance: uint64(i), SubsetSize: size}
-		for n := range 20 {
-			config.Targets = append(config.Targets, Target{Address: string(rune('a' + n))})
-		}
-		before := append([]int(nil), TwoChoices{}.Build(config, nil).(*engine).members...)
-		config.Targets = append(config.Targets, Target{Address: "new"})
-		for _, m := range before {
-			counts[m]++
-		}
-		for _, m := range (TwoChoices{}).Build(config, nil).(*engine).members {
-			if m == 20 {
-				moved++
-			}
-		}
-	}
-	for target, n := range counts[:20] {
-		if n < 60 || n > 140 {
-			t.Errorf("target %d is used by %d of %d instances, want about 100", target, n, instances)
-		}
-	}
-	if moved < 60 || moved > 140 {
-		t.Errorf("a new target changed %d subsets, want about 95", moved)
-	}
-}
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
@@ -21,12 +20,12 @@
 		Departed: l.departures.addresses(),
 	}
 	for name, entry := range state.Services {
-		departed := l.departedTargets(&entry.Spec)
-		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.departed == departed {
+		targets := l.targetsInUse(&entry.Spec)
+		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.uses(targets) {
 			next.Services[name] = old
 			continue
 		}
-		next.Services[name] = l.buildService(entry, previous.service(name))
+		next.Services[name] = l.buildService(entry, targets, previous.service(name))
 	}
 	l.snapshot.Store(next)
 	if previous == nil {
@@ -43,17 +42,13 @@
 	return s.Services[name]
 }
 
-func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision, departed: l.departedTargets(&entry.Spec)}
+func (l *Loop) buildService(entry *intent.Entry, targets []operator.Target, previous *Service) *Service {
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
 	config := balancer.Config{
 		Service:          entry.Spec.Name,
 		ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest,
-		SubsetSize:       subsetSize(&entry.Spec),
 	}
-	for _, target := range entry.Spec.Targets {
-		if target.State == operator.TargetLeaving || l.departures.contains(target.Address) {
-			continue
-		}
+	for _, target := range targets {
 		service.Targets = append(service.Targets, &Target{
 			Address: target.Address,
 			Zone:    target.Zone,
@@ -75,26 +70,6 @@
 	return service
 }
 
-// subsetSize bounds the targets of an instance when a target has fewer connections than there may be instances, and
-// is 0 otherwise. The subsets of instances are independent, so a quarter of the connections is left for uneven ones.
-func subsetSize(spec *operator.Service) int {
-	if spec.ConnectionsPerTarget >= spec.MaxInstances {
-		return 0
-	}
-	return max(1, len(spec.Targets)*spec.ConnectionsPerTarget*3/4/spec.MaxInstances)
-}
-
-// departedTargets names the targets of a service that left without the operator's decision.
-func (l *Loop) departedTargets(spec *operator.Service) string {
-	var list []string
-	for _, target := range spec.Targets {
-		if l.departures.contains(target.Address) {
-			list = append(list, target.Address)
-		}
-	}
-	return strings.Join(list, " ")
-}
-
 func (l *Loop) pool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/basillink/basillink/internal/admission"
+	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -39,6 +41,66 @@
 	return requestConnections(&s.Spec) < connectionShare(&s.Spec)
 }
 
+// subsetSize is the number of targets of an instance when a target has fewer connections than there may be instances,
+// each of which keeps one, and is 0 otherwise. One connection of each target is left for the checks whether it is back.
+func subsetSize(spec *operator.Service, targets int) int {
+	if spec.ConnectionsPerTarget >= spec.MaxInstances {
+		return 0
+	}
+	connections := max(1, spec.ConnectionsPerTarget-1)
+	return max(1, targets*connections/spec.MaxInstances)
+}
+
+// targetsInUse returns the targets of a service that this instance sends requests to.
+func (l *Loop) targetsInUse(spec *operator.Service) []operator.Target {
+	var staying []operator.Target
+	var addresses []string
+	for _, target := range spec.Targets {
+		if target.State != operator.TargetLeaving && !l.departures.contains(target.Address) {
+			staying = append(staying, target)
+			addresses = append(addresses, target.Address)
+		}
+	}
+	size := subsetSize(spec, len(staying))
+	if size == 0 {
+		return staying
+	}
+	fleet := balancer.Fleet{Self: l.Self, Instances: l.instances, Max: spec.MaxInstances}
+	var subset []operator.Target
+	for _, i := range fleet.Subset(addresses, size) {
+		subset = append(subset, staying[i])
+	}
+	return subset
+}
+
+// uses reports whether the service has exactly these targets.
+func (s *Service) uses(targets []operator.Target) bool {
+	return slices.EqualFunc(s.Targets, targets, func(a *Target, b operator.Target) bool { return a.Address == b.Address })
+}
+
+// followInstances moves subsets when the list of live instances has changed.
+func (l *Loop) followInstances() {
+	if l.Members == nil {
+		return
+	}
+	// A restarted instance may be listed twice.
+	instances := slices.Compact(slices.Sorted(slices.Values(l.Members())))
+	if slices.Equal(instances, l.instances) {
+		return
+	}
+	l.instances = instances
+	snapshot := l.snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	for _, service := range snapshot.Services {
+		if !service.uses(l.targetsInUse(&service.Spec)) {
+			l.publish()
+			return
+		}
+	}
+}
+
 // attachLimits takes over admission and retries from the previous revision, or creates them.
 func (s *Service) attachLimits(previous *Service) {
 	config := admission.Config{
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -22,6 +22,11 @@
 
 // Loop is the control goroutine. Snapshot, Observe, Do and Deliver may be called from any goroutine.
 type Loop struct {
+	// Self is the id of this instance, and Members returns those of the live ones. They are set before Run and select
+	// the subsets of targets.
+	Self    string
+	Members func() []string
+
 	zone    string
 	builder balancer.Builder
 	log     *slog.Logger
@@ -44,6 +49,8 @@
 	// lastRead is when the log last gave a usable answer.
 	lastRead time.Duration
 	pools    map[string]*transport.Pool
+	// instances are the ids of the live instances in order.
+	instances []string
 }
 
 // New returns a loop for an instance in an availability zone.
@@ -83,6 +90,7 @@
 			l.applyEvent(event)
 		case <-expiry.C:
 			l.expireDepartures()
+			l.followInstances()
 			l.checkReachable()
 		}
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,8 +33,6 @@
 	// Admission and Retries outlive a revision of the service.
 	Admission *admission.Limiter
 	Retries   *admission.RetryBudget
-	// departed names the targets that are left out because they left.
-	departed string
 }
 
 // Target is one target that may receive requests.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -38,6 +38,7 @@
 		return trace.Wrap(err)
 	}
 	d.node = node
+	d.loop.Self, d.loop.Members = d.settings.Instance.ID, d.liveInstances
 	node.Register(peer.KindDeparture, d.loop.DepartureHandler(node.SpreadOwned))
 	d.watcher = &control.ListWatcher{
 		List:     client,
--- a/internal/targetmodel/instance.go
+++ b/internal/targetmodel/instance.go
@@ -43,7 +43,6 @@
 		Service:          "model",
 		Instance:         uint64(in.index),
 		ProbesPerRequest: m.settings.ProbesPerRequest,
-		SubsetSize:       m.settings.SubsetSize,
 	}
 	in.members = in.members[:0]
 	in.positions = make([]int, m.settings.Targets)
--- a/internal/targetmodel/settings.go
+++ b/internal/targetmodel/settings.go
@@ -49,8 +49,6 @@
 	HedgeAfter time.Duration
 	// HedgeBudget is the highest share of second copies.
 	HedgeBudget float64
-	// SubsetSize bounds the targets of each instance. 0 means all.
-	SubsetSize int
 	// Attempts is how many targets a rejected or failed request is sent to.
 	Attempts int
 	Faults   []Fault
