--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
@@ -21,17 +20,24 @@
 		Departed: l.departures.addresses(),
 	}
 	// Looking up every target of every service costs more than the change itself, so it is done only when the
-	// departures differ.
-	sameDepartures := previous != nil && slices.Equal(previous.Departed, next.Departed)
+	// departures or the instances, which share out the targets, differ.
+	sameTargets := previous != nil && slices.Equal(previous.Departed, next.Departed) && slices.Equal(l.builtFor, l.instances)
 	for name, entry := range state.Services {
 		old := previous.service(name)
-		if old != nil && old.Revision == entry.Revision && (sameDepartures || old.departed == l.departedTargets(&entry.Spec)) {
+		same := old != nil && old.Revision == entry.Revision
+		if same && sameTargets {
 			next.Services[name] = old
 			continue
 		}
-		next.Services[name] = l.buildService(entry, old)
+		targets := l.targetsInUse(&entry.Spec)
+		if same && old.uses(targets) {
+			next.Services[name] = old
+			continue
+		}
+		next.Services[name] = l.buildService(entry, targets, old)
 	}
 	l.snapshot.Store(next)
+	l.builtFor = l.instances
 	if previous == nil {
 		close(l.configured)
 	}
@@ -46,17 +52,13 @@
 	return s.Services[name]
 }
 
-func (l *Loop) buildService(entry *intent.Entry, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision, departed: l.departedTargets(&entry.Spec)}
+func (l *Loop) buildService(entry *intent.Entry, targets []operator.Target, previous *Service) *Service {
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
 	config := balancer.Config{
 		Service:          entry.Spec.Name,
 		ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest,
-		SubsetSize:       subsetSize(&entry.Spec),
 	}
-	for _, target := range entry.Spec.Targets {
-		if target.State == operator.TargetLeaving || l.departures.contains(target.Address) {
-			continue
-		}
+	for _, target := range targets {
 		service.Targets = append(service.Targets, &Target{
 			Address: target.Address,
 			Zone:    target.Zone,
@@ -78,26 +80,6 @@
 	return service
 }
 
-// subsetSize bounds the targets of an instance when a target has fewer connections than there may be instances, and
-// is 0 otherwise. The subsets of instances are independent, so a quarter of the connections is left for uneven ones.
-func subsetSize(spec *operator.Service) int {
-	if spec.ConnectionsPerTarget >= spec.MaxInstances {
-		return 0
-	}
-	return max(1, len(spec.Targets)*spec.ConnectionsPerTarget*3/4/spec.MaxInstances)
-}
-
-// departedTargets names the targets of a service that left without the operator's decision.
-func (l *Loop) departedTargets(spec *operator.Service) string {
-	var list []string
-	for _, target := range spec.Targets {
-		if l.departures.contains(target.Address) {
-			list = append(list, target.Address)
-		}
-	}
-	return strings.Join(list, " ")
-}
-
 // targetPool is the pool of one target.
 type targetPool struct {
 	*transport.Pool
@@ -109,7 +91,7 @@
 func (l *Loop) acquirePool(address string, spec *operator.Service) *transport.Pool {
 	pool := l.pools[address]
 	if pool == nil {
-		pool = &targetPool{Pool: transport.NewTargetPool(address, connectionShare(spec))}
+		pool = &targetPool{Pool: transport.NewTargetPool(address, requestConnections(spec))}
 		l.pools[address] = pool
 	}
 	pool.users++
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -21,6 +21,11 @@
 
 // Loop is the control goroutine. Snapshot, Observe, Do and Deliver may be called from any goroutine.
 type Loop struct {
+	// Self is the id of this instance, and Members returns those of the live ones. They are set before Run and select
+	// the subsets of targets.
+	Self    string
+	Members func() []string
+
 	zone    string
 	builder balancer.Builder
 	log     *slog.Logger
@@ -43,6 +48,10 @@
 	// lastRead is when the log last gave a usable answer.
 	lastRead time.Duration
 	pools    map[string]*targetPool
+	// instances are the ids of the live instances in order.
+	instances []string
+	// builtFor are the instances for which the snapshot was built.
+	builtFor []string
 }
 
 // New returns a loop for an instance in an availability zone.
@@ -82,6 +91,7 @@
 			l.applyEvent(event)
 		case <-expiry.C:
 			l.expireDepartures()
+			l.followInstances()
 			l.checkReachable()
 		}
 	}
