--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -32,8 +33,8 @@
 	callers []string
 }
 
-// startFleet runs count daemons and waits until the platform answers.
-func startFleet(b *testing.B, count int) *fleet {
+// startFleet runs count daemons with additions to their environment and waits until the platform answers.
+func startFleet(b *testing.B, count int, environment ...string) *fleet {
 	b.Helper()
 	binary := buildDaemon(b)
 	addresses := freeAddresses(b, 1+3*count)
@@ -49,7 +50,9 @@
 	for i := range count {
 		listen := addresses[1+3*i : 4+3*i]
 		file := writeSettings(b, "i"+strconv.Itoa(i), addresses[0], listen)
-		f.daemons = append(f.daemons, startCommand(b, exec.Command(binary, "run", "-settings", file)))
+		command := exec.Command(binary, "run", "-settings", file)
+		command.Env = append(os.Environ(), environment...)
+		f.daemons = append(f.daemons, startCommand(b, command))
 	}
 	eventually(b, "a reachable platform", func() bool {
 		_, err := client.ReadState(context.Background(), f.log)
@@ -124,13 +127,14 @@
 }
 
 // report reports the cost per second of the first daemon between two readings.
-func report(b *testing.B, before, after cost) {
+func report(b *testing.B, settled time.Duration, before, after cost) {
 	b.Helper()
 	seconds := after.at.Sub(before.at).Seconds()
-	b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/seconds, "%core")
-	b.ReportMetric(float64(after.written-before.written)/seconds, "B-written/s")
-	b.ReportMetric(float64(after.read-before.read)/seconds, "B-read/s")
-	b.ReportMetric(float64(after.residentBytes)/(1<<20), "MiB-resident")
+	metric := func(value float64, unit string) { b.ReportMetric(value, settled.String()+":"+unit) }
+	metric(100*(after.cpu-before.cpu).Seconds()/seconds, "%core")
+	metric(float64(after.written-before.written)/seconds, "B-written/s")
+	metric(float64(after.read-before.read)/seconds, "B-read/s")
+	metric(float64(after.residentBytes)/(1<<20), "MiB-resident")
 	b.ReportMetric(0, "ns/op")
 }
 
@@ -140,16 +144,21 @@
 	sampleTime = 20 * time.Second
 )
 
-// fleetSettleTimes are the times after the start of a fleet at which it is read. Instances open a connection to each
-// other at the first exchange: 200 of them take 40 s to go once around, and up to 80 s until every pair has met.
+// fleetSettleTimes are the times at which a fleet is read after the publish that follows its start. Instances open a
+// connection to each other at the first exchange: 200 of them take 40 s to go once around, and up to 80 s until every
+// pair has met.
 var fleetSettleTimes = []time.Duration{settleTime, 45 * time.Second, 130 * time.Second}
 
-func (f *fleet) sample(b *testing.B, settle time.Duration) {
+// sample reads the first daemon at some times after now.
+func (f *fleet) sample(b *testing.B, settleTimes ...time.Duration) {
 	b.Helper()
-	time.Sleep(settle)
-	before := readCost(b, f.daemons[0].Process.Pid)
-	time.Sleep(sampleTime)
-	report(b, before, readCost(b, f.daemons[0].Process.Pid))
+	begun := time.Now()
+	for _, settled := range settleTimes {
+		time.Sleep(time.Until(begun.Add(settled)))
+		before := readCost(b, f.daemons[0].Process.Pid)
+		time.Sleep(sampleTime)
+		report(b, settled, before, readCost(b, f.daemons[0].Process.Pid))
+	}
 }
 
 // BenchmarkControlCostByPeers measures the control cost of one daemon with the configuration of the two-year size and
@@ -159,10 +168,7 @@
 		b.Run(fmt.Sprintf("instances=%d", peers), func(b *testing.B) {
 			f := startFleet(b, peers)
 			f.publish(b, futureServices, futureTargets)
-			published := time.Now()
-			for _, after := range fleetSettleTimes {
-				b.Run("after="+after.String(), func(b *testing.B) { f.sample(b, time.Until(published.Add(after))) })
-			}
+			f.sample(b, fleetSettleTimes...)
 		})
 	}
 }
@@ -248,27 +254,30 @@
 	return service
 }
 
-// BenchmarkCallCost measures the processor time of one daemon for each call. BenchmarkAddedLatency measures the latency.
+// BenchmarkCallCost measures the processor time of one daemon for each call, with all processors and with two.
+// BenchmarkAddedLatency measures the latency.
 func BenchmarkCallCost(b *testing.B) {
-	for _, rate := range []float64{500, 1000, 2000, 4000} {
-		b.Run(fmt.Sprintf("calls=%g", rate), func(b *testing.B) {
-			f := startFleet(b, 1)
-			targets := freeAddresses(b, 4)
-			for _, address := range targets {
-				start(b, "target "+address)
-			}
-			publishFlightdesk(b, f.log, targets)
-			eventually(b, "a served request", func() bool {
-				status, _, err := get(f.callers[0], "/flightdesk/slots", "first")
-				return err == nil && status == http.StatusOK
+	for _, processors := range []int{runtime.NumCPU(), 2} {
+		for _, rate := range []float64{500, 1000, 2000, 4000} {
+			b.Run(fmt.Sprintf("processors=%d/calls=%g", processors, rate), func(b *testing.B) {
+				f := startFleet(b, 1, fmt.Sprintf("GOMAXPROCS=%d", processors))
+				targets := freeAddresses(b, 4)
+				for _, address := range targets {
+					start(b, "target "+address)
+				}
+				publishFlightdesk(b, f.log, targets)
+				eventually(b, "a served request", func() bool {
+					status, _, err := get(f.callers[0], "/flightdesk/slots", "first")
+					return err == nil && status == http.StatusOK
+				})
+				before := readCost(b, f.daemons[0].Process.Pid)
+				through := runTogether(b, rate, "http://"+f.callers[0]+"/flightdesk/slots")[0]
+				after := readCost(b, f.daemons[0].Process.Pid)
+				b.ReportMetric(float64((after.cpu-before.cpu).Microseconds())/float64(through.Sent), "µs-cpu/call")
+				b.ReportMetric(float64(through.Sent-through.Answered), "not-answered")
+				b.ReportMetric(float64(after.residentBytes)/(1<<20), "MiB-resident")
+				b.ReportMetric(0, "ns/op")
 			})
-			before := readCost(b, f.daemons[0].Process.Pid)
-			through := runTogether(b, rate, "http://"+f.callers[0]+"/flightdesk/slots")[0]
-			after := readCost(b, f.daemons[0].Process.Pid)
-			b.ReportMetric(float64((after.cpu-before.cpu).Microseconds())/float64(through.Sent), "µs-cpu/call")
-			b.ReportMetric(float64(through.Sent-through.Answered), "not-answered")
-			b.ReportMetric(float64(after.residentBytes)/(1<<20), "MiB-resident")
-			b.ReportMetric(0, "ns/op")
-		})
+		}
 	}
 }
