Wait for dead members, not for suspects, before halves are connected again

Cause: TestHalvesReunite took 6.5 s, less than a suspicion and a cut, because suspects do not count as alive either.

Change: the test and the benchmark wait until each half holds the other for dead.

--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -104,10 +104,10 @@
 	}
 }
 
-// members reports whether an instance knows that many members as alive.
-func (f *testFleet) members(i, alive int) bool {
+// members reports whether an instance knows that many members as alive and as dead.
+func (f *testFleet) members(i, alive, dead int) bool {
 	status := f.status(i)
-	return status != nil && status.Members["alive"] == alive
+	return status != nil && status.Members["alive"] == alive && status.Members["dead"] == dead
 }
 
 // within returns the time until check holds on every instance, or fails.
@@ -132,9 +132,9 @@
 	f := newDividedFleet(t, size)
 	target := f.target()
 	f.allAt(f.publish(fleetService("flightdesk", 1, target.Address())), f.all()...)
-	within(f.testFleet, time.Minute, "all members", func(i int) bool { return f.members(i, size) })
+	within(f.testFleet, time.Minute, "all members", func(i int) bool { return f.members(i, size, 0) })
 	f.cut()
-	within(f.testFleet, time.Minute, "half of the members", func(i int) bool { return f.members(i, size/2) })
+	within(f.testFleet, time.Minute, "half of the members", func(i int) bool { return f.members(i, size/2, size/2) })
 	revision := f.publish(fleetService("flightdesk", 2, target.Address()))
 	f.allAt(revision, f.all()[:size/2]...)
 	for i := range f.all()[size/2:] {
@@ -144,7 +144,7 @@
 	}
 	f.reconnect()
 	within(f.testFleet, inForceLimit, "change and all members", func(i int) bool {
-		return f.at(i, revision) && f.members(i, size)
+		return f.at(i, revision) && f.members(i, size, 0)
 	})
 }
 
@@ -156,10 +156,10 @@
 			f := newDividedFleet(b, size)
 			target := f.target()
 			f.allAt(f.publish(fleetService("flightdesk", 1, target.Address())), f.all()...)
-			within(f.testFleet, reunionLimit, "all members", func(i int) bool { return f.members(i, size) })
+			within(f.testFleet, reunionLimit, "all members", func(i int) bool { return f.members(i, size, 0) })
 			f.cut()
 			cut := time.Now()
-			within(f.testFleet, reunionLimit, "half of the members", func(i int) bool { return f.members(i, size/2) })
+			within(f.testFleet, reunionLimit, "half of the members", func(i int) bool { return f.members(i, size/2, size/2) })
 			time.Sleep(time.Until(cut.Add(cutTime)))
 			revision := f.publish(fleetService("flightdesk", 2, target.Address()))
 			f.allAt(revision, f.all()[:size/2]...)
@@ -168,7 +168,7 @@
 			reconnected := time.Now()
 			within(f.testFleet, reunionLimit, "the change", func(i int) bool { return f.at(i, revision) })
 			b.ReportMetric(time.Since(reconnected).Seconds(), "s-in-force")
-			within(f.testFleet, reunionLimit, "all members", func(i int) bool { return f.members(i, size) })
+			within(f.testFleet, reunionLimit, "all members", func(i int) bool { return f.members(i, size, 0) })
 			b.ReportMetric(time.Since(reconnected).Seconds(), "s-all-members")
 			f.reportMean(b, before)
 		})
@@ -197,7 +197,7 @@
 			f.startAll()
 			within(f, reunionLimit, "ready", func(i int) bool { return f.at(i, revision) && f.ready(i) })
 			b.ReportMetric(time.Since(started).Seconds(), "s-all-ready")
-			within(f, reunionLimit, "all members", func(i int) bool { return f.members(i, size) })
+			within(f, reunionLimit, "all members", func(i int) bool { return f.members(i, size, 0) })
 			b.ReportMetric(time.Since(started).Seconds(), "s-all-members")
 			time.Sleep(time.Until(started.Add(sampleTime)))
 			f.reportMean(b, cost{})
