Order internal/transport by concern

Cause: pool.go held the waiting line and the reaping besides the pool, and answer.go the reading of bodies besides the life of an answer. Conn.pending was a buffer and the type pending an exchange.

Ruled out: a type of its own for the waiting line, because it needs the pool's lock, limit and idle list at each step.

--- /dev/null
+++ b/internal/transport/body.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net/http/httputil"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+)
+
+// endOfBody checks that the body is whole. It returns io.EOF if so.
+func (a *Answer) endOfBody() error {
+	if !a.chunked {
+		if limited, ok := a.remainder.(*io.LimitedReader); ok && limited.N > 0 {
+			return io.ErrUnexpectedEOF
+		}
+		return io.EOF
+	}
+	if err := a.conn.skipTrailer(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// maxTrailerBytes bounds the trailer of a chunked body. Trailers are not passed on.
+const maxTrailerBytes = 8 << 10
+
+// skipTrailer reads the lines after the last chunk through the empty line.
+func (c *Conn) skipTrailer() error {
+	total := 0
+	for {
+		line, err := c.reader.ReadSlice('\n')
+		if err != nil {
+			return unexpected(err)
+		}
+		if len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+			return nil
+		}
+		if total += len(line); total > maxTrailerBytes {
+			return &MalformedAnswerError{"the trailer is too long"}
+		}
+	}
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readAnswer reads the head and the first part of the body.
+func (c *Conn) readAnswer(request *protocol.Request, answer *Answer) error {
+	response := answer.Response
+	if err := c.readHead(answer); err != nil {
+		return err
+	}
+	response.SkipBody = request.Header.IsHead()
+	if response.MustSkipBody() {
+		return nil
+	}
+	answer.length = response.Header.ContentLength()
+	switch {
+	case answer.length == unboundedLength:
+		return &UnboundedAnswerError{}
+	case answer.length < 0:
+		answer.chunked = true
+		answer.remainder = httputil.NewChunkedReader(c.reader)
+	case answer.length == 0:
+		return nil
+	case answer.length > answer.limits.MaxBytes:
+		return &AnswerSizeError{answer.limits.MaxBytes}
+	default:
+		answer.remainder = &io.LimitedReader{R: c.reader, N: int64(answer.length)}
+	}
+	if err := answer.readPrefix(); err != nil {
+		return err
+	}
+	if answer.read > answer.limits.MaxBytes {
+		return &AnswerSizeError{answer.limits.MaxBytes}
+	}
+	return nil
+}
+
+// readPrefix reads at most limits.WholeBytes of the body, and ends the exchange if that is all.
+func (a *Answer) readPrefix() error {
+	size := a.length
+	if a.chunked {
+		size = firstChunkedBytes
+	}
+	a.body = takeBuffer(min(size, a.limits.WholeBytes))
+	err := a.fill()
+	a.Response.SetBodyRaw(a.body)
+	return err
+}
+
+// firstChunkedBytes is the first buffer for a body of unknown length.
+const firstChunkedBytes = 4 << 10
+
+func (a *Answer) fill() error {
+	for len(a.body) < a.limits.WholeBytes {
+		if len(a.body) == cap(a.body) {
+			a.growBody()
+		}
+		end := min(cap(a.body), a.limits.WholeBytes)
+		n, err := a.remainder.Read(a.body[len(a.body):end])
+		a.body = a.body[:len(a.body)+n]
+		a.read = len(a.body)
+		if err != nil || !a.chunked && len(a.body) == a.length {
+			return a.prefixEnd(err)
+		}
+	}
+	return nil
+}
+
+func (a *Answer) growBody() {
+	grown := append(takeBuffer(2*cap(a.body)), a.body...)
+	keepBuffer(a.body)
+	a.body = grown
+}
+
+// prefixEnd handles the end of the body within the prefix.
+func (a *Answer) prefixEnd(err error) error {
+	if err == nil || err == io.EOF {
+		err = a.endOfBody()
+	}
+	if err != io.EOF {
+		return &TruncatedAnswerError{err}
+	}
+	a.remainder = nil
+	return nil
+}
--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -32,16 +32,16 @@
 
 // Malloc implements network.Writer.
 func (c *Conn) Malloc(n int) ([]byte, error) {
-	if err := c.writePending(); err != nil {
+	if err := c.writeReserved(); err != nil {
 		return nil, err
 	}
-	c.pending = make([]byte, n)
-	return c.pending, nil
+	c.reserved = make([]byte, n)
+	return c.reserved, nil
 }
 
 // WriteBinary implements network.Writer.
 func (c *Conn) WriteBinary(b []byte) (int, error) {
-	if err := c.writePending(); err != nil {
+	if err := c.writeReserved(); err != nil {
 		return 0, err
 	}
 	return c.writer.Write(b)
@@ -49,17 +49,17 @@
 
 // Flush implements network.Writer.
 func (c *Conn) Flush() error {
-	if err := c.writePending(); err != nil {
+	if err := c.writeReserved(); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
-func (c *Conn) writePending() error {
-	if c.pending == nil {
+func (c *Conn) writeReserved() error {
+	if c.reserved == nil {
 		return nil
 	}
-	_, err := c.writer.Write(c.pending)
-	c.pending = nil
+	_, err := c.writer.Write(c.reserved)
+	c.reserved = nil
 	return err
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -32,10 +32,10 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// pending holds the bytes reserved by Malloc until Flush.
-	pending  []byte
-	opened   time.Time
-	lastUsed time.Time
+	// reserved holds the bytes that Malloc handed out until they are written.
+	reserved []byte
+	// opened is when the connection was established, lastUsed when an exchange or a check on it last ended cleanly.
+	opened, lastUsed time.Time
 
 	// written is true when the kernel took a byte of the current exchange.
 	written bool
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// idleLimit is how long an unused connection is kept.
-	idleLimit = 60 * time.Second
 	// openBurst and openInterval bound the rate of new connections to one address, so that the loss of all
 	// connections at once is not followed by a burst of new ones.
 	openBurst    = 8
@@ -62,12 +60,6 @@
 	return p
 }
 
-// grant is what a waiter receives: a connection, or room for a new one when conn is nil.
-type grant struct {
-	conn *Conn
-	err  error
-}
-
 // acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A connection
 // that was unused for maxIdle must answer a check first; 0 asks for none.
 func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
@@ -101,95 +93,7 @@
 	}
 }
 
-// obtain returns the most recently used idle connection, or nil with room reserved for a new one. When there is
-// neither, it waits until the context ends.
-func (p *Pool) obtain(ctx context.Context) (*Conn, error) {
-	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return nil, &ClosedError{p.address}
-	}
-	if p.waiters.Len() == 0 {
-		if g, ok := p.next(); ok {
-			p.mu.Unlock()
-			return g.conn, g.err
-		}
-	}
-	ready := make(chan grant, 1)
-	element := p.waiters.PushBack(ready)
-	p.serve()
-	p.mu.Unlock()
-	select {
-	case g := <-ready:
-		return g.conn, g.err
-	case <-ctx.Done():
-		return nil, p.abandon(element, ready)
-	}
-}
-
-// abandon withdraws a waiter and passes on what it was granted meanwhile.
-func (p *Pool) abandon(element *list.Element, ready chan grant) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case g := <-ready:
-		switch {
-		case g.conn != nil:
-			p.putBack(g.conn)
-		case g.err == nil:
-			p.open--
-			p.serve()
-		}
-	default:
-		p.waiters.Remove(element)
-	}
-	return &LimitError{Address: p.address, Limit: p.limit}
-}
-
-// next takes an idle connection or reserves room for a new one. The last idle connection of a target pool is kept to
-// compare silent ones with, as long as a new one may be opened. The lock is held.
-func (p *Pool) next() (grant, bool) {
-	n := len(p.idle)
-	if (n == 0 || n == 1 && p.spare) && p.open < p.limit && p.rate.take(time.Now()) {
-		p.open++
-		return grant{}, true
-	}
-	if n == 0 {
-		return grant{}, false
-	}
-	conn := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	_ = conn.fire(eventTake)
-	p.keepSpare()
-	return grant{conn: conn}, true
-}
-
-// serve hands out what is available to the waiters in order. The lock is held.
-func (p *Pool) serve() {
-	for p.waiters.Len() > 0 {
-		g, ok := p.next()
-		if !ok {
-			p.awaitRate()
-			return
-		}
-		ready := p.waiters.Remove(p.waiters.Front()).(chan grant)
-		ready <- g
-	}
-}
-
-// awaitRate serves the waiters again when the rate allows a new connection. The lock is held.
-func (p *Pool) awaitRate() {
-	if p.open >= p.limit || p.refill != nil || p.closed {
-		return
-	}
-	p.refill = time.AfterFunc(openInterval, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.refill = nil
-		p.serve()
-	})
-}
-
+// openNew opens a connection for a request, and a spare one behind it if none is left.
 func (p *Pool) openNew(ctx context.Context) (*Conn, error) {
 	conn, err := p.dial(ctx)
 	if err != nil {
@@ -248,31 +152,6 @@
 	}
 }
 
-// armReap closes idle connections after their time even when no request comes. The lock is held.
-func (p *Pool) armReap() {
-	if p.reap == nil && len(p.idle) > 0 && !p.closed {
-		p.reap = time.AfterFunc(idleLimit/2, p.reapIdle)
-	}
-}
-
-func (p *Pool) reapIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reap = nil
-	kept := p.idle[:0]
-	for _, conn := range p.idle {
-		if time.Since(conn.lastUsed) < idleLimit {
-			kept = append(kept, conn)
-			continue
-		}
-		conn.closeSocket()
-		p.forget(conn)
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
-	p.armReap()
-}
-
 // CloseIdle closes the connections that carry no exchange.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
@@ -303,6 +182,7 @@
 	}
 }
 
+// stopTimers ends what the pool does by itself. The lock is held.
 func (p *Pool) stopTimers() {
 	if p.reap != nil {
 		p.reap.Stop()
