--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -43,6 +43,16 @@
 	return pool, path
 }
 
+// openConnections leaves idle connections of a number of slow requests that ran at the same time.
+func openConnections(t *testing.T, pool *Pool, path *relay.Relay, requests int) {
+	var sent sync.WaitGroup
+	for range requests {
+		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.Address(), "/slow", "")) })
+	}
+	sent.Wait()
+	eventually(t, "all connections at the relay", func() bool { return path.Opened() == pool.openCount() })
+}
+
 func (p *Pool) idleCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -74,12 +84,7 @@
 func TestIdleConnectionsAreVerified(t *testing.T) {
 	target := newWireTarget(t, slowPath(100*time.Millisecond))
 	pool, path := silentPool(t, target, 8)
-	var sent sync.WaitGroup
-	for range 6 {
-		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.Address(), "/slow", "")) })
-	}
-	sent.Wait()
-	eventually(t, "all connections at the relay", func() bool { return path.Opened() == pool.openCount() })
+	openConnections(t, pool, path, 6)
 	before := path.Opened()
 	path.Freeze()
 	_, _ = send(pool, newRequest("GET", path.Address(), "/", ""))
@@ -98,13 +103,9 @@
 func TestAllSilentExchangesAreFound(t *testing.T) {
 	target := newWireTarget(t, slowPath(100*time.Millisecond))
 	pool, path := silentPool(t, target, 16)
-	var sent sync.WaitGroup
-	for range 5 {
-		sent.Go(func() { _, _ = send(pool, newRequest("GET", path.Address(), "/slow", "")) })
-	}
-	sent.Wait()
-	eventually(t, "all connections at the relay", func() bool { return path.Opened() == pool.openCount() })
+	openConnections(t, pool, path, 5)
 	path.Freeze()
+	var sent sync.WaitGroup
 	for range pool.idleCount() - 1 {
 		sent.Go(func() {
 			_, err := send(pool, newRequest("GET", path.Address(), "/", ""))
