Count the ejected targets instead of keeping a counter

Ruled out: a recount at each rebuild, which was there: the readmission comes after the rebuild.

Change: an ejection counts the ejected targets under a lock. Ejections are rare, and a service has few targets. Also, a failed exchange looks at the clock besides the context, because the deadline of a connection may fire before the timer of the context: the reason told is then the deadline and not a lost connection.

Result: go test ./internal/balancer -run Drift: 5 of 5 targets ejected before, 2 of 5 after. go test -race ./internal/balancer ./internal/transport passes.

--- a/internal/balancer/engine.go
+++ b/internal/balancer/engine.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -66,10 +67,8 @@
 	load atomic.Int64
 	// latency is the smoothed latency of answers over all targets in nanoseconds.
 	latency atomic.Int64
-	// ejected is the number of ejected targets.
-	ejected atomic.Int64
-	// limit is the highest number of ejected targets.
-	limit atomic.Int64
+	// ejecting is held while a target is ejected, so that the limit on ejected targets holds.
+	ejecting sync.Mutex
 }
 
 // adopt takes over the cells of targets that stay. Targets that join a service which is already served start cold.
@@ -91,7 +90,6 @@
 		}
 		p.cells[i].join()
 	}
-	p.recountEjected()
 }
 
 // Pick implements Policy.
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -76,7 +76,17 @@
 	if c.failuresInRow < ejectAfter && phase != phaseReadmitting {
 		return
 	}
-	if phase == phaseEjected || !p.reserveEjection() {
+	if phase != phaseEjected {
+		p.eject(c, now)
+	}
+}
+
+// eject ejects a target unless half of them are ejected. Targets are counted instead of kept in a counter, which
+// drifted when a target left the service while it was ejected. The lock of the cell is held.
+func (p *engine) eject(c *cell, now time.Duration) {
+	p.shared.ejecting.Lock()
+	defer p.shared.ejecting.Unlock()
+	if p.ejected() >= len(p.cells)/2 {
 		return
 	}
 	length := ejectFor << min(c.ejections, maxEjectDoublings)
@@ -86,13 +96,15 @@
 	_ = c.fire(eventEject)
 }
 
-// reserveEjection counts one more ejected target unless half of them are ejected.
-func (p *engine) reserveEjection() bool {
-	if p.shared.ejected.Add(1) <= p.shared.limit.Load() {
-		return true
+// ejected counts the ejected targets.
+func (p *engine) ejected() int {
+	count := 0
+	for _, c := range p.cells {
+		if c.phase.State() == phaseEjected {
+			count++
+		}
 	}
-	p.shared.ejected.Add(-1)
-	return false
+	return count
 }
 
 // admitted reports whether a target is not ejected, and readmits it when its time has come.
@@ -116,7 +128,6 @@
 	}
 	c.rampFrom.Store(int64(now))
 	_ = c.fire(eventReadmit)
-	p.shared.ejected.Add(-1)
 	return true
 }
 
@@ -161,15 +172,3 @@
 		_ = c.fire(eventRamped)
 	}
 }
-
-// recountEjected counts the ejected targets after a rebuild.
-func (p *engine) recountEjected() {
-	var ejected int64
-	for _, c := range p.cells {
-		if c.phase.State() == phaseEjected {
-			ejected++
-		}
-	}
-	p.shared.ejected.Store(ejected)
-	p.shared.limit.Store(int64(len(p.cells) / 2))
-}
--- a/internal/balancer/outlier_test.go
+++ b/internal/balancer/outlier_test.go
@@ -60,14 +60,8 @@
 			group.Go(func() { respond(p, 10, end-time.Second+worker*time.Microsecond, end, failing(0, 9)) })
 		}
 		group.Wait()
-		ejected := 0
-		for _, c := range p.(*engine).cells {
-			if c.phase.State() == phaseEjected {
-				ejected++
-			}
-		}
-		if counted := p.(*engine).shared.ejected.Load(); ejected > 5 || int64(ejected) != counted {
-			t.Fatalf("%d of 10 targets are ejected at %v, counted %d", ejected, end, counted)
+		if ejected := p.(*engine).ejected(); ejected > 5 {
+			t.Fatalf("%d of 10 targets are ejected at %v", ejected, end)
 		}
 	}
 	if refused := chart.Refusals() - before; refused != 0 {
@@ -75,6 +69,27 @@
 	}
 }
 
+// Guards against a limit that drifts: targets that left the service while they were ejected, and that the policy of the
+// previous snapshot readmits, must not permit further ejections among those that stay.
+func TestLimitOfEjectionsDoesNotDrift(t *testing.T) {
+	config := Config{Service: "s"}
+	for i := range 10 {
+		config.Targets = append(config.Targets, Target{Address: string(rune('a' + i)), Slots: 6})
+	}
+	old := TwoChoices{}.Build(config, nil)
+	respond(old, 10, 0, 300*time.Millisecond, failing(0, 4))
+	if left := old.(*engine).ejected(); left == 0 {
+		t.Fatal("no target is ejected")
+	}
+	config.Targets = config.Targets[5:]
+	next := TwoChoices{}.Build(config, old)
+	respond(old, 10, time.Minute, time.Minute+time.Second, failing(-1, -1))
+	respond(next, 5, time.Minute, time.Minute+100*time.Millisecond, failing(0, 4))
+	if ejected := next.(*engine).ejected(); ejected != 2 {
+		t.Errorf("%d of 5 targets are ejected, want 2", ejected)
+	}
+}
+
 // Guards against a step that the chart lacks and that is taken without a typed error and a count.
 func TestRefusedPhaseChange(t *testing.T) {
 	c, before := &cell{}, chart.Refusals()
--- a/internal/transport/failure.go
+++ b/internal/transport/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/basillink/basillink/internal/reason"
 )
@@ -15,7 +16,7 @@
 	switch {
 	case errors.As(err, &limit):
 		cause = contextReason(ctx, reason.ConnectionsBusy, reason.CallerLeftEarly)
-	case errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil:
+	case errors.Is(err, context.DeadlineExceeded) || ended(ctx):
 		cause = contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
 	}
 	return &ExchangeError{Reason: cause, Address: p.address, Err: err}
@@ -30,7 +31,7 @@
 		failure.Reason = unsentReason(ctx)
 	case silent:
 		failure.Reason = reason.ConnectionSilent
-	case ctx.Err() != nil:
+	case ended(ctx):
 		failure.Reason = contextReason(ctx, reason.AnswerTimeout, reason.CallerLeft)
 	default:
 		failure.Reason = answerReason(err, conn.failed)
@@ -39,7 +40,7 @@
 }
 
 func unsentReason(ctx context.Context) *reason.Reason {
-	if ctx.Err() != nil {
+	if ended(ctx) {
 		return contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
 	}
 	return reason.ConnectionLost
@@ -72,3 +73,10 @@
 	}
 	return expired
 }
+
+// ended reports whether a request was cancelled or is out of time. It looks at the clock too, because the deadline of a
+// connection may fire before the timer of the context.
+func ended(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && time.Until(deadline) <= 0
+}
