--- a/internal/control/outage_test.go
+++ b/internal/control/outage_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -51,6 +53,7 @@
 // startInstance runs the control part of an instance until the context ends.
 func startInstance(ctx context.Context, log platform.Log, seed uint64) *Loop {
 	loop := New("tz-north-a", balancer.TwoChoices{}, quiet)
+	loop.Self, loop.Members = fmt.Sprint("i", seed), func() []string { return []string{"i2", "i0", "i3", "i1", "i1"} }
 	reader := &Reader{Log: log, Loop: loop, Random: rand.New(rand.NewPCG(seed, 5)), Logger: quiet}
 	checkpointer := &Checkpointer{Log: log, Loop: loop, Logger: quiet}
 	go loop.Run(ctx)
@@ -186,6 +189,32 @@
 	})
 }
 
+// Guards against subsets that are drawn before an instance knows the others and then stay: once the lists are the same,
+// no target is used by more instances than it has connections, one of which is left for checks.
+func TestSubsetsFollowTheInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := standin.NewLog()
+		spec := strings.Replace(flightdesk, "region", "connections_per_target = 2\nmax_instances = 4\nregion", 1)
+		for i := range 7 {
+			spec += fmt.Sprintf("[[service.target]]\naddress = \"127.0.0.1:%d\"\nzone = \"tz-north-a\"\n", 8081+i)
+		}
+		appendService(t, log, &intent.Change{ID: "1", Service: "flightdesk", Spec: spec})
+		counts := map[string]int{}
+		for i := range 4 {
+			loop := startInstance(ctx, log, uint64(i))
+			time.Sleep(3 * time.Second)
+			for _, target := range loop.Snapshot().Services["flightdesk"].Targets {
+				counts[target.Address]++
+			}
+		}
+		if len(counts) != 8 {
+			t.Errorf("4 instances with 2 targets each use %d of 8 targets, want each once: %v", len(counts), counts)
+		}
+	})
+}
+
 // Guards against a traffic goroutine that waits for the control goroutine, and against drops that are not counted.
 func TestObserveNeverBlocks(t *testing.T) {
 	loop := New("tz-north-a", balancer.TwoChoices{}, quiet)
