Derive the number of preferred targets from targets and instances

Cause: six preferred targets were tuned for 20 targets with 20 instances. With 100 and 400 targets an instance sends more requests to each, so that more of them stay known, and six leave the load uneven; with fewer targets than instances they are too many.

Ruled out: the number of targets alone (25 of 100 are best with 20 instances, 6 with 100), three as the only lower limit (100 targets, 200 instances at 90 %: 155.0 and 170.0 instead of 113.5 and 134.9 ms).

Change: 1 + 5 x targets / instances; below one target to an instance 12 x targets / instances, at most six and at least three. Control passes the number of live instances and rebuilds a policy when the derived number changes. The policy table takes numbers of targets and instances.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,6 +21,8 @@
 	Targets []Target
 	// Instance is a hash of this instance's identity. It selects the targets that this instance prefers.
 	Instance uint64
+	// Instances is the number of instances that share the targets, 0 when it is not known.
+	Instances int
 	// ProbesPerRequest is the agreed measuring rate. 0 means no probes.
 	ProbesPerRequest float64
 }
--- a/internal/balancer/hotpath_test.go
+++ b/internal/balancer/hotpath_test.go
@@ -11,7 +11,7 @@
 func fleet(b Builder, targets, services int) []Policy {
 	policies := make([]Policy, services)
 	for s := range policies {
-		config := Config{Service: fmt.Sprint("service-", s), Instance: 7}
+		config := Config{Service: fmt.Sprint("service-", s), Instance: 7, Instances: 20}
 		for i := s; i < targets; i += services {
 			config.Targets = append(config.Targets, Target{Address: fmt.Sprintf("10.0.%d.%d:80", s, i), Slots: 6, SameZone: i%3 == 0})
 		}
@@ -77,7 +77,7 @@
 
 // BenchmarkChoice measures a choice alone while unrelated services grow.
 func BenchmarkChoice(b *testing.B) {
-	for _, size := range []struct{ targets, services int }{{10, 1}, {100, 3}, {1000, 28}, {4600, 130}} {
+	for _, size := range []struct{ targets, services int }{{10, 1}, {400, 1}, {100, 3}, {1000, 28}, {4600, 130}} {
 		for _, builder := range Builders() {
 			b.Run(fmt.Sprintf("%s/targets=%d", builder.Name(), size.targets), func(b *testing.B) {
 				policies := fleet(builder, size.targets, size.services)
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -22,23 +22,41 @@
 }
 
 const (
-	// preferredSize is the number of targets that an instance uses first. The fewer they are, the fresher is what it
-	// knows of each, and the fewer instances run into a target that has just become slow. From 5 to 7 of 20 targets
-	// the tail in the model is the same within the spread; below, the load becomes uneven.
-	preferredSize = 6
+	// preferredByTarget is the number of targets that an instance uses first, for each target that there is to an
+	// instance. The more targets there are to an instance, the more requests it sends to each; with six of 400 targets
+	// and 20 instances, p99 in the model at 75 % utilisation is 48.6 instead of 36.6 ms.
+	preferredByTarget = 5
+	// usersOfTarget is how many instances prefer each target on average when there are fewer targets than instances.
+	// With six, for 100 targets and 200 instances, p99 at 90 % utilisation grows from 114 to 155 ms.
+	usersOfTarget = 12
+	// leastPreferred is the lowest number of preferred targets.
+	leastPreferred = 3
+	// defaultPreferred is their number for as many targets as instances, or when the number of instances is not known.
+	// From 5 to 7 of 20 targets the tail in the model is the same within the spread; below, the load becomes uneven.
+	defaultPreferred = 6
 	// distantCost is the cost of a target that is not preferred, in requests per slot.
 	distantCost = 0.3
 	// unknownCost is the further cost of such a target while its load is not known.
 	unknownCost = 1.0
 )
 
+// PreferredSize returns the number of targets that an instance uses first. The fewer they are, the fresher is what it
+// knows of each, and the fewer instances run into a target that has just become slow.
+func PreferredSize(targets, instances int) int {
+	if instances < 1 {
+		return defaultPreferred
+	}
+	few := min(defaultPreferred, usersOfTarget*targets/instances)
+	return max(leastPreferred, few, 1+preferredByTarget*targets/instances)
+}
+
 // prefer selects the targets that the instance uses first: a few of those in its availability zone, or a few of all
 // when none is there. Policies without limit prefer the whole availability zone.
 func (p *engine) prefer(config Config) {
 	p.distance = make([]float64, len(config.Targets))
 	limit := len(p.members)
 	if p.kind.prefers {
-		limit = preferredSize
+		limit = PreferredSize(len(config.Targets), config.Instances)
 	}
 	local := slices.ContainsFunc(p.members, func(i int) bool { return config.Targets[i].SameZone })
 	for _, i := range p.members {
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -21,7 +21,7 @@
 	}
 	for name, entry := range state.Services {
 		targets := l.targetsInUse(&entry.Spec)
-		if old := previous.service(name); old != nil && old.Revision == entry.Revision && old.uses(targets) {
+		if old := previous.service(name); old != nil && old.Revision == entry.Revision && !l.outdated(old, targets) {
 			next.Services[name] = old
 			continue
 		}
@@ -43,9 +43,10 @@
 }
 
 func (l *Loop) buildService(entry *intent.Entry, targets []operator.Target, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision, preferred: l.preferred(len(targets))}
 	config := balancer.Config{
 		Service:          entry.Spec.Name,
+		Instances:        len(l.instances),
 		ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest,
 	}
 	for _, target := range targets {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -73,12 +73,15 @@
 	return subset
 }
 
-// uses reports whether the service has exactly these targets.
-func (s *Service) uses(targets []operator.Target) bool {
-	return slices.EqualFunc(s.Targets, targets, func(a *Target, b operator.Target) bool { return a.Address == b.Address })
+// outdated reports whether a service was built for other targets, or for a fleet of another size.
+func (l *Loop) outdated(s *Service, targets []operator.Target) bool {
+	same := func(a *Target, b operator.Target) bool { return a.Address == b.Address }
+	return s.preferred != l.preferred(len(targets)) || !slices.EqualFunc(s.Targets, targets, same)
 }
 
-// followInstances moves subsets when the list of live instances has changed.
+func (l *Loop) preferred(targets int) int { return balancer.PreferredSize(targets, len(l.instances)) }
+
+// followInstances rebuilds services when the list of live instances has changed what they use.
 func (l *Loop) followInstances() {
 	if l.Members == nil {
 		return
@@ -94,7 +97,7 @@
 		return
 	}
 	for _, service := range snapshot.Services {
-		if !service.uses(l.targetsInUse(&service.Spec)) {
+		if l.outdated(service, l.targetsInUse(&service.Spec)) {
 			l.publish()
 			return
 		}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,6 +33,8 @@
 	// Admission and Retries outlive a revision of the service.
 	Admission *admission.Limiter
 	Retries   *admission.RetryBudget
+	// preferred is the number of targets that the policy uses first.
+	preferred int
 }
 
 // Target is one target that may receive requests.
--- a/internal/targetmodel/instance.go
+++ b/internal/targetmodel/instance.go
@@ -42,6 +42,7 @@
 	config := balancer.Config{
 		Service:          "model",
 		Instance:         uint64(in.index),
+		Instances:        m.settings.Instances,
 		ProbesPerRequest: m.settings.ProbesPerRequest,
 	}
 	in.members = in.members[:0]
--- a/internal/targetmodel/table_test.go
+++ b/internal/targetmodel/table_test.go
@@ -10,8 +10,10 @@
 )
 
 var (
-	tableSeeds = flag.Int("table.seeds", 10, "seeds per row of the policy table")
-	tableOnly  = flag.String("table.only", "", "a single table, such as flightdesk-75")
+	tableSeeds     = flag.Int("table.seeds", 10, "seeds per row of the policy table")
+	tableTargets   = flag.Int("table.targets", 20, "number of targets")
+	tableInstances = flag.Int("table.instances", 20, "number of instances")
+	tableOnly      = flag.String("table.only", "", "a single table, such as flightdesk-75")
 )
 
 // BenchmarkPolicyTable prints the table of all policies and probe rates:
@@ -22,6 +24,7 @@
 		for _, service := range services() {
 			for _, utilisation := range []float64{0.5, 0.75, 0.9} {
 				service.settings.Utilisation = utilisation
+				service.settings.Targets, service.settings.Instances = *tableTargets, *tableInstances
 				printTable(service.name, service.settings)
 			}
 		}
