--- a/internal/targetmodel/fault_test.go
+++ b/internal/targetmodel/fault_test.go
@@ -55,11 +55,14 @@
 
 func faultCases() []faultCase {
 	late := during(FaultReportLate, 0, 19)
+	// The first report of a run shows an idle target.
+	idleSince := Fault{Kind: FaultReportStuck, First: 0, Last: 1, Until: 3 * time.Second}
 	return []faultCase{
 		{"slow", []Fault{during(FaultSlow, 0, 1)}, 0, 1, 0.02, 0, 0.5},
 		{"reject", []Fault{during(FaultReject, 0, 1)}, 0, 1, 0.02, 0, 0},
 		{"reports idle and slow", []Fault{during(FaultReportIdle, 0, 1), during(FaultSlow, 0, 1)}, 0, 1, 0.02, 0, 0.5},
 		{"report stuck and slow", []Fault{during(FaultReportStuck, 0, 1), during(FaultSlow, 0, 1)}, 0, 1, 0.02, 0, 0.5},
+		{"report stuck when idle and slow", []Fault{idleSince, during(FaultSlow, 0, 1)}, 0, 1, 0.02, 0, 0.5},
 		{"all reports late and one slow", []Fault{late, during(FaultSlow, 0, 0)}, 0, 0, 0.01, 0, 0.75},
 		{"reject and slow", []Fault{during(FaultReject, 0, 1), during(FaultSlow, 2, 3)}, 0, 3, 0.04, 0, 0},
 		{"reports idle and reject", []Fault{during(FaultReportIdle, 0, 1), during(FaultReject, 0, 1)}, 0, 1, 0.02, 0, 0},
