--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		targets := l.targetsInUse(&entry.Spec)
-		if same && old.uses(targets) {
+		if same && !l.outdated(old, targets) {
 			next.Services[name] = old
 			continue
 		}
@@ -53,9 +53,10 @@
 }
 
 func (l *Loop) buildService(entry *intent.Entry, targets []operator.Target, previous *Service) *Service {
-	service := &Service{Spec: entry.Spec, Revision: entry.Revision}
+	service := &Service{Spec: entry.Spec, Revision: entry.Revision, preferred: l.preferred(len(targets))}
 	config := balancer.Config{
 		Service:          entry.Spec.Name,
+		Instances:        len(l.instances),
 		ProbesPerRequest: entry.Spec.Measuring.ProbesPerRequest,
 	}
 	for _, target := range targets {
