--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/standin/relay"
 )
 
 const (
@@ -28,39 +28,15 @@
 // settings, that file and the address of the other half.
 func runDividedDaemon(ctx context.Context, argument string) {
 	fields := strings.Fields(argument)
-	cut := func() bool {
+	peer.DialContext = relay.Cut(peer.DialContext, fields[2], func() bool {
 		_, err := os.Stat(fields[1])
 		return err == nil
-	}
-	dial := peer.DialContext
-	peer.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		if !strings.HasPrefix(address, fields[2]) {
-			return dial(ctx, network, address)
-		}
-		if cut() {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		}
-		conn, err := dial(ctx, network, address)
-		return &cutConn{Conn: conn, cut: cut}, err
-	}
+	})
 	runDaemon(ctx, fields[0])
 }
 
-// cutConn loses what is written during a cut, as a network does that drops packets.
-type cutConn struct {
-	net.Conn
-	cut func() bool
-}
-
-func (c *cutConn) Write(p []byte) (int, error) {
-	if c.cut() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-// dividedFleet is a fleet whose halves can lose each other. Their peer listeners differ in their address. The second half never reaches the log.
+// dividedFleet is a fleet whose halves can lose each other. Their peer listeners differ in their address. The second half
+// never reaches the log.
 type dividedFleet struct {
 	*testFleet
 	cutFile string
