--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -17,10 +17,12 @@
 
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
 	"github.com/basillink/basillink/internal/standin/relay"
 	"github.com/basillink/basillink/internal/standin/standintest"
+	"github.com/basillink/basillink/internal/ticket"
 )
 
 // claim is what a caller was told.
@@ -268,3 +270,13 @@
 	filler := token + "."
 	return line + strings.Repeat(filler, missing/len(filler)+1)[:missing]
 }
+
+// Guards against a table of operations that ignores the settings of a small instance.
+func TestTicketTableFollowsSettings(t *testing.T) {
+	desk := newDesk("i1", 1, settings.Tickets{MaxOperations: 1})
+	for i, want := range []ticket.Action{ticket.Run, ticket.Refuse} {
+		if got := desk.Decide(0, desk.Issue(0), ticket.Digest{byte(i)}, false); got.Action != want {
+			t.Errorf("operation %d: %+v, want action %v", i, got, want)
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,7 +29,7 @@
 // Join sets the incarnation under which peers know this process, and how the owners of tickets are found. It must be
 // called before Run.
 func (g *Gateway) Join(incarnation uint64, owners Owners) {
-	g.desk = newDesk(g.instance, incarnation)
+	g.desk = newDesk(g.instance, incarnation, g.tickets)
 	g.owners = owners
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	server      *server.Hertz
 	connections connections
 	inFlight    *inFlight
+	tickets     settings.Tickets
 	desk        *ticket.Desk
 	owners      Owners
 	forwards    forwardPools
@@ -71,7 +72,8 @@
 		start:    time.Now(),
 		listener: &listener{address: s.Listen.Caller},
 		inFlight: newInFlight(),
-		desk:     newDesk(s.Instance.ID, randomNumber()),
+		tickets:  s.Tickets,
+		desk:     newDesk(s.Instance.ID, randomNumber(), s.Tickets),
 		owners:   noOwners{},
 	}
 	g.guard = crashguard.New(g.spreadCrash)
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -10,6 +10,7 @@
 	"github.com/basillink/basillink/internal/digest"
 	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/ticket"
 )
 
@@ -17,11 +18,13 @@
 const ticketPath = "/.basillink/ticket"
 
 // newDesk returns a desk with a new key.
-func newDesk(instance string, incarnation uint64) *ticket.Desk {
+func newDesk(instance string, incarnation uint64, bounds settings.Tickets) *ticket.Desk {
 	var key ticket.Key
 	// crypto/rand.Read never returns an error; it ends the process when the system has no randomness.
 	_, _ = rand.Read(key[:])
-	return ticket.NewDesk(ticket.Owner{Instance: instance, Incarnation: incarnation}, key, ticket.DefaultLimits())
+	limits := ticket.DefaultLimits()
+	limits.Entries, limits.KeptBytes = bounds.MaxOperations, bounds.MaxKeptBytes
+	return ticket.NewDesk(ticket.Owner{Instance: instance, Incarnation: incarnation}, key, limits)
 }
 
 // AddClosing stores one part of another instance's closing record.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	Peer     Peer     `toml:"peer"`
 	Balancer Balancer `toml:"balancer"`
 	Limits   Limits   `toml:"limits"`
+	Tickets  Tickets  `toml:"tickets"`
 	Drain    Drain    `toml:"drain"`
 	Log      Log      `toml:"log"`
 }
@@ -68,6 +69,16 @@
 	MaxAnswerBytes int `toml:"max_answer_bytes" unit:"bytes" accept:"range:1024..1073741824" default:"67108864"`
 }
 
+// Tickets bounds what is remembered of requests that may not be repeated.
+type Tickets struct {
+	// MaxOperations bounds the requests whose outcome is remembered, each for 10 min. Further ones are refused as not run.
+	// Each takes about 0.5 KB of memory.
+	MaxOperations int `toml:"max_operations" accept:"range:1..1048576" default:"65536"`
+	// MaxKeptBytes bounds the memory of answers that are kept for callers that ask again. The oldest give way; a caller
+	// then learns the outcome, the status and the length.
+	MaxKeptBytes int `toml:"max_kept_bytes" unit:"bytes" accept:"range:0..1073741824" default:"33554432"`
+}
+
 // Drain configures the stop of this instance.
 type Drain struct {
 	// LimitMS is the longest time to wait for requests in flight, except for long classes, which always finish.
