Book while all instances are replaced, in turn and at once

Cause: the replacement of every instance was tested with lookups and without load; what happens to bookings meanwhile was not counted.

Change: two cases of TestAtMostOnce. All instances are stopped as planned and started anew one after the other, or all are killed and started anew at once, while 12 callers book with tickets of the old processes.

--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -274,6 +274,23 @@
 		testwait.Until(t, "bookings at the target", func() bool { return f.local[0].InFlight() > 1 })
 		_ = f.local[0].Close()
 	}
+	replaceInTurn := func(_ *testing.T, f *onceFleet) {
+		for _, i := range f.all() {
+			f.stop(i, syscall.SIGTERM)
+			f.start(i, f.address)
+			f.allAt(1, i)
+		}
+	}
+	replaceAtOnce := func(_ *testing.T, f *onceFleet) {
+		for _, i := range f.all() {
+			f.signal(i, syscall.SIGKILL)
+		}
+		for _, i := range f.all() {
+			_ = f.instances[i].command.Wait()
+			f.start(i, f.address)
+		}
+		f.allAt(1, f.all()...)
+	}
 	cases := []struct {
 		name      string
 		noTickets bool
@@ -289,6 +306,8 @@
 		{name: "owner killed", fault: kill, unknown: 1},
 		{name: "owner frozen", fault: freeze},
 		{name: "owner stopped", notRun: 1, fault: func(_ *testing.T, f *onceFleet) { f.signal(0, syscall.SIGTERM) }},
+		{name: "all instances replaced in turn", fault: replaceInTurn},
+		{name: "all instances killed and replaced at once", fault: replaceAtOnce, unknown: 1},
 		{name: "log down", logDown: true},
 		{name: "owner killed, log down", logDown: true, fault: kill, unknown: 1},
 		{name: "owner frozen, log down", logDown: true, fault: freeze},
