Keep a port from a process that is being started

A process that another test starts at that moment has a copy of the listener between fork and exec, so that the port is still in use when its owner listens.

Ruled out: two tests with the same port. Ports are handed out in turn, under a loopback address that only this process uses, and the range had not been used up.

Change: the listener is open only under syscall.ForkLock, which keeps processes from being started.

Conclusion: this explains the failures "did not happen within 15s" of single fleets under load, whose daemons could not listen, as far as they came from one process.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/basillink/basillink/internal/client"
@@ -46,8 +47,7 @@
 		}
 		port := lowestPort + lastPort.Add(1)%(highestPort-lowestPort)
 		address := fmt.Sprintf("%s%d", processHost(0), port)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
+		if isFree(address) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -55,6 +55,15 @@
 	return nil
 }
 
+// isFree opens and closes a listener. No process is started meanwhile: between fork and exec it would have a copy of the
+// listener, and the port would be in use after the listener was closed here.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	return err == nil && listener.Close() == nil
+}
+
 func writeSettings(t testing.TB, id, platformAddress string, listen []string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), id+".toml")
