Share the look at the clock of a request that is out of time

Cause: gateway and transport each had the same look at the clock beside the context, because the deadline of a connection may fire before the timer of the context.

Ruled out: the other shared lines of the change. The tables of events of the two charts and the methods of the HTTP library's log interface are alike by shape alone.

Change: transport.Ended replaces deadlinePassed of the gateway.

Conclusion: behaviour is unchanged.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -93,18 +93,12 @@
 }
 
 func forwardFailure(ctx context.Context, err error) *result {
-	if ctx.Err() != nil || deadlinePassed(ctx) {
+	if transport.Ended(ctx) {
 		return &result{why: cutReason(ctx, endReason(ctx)), cause: err}
 	}
 	return &result{why: reason.ForwardLost, cause: err}
 }
 
-// deadlinePassed looks at the clock, because the deadline of the connection may fire before the timer of the context.
-func deadlinePassed(ctx context.Context) bool {
-	deadline, ok := ctx.Deadline()
-	return ok && time.Until(deadline) <= 0
-}
-
 // addForwardHeaders adds what the owner needs to know of the caller's request.
 func addForwardHeaders(request *protocol.Request, call *call, text string) {
 	h := &request.Header
--- a/internal/transport/failure.go
+++ b/internal/transport/failure.go
@@ -16,7 +16,7 @@
 	switch {
 	case errors.As(err, &limit):
 		cause = contextReason(ctx, reason.ConnectionsBusy, reason.CallerLeftEarly)
-	case errors.Is(err, context.DeadlineExceeded) || ended(ctx):
+	case errors.Is(err, context.DeadlineExceeded) || Ended(ctx):
 		cause = contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
 	}
 	return &ExchangeError{Reason: cause, Address: p.address, Err: err}
@@ -31,7 +31,7 @@
 		failure.Reason = unsentReason(ctx)
 	case silent:
 		failure.Reason = reason.ConnectionSilent
-	case ended(ctx):
+	case Ended(ctx):
 		failure.Reason = contextReason(ctx, reason.AnswerTimeout, reason.CallerLeft)
 	default:
 		failure.Reason = answerReason(err, conn.failed)
@@ -40,7 +40,7 @@
 }
 
 func unsentReason(ctx context.Context) *reason.Reason {
-	if ended(ctx) {
+	if Ended(ctx) {
 		return contextReason(ctx, reason.DeadlineTooShort, reason.CallerLeftEarly)
 	}
 	return reason.ConnectionLost
@@ -74,9 +74,9 @@
 	return expired
 }
 
-// ended reports whether a request was cancelled or is out of time. It looks at the clock too, because the deadline of a
+// Ended reports whether a request was cancelled or is out of time. It looks at the clock too, because the deadline of a
 // connection may fire before the timer of the context.
-func ended(ctx context.Context) bool {
+func Ended(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
 	return ctx.Err() != nil || ok && time.Until(deadline) <= 0
 }
