--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,7 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/control"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // exitWait bounds the end of the admin listener, which carries no request worth waiting for.
@@ -30,11 +30,11 @@
 	// InFlight is the number of requests that are being served.
 	InFlight int64 `json:"in_flight"`
 	// Revision is the revision in force, 0 before the first.
-	Revision platform.Offset `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	// Through is the offset of the last log record that is taken into account.
-	Through platform.Offset `json:"through"`
+	Through logservice.Offset `json:"through"`
 	// Services maps each service in force to its revision.
-	Services map[string]platform.Offset `json:"services"`
+	Services map[string]logservice.Offset `json:"services"`
 	// Configuration is the state of the configuration: none, in_force, stale or cut_off.
 	Configuration string `json:"configuration"`
 	// Departed lists the targets that receive no requests because they left.
@@ -111,7 +111,7 @@
 		State:    s.source.State(),
 		Ready:    s.source.Ready(),
 		InFlight: s.source.InFlight(),
-		Services: map[string]platform.Offset{},
+		Services: map[string]logservice.Offset{},
 	}
 	if s.source.Members != nil {
 		status.Members = s.source.Members()
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -9,7 +9,7 @@
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/gateway"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/operator"
 )
@@ -22,7 +22,7 @@
 	Method   string `json:"method"`
 	// URI is the path and query that a target would see.
 	URI      string          `json:"uri"`
-	Revision platform.Offset `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	// Class holds the rules of the class that applies, nil when the request would be refused before that.
 	Class *ClassRules `json:"class,omitempty"`
 	// Candidates are the targets that may receive the request. Which of them does depends on load.
--- a/internal/client/diff_command.go
+++ b/internal/client/diff_command.go
@@ -10,7 +10,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -18,7 +18,7 @@
 type ServiceDiff struct {
 	Service string `json:"service"`
 	// Revision is the revision in force, 0 for a service that is not in force.
-	Revision platform.Offset `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	// Diff is empty when nothing differs.
 	Diff string `json:"diff"`
 }
@@ -38,7 +38,7 @@
 			if err != nil {
 				return usageError(err)
 			}
-			state, err := ReadState(ctx, platform.NewClient(address))
+			state, err := ReadState(ctx, logservice.NewClient(address))
 			if err != nil {
 				return failure(err)
 			}
--- a/internal/client/history_command.go
+++ b/internal/client/history_command.go
@@ -9,16 +9,16 @@
 	"github.com/google/subcommands"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // HistoryEntry is the decision on one change.
 type HistoryEntry struct {
-	Offset  platform.Offset `json:"offset"`
+	Offset  logservice.Offset `json:"offset"`
 	Service string          `json:"service"`
 	Author  string          `json:"author"`
 	Verdict intent.Verdict  `json:"verdict"`
-	Base    platform.Offset `json:"base"`
+	Base    logservice.Offset `json:"base"`
 	Change  string          `json:"change"`
 	Removal bool            `json:"removal,omitempty"`
 }
@@ -38,7 +38,7 @@
 			if f.NArg() != 0 {
 				return usageError(&UsageError{Detail: "no argument is expected"})
 			}
-			entries, err := History(ctx, platform.NewClient(address), service)
+			entries, err := History(ctx, logservice.NewClient(address), service)
 			if err != nil {
 				return failure(err)
 			}
@@ -49,7 +49,7 @@
 }
 
 // History returns the decisions on the changes that the log retains, of one service or, with an empty name, of all.
-func History(ctx context.Context, log platform.Log, service string) ([]HistoryEntry, error) {
+func History(ctx context.Context, log logservice.Log, service string) ([]HistoryEntry, error) {
 	entries := []HistoryEntry{}
 	err := follow(ctx, log, intent.NewFold(), func(d intent.Decision) bool {
 		if d.Change != nil && (service == "" || d.Change.Service == service) {
--- a/internal/client/publish.go
+++ b/internal/client/publish.go
@@ -12,7 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -27,8 +27,8 @@
 // ConflictError reports a change that was refused because the service changed in the meantime.
 type ConflictError struct {
 	Service string
-	Base    platform.Offset
-	Current platform.Offset
+	Base    logservice.Offset
+	Current logservice.Offset
 	// Author is who published the revision in force, empty when the service was removed.
 	Author string
 	// Diff leads from the service in force to the refused change.
@@ -60,14 +60,14 @@
 func (e *UnresolvedError) Unwrap() error { return e.Err }
 
 // ReadState folds the whole log.
-func ReadState(ctx context.Context, log platform.Log) (*intent.State, error) {
+func ReadState(ctx context.Context, log logservice.Log) (*intent.State, error) {
 	fold := intent.NewFold()
 	err := follow(ctx, log, fold, func(intent.Decision) bool { return false })
 	return fold.State(), err
 }
 
 // follow folds records until visit returns true or the log ends.
-func follow(ctx context.Context, log platform.Log, fold *intent.Fold, visit func(intent.Decision) bool) error {
+func follow(ctx context.Context, log logservice.Log, fold *intent.Fold, visit func(intent.Decision) bool) error {
 	for {
 		page, err := log.Read(ctx, fold.Next(), readPageRecords, 0)
 		if err != nil {
@@ -85,7 +85,7 @@
 }
 
 // Publish puts a service into force on top of its revision in state and returns the decision on the change.
-func Publish(ctx context.Context, log platform.Log, state *intent.State, author string, s operator.Service) (intent.Decision, error) {
+func Publish(ctx context.Context, log logservice.Log, state *intent.State, author string, s operator.Service) (intent.Decision, error) {
 	spec, err := intent.EncodeService(s)
 	if err != nil {
 		return intent.Decision{}, trace.Wrap(err)
@@ -107,7 +107,7 @@
 // appends again only after the log was read to its end without finding the change. An append that lands later all
 // the same does no harm: its base is no longer current then.
 // The state must be older than the change; it is moved on to the last record read.
-func appendChange(ctx context.Context, log platform.Log, state *intent.State, change *intent.Change) (intent.Decision, error) {
+func appendChange(ctx context.Context, log logservice.Log, state *intent.State, change *intent.Change) (intent.Decision, error) {
 	payload, err := (&intent.Record{Kind: intent.KindChange, Change: change}).Encode()
 	if err != nil {
 		return intent.Decision{}, trace.Wrap(err)
@@ -142,7 +142,7 @@
 
 // findDecision reads on to the first decision on a change. Later copies of it are refused or ignored by the fold.
 // When its record is no longer retained, the state of a checkpoint still names the change in force.
-func findDecision(ctx context.Context, log platform.Log, fold *intent.Fold, change *intent.Change) (intent.Decision, bool, error) {
+func findDecision(ctx context.Context, log logservice.Log, fold *intent.Fold, change *intent.Change) (intent.Decision, bool, error) {
 	var decision intent.Decision
 	found := false
 	err := follow(ctx, log, fold, func(d intent.Decision) bool {
--- a/internal/client/publish_command.go
+++ b/internal/client/publish_command.go
@@ -11,7 +11,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -28,7 +28,7 @@
 	// Outcome is "accepted", "unchanged" or "refused".
 	Outcome string `json:"outcome"`
 	// Revision is the revision in force after the command, 0 when it is not known.
-	Revision platform.Offset `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	Change   string          `json:"change,omitempty"`
 	Error    string          `json:"error,omitempty"`
 
@@ -79,7 +79,7 @@
 func (o *publishOptions) run(
 	ctx context.Context, out io.Writer, choose func(*intent.State) ([]operator.Service, error),
 ) subcommands.ExitStatus {
-	client := platform.NewClient(o.platform)
+	client := logservice.NewClient(o.platform)
 	state, err := ReadState(ctx, client)
 	if err != nil {
 		return failure(err)
@@ -102,7 +102,7 @@
 // publishServices publishes services one after another. All changes are based on the same state, so that a change
 // by another operator in between is refused and not overwritten.
 func publishServices(
-	ctx context.Context, log platform.Log, state *intent.State, o *publishOptions, services []operator.Service,
+	ctx context.Context, log logservice.Log, state *intent.State, o *publishOptions, services []operator.Service,
 ) []PublishResult {
 	var results []PublishResult
 	base := state.Clone()
@@ -120,7 +120,7 @@
 }
 
 func (r *PublishResult) publish(
-	ctx context.Context, log platform.Log, state, base *intent.State, o *publishOptions, service operator.Service,
+	ctx context.Context, log logservice.Log, state, base *intent.State, o *publishOptions, service operator.Service,
 ) {
 	spec, err := intent.EncodeService(service)
 	if err != nil {
@@ -129,7 +129,7 @@
 	}
 	change := newChange(base, o.author, service.Name, spec)
 	if o.base != 0 {
-		change.Base = platform.Offset(o.base)
+		change.Base = logservice.Offset(o.base)
 	}
 	r.Change = change.ID
 	decision, err := appendChange(ctx, log, state, change)
--- a/internal/client/publish_test.go
+++ b/internal/client/publish_test.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/operator"
 )
 
 // faultyLog loses answers and appends, lets appends land late and refuses reads.
 type faultyLog struct {
-	platform.Log
+	logservice.Log
 	// late holds appends whose answer is lost and that land only after the number of further reads given.
 	lateAfterReads int
 	late           [][]byte
@@ -27,7 +27,7 @@
 	reads          int
 }
 
-func (l *faultyLog) Append(ctx context.Context, payload []byte) (platform.Offset, error) {
+func (l *faultyLog) Append(ctx context.Context, payload []byte) (logservice.Offset, error) {
 	l.appends++
 	switch {
 	case l.loseAppends > 0:
@@ -40,10 +40,10 @@
 	return l.Log.Append(ctx, payload)
 }
 
-func (l *faultyLog) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+func (l *faultyLog) Read(ctx context.Context, from logservice.Offset, max int, wait time.Duration) (logservice.Page, error) {
 	if l.failReads > 0 {
 		l.failReads--
-		return platform.Page{}, &standin.UnavailableError{}
+		return logservice.Page{}, &standin.UnavailableError{}
 	}
 	page, err := l.Log.Read(ctx, from, max, wait)
 	if l.reads++; l.reads == l.lateAfterReads {
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -6,28 +6,28 @@
 	"sync"
 
 	"github.com/basillink/basillink/internal/admin"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // InstanceStatus is the status of one listed instance.
 type InstanceStatus struct {
-	Listed platform.ListedInstance `json:"listed"`
+	Listed logservice.ListedInstance `json:"listed"`
 	Status *admin.Status           `json:"status,omitempty"`
 	Error  string                  `json:"error,omitempty"`
 }
 
 // FleetStatus asks the admin listener of each listed instance.
-func FleetStatus(ctx context.Context, list platform.InstanceList) ([]InstanceStatus, error) {
+func FleetStatus(ctx context.Context, list logservice.InstanceList) ([]InstanceStatus, error) {
 	instances, err := list.Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
-	instances = slices.DeleteFunc(instances, func(l platform.ListedInstance) bool { return l.TargetAddress != "" })
+	instances = slices.DeleteFunc(instances, func(l logservice.ListedInstance) bool { return l.TargetAddress != "" })
 	return askAll(ctx, instances), nil
 }
 
 // askAll asks all instances at once and returns their status in the order of the list.
-func askAll(ctx context.Context, instances []platform.ListedInstance) []InstanceStatus {
+func askAll(ctx context.Context, instances []logservice.ListedInstance) []InstanceStatus {
 	result := make([]InstanceStatus, len(instances))
 	var group sync.WaitGroup
 	for i, listed := range instances {
@@ -37,7 +37,7 @@
 	return result
 }
 
-func askStatus(ctx context.Context, listed platform.ListedInstance) InstanceStatus {
+func askStatus(ctx context.Context, listed logservice.ListedInstance) InstanceStatus {
 	status, err := Status(ctx, listed.AdminAddress)
 	if err != nil {
 		return InstanceStatus{Listed: listed, Error: err.Error()}
--- a/internal/client/status_command.go
+++ b/internal/client/status_command.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const statusUsage = `status [-platform ADDRESS | -admin ADDRESS,ADDRESS...] [-json]
@@ -41,11 +41,11 @@
 
 func readStatus(ctx context.Context, address, admins string) ([]InstanceStatus, error) {
 	if admins == "" {
-		return FleetStatus(ctx, platform.NewClient(address))
+		return FleetStatus(ctx, logservice.NewClient(address))
 	}
-	var instances []platform.ListedInstance
+	var instances []logservice.ListedInstance
 	for _, admin := range strings.Split(admins, ",") {
-		instances = append(instances, platform.ListedInstance{ID: admin, AdminAddress: admin})
+		instances = append(instances, logservice.ListedInstance{ID: admin, AdminAddress: admin})
 	}
 	return askAll(ctx, instances), nil
 }
--- a/internal/client/wait.go
+++ b/internal/client/wait.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -39,7 +39,7 @@
 }
 
 // run waits until each live instance of the list has the published revisions in force.
-func (o *waitOptions) run(ctx context.Context, list platform.InstanceList, results []PublishResult) error {
+func (o *waitOptions) run(ctx context.Context, list logservice.InstanceList, results []PublishResult) error {
 	if !o.wait {
 		return nil
 	}
@@ -63,7 +63,7 @@
 func withoutRevisions(statuses []InstanceStatus, results []PublishResult) []string {
 	var missing []string
 	for _, s := range statuses {
-		if s.Listed.State != platform.ListedLeaving && !hasRevisions(s, results) {
+		if s.Listed.State != logservice.ListedLeaving && !hasRevisions(s, results) {
 			missing = append(missing, s.Listed.ID)
 		}
 	}
--- a/internal/control/build_test.go
+++ b/internal/control/build_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // changePage returns a page of the log with a change of a service to the given targets, or its removal without targets.
-func changePage(l *Loop, name string, addresses ...string) platform.Page {
+func changePage(l *Loop, name string, addresses ...string) logservice.Page {
 	service, target, _ := strings.Cut(flightdesk, "[[service.target]]")
 	spec := ""
 	for i, address := range addresses {
@@ -25,8 +25,8 @@
 	state := l.fold.State()
 	change := &intent.Change{ID: fmt.Sprint(state.Through), Service: name, Base: state.Current(name), Spec: spec}
 	payload, _ := (&intent.Record{Kind: intent.KindChange, Change: change}).Encode()
-	record := platform.Record{Offset: state.Through + 1, Payload: payload}
-	return platform.Page{Earliest: 1, Next: record.Offset + 1, Records: []platform.Record{record}}
+	record := logservice.Record{Offset: state.Through + 1, Payload: payload}
+	return logservice.Page{Earliest: 1, Next: record.Offset + 1, Records: []logservice.Record{record}}
 }
 
 // Guards against an incremental snapshot that closes a pool in use, keeps one without users, or misses a departure.
@@ -65,7 +65,7 @@
 func BenchmarkTwoYear(b *testing.B) {
 	builder, _ := balancer.Find("combined")
 	l := New("tz-north-a", balancer.ForInstance(builder, "a"), quiet)
-	page := func() platform.Page {
+	page := func() logservice.Page {
 		i, addresses := l.Through()%130, make([]string, 4600/130)
 		for j := range addresses {
 			addresses[j] = fmt.Sprintf("10.%d.0.%d:8080", i, j+1)
--- a/internal/control/checkpoint.go
+++ b/internal/control/checkpoint.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // checkpointPoll is how often an instance looks whether a checkpoint is due.
@@ -15,7 +15,7 @@
 
 // Checkpointer appends a checkpoint when one is due.
 type Checkpointer struct {
-	Log    platform.Log
+	Log    logservice.Log
 	Loop   *Loop
 	Logger *slog.Logger
 }
@@ -52,7 +52,7 @@
 }
 
 // noteCheckpoints takes note of the retention and of the checkpoints of a page.
-func (l *Loop) noteCheckpoints(page platform.Page) {
+func (l *Loop) noteCheckpoints(page logservice.Page) {
 	l.checkpoint.Retain(l.now(), page.Retention)
 	for _, r := range page.Records {
 		if !intent.IsCheckpoint(r.Payload) {
--- a/internal/control/listwatch.go
+++ b/internal/control/listwatch.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -23,7 +23,7 @@
 // ListWatcher reads the platform's list and hands on contacts and departures of targets. Its fields are set before
 // Run and belong to the goroutine in Run.
 type ListWatcher struct {
-	List platform.InstanceList
+	List logservice.InstanceList
 	Loop *Loop
 	// Seeds are contacts from the settings, which are used besides those of the list.
 	Seeds    []string
@@ -34,7 +34,7 @@
 
 // Run reads the list until the context ends.
 func (w *ListWatcher) Run(ctx context.Context) {
-	backoff := platform.Backoff{Base: listBackoffBase, Max: listBackoffMax}
+	backoff := logservice.Backoff{Base: listBackoffBase, Max: listBackoffMax}
 	_ = w.Contacts(ctx, w.Seeds)
 	for ctx.Err() == nil {
 		list, err := w.List.Instances(ctx)
@@ -56,14 +56,14 @@
 	return min(interval, maxListInterval)
 }
 
-func (w *ListWatcher) take(ctx context.Context, list []platform.ListedInstance) {
+func (w *ListWatcher) take(ctx context.Context, list []logservice.ListedInstance) {
 	contacts := slices.Clone(w.Seeds)
 	for _, listed := range list {
 		switch {
 		case listed.TargetAddress != "":
-			leaving := listed.State == platform.ListedLeaving
+			leaving := listed.State == logservice.ListedLeaving
 			w.Loop.Observe(TargetEvent{Address: listed.TargetAddress, Incarnation: listed.Incarnation, Draining: leaving})
-		case listed.State == platform.ListedLive:
+		case listed.State == logservice.ListedLive:
 			contacts = append(contacts, listed.PeerAddress)
 		}
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,7 +14,7 @@
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/peer"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const expiryInterval = time.Second
@@ -116,7 +116,7 @@
 
 // Deliver hands a page of the log to the loop and returns the offset from which to read next. An error means that
 // the page does not lead on; reading goes on from the returned offset after a pause.
-func (l *Loop) Deliver(ctx context.Context, page platform.Page) (next platform.Offset, err error) {
+func (l *Loop) Deliver(ctx context.Context, page logservice.Page) (next logservice.Offset, err error) {
 	callErr := l.Do(ctx, func() {
 		err = l.applyPage(page)
 		next = l.fold.Next()
@@ -129,7 +129,7 @@
 
 // applyPage folds a page. The first configuration goes into force when the end of the log is reached, so that a
 // fresh instance does not serve old revisions one after another.
-func (l *Loop) applyPage(page platform.Page) error {
+func (l *Loop) applyPage(page logservice.Page) error {
 	l.noteCheckpoints(page)
 	before := l.fold.State().Revision
 	err := l.fold.Page(page, l.logDecision)
@@ -160,10 +160,10 @@
 }
 
 // Through returns the applied offset. It must be called on the control goroutine.
-func (l *Loop) Through() platform.Offset { return l.fold.State().Through }
+func (l *Loop) Through() logservice.Offset { return l.fold.State().Through }
 
 // Delta returns what changed after an offset. It must be called on the control goroutine.
-func (l *Loop) Delta(after platform.Offset) *intent.Delta { return l.fold.State().Delta(after) }
+func (l *Loop) Delta(after logservice.Offset) *intent.Delta { return l.fold.State().Delta(after) }
 
 // Merge applies a delta from a peer. It must be called on the control goroutine.
 func (l *Loop) Merge(d *intent.Delta) error {
--- a/internal/control/outage_test.go
+++ b/internal/control/outage_test.go
@@ -16,26 +16,26 @@
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 )
 
 // countingLog records when it is called.
 type countingLog struct {
-	platform.Log
+	logservice.Log
 	mu      sync.Mutex
 	reads   []time.Time
 	appends []time.Time
 }
 
-func (l *countingLog) Append(ctx context.Context, payload []byte) (platform.Offset, error) {
+func (l *countingLog) Append(ctx context.Context, payload []byte) (logservice.Offset, error) {
 	l.mu.Lock()
 	l.appends = append(l.appends, time.Now())
 	l.mu.Unlock()
 	return l.Log.Append(ctx, payload)
 }
 
-func (l *countingLog) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+func (l *countingLog) Read(ctx context.Context, from logservice.Offset, max int, wait time.Duration) (logservice.Page, error) {
 	l.mu.Lock()
 	l.reads = append(l.reads, time.Now())
 	l.mu.Unlock()
@@ -51,7 +51,7 @@
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 // startInstance runs the control part of an instance until the context ends.
-func startInstance(ctx context.Context, log platform.Log, seed uint64) *Loop {
+func startInstance(ctx context.Context, log logservice.Log, seed uint64) *Loop {
 	loop := New("tz-north-a", balancer.TwoChoices{}, quiet)
 	loop.Self, loop.Members = fmt.Sprint("i", seed), func() []string { return []string{"i2", "i0", "i3", "i1", "i1"} }
 	reader := &Reader{Log: log, Loop: loop, Random: rand.New(rand.NewPCG(seed, 5)), Logger: quiet}
@@ -62,7 +62,7 @@
 	return loop
 }
 
-func appendService(t *testing.T, log platform.Log, change *intent.Change) {
+func appendService(t *testing.T, log logservice.Log, change *intent.Change) {
 	t.Helper()
 	payload, err := (&intent.Record{Kind: intent.KindChange, Change: change}).Encode()
 	if err != nil {
@@ -162,8 +162,8 @@
 		memory := standin.NewLog()
 		loop := startInstance(ctx, memory, 1)
 		random := rand.New(rand.NewPCG(4, 4))
-		var seen []platform.Offset
-		base := platform.Offset(0)
+		var seen []logservice.Offset
+		base := logservice.Offset(0)
 		for range 50 {
 			memory.SetFaults(standin.LogFaults{})
 			appendService(t, memory, &intent.Change{ID: "1", Base: base, Service: "flightdesk", Spec: flightdesk})
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // Reader follows the log and delivers its pages to a loop.
 type Reader struct {
-	Log    platform.Log
+	Log    logservice.Log
 	Loop   *Loop
 	Random *rand.Rand
 	Logger *slog.Logger
@@ -29,8 +29,8 @@
 
 // Run follows the log until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	backoff := platform.Backoff{Base: readBackoffBase, Max: readBackoffMax}
-	next := platform.Offset(1)
+	backoff := logservice.Backoff{Base: readBackoffBase, Max: readBackoffMax}
+	next := logservice.Offset(1)
 	for ctx.Err() == nil {
 		page, err := r.Log.Read(ctx, next, readPageRecords, r.wait())
 		if err == nil {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,7 +5,7 @@
 
 	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/balancer"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/transport"
 	"github.com/basillink/basillink/operator"
 )
@@ -13,9 +13,9 @@
 // Snapshot is the configuration that traffic goroutines use. It is immutable.
 type Snapshot struct {
 	// Revision is the offset of the last accepted change.
-	Revision platform.Offset
+	Revision logservice.Offset
 	// Through is the offset of the last folded record.
-	Through  platform.Offset
+	Through  logservice.Offset
 	Services map[string]*Service
 	// Departed lists the targets that receive no requests because they left.
 	Departed []string
@@ -24,7 +24,7 @@
 // Service is one service in force. It is immutable; the policy and the pools synchronize themselves.
 type Service struct {
 	Spec     operator.Service
-	Revision platform.Offset
+	Revision logservice.Offset
 	// Targets are the targets that may receive requests, in the order of the policy's indexes.
 	Targets []*Target
 	Policy  balancer.Policy
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -7,7 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/chart"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // Events in charts/configuration.toml.
@@ -53,7 +53,7 @@
 }
 
 // followed takes note of a page of the log.
-func (l *Loop) followed(page platform.Page) {
+func (l *Loop) followed(page logservice.Page) {
 	l.lastRead = l.now()
 	if l.fold.CaughtUp(page) {
 		l.fire(eventCurrent)
@@ -70,7 +70,7 @@
 }
 
 // Known takes note of the applied offset of a peer. It must be called on the control goroutine.
-func (l *Loop) Known(through platform.Offset) {
+func (l *Loop) Known(through logservice.Offset) {
 	if through > l.fold.State().Through {
 		l.fire(eventBehind)
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,7 +10,7 @@
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/peer"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/telemetry"
 )
 
@@ -19,7 +19,7 @@
 
 // connectPeers assembles what keeps this instance in step with the log, the list and its peers.
 func (d *Daemon) connectPeers(log *slog.Logger) error {
-	client := platform.NewClient(d.settings.Platform.Address)
+	client := logservice.NewClient(d.settings.Platform.Address)
 	d.incarnation = rand.Uint64()
 	d.reader = &control.Reader{
 		Log: client, Loop: d.loop, Random: newRandom(), Logger: telemetry.Component(log, "reader"),
--- a/internal/devmode/devmode.go
+++ b/internal/devmode/devmode.go
@@ -16,7 +16,7 @@
 
 	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/daemon"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/telemetry"
@@ -109,8 +109,8 @@
 
 func openFleet(a Addresses, log *slog.Logger) (*fleet, error) {
 	list := standin.NewList(0)
-	list.Set([]platform.ListedInstance{{
-		ID: instanceID, Zone: zone, PeerAddress: a.Peer, AdminAddress: a.Admin, State: platform.ListedLive,
+	list.Set([]logservice.ListedInstance{{
+		ID: instanceID, Zone: zone, PeerAddress: a.Peer, AdminAddress: a.Admin, State: logservice.ListedLive,
 	}})
 	f := &fleet{
 		platform: standin.NewPlatformServer(a.Platform, standin.NewLog(), list),
--- a/internal/e2e/capacity_test.go
+++ b/internal/e2e/capacity_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/testwait"
 	"github.com/basillink/basillink/operator"
 )
@@ -28,7 +28,7 @@
 
 // fleet is a platform and daemons of the shipped binary, one process each.
 type fleet struct {
-	log     *platform.Client
+	log     *logservice.Client
 	daemons []*exec.Cmd
 	admin   []string
 	callers []string
@@ -39,7 +39,7 @@
 	b.Helper()
 	binary := buildDaemon(b)
 	addresses := freeAddresses(b, 1+3*count)
-	f := &fleet{log: platform.NewClient(addresses[0])}
+	f := &fleet{log: logservice.NewClient(addresses[0])}
 	role := "platform " + addresses[0]
 	for i := range count {
 		listen := addresses[1+3*i : 4+3*i]
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/testwait"
 )
@@ -45,13 +45,13 @@
 // resets what is expected of an instance.
 type revisions struct {
 	mu   sync.Mutex
-	last map[int]platform.Offset
+	last map[int]logservice.Offset
 	stop chan struct{}
 	done sync.WaitGroup
 }
 
 func watchRevisions(f *testFleet) *revisions {
-	r := &revisions{last: map[int]platform.Offset{}, stop: make(chan struct{})}
+	r := &revisions{last: map[int]logservice.Offset{}, stop: make(chan struct{})}
 	for i := range f.instances {
 		r.done.Go(func() {
 			for {
@@ -98,7 +98,7 @@
 	f.startAll()
 	f.allAt(f.publish(fleetService("flightdesk", 1, target.Address())), f.all()...)
 	watch := watchRevisions(f)
-	var last platform.Offset
+	var last logservice.Offset
 	for round := range 6 {
 		paused, killed := round%5, (round+2)%5
 		f.signal(paused, syscall.SIGSTOP)
@@ -188,7 +188,7 @@
 			own := state.Clone()
 			wait.Go(func() {
 				s := fleetService(name, 10*round+operator+2, target.Address())
-				_, errs[operator] = client.Publish(ctx, platform.NewClient(f.address), own, fmt.Sprint("operator ", operator), s)
+				_, errs[operator] = client.Publish(ctx, logservice.NewClient(f.address), own, fmt.Sprint("operator ", operator), s)
 			})
 		}
 		wait.Wait()
@@ -238,7 +238,7 @@
 	}
 }
 
-func countCheckpoints(t *testing.T, log platform.Log) int {
+func countCheckpoints(t *testing.T, log logservice.Log) int {
 	t.Helper()
 	page, err := log.Read(context.Background(), 1, 1000, 0)
 	if err != nil {
--- a/internal/e2e/drain_test.go
+++ b/internal/e2e/drain_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/basillink/basillink/internal/client"
 	"github.com/basillink/basillink/internal/header"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/testwait"
 	"github.com/basillink/basillink/operator"
@@ -73,7 +73,7 @@
 }
 
 // publish puts a service into force, waits for the platform if need be, and returns the revision.
-func publish(t testing.TB, log platform.Log, service operator.Service) platform.Offset {
+func publish(t testing.TB, log logservice.Log, service operator.Service) logservice.Offset {
 	t.Helper()
 	service.Provision()
 	state, err := client.ReadState(context.Background(), log)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/admin"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/standin/standintest"
 	"github.com/basillink/basillink/internal/testwait"
@@ -44,13 +44,13 @@
 	cut.SetFaults(standin.LogFaults{Down: true})
 	f.servePlatform(f.address, f.log)
 	f.servePlatform(f.cutAddress, cut)
-	var listed []platform.ListedInstance
+	var listed []logservice.ListedInstance
 	for i := range size {
 		own := addresses[2+3*i:]
 		n := &testInstance{id: fmt.Sprintf("i%d", i), caller: own[0], admin: own[1], peer: own[2]}
 		f.instances = append(f.instances, n)
-		listed = append(listed, platform.ListedInstance{
-			ID: n.id, Zone: "tz-north-a", PeerAddress: n.peer, AdminAddress: n.admin, State: platform.ListedLive,
+		listed = append(listed, logservice.ListedInstance{
+			ID: n.id, Zone: "tz-north-a", PeerAddress: n.peer, AdminAddress: n.admin, State: logservice.ListedLive,
 		})
 	}
 	f.list.Set(listed)
@@ -122,13 +122,13 @@
 }
 
 // at reports whether an instance has a revision in force.
-func (f *testFleet) at(i int, revision platform.Offset) bool {
+func (f *testFleet) at(i int, revision logservice.Offset) bool {
 	status := f.status(i)
 	return status != nil && status.Revision >= revision
 }
 
 // allAt waits until the instances have a revision in force.
-func (f *testFleet) allAt(revision platform.Offset, instances ...int) {
+func (f *testFleet) allAt(revision logservice.Offset, instances ...int) {
 	f.t.Helper()
 	for _, i := range instances {
 		testwait.Until(f.t, fmt.Sprintf("revision %d on instance %d", revision, i), func() bool { return f.at(i, revision) })
@@ -160,7 +160,7 @@
 }
 
 // publish puts a service into force and returns its revision.
-func (f *testFleet) publish(s operator.Service) platform.Offset {
+func (f *testFleet) publish(s operator.Service) logservice.Offset {
 	f.t.Helper()
 	return publish(f.t, f.log, s)
 }
--- a/internal/e2e/latency_test.go
+++ b/internal/e2e/latency_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/load"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/testwait"
 )
@@ -24,7 +24,7 @@
 	start(b, "target "+direct)
 	start(b, "target "+behind)
 	startCommand(b, exec.Command(buildDaemon(b), "run", "-settings", writeSettings(b, "i1", platformAddress, listen)))
-	publishFlightdesk(b, platform.NewClient(platformAddress), []string{behind})
+	publishFlightdesk(b, logservice.NewClient(platformAddress), []string{behind})
 	testwait.Until(b, "an answer", func() bool {
 		status, _, err := get(listen[0], "/flightdesk/slots", "warm")
 		return err == nil && status == http.StatusOK
--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -11,7 +11,7 @@
 	"testing"
 
 	"github.com/basillink/basillink/internal/daemoncli"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 )
 
@@ -46,12 +46,12 @@
 func runPlatform(ctx context.Context, argument string) {
 	fields := strings.Fields(argument)
 	list := standin.NewList(0)
-	var instances []platform.ListedInstance
+	var instances []logservice.ListedInstance
 	for _, field := range fields[1:] {
 		id, listeners, _ := strings.Cut(field, "=")
 		adminAddress, peerAddress, _ := strings.Cut(listeners, "=")
-		instances = append(instances, platform.ListedInstance{
-			ID: id, AdminAddress: adminAddress, PeerAddress: peerAddress, State: platform.ListedLive,
+		instances = append(instances, logservice.ListedInstance{
+			ID: id, AdminAddress: adminAddress, PeerAddress: peerAddress, State: logservice.ListedLive,
 		})
 	}
 	list.Set(instances)
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/peer"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin/relay"
 )
 
@@ -46,15 +46,15 @@
 	t.Helper()
 	f := &dividedFleet{testFleet: newTestFleet(t, size), cutFile: filepath.Join(t.TempDir(), "cut")}
 	oneHalf, otherHalf := processHost(0), processHost(1)
-	var listed []platform.ListedInstance
+	var listed []logservice.ListedInstance
 	for i, n := range f.instances {
 		address, other := f.address, otherHalf
 		if i >= size/2 {
 			address, other = f.cutAddress, oneHalf
 			n.peer = strings.Replace(n.peer, oneHalf, otherHalf, 1)
 		}
-		listed = append(listed, platform.ListedInstance{
-			ID: n.id, PeerAddress: n.peer, AdminAddress: n.admin, State: platform.ListedLive,
+		listed = append(listed, logservice.ListedInstance{
+			ID: n.id, PeerAddress: n.peer, AdminAddress: n.admin, State: logservice.ListedLive,
 		})
 		file := writeSettings(t, n.id, address, []string{n.caller, n.admin, n.peer})
 		replaceInFile(t, file, "[peer]", "[log]\nlevel = \"error\"\n\n[peer]")
@@ -156,7 +156,7 @@
 		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
 			f := newTestFleet(b, size)
 			f.startAll()
-			revision := platform.Offset(0)
+			revision := logservice.Offset(0)
 			for i := range futureServices {
 				revision = f.publish(futureService(i, futureTargets/futureServices, 0))
 			}
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -13,7 +13,7 @@
 	"testing"
 
 	"github.com/basillink/basillink/internal/client"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/testwait"
 	"github.com/basillink/basillink/operator"
@@ -108,7 +108,7 @@
 	start(t, "daemon "+writeSettings(t, "i2", platformAddress, listeners[3:6]))
 	start(t, "daemon "+writeSettings(t, "i3", platformAddress, listeners[6:9]))
 
-	log := platform.NewClient(platformAddress)
+	log := logservice.NewClient(platformAddress)
 	publishFlightdesk(t, log, targets)
 	testwait.Until(t, "the revision in force on all instances", func() bool {
 		list, err := client.FleetStatus(context.Background(), log)
@@ -125,12 +125,12 @@
 	}
 }
 
-func publishFlightdesk(t testing.TB, log platform.Log, targets []string) {
+func publishFlightdesk(t testing.TB, log logservice.Log, targets []string) {
 	t.Helper()
 	publish(t, log, fleetService("flightdesk", operator.DefaultSlotsPerTarget, targets...))
 }
 
-func allAt(list []client.InstanceStatus, revision platform.Offset) bool {
+func allAt(list []client.InstanceStatus, revision logservice.Offset) bool {
 	for _, s := range list {
 		if s.Status == nil || s.Status.Revision < revision {
 			return false
--- a/internal/intent/bench_test.go
+++ b/internal/intent/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -21,7 +21,7 @@
 	return s
 }
 
-func twoYearChange(b *testing.B, i int, base, offset int) platform.Record {
+func twoYearChange(b *testing.B, i int, base, offset int) logservice.Record {
 	b.Helper()
 	name := fmt.Sprintf("service-%03d", i)
 	s := operator.Service{Name: name, Region: "tz-north", Zones: []string{"tz-north-a"}, Classes: []operator.Class{{Name: "lookup"}}}
@@ -30,12 +30,12 @@
 	}
 	s.Provision()
 	spec, specErr := EncodeService(s)
-	change := &Change{ID: fmt.Sprint(name, base), Author: "anna", Service: name, Base: platform.Offset(base), Spec: spec}
+	change := &Change{ID: fmt.Sprint(name, base), Author: "anna", Service: name, Base: logservice.Offset(base), Spec: spec}
 	payload, err := (&Record{Kind: KindChange, Change: change}).Encode()
 	if specErr != nil || err != nil {
 		b.Fatal(specErr, err)
 	}
-	return platform.Record{Offset: platform.Offset(offset), Payload: payload}
+	return logservice.Record{Offset: logservice.Offset(offset), Payload: payload}
 }
 
 // BenchmarkTwoYear measures what control spends on one change at the two-year size, and the size of a checkpoint.
--- a/internal/intent/checkpoint.go
+++ b/internal/intent/checkpoint.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // Checkpoint is a log record that holds the whole state through an offset.
@@ -38,7 +38,7 @@
 	return bytes.HasPrefix(payload, []byte(`{"kind":"checkpoint"`))
 }
 
-func usableCheckpoint(r platform.Record, earliest platform.Offset) *Checkpoint {
+func usableCheckpoint(r logservice.Record, earliest logservice.Offset) *Checkpoint {
 	record, err := DecodeRecord(r.Payload)
 	if err != nil || record.Kind != KindCheckpoint {
 		return nil
--- a/internal/intent/delta.go
+++ b/internal/intent/delta.go
@@ -4,26 +4,26 @@
 	"encoding/json"
 	"maps"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // Delta holds what changed in a state after an offset. Because every accepted change gets its offset as its
 // revision, the entries with a later revision and the removals are all that a reader of the records between
 // would have changed.
 type Delta struct {
-	After     platform.Offset            `json:"after"`
-	Through   platform.Offset            `json:"through"`
-	Revision  platform.Offset            `json:"revision"`
+	After     logservice.Offset            `json:"after"`
+	Through   logservice.Offset            `json:"through"`
+	Revision  logservice.Offset            `json:"revision"`
 	Services  map[string]*Entry          `json:"services"`
-	Removed   map[string]platform.Offset `json:"removed"`
-	Forgotten platform.Offset            `json:"forgotten"`
+	Removed   map[string]logservice.Offset `json:"removed"`
+	Forgotten logservice.Offset            `json:"forgotten"`
 	// Digest is the digest of the whole state at Through.
 	Digest string `json:"digest"`
 }
 
 // Delta returns what changed after an offset. A reader that is older than forgotten removals gets the whole
 // state: After is 0. A state that lacks a change of a newer format has nothing to offer, and its delta moves no reader.
-func (s *State) Delta(after platform.Offset) *Delta {
+func (s *State) Delta(after logservice.Offset) *Delta {
 	if len(s.LeftOut) > 0 {
 		return &Delta{}
 	}
@@ -35,7 +35,7 @@
 		Through:   s.Through,
 		Revision:  s.Revision,
 		Services:  map[string]*Entry{},
-		Removed:   map[string]platform.Offset{},
+		Removed:   map[string]logservice.Offset{},
 		Forgotten: s.Forgotten,
 		Digest:    s.Digest(),
 	}
@@ -85,7 +85,7 @@
 		delete(next.Removed, name)
 		next.Services[name] = entry
 	}
-	maps.DeleteFunc(next.Removed, func(_ string, revision platform.Offset) bool { return revision <= d.Forgotten })
+	maps.DeleteFunc(next.Removed, func(_ string, revision logservice.Offset) bool { return revision <= d.Forgotten })
 	next.Through, next.Revision, next.Forgotten = d.Through, d.Revision, d.Forgotten
 	if digest := next.Digest(); digest != d.Digest {
 		return false, &RecordError{Detail: "the state after a delta has the digest " + digest + ", not " + d.Digest}
--- a/internal/intent/digest.go
+++ b/internal/intent/digest.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // Digest identifies the services and their revisions independently of Through. It hashes the JSON of the three fields
@@ -27,8 +27,8 @@
 		separator = ","
 	}
 	rest, err := json.Marshal(struct {
-		Removed   map[string]platform.Offset
-		Forgotten platform.Offset
+		Removed   map[string]logservice.Offset
+		Forgotten logservice.Offset
 	}{s.Removed, s.Forgotten})
 	if err != nil {
 		return ""
--- a/internal/intent/due.go
+++ b/internal/intent/due.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -33,7 +33,7 @@
 	due       time.Duration
 	scheduled bool
 	// covered is the highest offset of a state that a checkpoint in the log holds.
-	covered platform.Offset
+	covered logservice.Offset
 }
 
 // NewCheckpointTimer returns a timer that draws its delays from random.
--- a/internal/intent/fold.go
+++ b/internal/intent/fold.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // GapError reports that records between the state and the retained log are lost and no checkpoint that was
 // read so far covers them.
 type GapError struct {
-	Have     platform.Offset
-	Earliest platform.Offset
+	Have     logservice.Offset
+	Earliest logservice.Offset
 }
 
 func (e *GapError) Error() string {
@@ -19,8 +19,8 @@
 
 // RewoundError reports a log that ends before the state, which means that it lost records.
 type RewoundError struct {
-	Have platform.Offset
-	Next platform.Offset
+	Have logservice.Offset
+	Next logservice.Offset
 }
 
 func (e *RewoundError) Error() string {
@@ -29,7 +29,7 @@
 
 // CheckEnd returns a *RewoundError when a page that was read from an offset shows that the log ends before it.
 // The offset of the request counts, because a peer may have moved the state on since.
-func CheckEnd(from platform.Offset, page platform.Page) error {
+func CheckEnd(from logservice.Offset, page logservice.Page) error {
 	if page.Next < from {
 		return &RewoundError{Have: from - 1, Next: page.Next}
 	}
@@ -41,7 +41,7 @@
 type Fold struct {
 	state *State
 	// scan is the offset from which to look for a checkpoint, 0 when there is no gap.
-	scan platform.Offset
+	scan logservice.Offset
 }
 
 // NewFold returns a fold that starts with the empty configuration.
@@ -54,14 +54,14 @@
 func (f *Fold) State() *State { return f.state }
 
 // Next returns the offset from which to read the log next.
-func (f *Fold) Next() platform.Offset { return max(f.scan, f.state.Through+1) }
+func (f *Fold) Next() logservice.Offset { return max(f.scan, f.state.Through+1) }
 
 // CaughtUp reports whether the fold has taken every record into account that the log held at a page.
-func (f *Fold) CaughtUp(page platform.Page) bool { return f.Next() >= page.Next }
+func (f *Fold) CaughtUp(page logservice.Page) bool { return f.Next() >= page.Next }
 
 // Page folds a page that was read from Next. With a gap it looks for a checkpoint and returns a *GapError
 // when the end of the log was reached without one.
-func (f *Fold) Page(page platform.Page, visit func(Decision)) error {
+func (f *Fold) Page(page logservice.Page, visit func(Decision)) error {
 	if page.Earliest > f.state.Through+1 && !f.recover(page) {
 		return f.gap(page)
 	}
@@ -73,7 +73,7 @@
 }
 
 // recover replaces the state by that of the first checkpoint of the page after which every record is retained.
-func (f *Fold) recover(page platform.Page) bool {
+func (f *Fold) recover(page logservice.Page) bool {
 	for _, record := range page.Records {
 		checkpoint := usableCheckpoint(record, page.Earliest)
 		if checkpoint != nil && checkpoint.State.Through > f.state.Through {
@@ -85,7 +85,7 @@
 }
 
 // gap moves the search for a checkpoint past the page.
-func (f *Fold) gap(page platform.Page) error {
+func (f *Fold) gap(page logservice.Page) error {
 	f.scan = max(f.scan, page.Earliest)
 	if n := len(page.Records); n > 0 {
 		f.scan = page.Records[n-1].Offset + 1
--- a/internal/intent/fold_test.go
+++ b/internal/intent/fold_test.go
@@ -11,15 +11,15 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
 // fakeLog keeps the whole history for the reference and hides what is no longer retained.
 type fakeLog struct {
-	history  []platform.Record
+	history  []logservice.Record
 	changes  []*Change
-	earliest platform.Offset
+	earliest logservice.Offset
 }
 
 func (l *fakeLog) append(r Record) {
@@ -28,27 +28,27 @@
 		panic(err)
 	}
 	l.changes = append(l.changes, r.Change)
-	l.history = append(l.history, platform.Record{Offset: platform.Offset(len(l.history) + 1), Payload: payload})
+	l.history = append(l.history, logservice.Record{Offset: logservice.Offset(len(l.history) + 1), Payload: payload})
 }
 
-func (l *fakeLog) read(from platform.Offset, count int) platform.Page {
-	next := platform.Offset(len(l.history) + 1)
+func (l *fakeLog) read(from logservice.Offset, count int) logservice.Page {
+	next := logservice.Offset(len(l.history) + 1)
 	from = min(max(from, l.earliest), next)
 	end := min(int(from)-1+count, len(l.history))
-	return platform.Page{Records: l.history[from-1 : max(end, int(from)-1)], Earliest: l.earliest, Next: next}
+	return logservice.Page{Records: l.history[from-1 : max(end, int(from)-1)], Earliest: l.earliest, Next: next}
 }
 
 // referenceFold is the plain statement of the rule that the fold implements: base equals current. Changes holds
 // nil for a record of another kind.
-func referenceFold(changes []*Change) (map[string]platform.Offset, map[string]int) {
-	current := map[string]platform.Offset{}
+func referenceFold(changes []*Change) (map[string]logservice.Offset, map[string]int) {
+	current := map[string]logservice.Offset{}
 	acceptances := map[string]int{}
 	for i, change := range changes {
 		if change == nil || change.Base != current[change.Service] {
 			continue
 		}
 		acceptances[fmt.Sprintf("%s@%d", change.Service, change.Base)]++
-		current[change.Service] = platform.Offset(i + 1)
+		current[change.Service] = logservice.Offset(i + 1)
 	}
 	return current, acceptances
 }
@@ -93,7 +93,7 @@
 			w.log.append(Record{Kind: KindCheckpoint, Checkpoint: NewCheckpoint(f.State(), time.Time{})})
 		}
 	case 10:
-		w.log.earliest += platform.Offset(w.random.IntN(1 + (len(w.log.history)+1-int(w.log.earliest))/2))
+		w.log.earliest += logservice.Offset(w.random.IntN(1 + (len(w.log.history)+1-int(w.log.earliest))/2))
 	case 11:
 		w.readers[w.random.IntN(len(w.readers))] = NewFold()
 	}
@@ -113,7 +113,7 @@
 	before := f.State().Through
 	after := before
 	if w.random.IntN(4) == 0 {
-		after = platform.Offset(w.random.IntN(int(before) + 1))
+		after = logservice.Offset(w.random.IntN(int(before) + 1))
 	}
 	data, err := peer.State().Delta(after).Encode()
 	if err != nil {
@@ -158,7 +158,7 @@
 	}
 }
 
-func (w *world) check(f *Fold, before platform.Offset) {
+func (w *world) check(f *Fold, before logservice.Offset) {
 	s := f.State()
 	if s.Through < before {
 		w.t.Fatalf("applied offset went back from %d to %d", before, s.Through)
@@ -220,7 +220,7 @@
 		for range len(w.log.history) + 2 {
 			w.read(f)
 		}
-		if f.State().Through != platform.Offset(len(w.log.history)) {
+		if f.State().Through != logservice.Offset(len(w.log.history)) {
 			w.t.Fatalf("reader %d stays at %d of %d", i, f.State().Through, len(w.log.history))
 		}
 	}
@@ -300,7 +300,7 @@
 		log.append(Record{Kind: KindChange, Change: &Change{ID: "1", Service: "s", Spec: testSpec("s", 1)}})
 		s, newer := NewState(), NewState()
 		s.Apply(log.history[0])
-		d := s.Apply(platform.Record{Offset: 2, Payload: []byte(c.payload)})
+		d := s.Apply(logservice.Record{Offset: 2, Payload: []byte(c.payload)})
 		timer := NewCheckpointTimer(rand.New(rand.NewPCG(1, 1)))
 		timer.Retain(0, time.Minute)
 		moved, _ := NewState().Merge(s.Delta(0))
@@ -311,11 +311,11 @@
 		if digest := newer.Digest(); digest != "d4ab604d2759917857b9e33d04a86f18" {
 			t.Errorf("the digest of a state without new fields is %s, so that instances of earlier versions refuse it", digest)
 		}
-		late := platform.Record{Offset: 3, Payload: []byte(`{"kind":"change","change":{"id":"3","service":"s","base":1,"spec":""}}`)}
+		late := logservice.Record{Offset: 3, Payload: []byte(`{"kind":"change","change":{"id":"3","service":"s","base":1,"spec":""}}`)}
 		if held := strings.Contains(c.payload, `"s"`); c.leftOut && held != (s.Apply(late).Verdict == NotUnderstood) {
 			t.Errorf("%s: a later change that others may have refused is held back: %t", c.payload, !held)
 		}
-		newer.Apply(platform.Record{Offset: 2})
+		newer.Apply(logservice.Record{Offset: 2})
 		newer.Apply(late)
 		newer.Through = 4
 		if moved, err := s.Merge(newer.Delta(2)); c.leftOut && (!moved || err != nil || s.Complete() != nil) {
--- a/internal/intent/fuzz_test.go
+++ b/internal/intent/fuzz_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const fuzzIntent = `[[service]]
@@ -69,13 +69,13 @@
 	f.Add([]byte(`{"kind":"change"}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		first, second := NewState(), NewState()
-		record := platform.Record{Offset: 1, Payload: data}
-		a, b := first.Apply(record), second.Apply(platform.Record{Offset: 1, Payload: bytes.Clone(data)})
+		record := logservice.Record{Offset: 1, Payload: data}
+		a, b := first.Apply(record), second.Apply(logservice.Record{Offset: 1, Payload: bytes.Clone(data)})
 		if a.Verdict != b.Verdict || first.Digest() != second.Digest() || first.Through != 1 {
 			t.Fatalf("verdicts %s and %s", a.Verdict, b.Verdict)
 		}
 		// A gap before the record makes the fold look for a checkpoint in it.
-		gap := platform.Page{Earliest: 5, Next: 6, Records: []platform.Record{{Offset: 5, Payload: data}}}
+		gap := logservice.Page{Earliest: 5, Next: 6, Records: []logservice.Record{{Offset: 5, Payload: data}}}
 		if fold := NewFold(); fold.Page(gap, func(Decision) {}) == nil && fold.State().Through < 4 {
 			t.Fatalf("continued at %d across a gap", fold.State().Through)
 		}
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -7,7 +7,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -27,7 +27,7 @@
 	Author  string `json:"author"`
 	Service string `json:"service"`
 	// Base is the revision on which the change was made, 0 for a service that does not exist.
-	Base platform.Offset `json:"base"`
+	Base logservice.Offset `json:"base"`
 	// Spec is the service as TOML intent with one service; empty removes the service.
 	Spec string `json:"spec"`
 }
@@ -52,7 +52,7 @@
 
 // FormatError reports a log record of a newer format.
 type FormatError struct {
-	Offset platform.Offset
+	Offset logservice.Offset
 	Kind   RecordKind
 	Format int
 	// Service is the service that a change names, empty if it is not known.
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -9,14 +9,14 @@
 	"slices"
 	"sync/atomic"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
 // Entry is one service in force.
 type Entry struct {
 	// Revision is the offset of the accepted change.
-	Revision platform.Offset  `json:"revision"`
+	Revision logservice.Offset  `json:"revision"`
 	ChangeID string           `json:"change_id"`
 	Author   string           `json:"author"`
 	Spec     operator.Service `json:"spec"`
@@ -57,15 +57,15 @@
 // and readers need no lock.
 type State struct {
 	// Through is the offset of the last folded record.
-	Through platform.Offset `json:"through"`
+	Through logservice.Offset `json:"through"`
 	// Revision is the offset of the last accepted change.
-	Revision platform.Offset   `json:"revision"`
+	Revision logservice.Offset   `json:"revision"`
 	Services map[string]*Entry `json:"services"`
 	// Removed holds the revisions at which services were removed, the latest MaxRemoved of them.
-	Removed map[string]platform.Offset `json:"removed"`
+	Removed map[string]logservice.Offset `json:"removed"`
 	// Forgotten is the highest revision that was dropped from Removed. It is the current revision of every
 	// service that is neither in force nor in Removed, so that no old base becomes acceptable again.
-	Forgotten platform.Offset `json:"forgotten"`
+	Forgotten logservice.Offset `json:"forgotten"`
 	// LeftOut holds, by service, the last change that was left out because of its newer format. The service keeps its
 	// revision, and later changes of it are left out too, because their verdict depends on the one that is missing.
 	// Such a state may lack what other instances have in force: it is no checkpoint, and it is not sent to peers.
@@ -74,7 +74,7 @@
 
 // NewState returns the empty configuration.
 func NewState() *State {
-	return &State{Services: map[string]*Entry{}, Removed: map[string]platform.Offset{}}
+	return &State{Services: map[string]*Entry{}, Removed: map[string]logservice.Offset{}}
 }
 
 // Verdict is the decision on a change.
@@ -99,11 +99,11 @@
 
 // Decision is the result of folding one record.
 type Decision struct {
-	Offset  platform.Offset
+	Offset  logservice.Offset
 	Verdict Verdict
 	Change  *Change
 	// Current is the revision of the service before the change.
-	Current platform.Offset
+	Current logservice.Offset
 	// Previous is the service before the change, nil if it was not in force.
 	Previous *Entry
 	// Err is the cause of Malformed and NotUnderstood.
@@ -112,7 +112,7 @@
 
 // Apply folds the next record. Records at or below Through are ignored, and a record beyond the next one is not
 // folded, so that the state never skips a change.
-func (s *State) Apply(r platform.Record) Decision {
+func (s *State) Apply(r logservice.Record) Decision {
 	if r.Offset <= s.Through {
 		return Decision{Offset: r.Offset, Verdict: NotAChange}
 	}
@@ -135,7 +135,7 @@
 }
 
 // leaveOut takes note of a record of a newer format. A checkpoint changes no state.
-func (s *State) leaveOut(offset platform.Offset, newer *FormatError) Decision {
+func (s *State) leaveOut(offset logservice.Offset, newer *FormatError) Decision {
 	newer.Offset = offset
 	if newer.Kind != KindCheckpoint {
 		if s.LeftOut == nil {
@@ -155,7 +155,7 @@
 	return slices.MaxFunc(slices.Collect(maps.Values(s.LeftOut)), byOffset)
 }
 
-func (s *State) applyChange(offset platform.Offset, c *Change) Decision {
+func (s *State) applyChange(offset logservice.Offset, c *Change) Decision {
 	entry := s.Services[c.Service]
 	d := Decision{Offset: offset, Change: c, Current: s.Current(c.Service), Previous: entry}
 	missing := s.LeftOut[c.Service]
@@ -179,7 +179,7 @@
 }
 
 // store puts an accepted change into force. It returns an error when the spec is not acceptable.
-func (s *State) store(offset platform.Offset, c *Change) error {
+func (s *State) store(offset logservice.Offset, c *Change) error {
 	if c.Spec == "" {
 		return s.remove(offset, c)
 	}
@@ -196,7 +196,7 @@
 	return nil
 }
 
-func (s *State) remove(offset platform.Offset, c *Change) error {
+func (s *State) remove(offset logservice.Offset, c *Change) error {
 	if s.Services[c.Service] == nil {
 		return &RecordError{Detail: fmt.Sprintf("change %s removes the service %q, which is not in force", c.ID, c.Service)}
 	}
@@ -233,7 +233,7 @@
 
 // Current returns the revision of a service, which a change of it must have as its base. It is 0 for a
 // service that never existed, unless removals were forgotten.
-func (s *State) Current(service string) platform.Offset {
+func (s *State) Current(service string) logservice.Offset {
 	if entry := s.Services[service]; entry != nil {
 		return entry.Revision
 	}
--- a/internal/platform/backoff.go
+++ b/internal/logservice/backoff.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"math/rand/v2"
--- a/internal/platform/platform.go
+++ b/internal/logservice/platform.go
@@ -1,6 +1,6 @@
-// Package platform declares the interfaces of the services that the platform
+// Package logservice declares the interfaces of the services that the platform
 // provides, an append-only log and a list of instances, and their HTTP clients.
-package platform
+package logservice
 
 import (
 	"context"
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/chart"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -41,7 +41,7 @@
 	// Address is the sender's peer address.
 	Address string
 	// Through is the sender's applied offset.
-	Through platform.Offset
+	Through logservice.Offset
 	Digests []KindDigest
 	Rumors  []Rumor
 	// Introduce asks for the receiver's own member state.
@@ -72,14 +72,14 @@
 	queue        queue
 	handlers     map[Kind]Handler
 	kinds        []Kind
-	through      func() platform.Offset
+	through      func() logservice.Offset
 	changed      bool
 	// live caches the live members in order, nil after a change.
 	live []Identity
 }
 
 // NewGossip returns a state machine that knows only itself. Through returns the applied offset.
-func NewGossip(self Member, through func() platform.Offset) (*Gossip, error) {
+func NewGossip(self Member, through func() logservice.Offset) (*Gossip, error) {
 	members, err := chart.Load("member")
 	if err != nil {
 		return nil, err
--- a/internal/peer/gossip_test.go
+++ b/internal/peer/gossip_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // session is a golden session of a few state machines.
@@ -25,7 +25,7 @@
 }
 
 func newTestGossip(self Member) *Gossip {
-	g, err := NewGossip(self, func() platform.Offset { return 0 })
+	g, err := NewGossip(self, func() logservice.Offset { return 0 })
 	if err != nil {
 		panic(err)
 	}
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -11,7 +11,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -47,7 +47,7 @@
 	turn chan struct{}
 
 	// The fields below belong to the holder of turn.
-	backoff  platform.Backoff
+	backoff  logservice.Backoff
 	notUntil time.Time
 
 	mu     sync.Mutex
@@ -90,7 +90,7 @@
 	k := l.byAddr[address]
 	if k == nil {
 		l.evict()
-		k = &link{turn: make(chan struct{}, 1), backoff: platform.Backoff{Base: dialBackoff, Max: maxBackoff}}
+		k = &link{turn: make(chan struct{}, 1), backoff: logservice.Backoff{Base: dialBackoff, Max: maxBackoff}}
 		l.byAddr[address] = k
 	}
 	k.lastUsed.Store(time.Now().UnixNano())
@@ -116,7 +116,7 @@
 }
 
 // pause returns the next step of a backoff.
-func (l *links) pause(b *platform.Backoff) time.Duration {
+func (l *links) pause(b *logservice.Backoff) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return b.Next(l.random)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -10,7 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -33,13 +33,13 @@
 // Configuration is the configuration that peers exchange. Its methods are called on the control goroutine.
 type Configuration interface {
 	// Through returns the applied offset.
-	Through() platform.Offset
+	Through() logservice.Offset
 	// Delta returns what changed after an offset.
-	Delta(after platform.Offset) *intent.Delta
+	Delta(after logservice.Offset) *intent.Delta
 	// Merge applies a delta, unless it is older than what is applied.
 	Merge(d *intent.Delta) error
 	// Known takes note of the applied offset of a peer.
-	Known(through platform.Offset)
+	Known(through logservice.Offset)
 }
 
 // Config configures a node.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -17,7 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -34,15 +34,15 @@
 	return nil
 }
 
-func (o *testOwner) Through() platform.Offset                  { return o.fold.State().Through }
-func (o *testOwner) Delta(after platform.Offset) *intent.Delta { return o.fold.State().Delta(after) }
-func (o *testOwner) Known(platform.Offset)                     {}
+func (o *testOwner) Through() logservice.Offset                  { return o.fold.State().Through }
+func (o *testOwner) Delta(after logservice.Offset) *intent.Delta { return o.fold.State().Delta(after) }
+func (o *testOwner) Known(logservice.Offset)                     {}
 func (o *testOwner) Merge(d *intent.Delta) error {
 	_, err := o.fold.Merge(d)
 	return err
 }
 
-func (o *testOwner) through() platform.Offset {
+func (o *testOwner) through() logservice.Offset {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.fold.State().Through
@@ -186,7 +186,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		record := platform.Record{Offset: platform.Offset(i + 1), Payload: payload}
+		record := logservice.Record{Offset: logservice.Offset(i + 1), Payload: payload}
 		if d := ownerB.fold.State().Apply(record); d.Verdict != intent.Accepted {
 			t.Fatal(d.Verdict, d.Err)
 		}
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -79,7 +79,7 @@
 }
 
 // pullConfiguration pulls what changed after an offset and merges it.
-func (n *Node) pullConfiguration(address string, after platform.Offset) {
+func (n *Node) pullConfiguration(address string, after logservice.Offset) {
 	defer n.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
@@ -92,7 +92,7 @@
 	}
 }
 
-func (n *Node) pullSnapshot(ctx context.Context, address string, after platform.Offset) ([]byte, error) {
+func (n *Node) pullSnapshot(ctx context.Context, address string, after logservice.Offset) ([]byte, error) {
 	request := PullRequest{After: after}
 	var data []byte
 	for {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // pageBytes is the share of a message that a page of a pull uses.
@@ -15,16 +15,16 @@
 	// Kind asks for all rumors of a kind; empty asks for the configuration.
 	Kind Kind
 	// After is the offset beyond which the configuration is wanted.
-	After platform.Offset
+	After logservice.Offset
 	// Through is the offset of the snapshot whose first page was received, 0 for the first page.
-	Through platform.Offset
+	Through logservice.Offset
 	// Start is the index of the first byte or rumor that is wanted.
 	Start int
 }
 
 // PullAnswer is one page. Fields are only ever added.
 type PullAnswer struct {
-	Through platform.Offset
+	Through logservice.Offset
 	// Size is the number of bytes or rumors of the whole snapshot.
 	Size   int
 	Data   []byte
@@ -83,7 +83,7 @@
 
 // snapshot is the encoded configuration that the last pull asked for.
 type snapshot struct {
-	after, through platform.Offset
+	after, through logservice.Offset
 	data           []byte
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,7 +12,7 @@
 
 	"github.com/basillink/basillink/internal/budget"
 	"github.com/basillink/basillink/internal/control"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 const (
@@ -95,7 +95,7 @@
 // follow applies the budget of a newer revision.
 func (a *account) follow(service *control.Service) {
 	known := a.revision.Load()
-	if platform.Offset(known) >= service.Revision || !a.revision.CompareAndSwap(known, int64(service.Revision)) {
+	if logservice.Offset(known) >= service.Revision || !a.revision.CompareAndSwap(known, int64(service.Revision)) {
 		return
 	}
 	a.allowance.Resize(service.Spec.Measuring, service.Spec.MaxInstances)
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -18,7 +18,7 @@
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
 	"github.com/basillink/basillink/internal/standin/standintest"
 	"github.com/basillink/basillink/operator"
@@ -193,7 +193,7 @@
 	builder, _ := balancer.Find(balancer.NameCombined)
 	loop := control.New("z", builder, slog.New(slog.DiscardHandler))
 	go loop.Run(t.Context())
-	page := platform.Page{Records: []platform.Record{{Offset: 1, Payload: payload}}, Earliest: 1, Next: 2}
+	page := logservice.Page{Records: []logservice.Record{{Offset: 1, Payload: payload}}, Earliest: 1, Next: 2}
 	if _, err := loop.Deliver(t.Context(), page); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // List is an instance list in memory that lags. It is safe for concurrent use.
@@ -19,14 +19,14 @@
 
 type listVersion struct {
 	at        time.Time
-	instances []platform.ListedInstance
+	instances []logservice.ListedInstance
 }
 
 // NewList returns an empty list whose changes become visible after lag.
 func NewList(lag time.Duration) *List { return &List{lag: lag} }
 
 // Set replaces the instances.
-func (l *List) Set(instances []platform.ListedInstance) {
+func (l *List) Set(instances []logservice.ListedInstance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, listVersion{at: time.Now(), instances: slices.Clone(instances)})
@@ -39,8 +39,8 @@
 	l.down = down
 }
 
-// Instances implements platform.InstanceList.
-func (l *List) Instances(context.Context) ([]platform.ListedInstance, error) {
+// Instances implements logservice.InstanceList.
+func (l *List) Instances(context.Context) ([]logservice.ListedInstance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // DefaultRetention is how long the log keeps a record.
@@ -27,14 +27,14 @@
 // Log is an append-only log in memory. It is safe for concurrent use.
 type Log struct {
 	mu       sync.Mutex
-	first    platform.Offset
+	first    logservice.Offset
 	records  []storedRecord
 	appended chan struct{}
 	faults   LogFaults
 }
 
 type storedRecord struct {
-	record platform.Record
+	record logservice.Record
 	at     time.Time
 }
 
@@ -62,8 +62,8 @@
 	l.faults = f
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, payload []byte) (platform.Offset, error) {
+// Append implements logservice.Log.
+func (l *Log) Append(ctx context.Context, payload []byte) (logservice.Offset, error) {
 	if err := l.admit(ctx); err != nil {
 		return 0, err
 	}
@@ -71,7 +71,7 @@
 	defer l.mu.Unlock()
 	l.expire(time.Now())
 	offset := l.next()
-	record := platform.Record{Offset: offset, Payload: append([]byte(nil), payload...)}
+	record := logservice.Record{Offset: offset, Payload: append([]byte(nil), payload...)}
 	l.records = append(l.records, storedRecord{record: record, at: time.Now()})
 	close(l.appended)
 	l.appended = make(chan struct{})
@@ -82,10 +82,10 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from platform.Offset, max int, wait time.Duration) (platform.Page, error) {
+// Read implements logservice.Log.
+func (l *Log) Read(ctx context.Context, from logservice.Offset, max int, wait time.Duration) (logservice.Page, error) {
 	if err := l.admit(ctx); err != nil {
-		return platform.Page{}, err
+		return logservice.Page{}, err
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -99,7 +99,7 @@
 		case <-timeout.C:
 			return page, nil
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return logservice.Page{}, ctx.Err()
 		}
 	}
 }
@@ -124,11 +124,11 @@
 	return nil
 }
 
-func (l *Log) page(from platform.Offset, max int) (platform.Page, <-chan struct{}) {
+func (l *Log) page(from logservice.Offset, max int) (logservice.Page, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(time.Now())
-	page := platform.Page{Earliest: l.first, Next: l.next(), Retention: l.retention()}
+	page := logservice.Page{Earliest: l.first, Next: l.next(), Retention: l.retention()}
 	start := 0
 	if from > l.first {
 		start = int(from - l.first)
@@ -139,7 +139,7 @@
 	return page, l.appended
 }
 
-func (l *Log) next() platform.Offset { return l.first + platform.Offset(len(l.records)) }
+func (l *Log) next() logservice.Offset { return l.first + logservice.Offset(len(l.records)) }
 
 func (l *Log) retention() time.Duration {
 	if l.faults.Retention > 0 {
@@ -154,5 +154,5 @@
 		expired++
 	}
 	l.records = l.records[expired:]
-	l.first += platform.Offset(expired)
+	l.first += logservice.Offset(expired)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,7 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/basillink/basillink/internal/platform"
+	"github.com/basillink/basillink/internal/logservice"
 )
 
 // maxRecordBytes bounds one record.
@@ -67,7 +67,7 @@
 	if fail(c, err) {
 		return
 	}
-	c.JSON(http.StatusOK, map[string]platform.Offset{"offset": offset})
+	c.JSON(http.StatusOK, map[string]logservice.Offset{"offset": offset})
 }
 
 func (s *PlatformServer) read(ctx context.Context, c *app.RequestContext) {
@@ -78,7 +78,7 @@
 		c.String(http.StatusBadRequest, "%s\n", err)
 		return
 	}
-	page, err := s.Log.Read(ctx, platform.Offset(from), max, time.Duration(waitMS)*time.Millisecond)
+	page, err := s.Log.Read(ctx, logservice.Offset(from), max, time.Duration(waitMS)*time.Millisecond)
 	if fail(c, err) {
 		return
 	}
