Move the caller-side connection handling into package inbound

Cause: a second caller interface, requests selected by host and path, needs the same listener, strict request reading and watch for leaving callers. The code is moved, not copied. HTTP/1.1 without a Host header is now refused with 400; it was answered 200 before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/basillink/basillink/internal/inbound"
+
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
@@ -56,7 +58,7 @@
 func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
 	parsed := &call{request: &c.Request, caller: callerOf(c), end: admission.Other}
 	var name string
-	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), originForm(string(c.Request.RequestURI())))
+	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), inbound.OriginForm(string(c.Request.RequestURI())))
 	snapshot := g.snapshot()
 	if snapshot == nil {
 		return parsed, reason.NotReady
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/basillink/basillink/internal/inbound"
+
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
@@ -43,13 +45,14 @@
 
 	instance    string
 	limits      settings.Limits
+	inbound     inbound.Limits
 	snapshot    func() *control.Snapshot
 	counter     Counter
 	log         *slog.Logger
 	start       time.Time
-	listener    *listener
+	listener    *inbound.Listener
 	server      *server.Hertz
-	connections connections
+	connections inbound.Connections
 	inFlight    *inFlight
 	tickets     settings.Tickets
 	desk        *ticket.Desk
@@ -66,11 +69,17 @@
 	g := &Gateway{
 		instance: s.Instance.ID,
 		limits:   s.Limits,
+		inbound: inbound.Limits{
+			MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+			MaxBodyBytes:   s.Limits.MaxRequestBodyBytes,
+			HeaderTimeout:  receiveTimeout,
+			BodyTimeout:    receiveTimeout,
+		},
 		snapshot: snapshot,
 		counter:  counter,
 		log:      log,
 		start:    time.Now(),
-		listener: &listener{address: s.Listen.Caller},
+		listener: &inbound.Listener{Address: s.Listen.Caller},
 		inFlight: newInFlight(),
 		tickets:  s.Tickets,
 		desk:     newDesk(s.Instance.ID, randomNumber(), s.Tickets),
@@ -80,7 +89,7 @@
 	g.server = server.New(
 		server.WithListener(g.listener),
 		server.WithTransport(standard.NewTransporter),
-		server.WithOnAccept(rememberSocket),
+		server.WithOnAccept(inbound.RememberSocket),
 		server.WithDisablePrintRoute(true),
 	)
 	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
@@ -89,13 +98,13 @@
 }
 
 // Open opens the caller listener, so that an address that cannot be used is reported before anything runs.
-func (g *Gateway) Open() error { return g.listener.open() }
+func (g *Gateway) Open() error { return g.listener.Open() }
 
 // Run serves until Shutdown. Open comes first.
 func (g *Gateway) Run() error { return g.server.Run() }
 
 // Address returns the listening address. It is empty before Open.
-func (g *Gateway) Address() string { return g.listener.boundAddress() }
+func (g *Gateway) Address() string { return g.listener.BoundAddress() }
 
 // Now is the monotonic time that the policies see.
 func (g *Gateway) Now() time.Duration { return g.now() }
--- a/internal/gateway/requestline_test.go
+++ b/internal/gateway/requestline_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/basillink/basillink/internal/inbound"
 )
 
 // Guards against request targets that change on the way to a target, or lead to a path outside the service.
@@ -20,7 +22,7 @@
 		{"/", "", "", "/"},
 	}
 	for _, c := range cases {
-		service, uri := splitService(c.fromHeader, originForm(c.target))
+		service, uri := splitService(c.fromHeader, inbound.OriginForm(c.target))
 		if service != c.service || uri != c.uri {
 			t.Errorf("%q: service %q, uri %q", c.target, service, uri)
 		}
@@ -36,11 +38,11 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, line string) {
-		if !validRequestLine([]byte(line)) {
+		if !inbound.ValidRequestLine([]byte(line)) {
 			return
 		}
 		target := strings.Split(line, " ")[1]
-		origin := originForm(target)
+		origin := inbound.OriginForm(target)
 		service, uri := splitService("", origin)
 		if !strings.HasPrefix(uri, "/") || strings.ContainsAny(uri, " \r\n") || strings.ContainsAny(service, "/? \r\n") {
 			t.Errorf("%q: service %q, uri %q", line, service, uri)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 
+	"github.com/basillink/basillink/internal/inbound"
+
 	"github.com/cloudwego/hertz/pkg/app"
 )
 
 // serve takes one request through the steps parse, admit, execute and answer. It returns an error when the answer
 // could not be written completely; the connection must then be closed.
 func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) error {
-	if originForm(string(c.Request.RequestURI())) == ticketPath {
+	if inbound.OriginForm(string(c.Request.RequestURI())) == ticketPath {
 		return g.serveTicket(ctx, c)
 	}
 	began := g.now()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/basillink/basillink/internal/inbound"
+
 	"github.com/cloudwego/hertz/pkg/app"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -14,8 +16,7 @@
 const (
 	// callerIdleTimeout is how long a connection of a caller is kept without a request.
 	callerIdleTimeout = 2 * time.Minute
-	// receiveTimeout bounds the time from the first byte of a request to its last, so that slow senders do not
-	// hold goroutines for ever.
+	// receiveTimeout bounds the time from the first byte of a request to its last.
 	receiveTimeout = 30 * time.Second
 )
 
@@ -38,20 +39,20 @@
 func (s *protocolServer) Serve(ctx context.Context, conn network.Conn) error {
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
 	c.SetConn(conn)
-	entry := s.gateway.connections.add(conn)
+	entry := s.gateway.connections.Add(conn)
 	defer func() {
-		s.gateway.connections.remove(entry)
+		s.gateway.connections.Remove(entry)
 		c.Reset()
 		s.core.GetCtxPool().Put(c)
 	}()
 	for s.awaitRequest(conn) {
-		s.gateway.connections.setBusy(entry, true)
+		s.gateway.connections.SetBusy(entry, true)
 		if !s.gateway.serveOne(ctx, c) {
 			break
 		}
 		_ = conn.Release()
 		c.ResetWithoutConn()
-		s.gateway.connections.setBusy(entry, false)
+		s.gateway.connections.SetBusy(entry, false)
 	}
 	return hertzerrors.ErrShortConnection
 }
@@ -70,13 +71,13 @@
 
 // serveOne receives and serves one request. It reports whether the connection may carry another one.
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
-	if refusal := g.receive(c); refusal != nil {
+	if refusal := g.inbound.Receive(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
 		_ = g.answer(ctx, c, &call{request: &c.Request}, g.limitClaim(c, refused(refusal)))
-		linger(ctx)
+		inbound.Linger(ctx)
 		return false
 	}
-	ctx, stop := watchCaller(ctx)
+	ctx, stop := inbound.WatchCaller(ctx)
 	defer stop()
 	if g.inFlight.draining.Load() || c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"net/http"
 
+	"github.com/basillink/basillink/internal/inbound"
+
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/basillink/basillink/internal/digest"
@@ -80,7 +82,7 @@
 	if text == "" {
 		return g.answer(ctx, c, call, refused(reason.TicketRequired))
 	}
-	if callerGone(ctx) {
+	if inbound.CallerGone(ctx) {
 		// An instance that was paused finds requests whose senders have given up. They start nothing.
 		return &CallerGoneError{}
 	}
--- a/internal/gateway/departure.go
+++ b/internal/inbound/departure.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"context"
@@ -23,8 +23,8 @@
 	timer   *time.Timer
 }
 
-// watchCaller returns a context that ends when the caller leaves. The returned function ends the watch.
-func watchCaller(ctx context.Context) (context.Context, func()) {
+// WatchCaller returns a context that ends when the caller leaves. The returned function ends the watch.
+func WatchCaller(ctx context.Context) (context.Context, func()) {
 	socket, ok := ctx.Value(socketKey{}).(syscall.Conn)
 	ctx, cancel := context.WithCancel(ctx)
 	if !ok {
@@ -41,8 +41,8 @@
 	return ctx, d.stop
 }
 
-// callerGone looks at the caller's connection now.
-func callerGone(ctx context.Context) bool {
+// CallerGone looks at the caller's connection now.
+func CallerGone(ctx context.Context) bool {
 	socket, ok := ctx.Value(socketKey{}).(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/gateway/linger.go
+++ b/internal/inbound/linger.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	lingerBytes = 8 << 20
 )
 
-// linger tells the caller that the answer has ended and reads on until the caller closes, within bounds.
-func linger(ctx context.Context) {
+// Linger tells the caller that the answer has ended and reads on until the caller closes, within bounds.
+func Linger(ctx context.Context) {
 	socket, ok := ctx.Value(socketKey{}).(*net.TCPConn)
 	if !ok || socket.CloseWrite() != nil {
 		return
--- a/internal/gateway/listener.go
+++ b/internal/inbound/listener.go
@@ -1,4 +1,6 @@
-package gateway
+// Package inbound holds what accepting requests of callers needs, whichever interface they speak: the listener, the
+// connections, the strict reading of a request and the watch for callers that leave.
+package inbound
 
 import (
 	"context"
@@ -12,17 +14,18 @@
 // acceptPause is the pause after a failed accept, for example while the process has no free file descriptor.
 const acceptPause = 10 * time.Millisecond
 
-// listener opens its port in open, and survives errors of single accepts, which end the accept loop of the server
+// Listener opens its port in Open, and survives errors of single accepts, which end the accept loop of the server
 // otherwise. It is safe for concurrent use.
-type listener struct {
-	address string
+type Listener struct {
+	Address string
 
 	mu    sync.Mutex
 	inner net.Listener
 }
 
-func (l *listener) open() error {
-	inner, err := net.Listen("tcp", l.address)
+// Open opens the port, so that an address that cannot be used is reported before anything runs.
+func (l *Listener) Open() error {
+	inner, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return err
 	}
@@ -32,13 +35,14 @@
 	return nil
 }
 
-func (l *listener) current() net.Listener {
+func (l *Listener) current() net.Listener {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.inner
 }
 
-func (l *listener) boundAddress() string {
+// BoundAddress returns the listening address. It is empty before Open.
+func (l *Listener) BoundAddress() string {
 	if inner := l.current(); inner != nil {
 		return inner.Addr().String()
 	}
@@ -46,7 +50,7 @@
 }
 
 // Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	inner := l.current()
 	for {
 		conn, err := inner.Accept()
@@ -68,15 +72,15 @@
 }
 
 // Close implements net.Listener.
-func (l *listener) Close() error {
+func (l *Listener) Close() error {
 	if inner := l.current(); inner != nil {
 		return inner.Close()
 	}
 	return nil
 }
 
-// Addr implements net.Listener. It is the zero address before open.
-func (l *listener) Addr() net.Addr {
+// Addr implements net.Listener. It is the zero address before Open.
+func (l *Listener) Addr() net.Addr {
 	if inner := l.current(); inner != nil {
 		return inner.Addr()
 	}
@@ -85,7 +89,7 @@
 
 type socketKey struct{}
 
-// rememberSocket makes the socket of an accepted connection available to the protocol server.
-func rememberSocket(conn net.Conn) context.Context {
+// RememberSocket makes the socket of an accepted connection available to the protocol server.
+func RememberSocket(conn net.Conn) context.Context {
 	return context.WithValue(context.Background(), socketKey{}, conn)
 }
--- a/internal/gateway/receive.go
+++ b/internal/inbound/receive.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"bytes"
@@ -17,13 +17,24 @@
 
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
-// receive reads one request. A refusal means that the rest of the connection cannot be understood.
-func (g *Gateway) receive(c *app.RequestContext) *reason.Reason {
+// Limits bounds the requests of callers.
+type Limits struct {
+	// MaxHeaderBytes is the largest accepted head.
+	MaxHeaderBytes int
+	// MaxBodyBytes is the largest accepted body.
+	MaxBodyBytes int
+	// HeaderTimeout bounds the time from the first byte of a request to the end of its head, and BodyTimeout that to the
+	// end of its body, so that slow senders do not hold goroutines for ever.
+	HeaderTimeout, BodyTimeout time.Duration
+}
+
+// Receive reads one request. A refusal means that the rest of the connection cannot be understood.
+func (l Limits) Receive(c *app.RequestContext) *reason.Reason {
 	conn := c.GetConn()
-	if err := conn.SetReadDeadline(time.Now().Add(receiveTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
 		return reason.BadFraming
 	}
-	head, refusal := g.peekHead(conn)
+	head, refusal := l.peekHead(conn)
 	if refusal != nil {
 		return refusal
 	}
@@ -33,11 +44,14 @@
 	if err := req.ReadHeader(&c.Request.Header, conn); err != nil {
 		return reason.BadFraming
 	}
-	return g.receiveBody(c, conn)
+	if c.Request.Header.IsHTTP11() && len(c.Request.Header.Host()) == 0 {
+		return reason.BadFraming
+	}
+	return l.receiveBody(c, conn)
 }
 
 // peekHead waits for a whole head and does not consume it.
-func (g *Gateway) peekHead(conn network.Conn) ([]byte, *reason.Reason) {
+func (l Limits) peekHead(conn network.Conn) ([]byte, *reason.Reason) {
 	for wanted := 1; ; {
 		if _, err := conn.Peek(wanted); err != nil {
 			return nil, receiveError(err, reason.BadFraming)
@@ -47,7 +61,7 @@
 			return nil, reason.BadFraming
 		}
 		end := framing.HeadEnd(available)
-		if end > g.limits.MaxHeaderBytes || end == 0 && len(available) > g.limits.MaxHeaderBytes {
+		if end > l.MaxHeaderBytes || end == 0 && len(available) > l.MaxHeaderBytes {
 			return nil, reason.HeaderTooLarge
 		}
 		if end > 0 {
@@ -64,12 +78,12 @@
 // not wait for the end of a head.
 func malformedStart(available []byte) bool {
 	line, _, found := bytes.Cut(available, []byte{'\n'})
-	return found && !validRequestLine(bytes.TrimSuffix(line, []byte{'\r'}))
+	return found && !ValidRequestLine(bytes.TrimSuffix(line, []byte{'\r'}))
 }
 
 func checkHead(head []byte) *reason.Reason {
 	line, rest, _ := bytes.Cut(head, []byte{'\n'})
-	if !validRequestLine(bytes.TrimSuffix(line, []byte{'\r'})) {
+	if !ValidRequestLine(bytes.TrimSuffix(line, []byte{'\r'})) {
 		return reason.BadRequestLine
 	}
 	if framing.Check(rest) != nil {
@@ -78,8 +92,8 @@
 	return nil
 }
 
-func (g *Gateway) receiveBody(c *app.RequestContext, conn network.Conn) *reason.Reason {
-	if c.Request.Header.ContentLength() > g.limits.MaxRequestBodyBytes {
+func (l Limits) receiveBody(c *app.RequestContext, conn network.Conn) *reason.Reason {
+	if c.Request.Header.ContentLength() > l.MaxBodyBytes {
 		return reason.BodyTooLarge
 	}
 	if c.Request.MayContinue() {
@@ -90,7 +104,10 @@
 			return reason.BodyTruncated
 		}
 	}
-	err := req.ContinueReadBody(&c.Request, conn, g.limits.MaxRequestBodyBytes, false)
+	if err := conn.SetReadDeadline(time.Now().Add(l.BodyTimeout)); err != nil {
+		return reason.BodyTruncated
+	}
+	err := req.ContinueReadBody(&c.Request, conn, l.MaxBodyBytes, false)
 	switch {
 	case err == nil:
 		return nil
--- a/internal/gateway/requestline.go
+++ b/internal/inbound/requestline.go
@@ -1,4 +1,4 @@
-package gateway
+package inbound
 
 import (
 	"bytes"
@@ -6,9 +6,9 @@
 	"github.com/basillink/basillink/internal/framing"
 )
 
-// validRequestLine reports whether a line is "method SP request-target SP HTTP/1.x" with an origin-form or
+// ValidRequestLine reports whether a line is "method SP request-target SP HTTP/1.x" with an origin-form or
 // absolute-form target.
-func validRequestLine(line []byte) bool {
+func ValidRequestLine(line []byte) bool {
 	method, rest, ok := bytes.Cut(line, []byte{' '})
 	if !ok || !framing.IsToken(method) {
 		return false
@@ -26,13 +26,13 @@
 			return false
 		}
 	}
-	origin := originForm(string(target))
+	origin := OriginForm(string(target))
 	return origin != "" && origin[0] == '/'
 }
 
-// originForm returns the path and query of a request target. The authority of an absolute-form target is dropped,
+// OriginForm returns the path and query of a request target. The authority of an absolute-form target is dropped,
 // because the service is not selected by it.
-func originForm(target string) string {
+func OriginForm(target string) string {
 	const scheme = "http://"
 	if len(target) < len(scheme) || target[:len(scheme)] != scheme {
 		return target
