Bound what one exchange with an origin server may wait for and accept

Cause: servers of the platform answer before they read a long body, send second answers late, end bodies by closing, and fall silent. An origin pool sends nothing of its own, keeps idle connections for a stated time, and fails a connection whose bytes stay unacknowledged. Answers to other requests are skipped, and such a connection is not used again.

--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -21,7 +21,7 @@
 	Service  string `json:"service"`
 	Method   string `json:"method"`
 	// URI is the path and query that a target would see.
-	URI      string          `json:"uri"`
+	URI      string            `json:"uri"`
 	Revision logservice.Offset `json:"revision"`
 	// Class holds the rules of the class that applies, nil when the request would be refused before that.
 	Class *ClassRules `json:"class,omitempty"`
--- a/internal/client/history_command.go
+++ b/internal/client/history_command.go
@@ -15,12 +15,12 @@
 // HistoryEntry is the decision on one change.
 type HistoryEntry struct {
 	Offset  logservice.Offset `json:"offset"`
-	Service string          `json:"service"`
-	Author  string          `json:"author"`
-	Verdict intent.Verdict  `json:"verdict"`
+	Service string            `json:"service"`
+	Author  string            `json:"author"`
+	Verdict intent.Verdict    `json:"verdict"`
 	Base    logservice.Offset `json:"base"`
-	Change  string          `json:"change"`
-	Removal bool            `json:"removal,omitempty"`
+	Change  string            `json:"change"`
+	Removal bool              `json:"removal,omitempty"`
 }
 
 func historyCommand(out io.Writer) subcommands.Command {
--- a/internal/client/publish_command.go
+++ b/internal/client/publish_command.go
@@ -29,8 +29,8 @@
 	Outcome string `json:"outcome"`
 	// Revision is the revision in force after the command, 0 when it is not known.
 	Revision logservice.Offset `json:"revision"`
-	Change   string          `json:"change,omitempty"`
-	Error    string          `json:"error,omitempty"`
+	Change   string            `json:"change,omitempty"`
+	Error    string            `json:"error,omitempty"`
 
 	err error
 }
--- a/internal/client/status.go
+++ b/internal/client/status.go
@@ -12,8 +12,8 @@
 // InstanceStatus is the status of one listed instance.
 type InstanceStatus struct {
 	Listed logservice.ListedInstance `json:"listed"`
-	Status *admin.Status           `json:"status,omitempty"`
-	Error  string                  `json:"error,omitempty"`
+	Status *admin.Status             `json:"status,omitempty"`
+	Error  string                    `json:"error,omitempty"`
 }
 
 // FleetStatus asks the admin listener of each listed instance.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -13,8 +13,8 @@
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/intent"
-	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/peer"
 )
 
 const expiryInterval = time.Second
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -9,8 +9,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/control"
-	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/telemetry"
 )
 
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/standin/relay"
 )
 
--- a/internal/intent/delta.go
+++ b/internal/intent/delta.go
@@ -14,7 +14,7 @@
 	After     logservice.Offset            `json:"after"`
 	Through   logservice.Offset            `json:"through"`
 	Revision  logservice.Offset            `json:"revision"`
-	Services  map[string]*Entry          `json:"services"`
+	Services  map[string]*Entry            `json:"services"`
 	Removed   map[string]logservice.Offset `json:"removed"`
 	Forgotten logservice.Offset            `json:"forgotten"`
 	// Digest is the digest of the whole state at Through.
--- a/internal/intent/state.go
+++ b/internal/intent/state.go
@@ -16,10 +16,10 @@
 // Entry is one service in force.
 type Entry struct {
 	// Revision is the offset of the accepted change.
-	Revision logservice.Offset  `json:"revision"`
-	ChangeID string           `json:"change_id"`
-	Author   string           `json:"author"`
-	Spec     operator.Service `json:"spec"`
+	Revision logservice.Offset `json:"revision"`
+	ChangeID string            `json:"change_id"`
+	Author   string            `json:"author"`
+	Spec     operator.Service  `json:"spec"`
 	// encoded caches the JSON of the entry for digests.
 	encoded atomic.Pointer[[]byte]
 }
@@ -59,7 +59,7 @@
 	// Through is the offset of the last folded record.
 	Through logservice.Offset `json:"through"`
 	// Revision is the offset of the last accepted change.
-	Revision logservice.Offset   `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	Services map[string]*Entry `json:"services"`
 	// Removed holds the revisions at which services were removed, the latest MaxRemoved of them.
 	Removed map[string]logservice.Offset `json:"removed"`
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -26,6 +26,8 @@
 	remainder io.Reader
 	// chunked is true when the body has chunks instead of a length.
 	chunked bool
+	// closeDelimited is true when the body ends with an orderly close of the connection.
+	closeDelimited bool
 	// length is the announced length of the body.
 	length int
 	// body is the buffer behind Response.Body.
@@ -60,7 +62,7 @@
 	switch {
 	case a.remainder == nil:
 		return len(a.Response.Body())
-	case a.chunked:
+	case a.chunked || a.closeDelimited:
 		return -1
 	}
 	return a.length
@@ -114,7 +116,7 @@
 	}
 	conn.end(eventAnswered)
 	closing := a.Response.Header.ConnectionClose() || slices.Contains(a.Options, "Close")
-	if conn.is(stateTaken) && !closing && conn.reader.Buffered() == 0 {
+	if conn.is(stateTaken) && !closing && !conn.spoiled && conn.reader.Buffered() == 0 {
 		conn.rest()
 		a.pool.release(conn)
 		return
--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -10,6 +10,9 @@
 
 // endOfBody checks that the body is whole. It returns io.EOF if so.
 func (a *Answer) endOfBody() error {
+	if a.closeDelimited {
+		return io.EOF
+	}
 	if !a.chunked {
 		if limited, ok := a.remainder.(*io.LimitedReader); ok && limited.N > 0 {
 			return io.ErrUnexpectedEOF
@@ -51,6 +54,38 @@
 
 // readAnswer reads the head and the first part of the body.
 func (c *Conn) readAnswer(request *protocol.Request, answer *Answer) error {
+	for range maxSkippedAnswers {
+		if err := c.readOne(request, answer); err != nil {
+			return err
+		}
+		accept := answer.limits.Accept
+		if accept == nil || accept(&answer.Response.Header) {
+			return nil
+		}
+		c.spoiled = true
+		if answer.remainder != nil {
+			return &MalformedAnswerError{"a long answer to another request"}
+		}
+		answer.forget()
+	}
+	return &MalformedAnswerError{"only answers to other requests"}
+}
+
+// maxSkippedAnswers bounds the answers that are read until one belongs to the request. A peer may send a second answer to
+// an earlier request late.
+const maxSkippedAnswers = 3
+
+// forget drops an answer that belongs to another request.
+func (a *Answer) forget() {
+	if a.body != nil {
+		keepBuffer(a.body)
+		a.body = nil
+	}
+	a.Response.Reset()
+	a.chunked, a.length, a.read = false, 0, 0
+}
+
+func (c *Conn) readOne(request *protocol.Request, answer *Answer) error {
 	response := answer.Response
 	if err := c.readHead(answer); err != nil {
 		return err
@@ -61,8 +96,12 @@
 	}
 	answer.length = response.Header.ContentLength()
 	switch {
-	case answer.length == unboundedLength:
+	case answer.length == unboundedLength && !answer.limits.CloseDelimited:
 		return &UnboundedAnswerError{}
+	case answer.length == unboundedLength:
+		c.spoiled = true
+		answer.closeDelimited = true
+		answer.remainder = c.reader
 	case answer.length < 0:
 		answer.chunked = true
 		answer.remainder = httputil.NewChunkedReader(c.reader)
@@ -85,7 +124,7 @@
 // readPrefix reads at most limits.WholeBytes of the body, and ends the exchange if that is all.
 func (a *Answer) readPrefix() error {
 	size := a.length
-	if a.chunked {
+	if a.chunked || a.closeDelimited {
 		size = firstChunkedBytes
 	}
 	a.body = takeBuffer(min(size, a.limits.WholeBytes))
@@ -106,7 +145,7 @@
 		n, err := a.remainder.Read(a.body[len(a.body):end])
 		a.body = a.body[:len(a.body)+n]
 		a.read = len(a.body)
-		if err != nil || !a.chunked && len(a.body) == a.length {
+		if err != nil || !a.chunked && !a.closeDelimited && len(a.body) == a.length {
 			return a.prefixEnd(err)
 		}
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -38,9 +38,12 @@
 	opened, lastUsed time.Time
 
 	// written is true when the kernel took a byte of the current exchange.
-	written bool
-	// failed is the first error of the socket. Errors of the codec leave it nil.
-	failed error
+	written atomic.Bool
+	// failure is the first error of the socket. Errors of the codec leave it nil.
+	failure atomic.Pointer[socketFailure]
+	// spoiled is true when the connection must not carry another exchange, for example because the peer answered
+	// before it had read the whole request.
+	spoiled bool
 	// waitingSince is when the pending Read or Write started, in nanoseconds since opened. 0 means none is pending.
 	waitingSince atomic.Int64
 	// probed is true while the kernel probes the peer often.
@@ -54,8 +57,11 @@
 }
 
 // dial establishes the connection.
-func (c *Conn) dial(ctx context.Context, address string) error {
+func (c *Conn) dial(ctx context.Context, address string, userTimeout time.Duration) error {
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: idleKeepAlive}}
+	if userTimeout > 0 {
+		dialer.Control = boundUnacknowledged(userTimeout)
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -75,8 +81,8 @@
 
 // begin starts an exchange by eventBegin or a check by eventCheck.
 func (c *Conn) begin(event chart.EventID) error {
-	c.written = false
-	c.failed = nil
+	c.written.Store(false)
+	c.failure.Store(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.fire(event); err != nil {
@@ -109,6 +115,17 @@
 	}
 }
 
+// socketFailure is an error of a socket.
+type socketFailure struct{ err error }
+
+// failed returns the first error of the socket, or nil.
+func (c *Conn) failed() error {
+	if failure := c.failure.Load(); failure != nil {
+		return failure.err
+	}
+	return nil
+}
+
 // socket records what happens on the raw connection of a Conn.
 type socket struct{ c *Conn }
 
@@ -126,7 +143,9 @@
 	s.c.startWaiting()
 	n, err := s.c.raw.Write(p)
 	s.c.waitingSince.Store(0)
-	s.c.written = s.c.written || n > 0
+	if n > 0 {
+		s.c.written.Store(true)
+	}
 	s.c.record(err)
 	return n, err
 }
@@ -134,8 +153,8 @@
 func (c *Conn) startWaiting() { c.waitingSince.Store(int64(time.Since(c.opened)) | 1) }
 
 func (c *Conn) record(err error) {
-	if err != nil && c.failed == nil {
-		c.failed = err
+	if err != nil {
+		c.failure.CompareAndSwap(nil, &socketFailure{err})
 	}
 }
 
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/basillink/basillink/internal/reason"
 )
@@ -35,6 +36,16 @@
 	return fmt.Sprintf("%s: all %d connections are in use", e.Address, e.Limit)
 }
 
+// ConnectTimeoutError reports that no connection was opened in time.
+type ConnectTimeoutError struct {
+	Address string
+	Limit   time.Duration
+}
+
+func (e *ConnectTimeoutError) Error() string {
+	return fmt.Sprintf("%s: no connection within %s", e.Address, e.Limit)
+}
+
 // ClosedError reports that the pool was closed because its target is no longer in use.
 type ClosedError struct{ Address string }
 
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -14,6 +14,13 @@
 	WholeBytes int
 	// MaxBytes is the longest accepted body.
 	MaxBytes int
+	// Accept reports whether an answer belongs to the request. Other answers are skipped, and the connection is not used
+	// again. Nil accepts every answer.
+	Accept func(*protocol.ResponseHeader) bool
+	// CloseDelimited accepts bodies that end with an orderly close of the connection.
+	CloseDelimited bool
+	// ConnectTimeout bounds the opening of a connection. 0 leaves it to the context.
+	ConnectTimeout time.Duration
 	// MaxIdle is how long the connection may have been unused. An older one must answer a check first, which costs a
 	// round trip. 0 asks for no check.
 	MaxIdle time.Duration
@@ -27,7 +34,7 @@
 // Prepare, unless it is nil, is called when a connection is at hand, just before the write. It receives the remaining
 // time, which is 0 without a deadline.
 func (p *Pool) Start(ctx context.Context, request *protocol.Request, limits Limits, prepare Prepare) (*Answer, error) {
-	conn, err := p.acquire(ctx, limits.MaxIdle)
+	conn, err := p.acquireWithin(ctx, limits)
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
@@ -92,13 +99,54 @@
 	if err := c.raw.SetDeadline(deadline); err != nil {
 		return err
 	}
+	if len(request.Body()) > writeBufferBytes {
+		return c.runLong(request, answer)
+	}
+	if err := c.send(request); err != nil {
+		return err
+	}
+	return c.readAnswer(request, answer)
+}
+
+func (c *Conn) send(request *protocol.Request) error {
 	if err := req.Write(request, c); err != nil {
 		return err
 	}
-	if err := c.Flush(); err != nil {
+	return c.Flush()
+}
+
+// runLong reads the answer while the body is still being written, because a peer may answer without reading on. The rest
+// of the body is then not sent, and the connection carries no further exchange.
+func (c *Conn) runLong(request *protocol.Request, answer *Answer) error {
+	sent := make(chan error, 1)
+	go func() { sent <- c.send(request) }()
+	err := c.readAnswer(request, answer)
+	select {
+	case sendErr := <-sent:
+		c.spoiled = c.spoiled || sendErr != nil
 		return err
+	default:
 	}
-	return c.readAnswer(request, answer)
+	c.spoiled = true
+	if err != nil || answer.remainder == nil {
+		c.closeSocket()
+		<-sent
+	}
+	return err
+}
+
+// acquireWithin returns a connection for an exchange. The time for opening one is bounded apart from the exchange.
+func (p *Pool) acquireWithin(ctx context.Context, limits Limits) (*Conn, error) {
+	if limits.ConnectTimeout <= 0 {
+		return p.acquire(ctx, limits.MaxIdle)
+	}
+	connect, cancel := context.WithTimeout(ctx, limits.ConnectTimeout)
+	defer cancel()
+	conn, err := p.acquire(connect, limits.MaxIdle)
+	if err != nil && connect.Err() != nil && ctx.Err() == nil {
+		return nil, &ConnectTimeoutError{p.address, limits.ConnectTimeout}
+	}
+	return conn, err
 }
 
 // rest makes the connection ready for the pool. Its deadline stays; the next exchange sets its own.
--- a/internal/transport/failure.go
+++ b/internal/transport/failure.go
@@ -25,7 +25,7 @@
 // exchangeError describes a failed exchange. The request provably did not reach the target only when the kernel took
 // no byte of it.
 func (p *Pool) exchangeError(ctx context.Context, err error, conn *Conn, silent bool) *ExchangeError {
-	failure := &ExchangeError{Sent: conn.written, Address: p.address, Err: err}
+	failure := &ExchangeError{Sent: conn.written.Load(), Address: p.address, Err: err}
 	switch {
 	case !failure.Sent:
 		failure.Reason = unsentReason(ctx)
@@ -34,7 +34,7 @@
 	case Ended(ctx):
 		failure.Reason = contextReason(ctx, reason.AnswerTimeout, reason.CallerLeft)
 	default:
-		failure.Reason = answerReason(err, conn.failed)
+		failure.Reason = answerReason(err, conn.failed())
 	}
 	return failure
 }
--- a/internal/transport/ping.go
+++ b/internal/transport/ping.go
@@ -87,7 +87,7 @@
 	}
 	answer.drop()
 	var timeout net.Error
-	if ctx.Err() != nil || errors.As(conn.failed, &timeout) && timeout.Timeout() {
+	if ctx.Err() != nil || errors.As(conn.failed(), &timeout) && timeout.Timeout() {
 		return signSilent
 	}
 	return signClosed
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -25,6 +25,10 @@
 	silenceAfter time.Duration
 	// spare keeps one idle connection open while others are in use.
 	spare bool
+	// idleLimit is how long an unused connection is kept.
+	idleLimit time.Duration
+	// userTimeout bounds how long sent bytes may stay unacknowledged. 0 leaves it to the kernel.
+	userTimeout time.Duration
 
 	background context.Context
 	cancel     context.CancelFunc
@@ -47,7 +51,7 @@
 
 // NewPool returns a pool that opens at most limit connections. Its exchanges may be quiet for long.
 func NewPool(address string, limit int) *Pool {
-	p := &Pool{address: address, limit: limit, rate: bucket{tokens: openBurst, last: time.Now()}}
+	p := &Pool{address: address, limit: limit, idleLimit: idleLimit, rate: bucket{tokens: openBurst, last: time.Now()}}
 	p.background, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -60,6 +64,14 @@
 	return p
 }
 
+// NewOriginPool returns a pool for a server whose connections may be checked by use only: it sends nothing of its own.
+// Unused connections are closed after idleLimit, and a connection whose bytes stay unacknowledged for userTimeout fails.
+func NewOriginPool(address string, limit int, idleLimit, userTimeout time.Duration) *Pool {
+	p := NewPool(address, limit)
+	p.idleLimit, p.userTimeout = idleLimit, userTimeout
+	return p
+}
+
 // acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A connection
 // that was unused for maxIdle must answer a check first; 0 asks for none.
 func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
@@ -73,7 +85,7 @@
 		}
 		age := time.Since(conn.lastUsed)
 		switch {
-		case age >= idleLimit || conn.readable():
+		case age >= p.idleLimit || conn.readable():
 			p.discard(conn)
 		case maxIdle > 0 && age >= maxIdle:
 			p.verifyBeforeUse(conn)
@@ -108,7 +120,7 @@
 // dial opens a connection in the room that was reserved for it, and gives the room back when that fails.
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	conn := &Conn{}
-	err := conn.dial(ctx, p.address)
+	err := conn.dial(ctx, p.address, p.userTimeout)
 	if err != nil {
 		p.discard(conn)
 		return nil, err
--- a/internal/transport/reap.go
+++ b/internal/transport/reap.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// idleLimit is how long an unused connection is kept.
+// idleLimit is how long an unused connection is kept unless the pool says otherwise.
 const idleLimit = 60 * time.Second
 
 // armReap closes idle connections after their time even when no request comes. The lock is held.
 func (p *Pool) armReap() {
 	if p.reap == nil && len(p.idle) > 0 && !p.closed {
-		p.reap = time.AfterFunc(idleLimit/2, p.reapIdle)
+		p.reap = time.AfterFunc(p.idleLimit/2, p.reapIdle)
 	}
 }
 
@@ -18,7 +18,7 @@
 	p.reap = nil
 	kept := p.idle[:0]
 	for _, conn := range p.idle {
-		if time.Since(conn.lastUsed) < idleLimit {
+		if time.Since(conn.lastUsed) < p.idleLimit {
 			kept = append(kept, conn)
 			continue
 		}
--- a/internal/transport/tcpinfo.go
+++ b/internal/transport/tcpinfo.go
@@ -1,6 +1,8 @@
 package transport
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,6 +33,18 @@
 	return bytesLost || probesLost
 }
 
+// boundUnacknowledged makes the kernel fail a connection whose bytes stay unacknowledged for the limit, so that the
+// silence of a dead peer becomes an error.
+func boundUnacknowledged(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		return errors.Join(err, optionErr)
+	}
+}
+
 // askKernel lets the kernel probe the peer of a quiet connection. The answers show in peerSilent at the next check.
 func (c *Conn) askKernel() {
 	if !c.probed.Swap(true) {
