--- a/internal/daemoncli/commands.go
+++ b/internal/daemoncli/commands.go
@@ -23,6 +23,7 @@
 func Commands(out, errOut io.Writer) []subcommands.Command {
 	return []subcommands.Command{
 		&runCommand{errOut: errOut},
+		&edgeCommand{out: out, errOut: errOut},
 		&checkCommand{out: out, errOut: errOut},
 		&devCommand{out: out, errOut: errOut},
 	}
--- /dev/null
+++ b/internal/daemoncli/edge.go
@@ -0,0 +1,63 @@
+package daemoncli
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/basillink/basillink/internal/edge"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/telemetry"
+)
+
+// settingsVariable holds the path of the settings file on the platform.
+const settingsVariable = "BASILLINK_SETTINGS"
+
+// RunEdge runs an edge instance from a settings file until the context ends. Logs go to out.
+func RunEdge(ctx context.Context, out, errOut io.Writer, file string) subcommands.ExitStatus {
+	s, err := settings.LoadEdge(file)
+	if err != nil {
+		return refuse(errOut, err)
+	}
+	queue := telemetry.NewLogQueue(out)
+	defer queue.Close()
+	log := telemetry.NewLogger(queue, s.Log.Level, s.Log.Format)
+	e, err := edge.New(s, log)
+	if err == nil {
+		err = e.Run(ctx)
+	}
+	if err != nil {
+		telemetry.Component(log, "edge").Error("Instance failed.", "error", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// edgeCommand runs an instance that serves routes from the platform's store.
+type edgeCommand struct {
+	out, errOut io.Writer
+	file        string
+}
+
+func (*edgeCommand) Name() string { return "edge" }
+func (*edgeCommand) Synopsis() string {
+	return "run an instance that serves routes from the platform's store"
+}
+func (*edgeCommand) Usage() string {
+	return `edge [-settings FILE]
+  Run an instance until SIGTERM or SIGINT, then finish the requests in flight.
+  The file defaults to the one that the variable BASILLINK_SETTINGS names.
+  Exit status: 0 after a planned stop, 1 on failure, 2 for settings that are not accepted.
+`
+}
+
+func (c *edgeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(settingsVariable), "settings file")
+}
+
+func (c *edgeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return RunEdge(ctx, c.out, c.errOut, c.file)
+}
--- /dev/null
+++ b/internal/dispatch/end.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// End says how an exchange with a target ended.
+type End int
+
+// Ends of exchanges.
+const (
+	// Answered means that the target answered well.
+	Answered End = iota
+	// Failed means that the target failed a request that it may have run, or gave no answer.
+	Failed
+	// Shed means that the target refused the request without running it.
+	Shed
+	// Unconnected means that no connection could be opened.
+	Unconnected
+	// Withdrawn means that the caller left or the instance gave up for reasons that do not concern the target.
+	Withdrawn
+)
+
+// Release notes the end of an exchange. Reading is the load that the answer carried, or nil.
+func (p *Pool) Release(a *Ask, d Decision, end End, reading *Reading) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	t := d.Target
+	t.own--
+	t.since--
+	switch end {
+	case Answered:
+		t.noteSuccess(now)
+		p.workOf(a).add(time.Duration(float64(now-d.sent) / d.pace))
+	case Failed:
+		t.noteFailure(now, 1)
+	case Shed:
+		t.noteFailure(now, shedWeight)
+	case Unconnected:
+		t.noteUnreachable(now)
+	}
+	if reading != nil {
+		t.reading, t.read, t.since = *reading, true, 0
+	}
+	p.serveWaiting(now)
+}
+
+// shedWeight is the evidence of a refusal by a target: it is full or failing, but lost nothing.
+const shedWeight = 0.4
+
+// workEstimate learns how long the work of a route takes on a target at its usual pace.
+type workEstimate struct{ mean float64 }
+
+const (
+	// initialWorkShare is the share of the latency objective that work takes before any was measured.
+	initialWorkShare = 0.4
+	// workGain is the weight of one measurement.
+	workGain = 0.03
+	// maxWorkGrowth bounds the effect of one slow answer on the estimate.
+	maxWorkGrowth = 3
+)
+
+func (w *workEstimate) estimate() time.Duration { return time.Duration(w.mean) }
+
+func (w *workEstimate) add(d time.Duration) {
+	w.mean += workGain * (min(float64(d), maxWorkGrowth*w.mean) - w.mean)
+}
+
+// workOf returns the estimate of a route. The lock is held.
+func (p *Pool) workOf(a *Ask) *workEstimate {
+	w := p.work[a.Route]
+	if w == nil {
+		w = &workEstimate{mean: max(float64(a.Objective)*initialWorkShare, float64(time.Millisecond))}
+		p.work[a.Route] = w
+	}
+	return w
+}
+
+// retryBudget is this instance's share of the fleet's allowance for sending requests to a further target.
+type retryBudget struct {
+	tokens float64
+	at     time.Duration
+	// started is false before the first request.
+	started bool
+}
+
+// Arrived notes a request of a caller for the service, which adds to the allowance for retries.
+func (p *Pool) Arrived() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refillRetries()
+	p.retries.tokens = min(p.retries.tokens+p.policy.RetryRatio, p.retryCap())
+}
+
+// MayRetry takes one retry from the allowance.
+func (p *Pool) MayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refillRetries()
+	if p.retries.tokens < 1 {
+		return false
+	}
+	p.retries.tokens--
+	return true
+}
+
+// retryCap is the most that the allowance holds. The lock is held.
+func (p *Pool) retryCap() float64 {
+	return max(1, p.policy.RetryExtra/float64(p.sharers)) + retryBurst
+}
+
+// retryBurst is how many earned retries an instance may keep for later.
+const retryBurst = 3
+
+// refillRetries adds this instance's share of the fleet's extra retries. The lock is held.
+func (p *Pool) refillRetries() {
+	now := p.now()
+	r := &p.retries
+	if !r.started {
+		r.started, r.tokens = true, p.policy.RetryExtra/float64(p.sharers)
+	} else {
+		share := p.policy.RetryExtra / 2 / float64(p.sharers)
+		r.tokens = min(r.tokens+share*float64(now-r.at)/float64(p.policy.RetryWindow), p.retryCap())
+	}
+	r.at = now
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,328 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/registry"
+)
+
+// Ask describes a request that needs a target. It must not change while it waits.
+type Ask struct {
+	// Route is the name under which the work of requests is learnt.
+	Route     string
+	Priority  int
+	Objective time.Duration
+	// Arrived is when the instance received the request, and Deadline when an answer is worth nothing any more.
+	Arrived, Deadline time.Duration
+	// Kilobytes is the expected size of the exchange.
+	Kilobytes float64
+	// Tried holds the targets that the request was sent to already.
+	Tried []*Target
+}
+
+// Decision is what became of an Ask.
+type Decision struct {
+	// Target receives the request. It is nil for a refusal.
+	Target *Target
+	// Refusal is the reason when no target may receive the request.
+	Refusal *reason.Reason
+	// RetryAfter is when the caller should come back after a refusal.
+	RetryAfter time.Duration
+	// Inputs are kept for the log.
+	Inputs Inputs
+	// sent and pace describe the moment of the decision.
+	sent time.Duration
+	pace float64
+}
+
+// Inputs are the figures that decided.
+type Inputs struct {
+	Candidates, Open, Waiting int
+	Occupied                  int
+	Pace                      float64
+	// ReadingAge is the age of the load reading, negative without one.
+	ReadingAge time.Duration
+	Expected   time.Duration
+	Waited     time.Duration
+}
+
+// Pool decides for the targets of one service. It is safe for concurrent use.
+type Pool struct {
+	policy Policy
+	zone   string
+	// now is the monotonic time.
+	now func() time.Duration
+
+	mu      sync.Mutex
+	targets []*Target
+	byID    map[string]*Target
+	work    map[string]*workEstimate
+	waiting []*waiter
+	// sharers is the number of instances that send to the same targets.
+	sharers int
+	retries retryBudget
+	random  *rand.Rand
+}
+
+// NewPool returns a pool without targets for an instance in a zone.
+func NewPool(policy Policy, zone string, now func() time.Duration, random *rand.Rand) *Pool {
+	return &Pool{
+		policy: policy, zone: zone, now: now, random: random, sharers: 1,
+		byID: map[string]*Target{}, work: map[string]*workEstimate{},
+	}
+}
+
+type waiter struct {
+	ask   *Ask
+	ready chan Decision
+}
+
+// SetTargets replaces the registered targets. What is known of targets that stay is kept. The times of warming up are
+// relative to wall.
+func (p *Pool) SetTargets(targets []registry.Target, sharers int, wall time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.sharers = max(sharers, 1)
+	byID := make(map[string]*Target, len(targets))
+	p.targets = p.targets[:0]
+	for _, r := range targets {
+		t := p.byID[r.ID]
+		if t == nil || t.Address != r.Address {
+			t = newTarget(r, p.zone, 0)
+		}
+		t.warm = 0
+		if r.WarmUntil.After(wall) {
+			t.warm = now + r.WarmUntil.Sub(wall)
+		}
+		byID[r.ID] = t
+		p.targets = append(p.targets, t)
+	}
+	for id, t := range p.byID {
+		t.removed = byID[id] != t
+	}
+	p.byID = byID
+	p.serveWaiting(now)
+}
+
+// Observe takes over readings of load by target id. Waiting requests are decided again.
+func (p *Pool) Observe(readings map[string]Reading) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, reading := range readings {
+		if t := p.byID[id]; t != nil {
+			t.reading, t.read, t.since = reading, true, 0
+		}
+	}
+	p.serveWaiting(p.now())
+}
+
+// Announced notes that another instance sent a request to a target.
+func (p *Pool) Announced(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byID[id]; t != nil {
+		t.since++
+	}
+}
+
+// Unreachable notes that the health path of a target does not answer.
+func (p *Pool) Unreachable(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byID[id]; t != nil {
+		t.noteUnreachable(p.now())
+	}
+}
+
+// Acquire waits until a target may receive the request or the request is refused. Release must follow when a target was
+// chosen.
+func (p *Pool) Acquire(ctx context.Context, ask *Ask) Decision {
+	p.mu.Lock()
+	now := p.now()
+	w := &waiter{ask: ask, ready: make(chan Decision, 1)}
+	p.enqueue(w)
+	p.serveWaiting(now)
+	p.mu.Unlock()
+	select {
+	case d := <-w.ready:
+		return d
+	default:
+	}
+	timer := time.NewTimer(max(p.waitLimit(ask)-now, 0))
+	defer timer.Stop()
+	select {
+	case d := <-w.ready:
+		return d
+	case <-timer.C:
+		return p.abandon(w, reason.Overloaded)
+	case <-ctx.Done():
+		return p.abandon(w, reason.CallerLeftEarly)
+	}
+}
+
+// abandon withdraws a waiting request, unless it has been decided meanwhile.
+func (p *Pool) abandon(w *waiter, why *reason.Reason) Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case d := <-w.ready:
+		return d
+	default:
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(other *waiter) bool { return other == w })
+	return p.refuse(w.ask, why, p.now())
+}
+
+// enqueue keeps the waiting requests ordered by priority, then arrival. The lock is held.
+func (p *Pool) enqueue(w *waiter) {
+	at, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
+		if a.ask.Priority != b.ask.Priority {
+			return a.ask.Priority - b.ask.Priority
+		}
+		if a.ask.Arrived <= b.ask.Arrived {
+			return -1
+		}
+		return 1
+	})
+	p.waiting = slices.Insert(p.waiting, at, w)
+}
+
+// serveWaiting decides the waiting requests in order. The lock is held.
+func (p *Pool) serveWaiting(now time.Duration) {
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		d, decided := p.decide(w.ask, now, len(kept))
+		if !decided {
+			kept = append(kept, w)
+			continue
+		}
+		w.ready <- d
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+// waitLimit is when a request that still waits is refused.
+func (p *Pool) waitLimit(a *Ask) time.Duration {
+	limit := a.Arrived + time.Duration(float64(a.Objective)*p.policy.WaitShare)
+	return min(limit, a.Deadline)
+}
+
+// decide chooses a target, refuses, or reports false when the request has to wait behind ahead others. The lock is held.
+func (p *Pool) decide(a *Ask, now time.Duration, ahead int) (Decision, bool) {
+	work := p.workOf(a).estimate()
+	best, open, inputs := p.choose(a, now, work)
+	inputs.Waiting = ahead
+	switch {
+	case now >= a.Deadline:
+		return p.refuse(a, reason.DeadlineTooShort, now), true
+	case best.target == nil:
+		return p.refuse(a, reason.NoTarget, now), true
+	case open.target != nil && (open.cost <= best.cost || now >= p.waitLimit(a)):
+		return p.send(open, a, now, inputs), true
+	case now >= p.waitLimit(a):
+		return p.refuse(a, reason.Overloaded, now), true
+	}
+	wait := time.Duration(float64(ahead+1) / p.throughput(now, work))
+	if open.target != nil && wait+best.answer > open.answer {
+		return p.send(open, a, now, inputs), true
+	}
+	if now+wait > p.waitLimit(a) {
+		return p.refuse(a, reason.Overloaded, now), true
+	}
+	return Decision{}, false
+}
+
+// choose returns the best target, and the best of those with a free slot. The lock is held.
+func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
+	var unreachable estimate
+	for _, t := range p.targets {
+		if slices.Contains(a.Tried, t) {
+			continue
+		}
+		inputs.Candidates++
+		e := t.estimate(now, a, work, &p.policy)
+		e.cost += time.Duration(p.random.Int64N(int64(work)/tieShare + 1))
+		if now < t.unreachableUntil {
+			if unreachable.target == nil || t.unreachableUntil < unreachable.target.unreachableUntil {
+				unreachable = e
+			}
+			continue
+		}
+		if best.target == nil || e.cost < best.cost {
+			best = e
+		}
+		if e.open {
+			inputs.Open++
+			if open.target == nil || e.cost < open.cost {
+				open = e
+			}
+		}
+	}
+	if best.target == nil {
+		best = unreachable
+		if unreachable.open {
+			open = unreachable
+		}
+	}
+	return best, open, inputs
+}
+
+// tieShare is the part of the work by which the cost of targets is varied at random, so that instances with the same
+// readings do not all choose the same target.
+const tieShare = 10
+
+// send assigns the request to a target. The lock is held.
+func (p *Pool) send(e estimate, a *Ask, now time.Duration, inputs Inputs) Decision {
+	t := e.target
+	inputs.Occupied = t.occupied(now, p.policy.ReadingLifetime)
+	inputs.Pace = t.pace(now, &p.policy)
+	inputs.ReadingAge = -1
+	if t.read {
+		inputs.ReadingAge = now - t.reading.At
+	}
+	inputs.Expected = e.answer
+	inputs.Waited = now - a.Arrived
+	t.own++
+	t.since++
+	return Decision{Target: t, Inputs: inputs, sent: now, pace: inputs.Pace}
+}
+
+// refuse returns a refusal with the time after which room is expected. The lock is held.
+func (p *Pool) refuse(a *Ask, why *reason.Reason, now time.Duration) Decision {
+	work := p.workOf(a).estimate()
+	after := minRetryAfter
+	if throughput := p.throughput(now, work); throughput > 0 {
+		after += time.Duration(float64(len(p.waiting)) / throughput)
+	}
+	// The spread keeps refused callers from coming back together.
+	after += time.Duration(p.random.Int64N(int64(after)))
+	return Decision{
+		Refusal: why, RetryAfter: min(after, maxRetryAfter),
+		Inputs: Inputs{Candidates: len(p.targets), Waiting: len(p.waiting), Waited: now - a.Arrived, ReadingAge: -1},
+	}
+}
+
+const (
+	// minRetryAfter is the least time after which a refused caller should come back.
+	minRetryAfter = 60 * time.Millisecond
+	// maxRetryAfter keeps callers from waiting longer than a burst usually lasts.
+	maxRetryAfter = 2 * time.Second
+)
+
+// throughput estimates the requests that this instance's share of the targets completes per nanosecond. The lock is held.
+func (p *Pool) throughput(now time.Duration, work time.Duration) float64 {
+	total := 0.0
+	for _, t := range p.targets {
+		if now >= t.unreachableUntil {
+			total += float64(t.usable(&p.policy)) / (float64(work) * t.pace(now, &p.policy))
+		}
+	}
+	return total / float64(p.sharers)
+}
--- /dev/null
+++ b/internal/dispatch/target.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/basillink/basillink/internal/registry"
+)
+
+const (
+	// unreadPace is the assumed pace of a target without a fresh reading: one in four is slowed by neighbours.
+	unreadPace = 1.4
+	// failureHalfLife is how fast the evidence of failures fades, so that a recovered target is tried again.
+	failureHalfLife = 1500 * time.Millisecond
+	// maxFailures bounds the evidence, so that a target is tried again a few half-lives after its last failure.
+	maxFailures = 6
+	// successFactor is what remains of the evidence of failures after a good answer.
+	successFactor = 0.7
+	// unreachableBase and unreachableMax bound how long a target is left out after a failed connection.
+	unreachableBase = 200 * time.Millisecond
+	unreachableMax  = 1600 * time.Millisecond
+)
+
+// Reading is the load that a target reported.
+type Reading struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes on the target's machine now. 1 is usual.
+	Pace float64
+	// At is when the reading arrived.
+	At time.Duration
+}
+
+// Target is one target as the dispatcher sees it. The lock of its Pool guards it.
+type Target struct {
+	ID      string
+	Address string
+	local   bool
+	slots   int
+	warm    time.Duration
+	reading Reading
+	read    bool
+	// own counts the requests in flight from this instance.
+	own int
+	// since counts the requests sent to the target, less those ended, since the reading.
+	since int
+	// failures is the fading evidence that the target fails requests, as of failedAt.
+	failures float64
+	failedAt time.Duration
+	// unreachableUntil leaves the target out after a failed connection.
+	unreachableUntil time.Duration
+	unreachableFor   time.Duration
+	// removed targets are no longer registered. Requests in flight end on them.
+	removed bool
+}
+
+func newTarget(r registry.Target, zone string, warm time.Duration) *Target {
+	return &Target{ID: r.ID, Address: r.Address, local: r.Zone == zone, slots: max(r.Slots, 1), warm: warm}
+}
+
+// occupied estimates the requests that the target runs or holds.
+func (t *Target) occupied(now time.Duration, lifetime time.Duration) int {
+	if !t.read || now-t.reading.At > lifetime {
+		return t.own
+	}
+	return max(t.own, t.reading.Running+t.reading.Waiting+t.since)
+}
+
+// pace estimates how much longer than usual work takes on the target.
+func (t *Target) pace(now time.Duration, p *Policy) float64 {
+	pace := unreadPace
+	if t.read && now-t.reading.At <= p.ReadingLifetime {
+		pace = t.reading.Pace
+	}
+	if now < t.warm {
+		pace *= p.WarmupFactor
+	}
+	return pace
+}
+
+func (t *Target) usable(p *Policy) int { return max(1, int(float64(t.slots)*p.UsableShare)) }
+
+// evidence returns the failures that have not faded yet.
+func (t *Target) evidence(now time.Duration) float64 {
+	if t.failures == 0 {
+		return 0
+	}
+	return t.failures * math.Exp2(-float64(now-t.failedAt)/float64(failureHalfLife))
+}
+
+func (t *Target) noteFailure(now time.Duration, weight float64) {
+	t.failures = min(t.evidence(now)+weight, maxFailures)
+	t.failedAt = now
+}
+
+func (t *Target) noteSuccess(now time.Duration) {
+	t.failures = t.evidence(now) * successFactor
+	t.failedAt = now
+	t.unreachableFor = 0
+}
+
+func (t *Target) noteUnreachable(now time.Duration) {
+	t.unreachableFor = min(max(2*t.unreachableFor, unreachableBase), unreachableMax)
+	t.unreachableUntil = now + t.unreachableFor
+}
+
+// estimate is what sending a request to a target would mean.
+type estimate struct {
+	target *Target
+	// cost orders targets. It is the expected time to the answer plus what else speaks against the target.
+	cost time.Duration
+	// answer is the expected time to the answer.
+	answer time.Duration
+	// open is true when the target has a free slot within its usable share.
+	open bool
+}
+
+func (t *Target) estimate(now time.Duration, a *Ask, work time.Duration, p *Policy) estimate {
+	occupied := t.occupied(now, p.ReadingLifetime)
+	usable := t.usable(p)
+	one := float64(work) * t.pace(now, p)
+	answer := one
+	open := occupied < usable
+	if !open {
+		// One of the running requests ends in the mean after its share of the work; those beyond it queue up.
+		answer += one * float64(occupied-usable+1) / float64(usable)
+	}
+	cost := answer + one*crowdingShare*float64(occupied)/float64(usable)
+	cost += t.evidence(now) * float64(a.Objective) * failureCost
+	if !t.local {
+		cost += float64(p.ZoneCrossing) * a.Kilobytes
+	}
+	return estimate{target: t, cost: time.Duration(cost), answer: time.Duration(answer), open: open}
+}
+
+const (
+	// crowdingShare is the share of the work that a full target costs more than an empty one. It spreads requests, and
+	// with them the error of readings that are already old.
+	crowdingShare = 0.3
+	// failureCost is the share of the latency objective that one fresh failure costs.
+	failureCost = 0.6
+)
+
+// Slots returns the number of requests that the target runs at the same time.
+func (t *Target) Slots() int { return t.slots }
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,148 @@
+// Package edge assembles an instance that serves routes from the platform's store, and runs it until it is stopped.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/fleet"
+	"github.com/basillink/basillink/internal/ingress"
+	"github.com/basillink/basillink/internal/settings"
+	"github.com/basillink/basillink/internal/telemetry"
+	"github.com/basillink/basillink/platform"
+)
+
+// Edge is one instance. Run is called once.
+type Edge struct {
+	settings *settings.Edge
+	log      *slog.Logger
+	store    *platform.Store
+	node     *fleet.Node
+	gateway  *ingress.Gateway
+	ready    *readiness
+	bounds   platform.Bounds
+}
+
+// New assembles an instance. It opens no port.
+func New(s *settings.Edge, log *slog.Logger) (*Edge, error) {
+	telemetry.RouteServerLogs(telemetry.Component(log, "http"))
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	bounds, err := platform.ParseBounds(s.Store.Bounds)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	e := &Edge{settings: s, log: telemetry.Component(log, "edge"), bounds: bounds}
+	e.store = platform.NewStore(s.Store.Address, telemetry.Component(log, "store"))
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	e.node = fleet.New(fleet.Config{
+		Self: discovery.Member{
+			ID: s.Instance.ID, Zone: s.Instance.Zone, Address: s.Listen.Peer, Started: start.UnixNano(),
+		},
+		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Policy: e.policy(), Prober: platform.Prober{},
+		ProbeInterval: time.Duration(s.Probe.IntervalMS) * time.Millisecond, Now: now,
+		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:     telemetry.Component(log, "fleet"),
+		Changed: func(registered func(string) bool) { e.gateway.Forget(registered) },
+	})
+	e.gateway = ingress.New(ingress.Config{
+		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
+		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, Misdirected: e.node.Misdirected,
+		Sent: e.node.Sent, Now: now, SampleOneIn: s.Log.SampleOneIn,
+	})
+	e.ready = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler())
+	return e, nil
+}
+
+// policy derives the policy of the dispatcher from the settings and the bounds of the platform.
+func (e *Edge) policy() dispatch.Policy {
+	p := dispatch.DefaultPolicy()
+	p.UsableShare = float64(e.settings.Dispatch.UsablePercent) / 100
+	p.WaitShare = float64(e.settings.Dispatch.WaitPercent) / 100
+	p.ZoneCrossing = time.Duration(e.settings.Dispatch.ZoneCrossingUS) * time.Microsecond
+	if e.bounds.RetryRatio > 0 {
+		p.RetryRatio = e.bounds.RetryRatio * budgetShare
+		p.RetryExtra = e.bounds.RetryExtra * budgetShare
+		p.RetryWindow = e.bounds.RetryWindow
+	}
+	return p
+}
+
+// budgetShare is the part of the platform's budget for retries that is used, because no instance knows what the others
+// spent.
+const budgetShare = 0.6
+
+// seedHosts returns the IP addresses of the seeds, which were validated with the settings.
+func seedHosts(seeds []string) []string {
+	var hosts []string
+	for _, seed := range seeds {
+		hosts = append(hosts, netip.MustParseAddrPort(seed).Addr().String())
+	}
+	return hosts
+}
+
+// Run serves until the context ends, then drains.
+func (e *Edge) Run(ctx context.Context) error {
+	if err := e.open(); err != nil {
+		return err
+	}
+	e.log.Info("Started.", "instance", e.settings.Instance.ID, "zone", e.settings.Instance.Zone,
+		"caller", e.settings.Listen.Caller, "peer", e.settings.Listen.Peer)
+	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopNode()
+	failed := make(chan error, 2)
+	go e.node.Run(nodeCtx)
+	go func() { failed <- e.gateway.Run() }()
+	go func() { failed <- e.ready.run() }()
+	select {
+	case err := <-failed:
+		return trace.Wrap(err, "listener")
+	case <-ctx.Done():
+	}
+	e.drain()
+	return nil
+}
+
+func (e *Edge) open() error {
+	if err := e.gateway.Open(); err != nil {
+		return trace.Wrap(err, "listen.caller")
+	}
+	if err := e.ready.open(); err != nil {
+		return trace.Wrap(err, "listen.readiness")
+	}
+	return trace.Wrap(e.node.Open(), "listen.peer")
+}
+
+const (
+	// noticeTime is how long new connections are still accepted after the stop was announced. The platform's balancer asks
+	// once a second and takes an instance out after two misses.
+	noticeTime = 2500 * time.Millisecond
+	// drainReserve is kept from the time that the platform grants for a stop.
+	drainReserve = 400 * time.Millisecond
+)
+
+// drain announces the stop, serves what still comes, and ends within the time that the platform grants.
+func (e *Edge) drain() {
+	began := time.Now()
+	e.log.Info("Draining.", "in_flight", e.gateway.InFlight(), "grace_ms", e.bounds.Grace.Milliseconds())
+	e.ready.leave()
+	e.gateway.Drain()
+	time.Sleep(min(noticeTime, e.bounds.Grace/2))
+	left := e.bounds.Grace - drainReserve - time.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := e.gateway.Shutdown(ctx); err != nil {
+		e.log.Warn("Stopped with requests in flight.", "in_flight", e.gateway.InFlight(), "error", err)
+	}
+	e.log.Info("Stopped.", "after_ms", time.Since(began).Milliseconds())
+}
--- /dev/null
+++ b/internal/fleet/datagrams.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+)
+
+const (
+	// crossInterval is the time between two datagrams to each other zone. Bytes between zones are paid for.
+	crossInterval = 100 * time.Millisecond
+	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
+	greetAgain   = 300 * time.Millisecond
+	maxGreetings = 4
+)
+
+func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// receive hands the datagrams of peers to the control loop.
+func (n *Node) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		length, from, err := n.socket.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.Log.Warn("Could not receive a datagram.", "error", err)
+			continue
+		}
+		d, err := decode(buffer[:length])
+		if err != nil {
+			n.Log.Warn("Ignored a datagram.", "from", from.String(), "error", err)
+			continue
+		}
+		if len(d.Sent) > 0 {
+			n.takeSent(d.Sent)
+			continue
+		}
+		n.post(received{datagram: d, from: from.String()})
+	}
+}
+
+// send sends a datagram to an address. Datagrams may be lost, so that errors only show up in the log.
+func (n *Node) send(address string, d *datagram) {
+	b, err := encode(d)
+	if err != nil {
+		n.Log.Error("Could not encode a datagram.", "error", err)
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err == nil {
+		_, err = n.socket.WriteToUDP(b, to)
+	}
+	if err != nil {
+		n.Log.Debug("Could not send a datagram.", "to", address, "error", err)
+	}
+}
+
+func (n *Node) base(now time.Time) *datagram {
+	return &datagram{From: n.Self, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now))}
+}
+
+// handleDatagram takes over what a peer told.
+func (n *Node) handleDatagram(ctx context.Context, e received, now time.Time) {
+	d := e.datagram
+	if d.From.ID == n.Self.ID {
+		return
+	}
+	isNew := n.members.learn(d.From)
+	p := n.members.peers[d.From.ID]
+	if p == nil || d.From.Started < p.Started {
+		return
+	}
+	if isNew {
+		n.Log.Info("Met an instance.", "instance", d.From.ID, "zone", d.From.Zone, "address", d.From.Address)
+	}
+	p.heard, p.leaving, p.greetings = now, d.Leaving, 0
+	if d.Leaving {
+		n.Log.Info("An instance leaves.", "instance", d.From.ID)
+		return
+	}
+	p.live = d.Live
+	if d.Reader {
+		p.readerAt = now
+	}
+	n.meet(d.Members, now)
+	if d.Greeting {
+		answer := n.base(now)
+		answer.Members = n.members.all(now)
+		answer.Targets, answer.Config = n.targetsNote(now), n.configNote(now)
+		n.send(p.Address, answer)
+	}
+	n.takeNews(ctx, d, p, now)
+}
+
+// takeNews takes over what a peer read, and passes what came from another zone on to this zone.
+func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
+	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
+	if changed {
+		n.publish(now)
+	}
+	if d.Config != nil {
+		n.takeConfig(ctx, d.Config, p, now)
+	}
+	n.observe(d.Loads)
+	if p.Zone == n.Self.Zone {
+		return
+	}
+	if len(d.Loads) > 0 || changed || d.Config != nil {
+		relay := n.base(now)
+		relay.Loads, relay.Targets, relay.Config = d.Loads, n.targetsNote(now), n.configNote(now)
+		n.tellZone(relay, now)
+	}
+}
+
+// takeConfig notes the configuration of a peer, and fetches a newer one: from a peer of this zone, where bytes cost
+// nothing, else from the store.
+func (n *Node) takeConfig(ctx context.Context, note *configNote, p *peerState, now time.Time) {
+	asOf := now.Add(-time.Duration(note.AgeMS) * time.Millisecond)
+	switch {
+	case n.table != nil && note.Version == n.table.Version:
+		n.configs.fresh(asOf)
+	case n.table != nil && note.Version < n.table.Version:
+	case p.Zone == n.Self.Zone && n.table != nil:
+		n.fetchState(ctx, p.Address, now)
+	default:
+		n.configs.behind = true
+	}
+}
+
+// observe hands readings to the dispatcher.
+func (n *Node) observe(loads []loadNote) {
+	if len(loads) == 0 {
+		return
+	}
+	now := n.Now()
+	byService := map[string]map[string]dispatch.Reading{}
+	for _, note := range loads {
+		ref, known := n.byHash[note.Target]
+		if !known {
+			continue
+		}
+		if note.PacePercent == 0 {
+			n.pools[ref.service].Unreachable(ref.id)
+			continue
+		}
+		if byService[ref.service] == nil {
+			byService[ref.service] = map[string]dispatch.Reading{}
+		}
+		byService[ref.service][ref.id] = toReading(note, now)
+	}
+	for service, readings := range byService {
+		if pool := n.pools[service]; pool != nil {
+			pool.Observe(readings)
+		}
+	}
+}
+
+// meet greets members that were not known.
+func (n *Node) meet(list []discovery.Member, now time.Time) {
+	for _, member := range list {
+		n.members.learn(member)
+	}
+	n.greet(now)
+}
+
+// greet sends a greeting to members that have not been heard.
+func (n *Node) greet(now time.Time) {
+	for _, p := range n.members.peers {
+		if p.isLive(now) || p.leaving || p.greetings >= maxGreetings || now.Sub(p.greeted) < greetAgain {
+			continue
+		}
+		p.greeted = now
+		p.greetings++
+		greeting := n.base(now)
+		greeting.Greeting = true
+		n.send(p.Address, greeting)
+	}
+}
+
+// greetSeeds asks the seeds for the members that they know. The port of peers is the same on all instances.
+func (n *Node) greetSeeds() {
+	_, port, err := net.SplitHostPort(n.Self.Address)
+	if err != nil {
+		n.Log.Warn("Cannot greet the seeds.", "error", err)
+		return
+	}
+	for _, host := range n.Seeds {
+		if address := net.JoinHostPort(host, port); address != n.Self.Address {
+			n.send(address, &datagram{From: n.Self, Greeting: true, Live: 1})
+		}
+	}
+}
+
+// tellZone sends a datagram to the live members of this zone.
+func (n *Node) tellZone(d *datagram, now time.Time) {
+	for _, p := range n.members.zonePeers(now) {
+		n.send(p.Address, d)
+	}
+}
+
+// tellNews tells the zone, and after a change the other zones too, how far the store was read by this instance.
+func (n *Node) tellNews(now time.Time, changed bool) {
+	d := n.base(now)
+	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
+	n.tellZone(d, now)
+	if !changed && n.reader {
+		return
+	}
+	for _, p := range n.members.remoteReaders(now) {
+		n.send(p.Address, d)
+	}
+}
+
+// sendHeartbeat tells the zone that this instance lives.
+func (n *Node) sendHeartbeat(now time.Time) {
+	if now.Sub(n.heartbeat) < heartbeatInterval {
+		return
+	}
+	n.heartbeat = now
+	d := n.base(now)
+	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
+	n.tellZone(d, now)
+	n.greet(now)
+}
+
+// sendAcross tells the readers of the other zones the readings of this zone and how far the store was read.
+func (n *Node) sendAcross(now time.Time) {
+	if !n.reader || now.Sub(n.crossAt) < crossInterval {
+		return
+	}
+	n.crossAt = now
+	d := n.base(now)
+	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
+	at := n.Now()
+	for _, sample := range n.pending {
+		note := sample.note
+		note.AgeMS = ageMS(at - sample.at)
+		d.Loads = append(d.Loads, note)
+	}
+	clear(n.pending)
+	for _, p := range n.members.remoteReaders(now) {
+		n.send(p.Address, d)
+	}
+}
+
+func ageMS(d time.Duration) uint16 { return uint16(min(max(d.Milliseconds(), 0), 1<<16-1)) }
+
+// refreshZonePeers keeps the addresses to which sent requests are announced.
+func (n *Node) refreshZonePeers(now time.Time) {
+	var addresses []*net.UDPAddr
+	for _, p := range n.members.zonePeers(now) {
+		if address, err := net.ResolveUDPAddr("udp", p.Address); err == nil {
+			addresses = append(addresses, address)
+		}
+	}
+	n.zonePeers.Store(&addresses)
+}
+
+// Sent tells the zone that a request was sent to a target, so that the others count it before the next reading.
+func (n *Node) Sent(targetID string) {
+	addresses := n.zonePeers.Load()
+	if addresses == nil || len(*addresses) == 0 {
+		return
+	}
+	b, err := encode(&datagram{Sent: []uint32{hashID(targetID)}})
+	if err != nil {
+		return
+	}
+	for _, address := range *addresses {
+		_, _ = n.socket.WriteToUDP(b, address)
+	}
+}
+
+// takeSent counts the requests that a peer sent.
+func (n *Node) takeSent(hashes []uint32) { n.post(peerSent{hashes}) }
--- /dev/null
+++ b/internal/fleet/events.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+// event is something that happened outside the control loop.
+type event interface{}
+
+// received is a datagram of a peer.
+type received struct {
+	datagram *datagram
+	from     string
+}
+
+// configsRead is the end of a read of configurations.
+type configsRead struct {
+	began   time.Time
+	configs []*routes.Config
+	next    int64
+	err     error
+}
+
+// targetsRead is the end of a read of targets. Listed is true when it holds the newest record of each target.
+type targetsRead struct {
+	began   time.Time
+	changes []registry.Change
+	listed  bool
+	next    int64
+	err     error
+}
+
+// membersRead is the end of the announcement of this instance and the read of the others.
+type membersRead struct {
+	members []discovery.Member
+	err     error
+}
+
+// stateFetched is the answer of a peer to a request for its state.
+type stateFetched struct {
+	state *State
+	err   error
+}
+
+// stateAsked is a request of a peer for the state.
+type stateAsked struct {
+	request StateRequest
+	reply   chan State
+}
+
+// roundRead holds the readings of one round.
+type roundRead struct{ samples []sample }
+
+// peerSent tells that another instance sent requests to targets.
+type peerSent struct{ targets []uint32 }
+
+// misdirected tells that an address answered for another incarnation.
+type misdirected struct{ targetID string }
+
+// handle takes one event over.
+func (n *Node) handle(ctx context.Context, e event, now time.Time) {
+	switch e := e.(type) {
+	case received:
+		n.handleDatagram(ctx, e, now)
+	case configsRead:
+		n.handleConfigs(e, now)
+	case targetsRead:
+		n.handleTargets(e, now)
+	case membersRead:
+		n.handleMembers(e, now)
+	case stateFetched:
+		n.handleState(e, now)
+	case stateAsked:
+		e.reply <- n.state(e.request, now)
+	case roundRead:
+		n.handleRound(e, now)
+	case peerSent:
+		for _, hash := range e.targets {
+			if ref, known := n.byHash[hash]; known && n.pools[ref.service] != nil {
+				n.pools[ref.service].Announced(ref.id)
+			}
+		}
+	case misdirected:
+		if n.registry.Drop(e.targetID) {
+			n.Log.Info("Dropped a target whose address answers for another one.", "target", e.targetID)
+			n.publish(now)
+		}
+	}
+}
+
+// readConfigs reads the configurations when it is this instance's turn.
+func (n *Node) readConfigs(ctx context.Context, now time.Time, rank int) {
+	if !n.configs.due(now, rank) {
+		return
+	}
+	n.configs.reading = true
+	next, known := n.configs.next, n.configs.known
+	go func() {
+		r := configsRead{began: now}
+		if known {
+			r.configs, r.next, r.err = n.Store.ConfigsSince(ctx, next)
+		}
+		if !known || isTrimmed(r.err) {
+			var newest *routes.Config
+			newest, r.next, r.err = n.Store.NewestConfig(ctx)
+			if newest != nil {
+				r.configs = []*routes.Config{newest}
+			}
+		}
+		n.deliver(ctx, r)
+	}()
+}
+
+// deliver hands the end of an own read to the control loop. It waits, because the loop relies on it.
+func (n *Node) deliver(ctx context.Context, e event) {
+	select {
+	case n.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+func isTrimmed(err error) bool {
+	var trimmed *discovery.TrimmedError
+	return errors.As(err, &trimmed)
+}
+
+func (n *Node) handleConfigs(e configsRead, now time.Time) {
+	if e.err != nil {
+		n.configs.failed(now, n.Random.Float64())
+		n.Log.Info("Could not read configurations.", "error", e.err, "age_ms", now.Sub(n.configs.asOf).Milliseconds())
+		return
+	}
+	n.configs.succeeded(e.began, e.next)
+	changed := false
+	for _, config := range e.configs {
+		changed = n.applyConfig(config, "store", now) || changed
+	}
+	n.tellNews(now, changed)
+}
+
+// applyConfig puts a configuration in force unless a newer one is. It reports whether it did.
+func (n *Node) applyConfig(config *routes.Config, source string, now time.Time) bool {
+	if config == nil || n.table != nil && config.Version <= n.table.Version {
+		return false
+	}
+	table, err := routes.Build(config)
+	if err != nil {
+		n.Log.Warn("Refused a configuration. The one in force stays.", "version", config.Version, "error", err)
+		return false
+	}
+	n.config, n.table = config, table
+	n.configs.behind = false
+	n.Log.Info("Configuration in force.", "version", config.Version, "routes", len(config.Routes), "source", source)
+	n.publish(now)
+	return true
+}
+
+// readTargets reads the records of targets when it is this instance's turn.
+func (n *Node) readTargets(ctx context.Context, now time.Time, rank int) {
+	if !n.targets.due(now, rank) {
+		return
+	}
+	n.targets.reading = true
+	next, known := n.targets.next, n.targets.known
+	go func() {
+		r := targetsRead{began: now}
+		if known {
+			r.changes, r.next, r.err = n.Store.TargetsSince(ctx, next)
+		}
+		if !known || isTrimmed(r.err) {
+			r.listed = true
+			r.changes, r.next, r.err = n.Store.NewestTargets(ctx)
+		}
+		n.deliver(ctx, r)
+	}()
+}
+
+func (n *Node) handleTargets(e targetsRead, now time.Time) {
+	if e.err != nil {
+		n.targets.failed(now, n.Random.Float64())
+		n.Log.Info("Could not read targets.", "error", e.err, "age_ms", now.Sub(n.targets.asOf).Milliseconds())
+		return
+	}
+	first := !n.targets.known
+	n.targets.succeeded(e.began, e.next)
+	n.noteAvailability(now)
+	changed := false
+	if e.listed {
+		changed = n.registry.Replace(e.changes, now)
+		n.recent, n.recentBase = nil, e.next
+	} else {
+		changed = n.applyChanges(e.changes, now)
+	}
+	if changed || first {
+		n.publish(now)
+	}
+	n.tellNews(now, changed)
+}
+
+// applyChanges takes over records of targets and keeps those that say something new for instances that missed them.
+func (n *Node) applyChanges(changes []registry.Change, now time.Time) bool {
+	any := false
+	for _, c := range changes {
+		if !n.registry.Apply(c, now) && c.Entry != nil {
+			continue
+		}
+		any = true
+		n.recent = append(n.recent, recentChange{c, now})
+		if c.Entry == nil {
+			n.Log.Info("A target is gone.", "target", c.ID, "offset", c.Offset)
+			continue
+		}
+		n.Log.Info("A target changed.", "target", c.ID, "offset", c.Offset, "service", c.Entry.Service,
+			"draining", c.Entry.Draining, "warmup_ms", c.Entry.WarmupLeft.Milliseconds(), "born", c.Entry.Born)
+	}
+	return any
+}
+
+// recentFor is how long changes are repeated. It covers several lost datagrams in a row.
+const recentFor = 1500 * time.Millisecond
+
+// targetsNote describes what was read of the targets, with the latest changes.
+func (n *Node) targetsNote(now time.Time) *targetsNote {
+	if !n.targets.known {
+		return nil
+	}
+	for len(n.recent) > 0 && now.Sub(n.recent[0].at) > recentFor {
+		n.recentBase = n.recent[0].change.Offset + 1
+		n.recent = n.recent[1:]
+	}
+	note := &targetsNote{Base: n.recentBase, Next: n.targets.next, AgeMS: now.Sub(n.targets.asOf).Milliseconds()}
+	for _, r := range n.recent {
+		note.Changes = append(note.Changes, r.change)
+	}
+	return note
+}
+
+func (n *Node) configNote(now time.Time) *configNote {
+	if n.table == nil {
+		return nil
+	}
+	return &configNote{Version: n.table.Version, AgeMS: now.Sub(n.configs.asOf).Milliseconds()}
+}
+
+// takeTargets takes over what a peer read of the targets. It reports whether anything changed.
+func (n *Node) takeTargets(note *targetsNote, now time.Time) bool {
+	if !n.targets.known {
+		return false
+	}
+	if note.Next > n.targets.next && note.Base > n.targets.next {
+		n.targets.behind = true
+		return false
+	}
+	changed := false
+	if note.Next > n.targets.next {
+		changed = n.applyChanges(note.Changes, now)
+		n.targets.next = note.Next
+	}
+	if note.Next >= n.targets.next {
+		n.targets.fresh(now.Add(-time.Duration(note.AgeMS) * time.Millisecond))
+		n.targets.behind = false
+	}
+	n.noteAvailability(now)
+	return changed
+}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+)
+
+const (
+	// heartbeatInterval is how often an instance tells those of its zone that it lives.
+	heartbeatInterval = 500 * time.Millisecond
+	// liveFor is how long a member counts as live after its last datagram.
+	liveFor = 1600 * time.Millisecond
+	// readerSilence is how long the reader of the zone may be silent before the next member takes over, and
+	// successionStep the further wait of each member behind that one.
+	readerSilence  = 110 * time.Millisecond
+	successionStep = 60 * time.Millisecond
+)
+
+// peerState is what is known of another instance.
+type peerState struct {
+	discovery.Member
+	// heard is when its last datagram arrived, zero if none did.
+	heard time.Time
+	// readerAt is when it last claimed to be the reader of its zone.
+	readerAt time.Time
+	// live is the number of live instances that it reported for its zone.
+	live    int
+	leaving bool
+	// greeted is when it was last sent a greeting, and greetings how many it was sent without an answer.
+	greeted   time.Time
+	greetings int
+}
+
+// members is the table of known instances. It is not safe for concurrent use.
+type members struct {
+	self  discovery.Member
+	peers map[string]*peerState
+}
+
+func newMembers(self discovery.Member) *members {
+	return &members{self: self, peers: map[string]*peerState{}}
+}
+
+// learn adds a member, or a later incarnation of one. It reports whether it is new.
+func (m *members) learn(member discovery.Member) bool {
+	if member.ID == m.self.ID || member.Address == m.self.Address || member.Address == "" {
+		return false
+	}
+	known := m.peers[member.ID]
+	if known != nil && known.Started >= member.Started {
+		return false
+	}
+	m.peers[member.ID] = &peerState{Member: member}
+	return true
+}
+
+// isLive reports whether a peer was heard lately.
+func (p *peerState) isLive(now time.Time) bool {
+	return !p.leaving && !p.heard.IsZero() && now.Sub(p.heard) < liveFor
+}
+
+// zonePeers returns the live peers of this zone, ordered by id.
+func (m *members) zonePeers(now time.Time) []*peerState {
+	return m.livePeers(now, func(p *peerState) bool { return p.Zone == m.self.Zone })
+}
+
+func (m *members) livePeers(now time.Time, match func(*peerState) bool) []*peerState {
+	var peers []*peerState
+	for _, p := range m.peers {
+		if p.isLive(now) && match(p) {
+			peers = append(peers, p)
+		}
+	}
+	slices.SortFunc(peers, func(a, b *peerState) int { return strings.Compare(a.ID, b.ID) })
+	return peers
+}
+
+// order is the number of live peers of this zone that come before this instance.
+func (m *members) order(now time.Time) int {
+	before := 0
+	for _, p := range m.zonePeers(now) {
+		if p.ID < m.self.ID {
+			before++
+		}
+	}
+	return before
+}
+
+// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately.
+func (m *members) readsZone(now, started time.Time) bool {
+	limit := readerSilence + time.Duration(m.order(now))*successionStep
+	if now.Sub(started) < limit {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.Zone == m.self.Zone && !p.leaving && p.ID < m.self.ID && now.Sub(p.readerAt) < limit {
+			return false
+		}
+	}
+	return true
+}
+
+// remoteReaders returns for each other zone the instance to send to: the one that claimed last to be its reader, or any
+// live one.
+func (m *members) remoteReaders(now time.Time) []*peerState {
+	best := map[string]*peerState{}
+	for _, p := range m.livePeers(now, func(p *peerState) bool { return p.Zone != m.self.Zone }) {
+		if other := best[p.Zone]; other == nil || p.readerAt.After(other.readerAt) {
+			best[p.Zone] = p
+		}
+	}
+	readers := make([]*peerState, 0, len(best))
+	for _, p := range best {
+		readers = append(readers, p)
+	}
+	return readers
+}
+
+// instances estimates the number of live instances, this one included.
+func (m *members) instances(now time.Time) int {
+	zones := map[string]int{m.self.Zone: 1 + len(m.zonePeers(now))}
+	for _, p := range m.peers {
+		if p.Zone != m.self.Zone && p.isLive(now) {
+			zones[p.Zone] = max(zones[p.Zone], p.live, 1)
+		}
+	}
+	total := 0
+	for _, n := range zones {
+		total += n
+	}
+	return total
+}
+
+// rank orders the instances that may read the store: readers of zones first, by zone, then the others.
+func (m *members) rank(now time.Time, reader bool) int {
+	zones := map[string]bool{}
+	for _, p := range m.peers {
+		if p.isLive(now) && p.Zone != m.self.Zone {
+			zones[p.Zone] = true
+		}
+	}
+	if !reader {
+		return len(zones) + 1 + m.order(now)
+	}
+	before := 0
+	for zone := range zones {
+		if zone < m.self.Zone {
+			before++
+		}
+	}
+	return before
+}
+
+// all returns every known member, this instance included.
+func (m *members) all(now time.Time) []discovery.Member {
+	list := []discovery.Member{m.self}
+	for _, p := range m.livePeers(now, func(*peerState) bool { return true }) {
+		list = append(list, p.Member)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/fleet/message.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+// maxDatagramBytes keeps a datagram within one packet of usual links. Longer ones are split over several.
+const maxDatagramBytes = 8 << 10
+
+// datagram is what instances tell each other without an answer. Parts that are not set are left out. Keys are only ever
+// added, so that versions can be mixed.
+type datagram struct {
+	From discovery.Member `cbor:"1,keyasint"`
+	// Reader is true when the sender reads the load of the targets of its zone.
+	Reader bool `cbor:"2,keyasint,omitempty"`
+	// Live is the number of live instances in the zone of the sender, itself included.
+	Live int `cbor:"3,keyasint,omitempty"`
+	// Greeting asks for an answer with the members that the receiver knows.
+	Greeting bool               `cbor:"4,keyasint,omitempty"`
+	Members  []discovery.Member `cbor:"5,keyasint,omitempty"`
+	// Loads are readings of the targets of one or more zones.
+	Loads []loadNote `cbor:"6,keyasint,omitempty"`
+	// Targets and Config tell how far the store was read.
+	Targets *targetsNote `cbor:"7,keyasint,omitempty"`
+	Config  *configNote  `cbor:"8,keyasint,omitempty"`
+	// Leaving is true when the sender stops.
+	Leaving bool `cbor:"9,keyasint,omitempty"`
+	// Sent are targets that the sender has just sent a request to.
+	Sent []uint32 `cbor:"10,keyasint,omitempty"`
+}
+
+// loadNote is one reading of a target. Targets are named by a hash of their id.
+type loadNote struct {
+	_       struct{} `cbor:",toarray"`
+	Target  uint32
+	Running uint16
+	Waiting uint16
+	// PacePercent is how long work takes; 100 is usual. 0 means that the target does not answer.
+	PacePercent uint16
+	// AgeMS is the age of the reading.
+	AgeMS uint16
+}
+
+// targetsNote tells how far the records of targets were read, and the latest changes.
+type targetsNote struct {
+	// Base is the offset from which on Changes is complete, and Next the offset to read on from.
+	Base    int64             `cbor:"1,keyasint"`
+	Next    int64             `cbor:"2,keyasint"`
+	AgeMS   int64             `cbor:"3,keyasint"`
+	Changes []registry.Change `cbor:"4,keyasint,omitempty"`
+}
+
+// configNote tells which configuration is in force.
+type configNote struct {
+	Version uint64 `cbor:"1,keyasint"`
+	AgeMS   int64  `cbor:"2,keyasint"`
+}
+
+// State is everything an instance needs to start serving.
+type State struct {
+	Config        *routes.Config
+	ConfigNext    int64
+	ConfigAge     time.Duration
+	Targets       []registry.Change
+	TargetsNext   int64
+	TargetsAge    time.Duration
+	Members       []discovery.Member
+	TargetsListed bool
+}
+
+// StateRequest asks for the state of another instance.
+type StateRequest struct {
+	// HaveVersion is the version of the configuration that the caller has; that configuration is left out of the answer.
+	HaveVersion uint64
+	HaveConfig  bool
+}
+
+func encode(d *datagram) ([]byte, error) { return cbor.Marshal(d) }
+
+func decode(b []byte) (*datagram, error) {
+	var d datagram
+	if err := cbor.Unmarshal(b, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func toReading(n loadNote, now time.Duration) dispatch.Reading {
+	return dispatch.Reading{
+		Running: int(n.Running), Waiting: int(n.Waiting), Pace: float64(n.PacePercent) / 100,
+		At: now - time.Duration(n.AgeMS)*time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,275 @@
+// Package fleet keeps the instances in step with the store and with each other. One goroutine owns all control state:
+// members, the records of targets, the configuration. Few instances read the store and tell the others; any instance
+// takes over when what it knows gets old. One instance of each zone reads the load of the targets of its zone for all.
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/ingress"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+const (
+	// tick is the interval of the control loop.
+	tick = 25 * time.Millisecond
+	// inboxSize bounds the events that wait for the control loop. Senders never block; an event too many is dropped, and
+	// what it told is told again.
+	inboxSize = 1024
+)
+
+// Config holds what a Node needs.
+type Config struct {
+	Self  discovery.Member
+	Store discovery.Store
+	// Seeds are the IP addresses of instances that may know others.
+	Seeds  []string
+	Policy dispatch.Policy
+	// Prober reads the load of a target.
+	Prober Prober
+	// ProbeInterval is the time between two readings of a target.
+	ProbeInterval time.Duration
+	// Now is the monotonic time of the dispatcher.
+	Now    func() time.Duration
+	Random *rand.Rand
+	Log    *slog.Logger
+	// Changed is called by the control loop after the set of registered targets changed. It must not block.
+	Changed func(registered func(id string) bool)
+}
+
+// Node is one member of the fleet. View, Ready and the functions for events are safe for concurrent use.
+type Node struct {
+	Config
+	inbox   chan event
+	view    atomic.Pointer[ingress.View]
+	ready   atomic.Bool
+	dropped atomic.Int64
+	// zonePeers are the addresses that are told of sent requests.
+	zonePeers atomic.Pointer[[]*net.UDPAddr]
+	socket    *net.UDPConn
+	rpc       *stateServer
+	sampler   *sampler
+	started   time.Time
+
+	// The fields below belong to the control loop.
+	members  *members
+	registry *registry.Registry
+	// recent are the latest changes of targets with their time, for instances that missed a datagram.
+	recent     []recentChange
+	recentBase int64
+	targets    topicReads
+	configs    topicReads
+	config     *routes.Config
+	table      *routes.Table
+	pools      map[string]*dispatch.Pool
+	byHash     map[uint32]targetRef
+	reader     bool
+	joined     bool
+	joining    bool
+	joinAt     time.Time
+	heartbeat  time.Time
+	crossAt    time.Time
+	roundAt    time.Time
+	storeDown  bool
+	instances  int
+	fetching   bool
+	fetchAt    time.Time
+	// pending are readings that were not sent to other zones yet.
+	pending map[uint32]loadSample
+}
+
+// targetRef finds a target by the hash of its id.
+type targetRef struct{ id, service, zone string }
+
+type loadSample struct {
+	note loadNote
+	at   time.Duration
+}
+
+type recentChange struct {
+	change registry.Change
+	at     time.Time
+}
+
+// New returns a node. It opens no port.
+func New(c Config) *Node {
+	n := &Node{
+		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(),
+		pools: map[string]*dispatch.Pool{}, byHash: map[uint32]targetRef{}, pending: map[uint32]loadSample{},
+		recentBase: -1, instances: 1,
+	}
+	n.sampler = newSampler(c.Prober, c.Now)
+	n.rpc = newStateServer(n, c.Self.Address)
+	return n
+}
+
+// Open opens the sockets.
+func (n *Node) Open() error {
+	address, err := net.ResolveUDPAddr("udp", n.Self.Address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if n.socket, err = net.ListenUDP("udp", address); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(n.rpc.open())
+}
+
+// View returns the current view, or nil before the first configuration and listing of targets.
+func (n *Node) View() *ingress.View { return n.view.Load() }
+
+// Ready reports whether the node knows a configuration and targets.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Dropped returns the number of events that were dropped because the control loop was behind.
+func (n *Node) Dropped() int64 { return n.dropped.Load() }
+
+// post hands an event to the control loop.
+func (n *Node) post(e event) {
+	select {
+	case n.inbox <- e:
+	default:
+		n.dropped.Add(1)
+	}
+}
+
+// Misdirected notes that the address of a target answered for another incarnation.
+func (n *Node) Misdirected(targetID string) { n.post(misdirected{targetID}) }
+
+// Run keeps the node in step until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	n.started = time.Now()
+	go n.receive(ctx)
+	go n.rpc.run()
+	defer n.sampler.stop()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	n.greetSeeds()
+	n.step(ctx, time.Now())
+	for {
+		select {
+		case e := <-n.inbox:
+			n.handle(ctx, e, time.Now())
+		case <-ticker.C:
+			n.step(ctx, time.Now())
+		case <-ctx.Done():
+			n.leave(time.Now())
+			return
+		}
+	}
+}
+
+// step does what time makes due.
+func (n *Node) step(ctx context.Context, now time.Time) {
+	n.join(ctx, now)
+	n.noteAvailability(now)
+	if n.registry.Expire(now) {
+		n.publish(now)
+	}
+	n.noteReader(now)
+	rank := n.members.rank(now, n.reader)
+	n.readConfigs(ctx, now, rank)
+	n.readTargets(ctx, now, rank)
+	n.probe(now)
+	n.sendHeartbeat(now)
+	n.sendAcross(now)
+	n.noteInstances(now)
+}
+
+// noteReader notes whether this instance reads the load of its zone.
+func (n *Node) noteReader(now time.Time) {
+	reads := n.members.readsZone(now, n.started)
+	if reads == n.reader {
+		return
+	}
+	n.reader = reads
+	n.Log.Info("Changed the reader of the zone.", "reads", reads, "order", n.members.order(now))
+	if !reads {
+		n.sampler.stop()
+	}
+}
+
+// noteAvailability notes outages of the store by the age of the latest read of any instance.
+func (n *Node) noteAvailability(now time.Time) {
+	if !n.targets.known {
+		return
+	}
+	age := now.Sub(n.targets.asOf)
+	if down := age > outageAfter; down != n.storeDown {
+		n.storeDown = down
+		if down {
+			n.registry.StoreDown()
+			n.Log.Warn("Lost the store.", "age_ms", age.Milliseconds())
+		} else {
+			n.registry.StoreUp(now)
+			n.Log.Info("Regained the store.", "age_ms", age.Milliseconds())
+		}
+	}
+}
+
+// noteInstances passes the number of live instances on when it changed.
+func (n *Node) noteInstances(now time.Time) {
+	instances := n.members.instances(now)
+	n.refreshZonePeers(now)
+	if instances == n.instances {
+		return
+	}
+	n.Log.Info("Changed the number of live instances.", "instances", instances, "before", n.instances)
+	n.instances = instances
+	n.publish(now)
+}
+
+// publish makes what is known the current view.
+func (n *Node) publish(now time.Time) {
+	if n.table == nil || !n.targets.known {
+		return
+	}
+	byService := map[string][]registry.Target{}
+	n.byHash = map[uint32]targetRef{}
+	ids := map[string]bool{}
+	for _, t := range n.registry.Usable() {
+		byService[t.Service] = append(byService[t.Service], t)
+		n.byHash[hashID(t.ID)] = targetRef{t.ID, t.Service, t.Zone}
+		ids[t.ID] = true
+	}
+	view := &ingress.View{Table: n.table, Pools: map[string]*dispatch.Pool{}, Instances: n.instances}
+	for name := range n.table.Services {
+		pool := n.pools[name]
+		if pool == nil {
+			seed := rand.New(rand.NewPCG(n.Random.Uint64(), n.Random.Uint64()))
+			pool = dispatch.NewPool(n.Policy, n.Self.Zone, n.Now, seed)
+			n.pools[name] = pool
+		}
+		pool.SetTargets(byService[name], n.instances, now)
+		view.Pools[name] = pool
+	}
+	n.view.Store(view)
+	if !n.ready.Swap(true) {
+		n.Log.Info("Serving.", "version", n.table.Version, "targets", len(ids), "after_ms", now.Sub(n.started).Milliseconds())
+	}
+	if n.Changed != nil {
+		n.Changed(func(id string) bool { return ids[id] })
+	}
+}
+
+// leave tells peers of the stop and closes the sockets.
+func (n *Node) leave(now time.Time) {
+	for _, p := range n.members.zonePeers(now) {
+		n.send(p.Address, &datagram{From: n.Self, Leaving: true})
+	}
+	for _, p := range n.members.remoteReaders(now) {
+		n.send(p.Address, &datagram{From: n.Self, Leaving: true})
+	}
+	_ = n.socket.Close()
+	n.rpc.close()
+}
--- /dev/null
+++ b/internal/fleet/reads.go
@@ -0,0 +1,69 @@
+package fleet
+
+import "time"
+
+const (
+	// readInterval is the time between two reads of a topic by the fleet. A departure binds within 2 s of its record.
+	readInterval = 400 * time.Millisecond
+	// standbyDelay and standbyStep are how much longer those wait who read only when nobody before them does.
+	standbyDelay = 160 * time.Millisecond
+	standbyStep  = 90 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed read.
+	firstBackoff = 250 * time.Millisecond
+	lastBackoff  = 1500 * time.Millisecond
+	// outageAfter is the age of the latest read at which the store counts as unavailable.
+	outageAfter = 1200 * time.Millisecond
+)
+
+// topicReads schedules the reads of one topic: the instance whose turn it is reads when what the fleet knows has become
+// old enough. Nobody has to agree on whose turn it is, because an instance that does not read lets the age grow.
+type topicReads struct {
+	// asOf is when the store was last known to have been read to its end, by any instance.
+	asOf time.Time
+	// next is the offset to read on from.
+	next int64
+	// known is true once the topic was listed or taken over from a peer.
+	known bool
+	// behind is true when a peer knows of records that this instance lacks.
+	behind  bool
+	reading bool
+	retryAt time.Time
+	backoff time.Duration
+}
+
+// due reports whether this instance should read now.
+func (t *topicReads) due(now time.Time, rank int) bool {
+	if t.reading || now.Before(t.retryAt) {
+		return false
+	}
+	if !t.known || t.behind {
+		return true
+	}
+	wait := readInterval
+	if rank > 0 {
+		wait += standbyDelay + time.Duration(rank-1)*standbyStep
+	}
+	return now.Sub(t.asOf) >= wait
+}
+
+// succeeded notes a read that began at a time.
+func (t *topicReads) succeeded(began time.Time, next int64) {
+	t.reading, t.behind, t.known = false, false, true
+	t.backoff = 0
+	t.next = max(t.next, next)
+	t.fresh(began)
+}
+
+// fresh notes that some instance knew everything at a time.
+func (t *topicReads) fresh(asOf time.Time) {
+	if asOf.After(t.asOf) {
+		t.asOf = asOf
+	}
+}
+
+// failed notes a read without an answer. The jitter, between 0 and 1, keeps instances apart.
+func (t *topicReads) failed(now time.Time, jitter float64) {
+	t.reading = false
+	t.backoff = min(max(2*t.backoff, firstBackoff), lastBackoff)
+	t.retryAt = now.Add(t.backoff/2 + time.Duration(jitter*float64(t.backoff)))
+}
--- /dev/null
+++ b/internal/fleet/sampler.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/registry"
+)
+
+// Prober reads the load of targets. Implementations are safe for concurrent use.
+type Prober interface {
+	// Open returns a connection for readings of one target.
+	Open(address, healthPath, id string) Probe
+}
+
+// Probe reads the load of one target. It is used by one goroutine.
+type Probe interface {
+	Read(ctx context.Context) (dispatch.Reading, error)
+	Close()
+}
+
+const (
+	// roundWait is how long a round waits for readings before it passes on those that came. Later ones join the next.
+	roundWait = 6 * time.Millisecond
+	// probeTimeout bounds one reading.
+	probeTimeout = 80 * time.Millisecond
+	// silentReadings is how many readings in a row must fail before a target counts as unreachable.
+	silentReadings = 2
+)
+
+// sample is the end of one reading.
+type sample struct {
+	id       string
+	reading  dispatch.Reading
+	failures int
+}
+
+// sampler reads the load of a set of targets in rounds. It is used by the control loop.
+type sampler struct {
+	prober  Prober
+	now     func() time.Duration
+	workers map[string]*worker
+	results chan sample
+
+	mu       sync.Mutex
+	rounding bool
+}
+
+// worker reads one target when it is triggered.
+type worker struct {
+	address string
+	trigger chan struct{}
+	cancel  context.CancelFunc
+}
+
+func newSampler(prober Prober, now func() time.Duration) *sampler {
+	return &sampler{prober: prober, now: now, workers: map[string]*worker{}, results: make(chan sample, 1024)}
+}
+
+// sync starts and ends workers so that there is one for each target.
+func (s *sampler) sync(targets []registry.Target, healthPath func(service string) string) {
+	wanted := map[string]bool{}
+	for _, t := range targets {
+		wanted[t.ID] = true
+		if w := s.workers[t.ID]; w != nil && w.address == t.Address {
+			continue
+		}
+		s.end(t.ID)
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &worker{address: t.Address, trigger: make(chan struct{}, 1), cancel: cancel}
+		s.workers[t.ID] = w
+		go s.work(ctx, w, t.ID, s.prober.Open(t.Address, healthPath(t.Service), t.ID))
+	}
+	for id := range s.workers {
+		if !wanted[id] {
+			s.end(id)
+		}
+	}
+}
+
+func (s *sampler) end(id string) {
+	if w := s.workers[id]; w != nil {
+		w.cancel()
+		delete(s.workers, id)
+	}
+}
+
+func (s *sampler) stop() {
+	for id := range s.workers {
+		s.end(id)
+	}
+}
+
+// work reads one target until it is ended.
+func (s *sampler) work(ctx context.Context, w *worker, id string, probe Probe) {
+	defer probe.Close()
+	failures := 0
+	for {
+		select {
+		case <-w.trigger:
+		case <-ctx.Done():
+			return
+		}
+		reading, err := s.read(ctx, probe)
+		failures++
+		if err == nil {
+			failures = 0
+			reading.At = s.now()
+		}
+		select {
+		case s.results <- sample{id: id, reading: reading, failures: failures}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *sampler) read(ctx context.Context, probe Probe) (dispatch.Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return probe.Read(ctx)
+}
+
+// round triggers a reading of each target and passes those that come in time on.
+func (s *sampler) round(done func([]sample)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rounding {
+		return
+	}
+	s.rounding = true
+	triggered := 0
+	for _, w := range s.workers {
+		select {
+		case w.trigger <- struct{}{}:
+			triggered++
+		default:
+		}
+	}
+	go s.collect(triggered, done)
+}
+
+func (s *sampler) collect(triggered int, done func([]sample)) {
+	timer := time.NewTimer(roundWait)
+	defer timer.Stop()
+	samples := make([]sample, 0, triggered)
+	for waiting := true; waiting && len(samples) < triggered; {
+		select {
+		case r := <-s.results:
+			samples = append(samples, r)
+		case <-timer.C:
+			waiting = false
+		}
+	}
+	s.mu.Lock()
+	s.rounding = false
+	s.mu.Unlock()
+	if len(samples) > 0 {
+		done(samples)
+	}
+}
+
+// probe starts a round of readings when one is due and this instance reads its zone.
+func (n *Node) probe(now time.Time) {
+	if !n.reader || n.table == nil || now.Sub(n.roundAt) < n.ProbeInterval-tick/2 {
+		return
+	}
+	n.roundAt = now
+	targets := slices.DeleteFunc(n.registry.Usable(), func(t registry.Target) bool {
+		_, served := n.table.Services[t.Service]
+		return t.Zone != n.Self.Zone || !served
+	})
+	n.sampler.sync(targets, func(service string) string { return n.table.Services[service].HealthPath })
+	n.sampler.round(func(samples []sample) { n.post(roundRead{samples}) })
+}
+
+// handleRound passes the readings of a round on to the zone.
+func (n *Node) handleRound(e roundRead, now time.Time) {
+	if !n.reader {
+		return
+	}
+	d := n.base(now)
+	at := n.Now()
+	for _, s := range e.samples {
+		if s.failures > 0 && s.failures < silentReadings {
+			continue
+		}
+		note := loadNote{
+			Target: hashID(s.id), Running: uint16(s.reading.Running), Waiting: uint16(s.reading.Waiting),
+			PacePercent: uint16(min(s.reading.Pace*100, 1<<16-1)), AgeMS: ageMS(at - s.reading.At),
+		}
+		if s.failures > 0 {
+			note.PacePercent, note.AgeMS = 0, 0
+		}
+		d.Loads = append(d.Loads, note)
+		n.pending[note.Target] = loadSample{note, s.reading.At}
+	}
+	n.observe(d.Loads)
+	n.tellZone(d, now)
+}
--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// fetchTimeout bounds a request for the state of a peer. A silent connection is given up.
+const fetchTimeout = 300 * time.Millisecond
+
+// stateServer answers peers that ask for the state, over net/rpc.
+type stateServer struct {
+	node    *Node
+	address string
+	server  *rpc.Server
+
+	mu       sync.Mutex
+	listener net.Listener
+}
+
+// Fleet is the receiver of the calls between instances.
+type Fleet struct{ node *Node }
+
+// State returns what the called instance knows.
+func (f *Fleet) State(request StateRequest, reply *State) error {
+	asked := stateAsked{request: request, reply: make(chan State, 1)}
+	f.node.post(asked)
+	select {
+	case *reply = <-asked.reply:
+		return nil
+	case <-time.After(fetchTimeout):
+		return trace.ConnectionProblem(nil, "the control loop is busy")
+	}
+}
+
+func newStateServer(n *Node, address string) *stateServer {
+	s := &stateServer{node: n, address: address, server: rpc.NewServer()}
+	if err := s.server.Register(&Fleet{n}); err != nil {
+		n.Log.Error("Could not register the calls between instances.", "error", err)
+	}
+	return s
+}
+
+func (s *stateServer) open() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	return nil
+}
+
+// callIdleLimit ends a connection of a peer. Each connection carries one call.
+const callIdleLimit = 2 * time.Second
+
+func (s *stateServer) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.node.Log.Warn("Could not accept a peer.", "error", err)
+			time.Sleep(tick)
+			continue
+		}
+		if err := conn.SetDeadline(time.Now().Add(callIdleLimit)); err != nil {
+			_ = conn.Close()
+			continue
+		}
+		go s.server.ServeConn(conn)
+	}
+}
+
+func (s *stateServer) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
+
+// fetch asks a peer for its state.
+func fetch(ctx context.Context, address string, request StateRequest) (*State, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := conn.SetDeadline(deadline); err != nil {
+			_ = conn.Close()
+			return nil, trace.Wrap(err)
+		}
+	}
+	client := rpc.NewClient(conn)
+	defer func() { _ = client.Close() }()
+	var state State
+	if err := client.Call("Fleet.State", request, &state); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &state, nil
+}
+
+// fetchState asks a peer for what this instance lacks.
+func (n *Node) fetchState(ctx context.Context, address string, now time.Time) {
+	if n.fetching || now.Before(n.fetchAt) {
+		return
+	}
+	n.fetching = true
+	request := StateRequest{}
+	if n.table != nil {
+		request.HaveVersion, request.HaveConfig = n.table.Version, true
+	}
+	go func() {
+		state, err := fetch(ctx, address, request)
+		n.deliver(ctx, stateFetched{state, err})
+	}()
+}
+
+// state answers a peer.
+func (n *Node) state(request StateRequest, now time.Time) State {
+	s := State{
+		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
+		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
+		Members: n.members.all(now), TargetsListed: n.targets.known,
+	}
+	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
+		s.Config = n.config
+	}
+	if n.targets.known {
+		s.Targets = n.registry.Changes()
+	}
+	return s
+}
+
+// handleState takes over what a peer knows.
+func (n *Node) handleState(e stateFetched, now time.Time) {
+	n.fetching = false
+	if e.err != nil {
+		n.fetchAt = now.Add(fetchTimeout)
+		n.configs.behind = true
+		n.Log.Info("Could not fetch the state of a peer.", "error", e.err)
+		return
+	}
+	s := e.state
+	n.meet(s.Members, now)
+	changed := false
+	if s.TargetsListed && (!n.targets.known || s.TargetsNext > n.targets.next) {
+		for _, c := range s.Targets {
+			changed = n.registry.Apply(c, now) || changed
+		}
+		n.recent, n.recentBase = nil, s.TargetsNext
+		n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
+		n.targets.fresh(now.Add(-s.TargetsAge))
+		changed = true
+	}
+	if s.Config != nil {
+		n.configs.next, n.configs.known = max(n.configs.next, s.ConfigNext), true
+		n.configs.fresh(now.Add(-s.ConfigAge))
+		n.applyConfig(s.Config, "peer", now)
+	}
+	if changed {
+		n.publish(now)
+	}
+}
--- /dev/null
+++ b/internal/ingress/call.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/inbound"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+// answerMargin is kept from a caller's time for the answer's way back.
+const answerMargin = 10 * time.Millisecond
+
+// call is one request of a caller. It is used by one goroutine.
+type call struct {
+	request *protocol.Request
+	id      string
+	uri     string
+	route   *routes.Entry
+	service string
+	pool    *dispatch.Pool
+	version uint64
+	arrived time.Duration
+	// deadline is when an answer is worth nothing to the caller or its route.
+	deadline time.Duration
+	ask      dispatch.Ask
+	attempts int
+	waited   time.Duration
+	last     dispatch.Decision
+}
+
+// parse selects the route of a request. The view stays the same until the request has ended.
+func (g *Gateway) parse(c *app.RequestContext, arrived time.Duration) (*call, *reason.Reason) {
+	call := &call{request: &c.Request, arrived: arrived, id: string(c.Request.Header.Peek(g.Headers.RequestID))}
+	view := g.View()
+	if view == nil {
+		return call, reason.NotReady
+	}
+	call.version = view.Table.Version
+	call.uri = inbound.OriginForm(string(c.Request.RequestURI()))
+	call.route = view.Table.Match(string(c.Request.Header.Host()), pathOf(call.uri))
+	if call.route == nil {
+		return call, reason.UnknownRoute
+	}
+	call.service = call.route.Next()
+	call.pool = view.Pools[call.service]
+	call.deadline = arrived + call.route.Timeout - answerMargin
+	if left, ok := g.callerDeadline(c); ok {
+		call.deadline = min(call.deadline, arrived+left-answerMargin)
+	}
+	call.ask = dispatch.Ask{
+		Route: call.route.Name, Priority: call.route.Priority, Objective: call.route.LatencyObjective,
+		Arrived: arrived, Deadline: call.deadline, Kilobytes: 1 + float64(len(c.Request.Body()))/1024,
+	}
+	if call.pool == nil {
+		return call, reason.NoTarget
+	}
+	return call, nil
+}
+
+func pathOf(uri string) string {
+	for i := range len(uri) {
+		if uri[i] == '?' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+func (g *Gateway) callerDeadline(c *app.RequestContext) (time.Duration, bool) {
+	value := c.Request.Header.Peek(g.Headers.DeadlineMS)
+	ms, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
+// serve takes one request from parsing to its answer. It returns an error when the answer could not be written
+// completely.
+func (g *Gateway) serve(ctx context.Context, c *app.RequestContext, arrived time.Duration) error {
+	call, refusal := g.parse(c, arrived)
+	if g.draining.Load() || c.Request.Header.ConnectionClose() {
+		c.Response.Header.SetConnectionClose(true)
+	}
+	if refusal != nil {
+		return g.writeRefusal(c, call, refused(refusal))
+	}
+	call.pool.Arrived()
+	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.Now())
+	defer cancel()
+	outcome := g.execute(ctx, call)
+	defer outcome.release()
+	if outcome.answer == nil {
+		return g.writeRefusal(c, call, outcome)
+	}
+	return g.writeAnswer(c, call, outcome)
+}
--- /dev/null
+++ b/internal/ingress/execute.go
@@ -0,0 +1,195 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
+)
+
+// result is the answer of a target, or the reason why there is none.
+type result struct {
+	why        *reason.Reason
+	answer     *transport.Answer
+	retryAfter time.Duration
+	// cause is the error behind why, for logs.
+	cause error
+	// retryable is true when a further target may receive the request.
+	retryable bool
+	// retry is the reason of that.
+	retry *reason.Reason
+}
+
+func refused(why *reason.Reason) *result { return &result{why: why, cause: why} }
+
+func (r *result) release() {
+	if r.answer != nil {
+		r.answer.Close()
+		r.answer = nil
+	}
+}
+
+// execute sends the request to targets until one answers, or no further target may receive it.
+func (g *Gateway) execute(ctx context.Context, call *call) *result {
+	for {
+		decision := call.pool.Acquire(ctx, &call.ask)
+		call.last = decision
+		call.waited = decision.Inputs.Waited
+		if decision.Target == nil {
+			return g.unassigned(ctx, call, decision)
+		}
+		call.attempts++
+		outcome := g.attempt(ctx, call, decision)
+		if !outcome.retryable || ctx.Err() != nil {
+			return outcome
+		}
+		if call.attempts >= max(call.route.MaxAttempts, 1) || !call.pool.MayRetry() {
+			return outcome
+		}
+		g.noteRetry(call, outcome)
+		call.ask.Tried = append(call.ask.Tried, decision.Target)
+		outcome.release()
+	}
+}
+
+// unassigned ends a request for which no target was chosen.
+func (g *Gateway) unassigned(ctx context.Context, call *call, d dispatch.Decision) *result {
+	why := d.Refusal
+	if call.attempts > 0 && why == reason.NoTarget {
+		why = reason.TargetShed
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		why = reason.Overloaded
+	}
+	r := refused(why)
+	r.retryAfter = d.RetryAfter
+	return r
+}
+
+const (
+	// wholeAnswerBytes is the longest answer that is read whole before it is passed on, so that one that breaks off can be
+	// asked for again.
+	wholeAnswerBytes = 256 << 10
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
+	// connectTimeout bounds the opening of a connection. Targets accept within about 1 ms.
+	connectTimeout = 150 * time.Millisecond
+)
+
+// attempt sends the request to one target.
+func (g *Gateway) attempt(ctx context.Context, call *call, d dispatch.Decision) *result {
+	request := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(request)
+	g.buildRequest(request, call, d.Target.ID)
+	limits := transport.Limits{
+		WholeBytes: wholeAnswerBytes, MaxBytes: maxAnswerBytes, CloseDelimited: true, ConnectTimeout: connectTimeout,
+		Accept: func(h *protocol.ResponseHeader) bool { return g.belongs(h, call.id) },
+	}
+	if g.Sent != nil {
+		g.Sent(d.Target.ID)
+	}
+	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.setDeadline)
+	if err != nil {
+		outcome := g.failure(ctx, call, err)
+		call.pool.Release(&call.ask, d, endOf(outcome), nil)
+		return outcome
+	}
+	outcome := g.classify(call, d, answer)
+	var reading *dispatch.Reading
+	if load, ok := g.ParseLoad(answer.Response.Header.Peek(g.Headers.Load)); ok {
+		load.At = g.Now()
+		reading = &load
+	}
+	call.pool.Release(&call.ask, d, endOf(outcome), reading)
+	return outcome
+}
+
+// belongs reports whether an answer is one to the request. Refusals of a target need not echo the id.
+func (g *Gateway) belongs(h *protocol.ResponseHeader, id string) bool {
+	echoed := h.Peek(g.Headers.RequestID)
+	return string(echoed) == id || len(echoed) == 0 && h.StatusCode() >= http.StatusBadRequest
+}
+
+func (g *Gateway) setDeadline(request *protocol.Request, remaining time.Duration) {
+	request.Header.Set(g.Headers.DeadlineMS, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+}
+
+// failure describes an exchange without an answer.
+func (g *Gateway) failure(ctx context.Context, call *call, err error) *result {
+	r := &result{why: reason.AnswerLost, cause: err}
+	var exchange *transport.ExchangeError
+	if errors.As(err, &exchange) {
+		r.why = exchange.Reason
+		r.retryable = ctx.Err() == nil && (!exchange.Sent || call.route.Idempotent)
+	}
+	r.retry = retryReason(r.why)
+	return r
+}
+
+// classify decides whether an answer of a target is passed on.
+func (g *Gateway) classify(call *call, d dispatch.Decision, answer *transport.Answer) *result {
+	status := answer.Response.StatusCode()
+	notRun := len(answer.Response.Header.Peek(g.Headers.NotExecuted)) > 0 || status == http.StatusMisdirectedRequest
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		g.Misdirected(d.Target.ID)
+		return g.replace(answer, reason.TargetShed, reason.RetryTargetShed, true)
+	case notRun && isPromise(status):
+		return g.replace(answer, reason.TargetShed, reason.RetryTargetShed, true)
+	case isPromise(status):
+		// A target that does not say so may have run the request, so the status must not reach the caller.
+		return g.replace(answer, reason.TargetError, reason.RetryAnswerLost, call.route.Idempotent)
+	case status >= http.StatusInternalServerError:
+		return &result{answer: answer, retryable: call.route.Idempotent, why: reason.TargetError, retry: reason.RetryTargetError}
+	}
+	return &result{answer: answer}
+}
+
+// isPromise reports whether a status tells a caller that its request was not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// replace drops an answer that does not reach the caller.
+func (g *Gateway) replace(answer *transport.Answer, why, retry *reason.Reason, retryable bool) *result {
+	answer.Close()
+	return &result{why: why, cause: why, retry: retry, retryable: retryable}
+}
+
+// endOf tells the dispatcher how an exchange ended.
+func endOf(r *result) dispatch.End {
+	switch r.why {
+	case nil:
+		return dispatch.Answered
+	case reason.TargetShed:
+		return dispatch.Shed
+	case reason.ConnectionRefused, reason.ConnectionsBusy:
+		return dispatch.Unconnected
+	case reason.CallerLeft, reason.CallerLeftEarly, reason.DeadlineTooShort:
+		return dispatch.Withdrawn
+	}
+	return dispatch.Failed
+}
+
+func retryReason(why *reason.Reason) *reason.Reason {
+	switch why {
+	case reason.ConnectionRefused, reason.ConnectionsBusy:
+		return reason.RetryConnectionRefused
+	case reason.ConnectionLost:
+		return reason.RetryConnectionLost
+	case reason.AnswerTruncated:
+		return reason.RetryAnswerTruncated
+	}
+	return reason.RetryAnswerLost
+}
--- /dev/null
+++ b/internal/ingress/gateway.go
@@ -0,0 +1,134 @@
+// Package ingress serves callers whose requests are routed by host and path. It forwards each request unchanged to a
+// target that package dispatch chooses, and returns the target's answer unchanged. A request that may not be repeated is
+// sent again only when provably no target ran it.
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
+
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/inbound"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+// Headers are the names of the headers that callers, this instance and targets use.
+type Headers struct {
+	// RequestID identifies one attempt of a caller. Targets echo it.
+	RequestID string
+	// DeadlineMS is the time that is left, in ms.
+	DeadlineMS string
+	// ExpectedInstance names the incarnation that may run the request.
+	ExpectedInstance string
+	// InstanceID names the incarnation that answered a health check.
+	InstanceID string
+	// NotExecuted marks answers of targets that did not run the request.
+	NotExecuted string
+	// Load is the load of the target.
+	Load string
+}
+
+// View is what the gateway knows of the fleet. It is immutable.
+type View struct {
+	Table *routes.Table
+	Pools map[string]*dispatch.Pool
+	// Instances is the number of live instances, this one included.
+	Instances int
+}
+
+// Counter counts what became of requests. It is safe for concurrent use.
+type Counter interface {
+	Answered(service, route string)
+	Refused(service string, why *reason.Reason)
+	Retried(service string, why *reason.Reason)
+	// Served records the time of a request from its arrival to its answer, and the time that it waited for a target.
+	Served(route string, total, waited time.Duration)
+}
+
+// Config holds what a Gateway needs.
+type Config struct {
+	Address string
+	Headers Headers
+	// View returns the current view, or nil before the first configuration.
+	View    func() *View
+	Counter Counter
+	Log     *slog.Logger
+	// ParseLoad decodes the value of the load header.
+	ParseLoad func(value []byte) (dispatch.Reading, bool)
+	// Misdirected is called when an address answered for another incarnation. It must not block.
+	Misdirected func(targetID string)
+	// Sent is called after a target was chosen. It must not block. It may be nil.
+	Sent func(targetID string)
+	// Now is the monotonic time.
+	Now func() time.Duration
+	// SampleOneIn is how many requests that went well share one log line. 0 logs none.
+	SampleOneIn int
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	Config
+	listener    inbound.Listener
+	server      *server.Hertz
+	connections inbound.Connections
+	draining    atomic.Bool
+	inFlight    atomic.Int64
+	served      atomic.Uint64
+
+	mu      sync.Mutex
+	origins map[string]*origin
+}
+
+// New returns a gateway. It opens no port.
+func New(c Config) *Gateway {
+	g := &Gateway{Config: c, listener: inbound.Listener{Address: c.Address}, origins: map[string]*origin{}}
+	g.server = server.New(
+		server.WithListener(&g.listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(inbound.RememberSocket),
+		server.WithDisablePrintRoute(true),
+	)
+	g.server.AddProtocol(suite.HTTP1, &protocolFactory{g})
+	return g
+}
+
+// Open opens the listener, so that an address that cannot be used is reported before anything runs.
+func (g *Gateway) Open() error { return g.listener.Open() }
+
+// Run serves until Shutdown. Open comes first.
+func (g *Gateway) Run() error { return g.server.Run() }
+
+// InFlight returns the number of requests that are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Drain announces the close of connections with each further answer. New connections are still served.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+const (
+	// drainInterval is how often Shutdown looks for connections that have become idle.
+	drainInterval = 20 * time.Millisecond
+)
+
+// Shutdown stops accepting, closes idle connections and waits for the requests in flight until the context ends.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.Drain()
+	_ = g.listener.Close()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for g.connections.CloseIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -45,6 +45,7 @@
 // Refusals: no target ran the request.
 var (
 	UnknownService    = add("unknown_service", Refusal, 404, NotRun, "No service in force has this name. Check the name and the published intent.")
+	UnknownRoute      = add("unknown_route", Refusal, 404, NotRun, "No route of the configuration in force matches the host and path.")
 	UnknownClass      = add("unknown_class", Refusal, 400, NotRun, "No class of the service matches the request. Check methods and path prefixes.")
 	BadTimeout        = add("bad_timeout", Refusal, 400, NotRun, "Basillink-Timeout-Ms is not a number from 1 to 86400000.")
 	BadAttempts       = add("bad_attempts", Refusal, 400, NotRun, "Basillink-Attempts is not a number from 1 to 8.")
@@ -98,6 +99,7 @@
 	RetryConnectionLost    = add("retry_connection_lost", Retry, 0, "", "A connection to a target was closed before a byte of the request was sent.")
 	RetryAnswerLost        = add("retry_answer_lost", Retry, 0, "", "A repeatable request lost its answer.")
 	RetryAnswerTruncated   = add("retry_answer_truncated", Retry, 0, "", "A repeatable request received an incomplete answer.")
+	RetryTargetError       = add("retry_target_error", Retry, 0, "", "A target failed a repeatable request.")
 	RetryConnectionSilent  = add("retry_connection_silent", Retry, 0, "", "A repeatable request was on a connection that went silent.")
 )
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,10 +10,10 @@
 
 // LapseGrace is how long the targets whose entries lapsed during an outage of the store stay in use after its return.
 // Living targets are registered again within about two seconds.
-const LapseGrace = 1900 * time.Millisecond
+const LapseGrace = 2200 * time.Millisecond
 
 // disturbedAfter is how long after an outage lapsed entries may still be appended.
-const disturbedAfter = 500 * time.Millisecond
+const disturbedAfter = 700 * time.Millisecond
 
 // Entry is what a target says of itself.
 type Entry struct {
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -36,7 +36,7 @@
 	var s Settings
 	s.Provision()
 	if err := strictoml.Decode(file, data, &s); err != nil {
-		return nil, describe(file, err)
+		return nil, describe(file, err, Fields())
 	}
 	if err := s.Validate(file); err != nil {
 		return nil, err
@@ -45,7 +45,7 @@
 }
 
 // describe turns a decoding error into one that names key, value and what is accepted.
-func describe(file string, err error) error {
+func describe(file string, err error, fields []Field) error {
 	var decode *strictoml.Error
 	if !errors.As(err, &decode) {
 		return err
@@ -54,15 +54,15 @@
 	if decode.Key == "" {
 		e.Key = fmt.Sprintf("line %d", decode.Line)
 	}
-	e.Accepted = accepted(decode)
+	e.Accepted = accepted(decode, fields)
 	return e
 }
 
-func accepted(decode *strictoml.Error) string {
+func accepted(decode *strictoml.Error, fields []Field) string {
 	if decode.Unknown {
-		return "a known key: " + strings.Join(siblings(decode.Key), ", ")
+		return "a known key: " + strings.Join(siblings(decode.Key, fields), ", ")
 	}
-	for _, field := range Fields() {
+	for _, field := range fields {
 		if field.Key == decode.Key {
 			return field.Type + ": " + field.Accepted
 		}
@@ -82,10 +82,10 @@
 }
 
 // siblings returns the keys of the section that a key is in, or all sections.
-func siblings(key string) []string {
+func siblings(key string, fields []Field) []string {
 	section, _, _ := strings.Cut(key, ".")
 	var sections, keys []string
-	for _, field := range Fields() {
+	for _, field := range fields {
 		other, _, _ := strings.Cut(field.Key, ".")
 		if other == section {
 			keys = append(keys, field.Key)
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -28,15 +28,15 @@
 }
 
 // Fields returns all settings in the order of declaration.
-func Fields() []Field {
-	var s Settings
-	return s.fields()
-}
+func Fields() []Field { return fieldsOf(&Settings{}) }
+
+// EdgeFields returns all settings of an edge instance in the order of declaration.
+func EdgeFields() []Field { return fieldsOf(&Edge{}) }
 
-// fields returns the settings with access to their values.
-func (s *Settings) fields() []Field {
+// fieldsOf returns the settings of a document, a pointer to a struct of sections, with access to their values.
+func fieldsOf(document any) []Field {
 	var list []Field
-	sections := reflect.ValueOf(s).Elem()
+	sections := reflect.ValueOf(document).Elem()
 	for i := range sections.NumField() {
 		section := sections.Field(i)
 		sectionType := sections.Type().Field(i)
@@ -70,8 +70,11 @@
 }
 
 // Provision fills in defaults for settings that are zero. It is idempotent.
-func (s *Settings) Provision() {
-	for _, field := range s.fields() {
+func (s *Settings) Provision() { provision(s) }
+
+// provision fills in defaults of a document.
+func provision(document any) {
+	for _, field := range fieldsOf(document) {
 		if field.Default == "" || !field.value.IsZero() {
 			continue
 		}
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -51,6 +51,8 @@
 		return "IP addresses with ports such as 10.0.0.7:8080"
 	case "length":
 		return fmt.Sprintf("%d to %d characters", r.lowest, r.highest)
+	case "texts":
+		return "a list of strings"
 	case "range":
 		return fmt.Sprintf("%d to %d", r.lowest, r.highest)
 	case "oneof":
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,8 @@
 	refusals metric.Int64Counter
 	retries  metric.Int64Counter
 	added    metric.Float64Histogram
+	total    metric.Float64Histogram
+	waited   metric.Float64Histogram
 }
 
 // addedBounds are the bucket bounds of the time added by the instance, in seconds. They are close together around
@@ -33,6 +35,9 @@
 	25e-6, 50e-6, 100e-6, 200e-6, 300e-6, 400e-6, 500e-6, 600e-6, 700e-6, 800e-6, 1e-3, 1.5e-3, 2e-3, 5e-3, 10e-3, 50e-3, 1,
 }
 
+// requestBounds are the bucket bounds of the time of whole requests, in seconds. Latency objectives lie between 0.1 and 3 s.
+var requestBounds = []float64{5e-3, 10e-3, 25e-3, 50e-3, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 12}
+
 // NewMetrics returns metrics with a registry of their own. Each reason's counter exists with value 0, so that a rate
 // over it is defined before the first occurrence.
 func NewMetrics() (*Metrics, error) {
@@ -64,6 +69,18 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "histogram of the added time")
 	}
+	m.total, err = meter.Float64Histogram("basillink.request_time", metric.WithUnit("s"),
+		metric.WithDescription("Time from the arrival of a routed request to its answer."),
+		metric.WithExplicitBucketBoundaries(requestBounds...))
+	if err != nil {
+		return nil, trace.Wrap(err, "histogram of the request time")
+	}
+	m.waited, err = meter.Float64Histogram("basillink.wait_time", metric.WithUnit("s"),
+		metric.WithDescription("Time that a routed request waited for a free slot of a target."),
+		metric.WithExplicitBucketBoundaries(requestBounds...))
+	if err != nil {
+		return nil, trace.Wrap(err, "histogram of the wait time")
+	}
 	m.declareReasons()
 	return m, nil
 }
@@ -112,3 +129,10 @@
 	}
 	return metric.WithAttributes(attribute.String("service", service), attribute.String("reason", why.Name))
 }
+
+// Served records the time of a routed request and the part of it that the request waited for a target.
+func (m *Metrics) Served(route string, total, waited time.Duration) {
+	attributes := metric.WithAttributes(attribute.String("route", route))
+	m.total.Record(context.Background(), total.Seconds(), attributes)
+	m.waited.Record(context.Background(), waited.Seconds(), attributes)
+}
