--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,7 +27,6 @@
 	node     *fleet.Node
 	gateway  *ingress.Gateway
 	ready    *readiness
-	bounds   platform.Bounds
 }
 
 // New assembles an instance. It opens no port.
@@ -37,11 +36,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	bounds, err := platform.ParseBounds(s.Store.Bounds)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	e := &Edge{settings: s, log: telemetry.Component(log, "edge"), bounds: bounds}
+	e := &Edge{settings: s, log: telemetry.Component(log, "edge")}
 	e.store = platform.NewStore(s.Store.Address, telemetry.Component(log, "store"))
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
@@ -70,11 +65,9 @@
 	p.UsableShare = float64(e.settings.Dispatch.UsablePercent) / 100
 	p.WaitShare = float64(e.settings.Dispatch.WaitPercent) / 100
 	p.ZoneCrossing = time.Duration(e.settings.Dispatch.ZoneCrossingUS) * time.Microsecond
-	if e.bounds.RetryRatio > 0 {
-		p.RetryRatio = e.bounds.RetryRatio * budgetShare
-		p.RetryExtra = e.bounds.RetryExtra * budgetShare
-		p.RetryWindow = e.bounds.RetryWindow
-	}
+	p.RetryRatio = e.settings.Bounds.RetryRatio * budgetShare
+	p.RetryExtra = e.settings.Bounds.RetryExtra * budgetShare
+	p.RetryWindow = e.settings.Bounds.RetryWindow()
 	return p
 }
 
@@ -134,11 +127,12 @@
 // drain announces the stop, serves what still comes, and ends within the time that the platform grants.
 func (e *Edge) drain() {
 	began := time.Now()
-	e.log.Info("Draining.", "in_flight", e.gateway.InFlight(), "grace_ms", e.bounds.Grace.Milliseconds())
+	grace := e.settings.Bounds.Grace()
+	e.log.Info("Draining.", "in_flight", e.gateway.InFlight(), "grace_ms", grace.Milliseconds())
 	e.ready.leave()
 	e.gateway.Drain()
-	time.Sleep(min(noticeTime, e.bounds.Grace/2))
-	left := e.bounds.Grace - drainReserve - time.Since(began)
+	time.Sleep(min(noticeTime, grace/2))
+	left := grace - drainReserve - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if err := e.gateway.Shutdown(ctx); err != nil {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/basillink/basillink/internal/strictoml"
 )
@@ -14,6 +15,7 @@
 	Peer     EdgePeer     `toml:"peer"`
 	Dispatch EdgeDispatch `toml:"dispatch"`
 	Probe    EdgeProbe    `toml:"probe"`
+	Bounds   EdgeBounds   `toml:"bounds"`
 	Log      EdgeLog      `toml:"log"`
 }
 
@@ -31,8 +33,6 @@
 type EdgeStore struct {
 	// Address is the address of the store.
 	Address string `toml:"address" accept:"address"`
-	// Bounds are the bounds that the platform states, as name=value.
-	Bounds []string `toml:"bounds" accept:"texts" default:"none"`
 }
 
 // EdgePeer configures the connections between edge instances.
@@ -57,6 +57,28 @@
 	IntervalMS int `toml:"interval_ms" unit:"ms" accept:"range:5..10000" default:"25"`
 }
 
+// EdgeBounds are the bounds that the platform states.
+type EdgeBounds struct {
+	// GraceS is the time that is granted for a planned stop.
+	GraceS float64 `toml:"grace_s" unit:"s" accept:"number:1..3600" default:"6"`
+	// RetryRatio is the most requests that all instances together send to a further target, per request for the service.
+	RetryRatio float64 `toml:"retry_ratio" accept:"number:0..10" default:"0.2"`
+	// RetryExtra is the number of such requests beyond the ratio that is allowed in each retry window.
+	RetryExtra float64 `toml:"retry_extra" accept:"number:0..1000000" default:"64"`
+	// RetryWindowS is the time over which the bounds on further sends hold.
+	RetryWindowS float64 `toml:"retry_window_s" unit:"s" accept:"number:0.1..3600" default:"10"`
+	// ProbesPerS is the most health checks of one target by all instances together.
+	ProbesPerS float64 `toml:"probes_per_s" unit:"1/s" accept:"number:0..100000" default:"40"`
+}
+
+// Grace returns the time that is granted for a planned stop.
+func (b EdgeBounds) Grace() time.Duration { return time.Duration(b.GraceS * float64(time.Second)) }
+
+// RetryWindow returns the time over which the bounds on further sends hold.
+func (b EdgeBounds) RetryWindow() time.Duration {
+	return time.Duration(b.RetryWindowS * float64(time.Second))
+}
+
 // EdgeLog configures structured logs on standard output.
 type EdgeLog struct {
 	// Level is the lowest level that is logged.
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -63,6 +63,8 @@
 	switch kind {
 	case reflect.Int:
 		return "integer"
+	case reflect.Float64:
+		return "number"
 	case reflect.Slice:
 		return "list of strings"
 	}
@@ -81,6 +83,10 @@
 		switch field.value.Kind() {
 		case reflect.String:
 			field.value.SetString(field.Default)
+		case reflect.Float64:
+			// A default that is no number stays 0; a test checks all defaults.
+			number, _ := strconv.ParseFloat(field.Default, 64)
+			field.value.SetFloat(number)
 		case reflect.Int:
 			// A default that is no number stays 0; a test checks all defaults.
 			n, _ := strconv.Atoi(field.Default)
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -21,6 +21,8 @@
 type rule struct {
 	kind            string
 	lowest, highest int
+	// least and most bound a number with fractions.
+	least, most float64
 	options         []string
 }
 
@@ -33,6 +35,10 @@
 		lowest, highest, _ := strings.Cut(argument, "..")
 		r.lowest, _ = strconv.Atoi(lowest)
 		r.highest, _ = strconv.Atoi(highest)
+	case "number":
+		least, most, _ := strings.Cut(argument, "..")
+		r.least, _ = strconv.ParseFloat(least, 64)
+		r.most, _ = strconv.ParseFloat(most, 64)
 	case "oneof":
 		r.options = strings.Split(argument, ",")
 	case "policy":
@@ -51,8 +57,8 @@
 		return "IP addresses with ports such as 10.0.0.7:8080"
 	case "length":
 		return fmt.Sprintf("%d to %d characters", r.lowest, r.highest)
-	case "texts":
-		return "a list of strings"
+	case "number":
+		return fmt.Sprintf("%g to %g", r.least, r.most)
 	case "range":
 		return fmt.Sprintf("%d to %d", r.lowest, r.highest)
 	case "oneof":
@@ -80,6 +86,9 @@
 	case "range":
 		n := int(value.Int())
 		return strconv.Itoa(n), n < r.lowest || n > r.highest
+	case "number":
+		n := value.Float()
+		return strconv.FormatFloat(n, 'g', -1, 64), !(n >= r.least && n <= r.most)
 	case "oneof":
 		return value.String(), !slices.Contains(r.options, value.String())
 	}
