Spare events and bytes between the instances

Readings of other zones now join the next datagram of the zone's reader, and only heartbeats introduce the sender. The bytes of answers are learnt per route and weigh against crossing a zone.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -21,18 +21,27 @@
 	Withdrawn
 )
 
-// Release notes the end of an exchange. Reading is the load that the answer carried, or nil.
-func (p *Pool) Release(a *Ask, d Decision, end End, reading *Reading) {
+// Report says how an exchange ended and what its answer told.
+type Report struct {
+	End End
+	// Load is the load that the answer carried, or nil.
+	Load *Reading
+	// AnswerBytes is the size of the answer's body.
+	AnswerBytes int
+}
+
+// Release notes the end of an exchange.
+func (p *Pool) Release(a *Ask, d Decision, r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	t := d.Target
 	t.own--
 	t.since--
-	switch end {
+	switch r.End {
 	case Answered:
 		t.noteSuccess(now)
-		p.workOf(a).add(time.Duration(float64(now-d.sent) / d.pace))
+		p.workOf(a).add(time.Duration(float64(now-d.sent)/d.pace), r.AnswerBytes)
 	case Failed:
 		t.noteFailure(now, 1)
 	case Shed:
@@ -40,8 +49,8 @@
 	case Unconnected:
 		t.noteUnreachable(now)
 	}
-	if reading != nil {
-		t.reading, t.read, t.since = *reading, true, 0
+	if r.Load != nil {
+		t.reading, t.read, t.since = *r.Load, true, 0
 	}
 	p.serveWaiting(now)
 }
@@ -49,8 +58,8 @@
 // shedWeight is the evidence of a refusal by a target: it is full or failing, but lost nothing.
 const shedWeight = 0.4
 
-// workEstimate learns how long the work of a route takes on a target at its usual pace.
-type workEstimate struct{ mean float64 }
+// workEstimate learns how long the work of a route takes on a target at its usual pace, and the size of its answers.
+type workEstimate struct{ mean, bytes float64 }
 
 const (
 	// initialWorkShare is the share of the latency objective that work takes before any was measured.
@@ -63,7 +72,8 @@
 
 func (w *workEstimate) estimate() time.Duration { return time.Duration(w.mean) }
 
-func (w *workEstimate) add(d time.Duration) {
+func (w *workEstimate) add(d time.Duration, bytes int) {
+	w.bytes += workGain * (float64(bytes) - w.bytes)
 	w.mean += workGain * (min(float64(d), maxWorkGrowth*w.mean) - w.mean)
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,8 +19,8 @@
 	Objective time.Duration
 	// Arrived is when the instance received the request, and Deadline when an answer is worth nothing any more.
 	Arrived, Deadline time.Duration
-	// Kilobytes is the expected size of the exchange.
-	Kilobytes float64
+	// RequestBytes is the size of the body.
+	RequestBytes int
 	// Tried holds the targets that the request was sent to already.
 	Tried []*Target
 }
@@ -241,13 +241,14 @@
 
 // choose returns the best target, and the best of those with a free slot. The lock is held.
 func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
+	crossing := p.crossing(a)
 	var unreachable estimate
 	for _, t := range p.targets {
 		if slices.Contains(a.Tried, t) {
 			continue
 		}
 		inputs.Candidates++
-		e := t.estimate(now, a, work, &p.policy)
+		e := t.estimate(now, a, work, crossing, &p.policy)
 		e.cost += time.Duration(p.random.Int64N(int64(work)/tieShare + 1))
 		if now < t.unreachableUntil {
 			if unreachable.target == nil || t.unreachableUntil < unreachable.target.unreachableUntil {
@@ -274,6 +275,15 @@
 	return best, open, inputs
 }
 
+// headBytes is the usual size of the heads of a request and its answer.
+const headBytes = 700
+
+// crossing is the cost of sending a request to another zone, by the bytes that the exchange is expected to carry.
+func (p *Pool) crossing(a *Ask) time.Duration {
+	bytes := headBytes + float64(a.RequestBytes) + p.workOf(a).bytes
+	return time.Duration(float64(p.policy.ZoneCrossing) * bytes / 1024)
+}
+
 // tieShare is the part of the work by which the cost of targets is varied at random, so that instances with the same
 // readings do not all choose the same target.
 const tieShare = 10
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -114,7 +114,7 @@
 	open bool
 }
 
-func (t *Target) estimate(now time.Duration, a *Ask, work time.Duration, p *Policy) estimate {
+func (t *Target) estimate(now time.Duration, a *Ask, work, crossing time.Duration, p *Policy) estimate {
 	occupied := t.occupied(now, p.ReadingLifetime)
 	usable := t.usable(p)
 	one := float64(work) * t.pace(now, p)
@@ -127,7 +127,7 @@
 	cost := answer + one*crowdingShare*float64(occupied)/float64(usable)
 	cost += t.evidence(now) * float64(a.Objective) * failureCost
 	if !t.local {
-		cost += float64(p.ZoneCrossing) * a.Kilobytes
+		cost += float64(crossing)
 	}
 	return estimate{target: t, cost: time.Duration(cost), answer: time.Duration(answer), open: open}
 }
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -14,7 +14,7 @@
 
 const (
 	// crossInterval is the time between two datagrams to each other zone. Bytes between zones are paid for.
-	crossInterval = 100 * time.Millisecond
+	crossInterval = 150 * time.Millisecond
 	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
 	greetAgain   = 300 * time.Millisecond
 	maxGreetings = 4
@@ -64,26 +64,40 @@
 }
 
 func (n *Node) base(now time.Time) *datagram {
-	return &datagram{From: n.Self, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now))}
+	return &datagram{
+		From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now)),
+	}
+}
+
+// introduction is a datagram to instances that may not know this one.
+func (n *Node) introduction(now time.Time) *datagram {
+	d := n.base(now)
+	d.Self = &n.Self
+	return d
 }
 
 // handleDatagram takes over what a peer told.
 func (n *Node) handleDatagram(ctx context.Context, e received, now time.Time) {
 	d := e.datagram
-	if d.From.ID == n.Self.ID {
+	if d.From == n.Self.ID {
 		return
 	}
-	isNew := n.members.learn(d.From)
-	p := n.members.peers[d.From.ID]
-	if p == nil || d.From.Started < p.Started {
+	if d.Self != nil && n.members.learn(*d.Self) {
+		n.Log.Info("Met an instance.", "instance", d.From, "zone", d.Self.Zone, "address", d.Self.Address)
+	}
+	p := n.members.peers[d.From]
+	if p == nil || d.Started > p.Started {
+		greeting := n.introduction(now)
+		greeting.Greeting = true
+		n.send(e.from, greeting)
 		return
 	}
-	if isNew {
-		n.Log.Info("Met an instance.", "instance", d.From.ID, "zone", d.From.Zone, "address", d.From.Address)
+	if d.Started < p.Started {
+		return
 	}
 	p.heard, p.leaving, p.greetings = now, d.Leaving, 0
 	if d.Leaving {
-		n.Log.Info("An instance leaves.", "instance", d.From.ID)
+		n.Log.Info("An instance leaves.", "instance", d.From)
 		return
 	}
 	p.live = d.Live
@@ -92,7 +106,7 @@
 	}
 	n.meet(d.Members, now)
 	if d.Greeting {
-		answer := n.base(now)
+		answer := n.introduction(now)
 		answer.Members = n.members.all(now)
 		answer.Targets, answer.Config = n.targetsNote(now), n.configNote(now)
 		n.send(p.Address, answer)
@@ -102,6 +116,7 @@
 
 // takeNews takes over what a peer read, and passes what came from another zone on to this zone.
 func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
+	before := n.version()
 	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
 	if changed {
 		n.publish(now)
@@ -113,10 +128,31 @@
 	if p.Zone == n.Self.Zone {
 		return
 	}
-	if len(d.Loads) > 0 || changed || d.Config != nil {
-		relay := n.base(now)
-		relay.Loads, relay.Targets, relay.Config = d.Loads, n.targetsNote(now), n.configNote(now)
-		n.tellZone(relay, now)
+	if n.reader && !changed && !isNews(d.Config, before) {
+		n.keepRemote(d.Loads)
+		return
+	}
+	relay := n.base(now)
+	relay.Loads, relay.Targets, relay.Config = d.Loads, n.targetsNote(now), n.configNote(now)
+	n.tellZone(relay, now)
+}
+
+// isNews reports whether a peer's configuration is newer than a version.
+func isNews(note *configNote, version uint64) bool { return note != nil && note.Version > version }
+
+// version returns the version of the configuration in force, 0 for none.
+func (n *Node) version() uint64 {
+	if n.table == nil {
+		return 0
+	}
+	return n.table.Version
+}
+
+// keepRemote keeps readings of another zone for the next datagram to this zone.
+func (n *Node) keepRemote(loads []loadNote) {
+	at := n.Now()
+	for _, note := range loads {
+		n.remote = append(n.remote, loadSample{note, at - time.Duration(note.AgeMS)*time.Millisecond})
 	}
 }
 
@@ -179,7 +215,7 @@
 		}
 		p.greeted = now
 		p.greetings++
-		greeting := n.base(now)
+		greeting := n.introduction(now)
 		greeting.Greeting = true
 		n.send(p.Address, greeting)
 	}
@@ -194,7 +230,9 @@
 	}
 	for _, host := range n.Seeds {
 		if address := net.JoinHostPort(host, port); address != n.Self.Address {
-			n.send(address, &datagram{From: n.Self, Greeting: true, Live: 1})
+			greeting := n.introduction(time.Now())
+			greeting.Greeting = true
+			n.send(address, greeting)
 		}
 	}
 }
@@ -225,7 +263,7 @@
 		return
 	}
 	n.heartbeat = now
-	d := n.base(now)
+	d := n.introduction(now)
 	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
 	n.tellZone(d, now)
 	n.greet(now)
@@ -241,9 +279,7 @@
 	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
 	at := n.Now()
 	for _, sample := range n.pending {
-		note := sample.note
-		note.AgeMS = ageMS(at - sample.at)
-		d.Loads = append(d.Loads, note)
+		d.Loads = append(d.Loads, sample.aged(at))
 	}
 	clear(n.pending)
 	for _, p := range n.members.remoteReaders(now) {
@@ -251,6 +287,13 @@
 	}
 }
 
+// aged returns the note of a sample with its age at a time.
+func (s loadSample) aged(at time.Duration) loadNote {
+	note := s.note
+	note.AgeMS = ageMS(at - s.at)
+	return note
+}
+
 func ageMS(d time.Duration) uint16 { return uint16(min(max(d.Milliseconds(), 0), 1<<16-1)) }
 
 // refreshZonePeers keeps the addresses to which sent requests are announced.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -15,7 +15,7 @@
 	liveFor = 1600 * time.Millisecond
 	// readerSilence is how long the reader of the zone may be silent before the next member takes over, and
 	// successionStep the further wait of each member behind that one.
-	readerSilence  = 110 * time.Millisecond
+	readerSilence  = 160 * time.Millisecond
 	successionStep = 60 * time.Millisecond
 )
 
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -17,7 +17,11 @@
 // datagram is what instances tell each other without an answer. Parts that are not set are left out. Keys are only ever
 // added, so that versions can be mixed.
 type datagram struct {
-	From discovery.Member `cbor:"1,keyasint"`
+	// From and Started name the incarnation of the sender.
+	From    string `cbor:"1,keyasint,omitempty"`
+	Started int64  `cbor:"11,keyasint,omitempty"`
+	// Self introduces the sender. It is left out where the receiver knows it.
+	Self *discovery.Member `cbor:"12,keyasint,omitempty"`
 	// Reader is true when the sender reads the load of the targets of its zone.
 	Reader bool `cbor:"2,keyasint,omitempty"`
 	// Live is the number of live instances in the zone of the sender, itself included.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// tick is the interval of the control loop.
-	tick = 25 * time.Millisecond
+	// readerTick and idleTick are the intervals of the control loop of an instance that reads the load of its zone, and of
+	// the others, which mostly react to datagrams.
+	readerTick = 25 * time.Millisecond
+	idleTick   = 100 * time.Millisecond
 	// inboxSize bounds the events that wait for the control loop. Senders never block; an event too many is dropped, and
 	// what it told is told again.
 	inboxSize = 1024
@@ -74,6 +76,7 @@
 	pools      map[string]*dispatch.Pool
 	byHash     map[uint32]targetRef
 	reader     bool
+	ticker     *time.Ticker
 	joined     bool
 	joining    bool
 	joinAt     time.Time
@@ -84,6 +87,10 @@
 	instances  int
 	fetching   bool
 	fetchAt    time.Time
+	// remote are readings of other zones that were not passed on to this zone yet.
+	remote []loadSample
+	// noted is when the zone was last told how far the store was read.
+	noted time.Time
 	// pending are readings that were not sent to other zones yet.
 	pending map[uint32]loadSample
 }
@@ -152,7 +159,8 @@
 	go n.receive(ctx)
 	go n.rpc.run()
 	defer n.sampler.stop()
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(readerTick)
+	n.ticker = ticker
 	defer ticker.Stop()
 	n.greetSeeds()
 	n.step(ctx, time.Now())
@@ -193,6 +201,12 @@
 		return
 	}
 	n.reader = reads
+	n.remote = nil
+	if reads {
+		n.ticker.Reset(readerTick)
+	} else {
+		n.ticker.Reset(idleTick)
+	}
 	n.Log.Info("Changed the reader of the zone.", "reads", reads, "order", n.members.order(now))
 	if !reads {
 		n.sampler.stop()
@@ -265,10 +279,10 @@
 // leave tells peers of the stop and closes the sockets.
 func (n *Node) leave(now time.Time) {
 	for _, p := range n.members.zonePeers(now) {
-		n.send(p.Address, &datagram{From: n.Self, Leaving: true})
+		n.send(p.Address, &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true})
 	}
 	for _, p := range n.members.remoteReaders(now) {
-		n.send(p.Address, &datagram{From: n.Self, Leaving: true})
+		n.send(p.Address, &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true})
 	}
 	_ = n.socket.Close()
 	n.rpc.close()
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -165,7 +165,7 @@
 
 // probe starts a round of readings when one is due and this instance reads its zone.
 func (n *Node) probe(now time.Time) {
-	if !n.reader || n.table == nil || now.Sub(n.roundAt) < n.ProbeInterval-tick/2 {
+	if !n.reader || n.table == nil || now.Sub(n.roundAt) < n.ProbeInterval-readerTick/2 {
 		return
 	}
 	n.roundAt = now
@@ -199,5 +199,16 @@
 		n.pending[note.Target] = loadSample{note, s.reading.At}
 	}
 	n.observe(d.Loads)
+	for _, sample := range n.remote {
+		d.Loads = append(d.Loads, sample.aged(at))
+	}
+	n.remote = n.remote[:0]
+	if now.Sub(n.noted) >= noteInterval {
+		n.noted = now
+		d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
+	}
 	n.tellZone(d, now)
 }
+
+// noteInterval is how often the zone is told how far the store was read.
+const noteInterval = 100 * time.Millisecond
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -56,7 +56,7 @@
 	}
 	call.ask = dispatch.Ask{
 		Route: call.route.Name, Priority: call.route.Priority, Objective: call.route.LatencyObjective,
-		Arrived: arrived, Deadline: call.deadline, Kilobytes: 1 + float64(len(c.Request.Body()))/1024,
+		Arrived: arrived, Deadline: call.deadline, RequestBytes: len(c.Request.Body()),
 	}
 	if call.pool == nil {
 		return call, reason.NoTarget
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -98,16 +98,18 @@
 	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.setDeadline)
 	if err != nil {
 		outcome := g.failure(ctx, call, err)
-		call.pool.Release(&call.ask, d, endOf(outcome), nil)
+		call.pool.Release(&call.ask, d, dispatch.Report{End: endOf(outcome)})
 		return outcome
 	}
-	outcome := g.classify(call, d, answer)
-	var reading *dispatch.Reading
+	report := dispatch.Report{AnswerBytes: max(answer.Length(), 0)}
 	if load, ok := g.ParseLoad(answer.Response.Header.Peek(g.Headers.Load)); ok {
 		load.At = g.Now()
-		reading = &load
+		report.Load = &load
 	}
-	call.pool.Release(&call.ask, d, endOf(outcome), reading)
+	// Classify may drop the answer, so that the report is taken before.
+	outcome := g.classify(call, d, answer)
+	report.End = endOf(outcome)
+	call.pool.Release(&call.ask, d, report)
 	return outcome
 }
 
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -23,7 +23,7 @@
 	lowest, highest int
 	// least and most bound a number with fractions.
 	least, most float64
-	options         []string
+	options     []string
 }
 
 // parseRule reads tags such as "name", "range:1..10" and "oneof:a,b".
