--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -18,6 +18,8 @@
 	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
 	greetAgain   = 300 * time.Millisecond
 	maxGreetings = 4
+	// remoteGreetings is how many members of another zone are greeted at a time while none of them is heard.
+	remoteGreetings = 2
 )
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
@@ -64,9 +66,13 @@
 }
 
 func (n *Node) base(now time.Time) *datagram {
-	return &datagram{
+	d := &datagram{
 		From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now)),
 	}
+	if n.reader {
+		d.Fleet = n.members.instances(now)
+	}
+	return d
 }
 
 // introduction is a datagram to instances that may not know this one.
@@ -87,9 +93,7 @@
 	}
 	p := n.members.peers[d.From]
 	if p == nil || d.Started > p.Started {
-		greeting := n.introduction(now)
-		greeting.Greeting = true
-		n.send(e.from, greeting)
+		n.send(e.from, n.greeting(now))
 		return
 	}
 	if d.Started < p.Started {
@@ -103,11 +107,16 @@
 	p.live = d.Live
 	if d.Reader {
 		p.readerAt = now
+		if p.Zone == n.Self.Zone {
+			n.members.fleet, n.members.fleetAt = d.Fleet, now
+		}
 	}
 	n.meet(d.Members, now)
 	if d.Greeting {
 		answer := n.introduction(now)
-		answer.Members = n.members.all(now)
+		if len(n.members.peers) > d.Knows {
+			answer.Members = n.members.all()
+		}
 		answer.Targets, answer.Config = n.targetsNote(now), n.configNote(now)
 		n.send(p.Address, answer)
 	}
@@ -207,20 +216,35 @@
 	n.greet(now)
 }
 
-// greet sends a greeting to members that have not been heard.
+// greet sends a greeting to members that have not been heard. Members of other zones talk to the readers only, so that
+// their silence means nothing while any member of their zone is heard.
 func (n *Node) greet(now time.Time) {
+	greeted := map[string]int{}
+	for zone := range n.members.heardZones(now) {
+		greeted[zone] = remoteGreetings
+	}
 	for _, p := range n.members.peers {
+		remote := p.Zone != n.Self.Zone
+		if remote && (greeted[p.Zone] >= remoteGreetings || !p.heard.IsZero() && !n.reader) {
+			continue
+		}
 		if p.isLive(now) || p.leaving || p.greetings >= maxGreetings || now.Sub(p.greeted) < greetAgain {
 			continue
 		}
 		p.greeted = now
 		p.greetings++
-		greeting := n.introduction(now)
-		greeting.Greeting = true
-		n.send(p.Address, greeting)
+		greeted[p.Zone]++
+		n.send(p.Address, n.greeting(now))
 	}
 }
 
+// greeting is an introduction that asks for an answer.
+func (n *Node) greeting(now time.Time) *datagram {
+	d := n.introduction(now)
+	d.Greeting, d.Knows = true, len(n.members.peers)
+	return d
+}
+
 // greetSeeds asks the seeds for the members that they know. The port of peers is the same on all instances.
 func (n *Node) greetSeeds() {
 	_, port, err := net.SplitHostPort(n.Self.Address)
@@ -230,9 +254,7 @@
 	}
 	for _, host := range n.Seeds {
 		if address := net.JoinHostPort(host, port); address != n.Self.Address {
-			greeting := n.introduction(time.Now())
-			greeting.Greeting = true
-			n.send(address, greeting)
+			n.send(address, n.greeting(time.Now()))
 		}
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -38,6 +38,9 @@
 type members struct {
 	self  discovery.Member
 	peers map[string]*peerState
+	// fleet is the number of live instances that the reader of this zone told at fleetAt.
+	fleet   int
+	fleetAt time.Time
 }
 
 func newMembers(self discovery.Member) *members {
@@ -121,6 +124,9 @@
 
 // instances estimates the number of live instances, this one included.
 func (m *members) instances(now time.Time) int {
+	if now.Sub(m.fleetAt) < liveFor && m.fleet > 0 {
+		return max(m.fleet, 1+len(m.zonePeers(now)))
+	}
 	zones := map[string]int{m.self.Zone: 1 + len(m.zonePeers(now))}
 	for _, p := range m.peers {
 		if p.Zone != m.self.Zone && p.isLive(now) {
@@ -136,17 +142,15 @@
 
 // rank orders the instances that may read the store: readers of zones first, by zone, then the others.
 func (m *members) rank(now time.Time, reader bool) int {
-	zones := map[string]bool{}
-	for _, p := range m.peers {
-		if p.isLive(now) && p.Zone != m.self.Zone {
+	if !reader {
+		zones := map[string]bool{m.self.Zone: true}
+		for _, p := range m.peers {
 			zones[p.Zone] = true
 		}
-	}
-	if !reader {
-		return len(zones) + 1 + m.order(now)
+		return len(zones) + m.order(now)
 	}
 	before := 0
-	for zone := range zones {
+	for zone := range m.heardZones(now) {
 		if zone < m.self.Zone {
 			before++
 		}
@@ -154,11 +158,24 @@
 	return before
 }
 
-// all returns every known member, this instance included.
-func (m *members) all(now time.Time) []discovery.Member {
+// heardZones returns the other zones of which a member is live.
+func (m *members) heardZones(now time.Time) map[string]bool {
+	zones := map[string]bool{}
+	for _, p := range m.peers {
+		if p.isLive(now) && p.Zone != m.self.Zone {
+			zones[p.Zone] = true
+		}
+	}
+	return zones
+}
+
+// all returns every known member that is not leaving, this instance included.
+func (m *members) all() []discovery.Member {
 	list := []discovery.Member{m.self}
-	for _, p := range m.livePeers(now, func(*peerState) bool { return true }) {
-		list = append(list, p.Member)
+	for _, p := range m.peers {
+		if !p.leaving {
+			list = append(list, p.Member)
+		}
 	}
 	return list
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -26,9 +26,13 @@
 	Reader bool `cbor:"2,keyasint,omitempty"`
 	// Live is the number of live instances in the zone of the sender, itself included.
 	Live int `cbor:"3,keyasint,omitempty"`
+	// Fleet is the number of live instances in all zones, as the reader of a zone knows it.
+	Fleet int `cbor:"13,keyasint,omitempty"`
 	// Greeting asks for an answer with the members that the receiver knows.
-	Greeting bool               `cbor:"4,keyasint,omitempty"`
-	Members  []discovery.Member `cbor:"5,keyasint,omitempty"`
+	Greeting bool `cbor:"4,keyasint,omitempty"`
+	// Knows is the number of members that the sender of a greeting knows.
+	Knows   int                `cbor:"14,keyasint,omitempty"`
+	Members []discovery.Member `cbor:"5,keyasint,omitempty"`
 	// Loads are readings of the targets of one or more zones.
 	Loads []loadNote `cbor:"6,keyasint,omitempty"`
 	// Targets and Config tell how far the store was read.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -133,7 +133,7 @@
 	s := State{
 		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
 		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
-		Members: n.members.all(now), TargetsListed: n.targets.known,
+		Members: n.members.all(), TargetsListed: n.targets.known,
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
