--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -63,6 +63,8 @@
 	byID    map[string]*Target
 	work    map[string]*workEstimate
 	waiting []*waiter
+	// meanPace is the mean over the readings of all targets.
+	meanPace float64
 	// sharers is the number of instances that send to the same targets.
 	sharers int
 	retries retryBudget
@@ -72,7 +74,7 @@
 // NewPool returns a pool without targets for an instance in a zone.
 func NewPool(policy Policy, zone string, now func() time.Duration, random *rand.Rand) *Pool {
 	return &Pool{
-		policy: policy, zone: zone, now: now, random: random, sharers: 1,
+		policy: policy, zone: zone, now: now, random: random, sharers: 1, meanPace: usualPace,
 		byID: map[string]*Target{}, work: map[string]*workEstimate{},
 	}
 }
@@ -117,11 +119,15 @@
 	for id, reading := range readings {
 		if t := p.byID[id]; t != nil {
 			t.reading, t.read, t.since = reading, true, 0
+			p.meanPace += paceGain * (reading.Pace - p.meanPace)
 		}
 	}
 	p.serveWaiting(p.now())
 }
 
+// paceGain is the weight of one reading in the mean pace. A service is read some hundred times a second.
+const paceGain = 0.001
+
 // Announced notes that another instance sent a request to a target.
 func (p *Pool) Announced(id string) {
 	p.mu.Lock()
@@ -230,7 +236,7 @@
 		return p.refuse(a, reason.Overloaded, now), true
 	}
 	wait := time.Duration(float64(ahead+1) / p.throughput(now, work))
-	if open.target != nil && wait+best.answer > open.answer {
+	if open.target != nil && wait+best.cost > open.cost {
 		return p.send(open, a, now, inputs), true
 	}
 	if now+wait > p.waitLimit(a) {
@@ -241,14 +247,14 @@
 
 // choose returns the best target, and the best of those with a free slot. The lock is held.
 func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
-	crossing := p.crossing(a)
+	o := outlook{work: work, crossing: p.crossing(a), meanPace: p.meanPace}
 	var unreachable estimate
 	for _, t := range p.targets {
 		if slices.Contains(a.Tried, t) {
 			continue
 		}
 		inputs.Candidates++
-		e := t.estimate(now, a, work, crossing, &p.policy)
+		e := t.estimate(now, a, o, &p.policy)
 		e.cost += time.Duration(p.random.Int64N(int64(work)/tieShare + 1))
 		if now < t.unreachableUntil {
 			if unreachable.target == nil || t.unreachableUntil < unreachable.target.unreachableUntil {
@@ -291,8 +297,8 @@
 // send assigns the request to a target. The lock is held.
 func (p *Pool) send(e estimate, a *Ask, now time.Duration, inputs Inputs) Decision {
 	t := e.target
-	inputs.Occupied = t.occupied(now, p.policy.ReadingLifetime)
-	inputs.Pace = t.pace(now, &p.policy)
+	inputs.Occupied = t.occupied(now, &p.policy)
+	inputs.Pace = e.pace
 	inputs.ReadingAge = -1
 	if t.read {
 		inputs.ReadingAge = now - t.reading.At
@@ -331,7 +337,7 @@
 	total := 0.0
 	for _, t := range p.targets {
 		if now >= t.unreachableUntil {
-			total += float64(t.usable(&p.policy)) / (float64(work) * t.pace(now, &p.policy))
+			total += float64(t.usable(&p.policy)) / (float64(work) * t.pace(now, work, p.meanPace, &p.policy))
 		}
 	}
 	return total / float64(p.sharers)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -8,8 +8,13 @@
 )
 
 const (
-	// unreadPace is the assumed pace of a target without a fresh reading: one in four is slowed by neighbours.
-	unreadPace = 1.4
+	// usualPace is the mean pace before any was read.
+	usualPace = 1.5
+	// paceMemory is how fast the pace of a machine changes: neighbours come and go several times a second. A reading says
+	// little about a time that lies further away.
+	paceMemory = 300 * time.Millisecond
+	// occupancyLifetime is how long the occupancy of a reading is used. An older one is replaced by a cautious guess.
+	occupancyLifetime = time.Second
 	// failureHalfLife is how fast the evidence of failures fades, so that a recovered target is tried again.
 	failureHalfLife = 1500 * time.Millisecond
 	// maxFailures bounds the evidence, so that a target is tried again a few half-lives after its last failure.
@@ -57,19 +62,29 @@
 	return &Target{ID: r.ID, Address: r.Address, local: r.Zone == zone, slots: max(r.Slots, 1), warm: warm}
 }
 
-// occupied estimates the requests that the target runs or holds.
-func (t *Target) occupied(now time.Duration, lifetime time.Duration) int {
-	if !t.read || now-t.reading.At > lifetime {
-		return t.own
+// occupied estimates the requests that the target runs or holds. Without a usable reading the other instances are
+// assumed to fill half of the target.
+func (t *Target) occupied(now time.Duration, p *Policy) int {
+	if !t.read || now-t.reading.At > occupancyLifetime {
+		return t.own + t.usable(p)/2
 	}
-	return max(t.own, t.reading.Running+t.reading.Waiting+t.since)
+	occupied := max(t.own, t.reading.Running+t.reading.Waiting+t.since)
+	if now-t.reading.At > p.ReadingLifetime {
+		// Others may have sent requests since.
+		occupied++
+	}
+	return occupied
 }
 
-// pace estimates how much longer than usual work takes on the target.
-func (t *Target) pace(now time.Duration, p *Policy) float64 {
-	pace := unreadPace
-	if t.read && now-t.reading.At <= p.ReadingLifetime {
-		pace = t.reading.Pace
+// pace estimates how much longer than usual work of a given length takes on the target, whose pace returns to the mean.
+func (t *Target) pace(now, work time.Duration, mean float64, p *Policy) float64 {
+	pace := mean
+	if t.read {
+		age := float64(now-t.reading.At) / float64(paceMemory)
+		pace += (t.reading.Pace - mean) * math.Exp(-max(age, 0))
+	}
+	if span := float64(work) * pace / float64(paceMemory); span > 0 {
+		pace = mean + (pace-mean)*(1-math.Exp(-span))/span
 	}
 	if now < t.warm {
 		pace *= p.WarmupFactor
@@ -106,6 +121,7 @@
 // estimate is what sending a request to a target would mean.
 type estimate struct {
 	target *Target
+	pace   float64
 	// cost orders targets. It is the expected time to the answer plus what else speaks against the target.
 	cost time.Duration
 	// answer is the expected time to the answer.
@@ -114,10 +130,12 @@
 	open bool
 }
 
-func (t *Target) estimate(now time.Duration, a *Ask, work, crossing time.Duration, p *Policy) estimate {
-	occupied := t.occupied(now, p.ReadingLifetime)
+// estimate weighs a target for a request.
+func (t *Target) estimate(now time.Duration, a *Ask, o outlook, p *Policy) estimate {
+	occupied := t.occupied(now, p)
 	usable := t.usable(p)
-	one := float64(work) * t.pace(now, p)
+	pace := t.pace(now, o.work, o.meanPace, p)
+	one := float64(o.work) * pace
 	answer := one
 	open := occupied < usable
 	if !open {
@@ -127,9 +145,16 @@
 	cost := answer + one*crowdingShare*float64(occupied)/float64(usable)
 	cost += t.evidence(now) * float64(a.Objective) * failureCost
 	if !t.local {
-		cost += float64(crossing)
+		cost += float64(o.crossing)
 	}
-	return estimate{target: t, cost: time.Duration(cost), answer: time.Duration(answer), open: open}
+	return estimate{target: t, pace: pace, cost: time.Duration(cost), answer: time.Duration(answer), open: open}
+}
+
+// outlook is what holds for all targets of a service at one decision.
+type outlook struct {
+	// work is the expected time on a target at its usual pace, and crossing the cost of another zone.
+	work, crossing time.Duration
+	meanPace       float64
 }
 
 const (
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// crossInterval is the time between two datagrams to each other zone. Bytes between zones are paid for.
-	crossInterval = 150 * time.Millisecond
+	// calmCrossInterval and busyCrossInterval are the times between two datagrams to each other zone. Bytes between zones
+	// are paid for, and readings of this zone matter to others when its targets are filled.
+	calmCrossInterval = 200 * time.Millisecond
+	busyCrossInterval = 60 * time.Millisecond
+	// busyShare is the share of its slots from which on a zone is busy.
+	busyShare = 0.45
 	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
 	greetAgain   = 300 * time.Millisecond
 	maxGreetings = 4
@@ -293,7 +297,7 @@
 
 // sendAcross tells the readers of the other zones the readings of this zone and how far the store was read.
 func (n *Node) sendAcross(now time.Time) {
-	if !n.reader || now.Sub(n.crossAt) < crossInterval {
+	if !n.reader || now.Sub(n.crossAt) < n.crossInterval() {
 		return
 	}
 	n.crossAt = now
@@ -309,6 +313,14 @@
 	}
 }
 
+// crossInterval is the time between two datagrams to each other zone.
+func (n *Node) crossInterval() time.Duration {
+	if n.busy {
+		return busyCrossInterval
+	}
+	return calmCrossInterval
+}
+
 // aged returns the note of a sample with its age at a time.
 func (s loadSample) aged(at time.Duration) loadNote {
 	note := s.note
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -87,6 +87,8 @@
 	instances  int
 	fetching   bool
 	fetchAt    time.Time
+	// busy is true while the targets of this zone are filled.
+	busy bool
 	// remote are readings of other zones that were not passed on to this zone yet.
 	remote []loadSample
 	// noted is when the zone was last told how far the store was read.
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -184,7 +184,10 @@
 	}
 	d := n.base(now)
 	at := n.Now()
+	occupied, slots := 0, 0
 	for _, s := range e.samples {
+		occupied += s.reading.Running + s.reading.Waiting
+		slots += s.reading.Slots
 		if s.failures > 0 && s.failures < silentReadings {
 			continue
 		}
@@ -198,6 +201,7 @@
 		d.Loads = append(d.Loads, note)
 		n.pending[note.Target] = loadSample{note, s.reading.At}
 	}
+	n.busy = float64(occupied) > busyShare*float64(slots)
 	n.observe(d.Loads)
 	for _, sample := range n.remote {
 		d.Loads = append(d.Loads, sample.aged(at))
