--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -37,7 +37,7 @@
 	now := p.now()
 	t := d.Target
 	t.own--
-	t.since--
+	t.note(now, -1)
 	switch r.End {
 	case Answered:
 		t.noteSuccess(now)
@@ -50,7 +50,7 @@
 		t.noteUnreachable(now)
 	}
 	if r.Load != nil {
-		t.reading, t.read, t.since = *r.Load, true, 0
+		t.take(*r.Load)
 	}
 	p.serveWaiting(now)
 }
--- a/internal/dispatch/policy.go
+++ b/internal/dispatch/policy.go
@@ -38,7 +38,7 @@
 		CrowdedFactor:   1.7,
 		WarmupFactor:    2,
 		WaitShare:       0.45,
-		ZoneCrossing:    8 * time.Millisecond,
+		ZoneCrossing:    60 * time.Millisecond,
 		ReadingLifetime: 150 * time.Millisecond,
 		RetryRatio:      0.15,
 		RetryExtra:      40,
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -118,7 +119,7 @@
 	defer p.mu.Unlock()
 	for id, reading := range readings {
 		if t := p.byID[id]; t != nil {
-			t.reading, t.read, t.since = reading, true, 0
+			t.take(reading)
 			p.meanPace += paceGain * (reading.Pace - p.meanPace)
 		}
 	}
@@ -133,7 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.byID[id]; t != nil {
-		t.since++
+		t.note(p.now(), 1)
 	}
 }
 
@@ -214,10 +215,22 @@
 	p.waiting = kept
 }
 
-// waitLimit is when a request that still waits is refused.
+// waitLimit is when a request that still waits is refused: when its answer would come after its latency objective, and at
+// the latest after its share of it.
 func (p *Pool) waitLimit(a *Ask) time.Duration {
-	limit := a.Arrived + time.Duration(float64(a.Objective)*p.policy.WaitShare)
-	return min(limit, a.Deadline)
+	work := p.workOf(a).estimate()
+	span := float64(a.Objective)
+	wait := min(span*p.policy.WaitShare, span-float64(work)*p.meanPaceOf(work))
+	return min(a.Arrived+time.Duration(max(wait, span*leastWaitShare)), a.Deadline)
+}
+
+// leastWaitShare is the share of the latency objective that every request may wait for a slot.
+const leastWaitShare = 0.1
+
+// meanPaceOf is the expected pace of work on a target that was chosen for a good reading.
+func (p *Pool) meanPaceOf(work time.Duration) float64 {
+	span := float64(work) / float64(paceMemory)
+	return p.meanPace + (1-p.meanPace)*(1-math.Exp(-span))/span
 }
 
 // decide chooses a target, refuses, or reports false when the request has to wait behind ahead others. The lock is held.
@@ -306,7 +319,7 @@
 	inputs.Expected = e.answer
 	inputs.Waited = now - a.Arrived
 	t.own++
-	t.since++
+	t.note(now, 1)
 	return Decision{Target: t, Inputs: inputs, sent: now, pace: inputs.Pace}
 }
 
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -46,7 +46,8 @@
 	read    bool
 	// own counts the requests in flight from this instance.
 	own int
-	// since counts the requests sent to the target, less those ended, since the reading.
+	// moves are the requests that were sent to the target or ended on it lately, and since is their sum beyond the reading.
+	moves []move
 	since int
 	// failures is the fading evidence that the target fails requests, as of failedAt.
 	failures float64
@@ -58,6 +59,37 @@
 	removed bool
 }
 
+// move is a request sent to a target (+1) or ended on it (-1).
+type move struct {
+	at     time.Duration
+	change int
+}
+
+// readingSkew is how long a request may be on its way while the target answers a reading.
+const readingSkew = 1500 * time.Microsecond
+
+// note counts a move.
+func (t *Target) note(now time.Duration, change int) {
+	t.since += change
+	t.moves = append(t.moves, move{now, change})
+}
+
+// take replaces the reading by a newer one. Moves that it cannot include stay counted.
+func (t *Target) take(r Reading) {
+	if t.read && r.At < t.reading.At {
+		return
+	}
+	t.reading, t.read, t.since = r, true, 0
+	kept := t.moves[:0]
+	for _, m := range t.moves {
+		if m.at > r.At-readingSkew {
+			kept = append(kept, m)
+			t.since += m.change
+		}
+	}
+	t.moves = kept
+}
+
 func newTarget(r registry.Target, zone string, warm time.Duration) *Target {
 	return &Target{ID: r.ID, Address: r.Address, local: r.Zone == zone, slots: max(r.Slots, 1), warm: warm}
 }
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -48,7 +48,7 @@
 	// WaitPercent is the share of a route's latency objective that a request may wait for a slot.
 	WaitPercent int `toml:"wait_percent" unit:"%" accept:"range:0..100" default:"45"`
 	// ZoneCrossingUS is the added time, per KB of an exchange, that makes a target of another zone equal to one of this zone.
-	ZoneCrossingUS int `toml:"zone_crossing_us" unit:"us" accept:"range:0..1000000" default:"8000"`
+	ZoneCrossingUS int `toml:"zone_crossing_us" unit:"us" accept:"range:0..1000000" default:"60000"`
 }
 
 // EdgeProbe configures the reading of the targets' load.
