--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -86,7 +86,7 @@
 // completely.
 func (g *Gateway) serve(ctx context.Context, c *app.RequestContext, arrived time.Duration) error {
 	call, refusal := g.parse(c, arrived)
-	if g.draining.Load() || c.Request.Header.ConnectionClose() {
+	if c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
 	}
 	if refusal != nil {
--- /dev/null
+++ b/internal/ingress/gateway_test.go
@@ -0,0 +1,293 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/standin/rawtarget"
+)
+
+// Guards against a changed request or answer on the way.
+func TestForwardsUnchanged(t *testing.T) {
+	var seen atomic.Pointer[http.Request]
+	target := scripted(t, func(r *http.Request, _ int64) (string, bool) {
+		seen.Store(r)
+		return answer(201, r, "X-Sig: abc\r\n", "whole"), true
+	})
+	b := newBed(t, target)
+	got, body := b.call(t).exchange("POST", "/once/p/q?x=1&y", "id1", "content")
+	if got.StatusCode != 201 || body != "whole" || got.Header.Get("X-Sig") != "abc" {
+		t.Errorf("answer %d %q %v", got.StatusCode, body, got.Header)
+	}
+	r := seen.Load()
+	if r.Method != "POST" || r.RequestURI != "/once/p/q?x=1&y" || r.Host != "h" || r.Header.Get("X-Id") != "id1" ||
+		r.Header.Get("X-Expected") != "t0" || r.Header.Get(rawtarget.BodyHeader) != "content" {
+		t.Errorf("request %s %s %v", r.Method, r.RequestURI, r.Header)
+	}
+}
+
+// Guards against a request that may not be repeated and runs twice, and against answers that say that it did not run
+// although it may have. Each target reads the request whole.
+func TestMayNotBeRepeated(t *testing.T) {
+	cases := []struct {
+		name   string
+		first  func(r *http.Request) (string, bool)
+		status int
+		sends  int64
+	}{
+		{"closed without an answer", func(*http.Request) (string, bool) { return "", false }, 502, 1},
+		{"answer cut short", func(r *http.Request) (string, bool) {
+			return strings.Replace(answer(200, r, "", "body"), "Length: 4", "Length: 9", 1), false
+		}, 502, 1},
+		{"no HTTP", func(*http.Request) (string, bool) { return "garbage\r\n\r\n", false }, 502, 1},
+		{"503 that does not say not run", func(r *http.Request) (string, bool) { return answer(503, r, "", ""), true }, 502, 1},
+		{"429 that does not say not run", func(r *http.Request) (string, bool) { return answer(429, r, "", ""), true }, 502, 1},
+		{"own failure", func(r *http.Request) (string, bool) { return answer(500, r, "", "e"), true }, 500, 1},
+		{"shed", func(r *http.Request) (string, bool) { return answer(503, r, "X-Not-Run: 1\r\n", ""), true }, 503, 2},
+		{"other incarnation", func(r *http.Request) (string, bool) { return answer(421, r, "", ""), true }, 503, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var sends atomic.Int64
+			script := func(r *http.Request, _ int64) (string, bool) {
+				sends.Add(1)
+				return c.first(r)
+			}
+			b := newBed(t, scripted(t, script), scripted(t, script), scripted(t, script))
+			got, _ := b.call(t).exchange("POST", "/once/", "id1", "content")
+			if got.StatusCode != c.status || sends.Load() != c.sends {
+				t.Errorf("status %d after %d sends", got.StatusCode, sends.Load())
+			}
+		})
+	}
+}
+
+// Guards against a repeatable request that fails although another target can answer it, and against more sends than
+// the route allows.
+func TestRepeatable(t *testing.T) {
+	cases := []struct {
+		name  string
+		first func(r *http.Request) (string, bool)
+	}{
+		{"closed without an answer", func(*http.Request) (string, bool) { return "", false }},
+		{"answer cut short", func(r *http.Request) (string, bool) {
+			return strings.Replace(answer(200, r, "", "body"), "Length: 4", "Length: 9", 1), false
+		}},
+		{"failure", func(r *http.Request) (string, bool) { return answer(500, r, "", "e"), true }},
+		{"answer to another request", func(r *http.Request) (string, bool) {
+			return strings.Replace(answer(200, r, "", "body"), "id1", "id0", 1), false
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var sends atomic.Int64
+			script := func(r *http.Request, _ int64) (string, bool) {
+				if sends.Add(1) == 1 {
+					return c.first(r)
+				}
+				return answer(200, r, "", "second"), true
+			}
+			b := newBed(t, scripted(t, script), scripted(t, script), scripted(t, script))
+			got, body := b.call(t).exchange("GET", "/safe/", "id1", "")
+			if got.StatusCode != 200 || body != "second" || sends.Load() != 2 {
+				t.Errorf("status %d, body %q after %d sends", got.StatusCode, body, sends.Load())
+			}
+		})
+	}
+}
+
+// Guards against an extra answer on a connection that reaches the caller of the next request.
+func TestExtraAnswerIsSkipped(t *testing.T) {
+	target := scripted(t, func(r *http.Request, n int64) (string, bool) {
+		raw := answer(200, r, "", "for "+r.Header.Get("X-Id"))
+		if n == 1 {
+			return raw + answer(200, r, "", "extra"), true
+		}
+		return raw, true
+	})
+	b := newBed(t, target)
+	c := b.call(t)
+	for _, id := range []string{"id1", "id2", "id3"} {
+		if got, body := c.exchange("GET", "/safe/", id, ""); got.StatusCode != 200 || body != "for "+id {
+			t.Errorf("%s: %d %q", id, got.StatusCode, body)
+		}
+	}
+}
+
+// Guards against an extra answer that arrives late, just before the answer to the next request.
+func TestLateExtraAnswerIsSkipped(t *testing.T) {
+	target := scripted(t, func(r *http.Request, n int64) (string, bool) {
+		raw := answer(200, r, "", "for "+r.Header.Get("X-Id"))
+		if n == 2 {
+			return strings.ReplaceAll(answer(200, r, "", "for id1"), "X-Id: id2", "X-Id: id1") + raw, true
+		}
+		return raw, true
+	})
+	b := newBed(t, target)
+	c := b.call(t)
+	for _, id := range []string{"id1", "id2", "id3"} {
+		if got, body := c.exchange("POST", "/once/", id, "x"); got.StatusCode != 200 || body != "for "+id {
+			t.Errorf("%s: %d %q", id, got.StatusCode, body)
+		}
+	}
+}
+
+// Guards against a body without a length that was broken off and looks whole.
+func TestBodyThatEndsByClose(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: id1\r\n\r\n"
+	orderly := scripted(t, func(*http.Request, int64) (string, bool) { return head + "all of it", false })
+	b := newBed(t, orderly)
+	if got, body := b.call(t).exchange("POST", "/once/", "id1", "x"); got.StatusCode != 200 || body != "all of it" {
+		t.Errorf("orderly close: %d %q", got.StatusCode, body)
+	}
+	reset := rawtarget.Start(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = conn.Write([]byte(head + "part"))
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	b = newBed(t, reset)
+	if got, body := b.call(t).exchange("POST", "/once/", "id1", "x"); got.StatusCode != 502 {
+		t.Errorf("reset: %d %q", got.StatusCode, body)
+	}
+}
+
+// Guards against a target that answers before it has read a long body: the rest must not be read as a further request.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var connections atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				buffer := make([]byte, 1024)
+				_, _ = conn.Read(buffer)
+				_, _ = conn.Write([]byte("HTTP/1.1 413 X\r\nX-Id: id1\r\nContent-Length: 0\r\n\r\n"))
+				time.Sleep(2 * time.Second)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	b := newBed(t)
+	view := newView(t, b.gateway.Now, nil)
+	view.Pools["s"].SetTargets(targetAt(listener.Addr().String()), 1, time.Now())
+	b.view.Store(view)
+	began := time.Now()
+	got, _ := b.call(t).exchange("POST", "/once/", "id1", strings.Repeat("x", 8<<20))
+	if got.StatusCode != 413 || time.Since(began) > 800*time.Millisecond {
+		t.Errorf("status %d after %s", got.StatusCode, time.Since(began))
+	}
+}
+
+// Guards against 404 from an instance that knows no configuration yet, and against the opposite.
+func TestUnknownRoute(t *testing.T) {
+	b := newBed(t, good(t, "x"))
+	if got, _ := b.call(t).exchange("GET", "/nowhere/", "id1", ""); got.StatusCode != 404 {
+		t.Errorf("with a configuration: %d", got.StatusCode)
+	}
+	b.view.Store(nil)
+	if got, _ := b.call(t).exchange("GET", "/safe/", "id1", ""); got.StatusCode != 503 {
+		t.Errorf("without a configuration: %d", got.StatusCode)
+	}
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	target := rawtarget.Start(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			close(closed)
+		}
+		return false
+	})
+	b := newBed(t, target)
+	c := b.call(t)
+	c.send("GET", "/safe/", "id1", "")
+	time.Sleep(50 * time.Millisecond)
+	_ = c.conn.Close()
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the target still works 500 ms after the caller left")
+	}
+}
+
+// Guards against a route's timeout that passes without an answer, and against a promise that a request did not run which
+// a target has begun.
+func TestRouteTimeout(t *testing.T) {
+	target := rawtarget.Start(t, func(net.Conn, *http.Request, int64) bool {
+		time.Sleep(1500 * time.Millisecond)
+		return false
+	})
+	b := newBed(t, target)
+	began := time.Now()
+	got, _ := b.call(t).exchange("POST", "/once/", "id1", "x")
+	if elapsed := time.Since(began); got.StatusCode != 504 || elapsed < 700*time.Millisecond || elapsed > 1200*time.Millisecond {
+		t.Errorf("status %d after %s", got.StatusCode, elapsed)
+	}
+}
+
+// Guards against a planned stop that cuts a request, or closes a kept connection without announcing it.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	target := rawtarget.Start(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		<-release
+		_, err := conn.Write([]byte(answer(200, r, "", "slow")))
+		return err == nil
+	})
+	b := newBed(t, target)
+	c := b.call(t)
+	c.send("GET", "/safe/", "id1", "")
+	time.Sleep(30 * time.Millisecond)
+	b.gateway.Drain()
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	got, body, err := c.receive()
+	if err != nil || got.StatusCode != 200 || body != "slow" || !got.Close {
+		t.Errorf("%v, %q, %v", got, body, err)
+	}
+	if got, body := b.call(t).exchange("GET", "/safe/", "id2", ""); got.StatusCode != 200 || body != "slow" || !got.Close {
+		t.Errorf("a new connection during the drain: %d %q", got.StatusCode, body)
+	}
+}
+
+// Guards against a request that waits until its deadline although no target can serve it.
+func TestNoTargetIsRefusedAtOnce(t *testing.T) {
+	b := newBed(t)
+	began := time.Now()
+	got, _ := b.call(t).exchange("GET", "/safe/", "id1", "")
+	if got.StatusCode != 503 || got.Header.Get("Retry-After") == "" || time.Since(began) > 200*time.Millisecond {
+		t.Errorf("status %d, Retry-After %q after %s", got.StatusCode, got.Header.Get("Retry-After"), time.Since(began))
+	}
+}
+
+// Guards against heads that two parties read differently.
+func TestMalformedHeads(t *testing.T) {
+	b := newBed(t, good(t, "x"))
+	for _, head := range []string{
+		"GET /safe/ HTTP/1.1\r\n\r\n",
+		"GET /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"GET /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+		"GET /safe/ HTTP/1.1\r\nHost: h\r\nX : y\r\n\r\n",
+	} {
+		c := b.call(t)
+		if _, err := c.conn.Write([]byte(head)); err != nil {
+			t.Fatal(err)
+		}
+		if got, _, err := c.receive(); err != nil || got.StatusCode != 400 {
+			t.Errorf("%q: %v, %v", head, got, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/main_test.go
@@ -0,0 +1,191 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/standin/rawtarget"
+	"github.com/basillink/basillink/internal/telemetry"
+)
+
+var testHeaders = Headers{
+	RequestID: "X-Id", DeadlineMS: "X-Deadline", ExpectedInstance: "X-Expected", InstanceID: "X-Instance",
+	NotExecuted: "X-Not-Run", Load: "X-Load",
+}
+
+func TestMain(m *testing.M) {
+	telemetry.RouteServerLogs(slog.New(slog.DiscardHandler))
+	m.Run()
+}
+
+// counts counts refusals and retries by reason.
+type counts struct {
+	mu      sync.Mutex
+	refused map[string]int
+	retried map[string]int
+}
+
+func (c *counts) Answered(string, string)                     {}
+func (c *counts) Served(string, time.Duration, time.Duration) {}
+func (c *counts) Refused(_ string, why *reason.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[why.Name]++
+}
+func (c *counts) Retried(_ string, why *reason.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retried[why.Name]++
+}
+
+// bed is a gateway in front of raw targets. Routes /safe/ and /once/ lead to all of them.
+type bed struct {
+	gateway     *Gateway
+	address     string
+	counts      *counts
+	view        atomic.Pointer[View]
+	misdirected atomic.Int64
+}
+
+func newBed(t *testing.T, targets ...*rawtarget.Target) *bed {
+	t.Helper()
+	b := &bed{counts: &counts{refused: map[string]int{}, retried: map[string]int{}}}
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	b.gateway = New(Config{
+		Address: "127.0.0.1:0", Headers: testHeaders, View: b.view.Load, Counter: b.counts,
+		Log: slog.New(slog.DiscardHandler), Now: now,
+		ParseLoad:   func(value []byte) (dispatch.Reading, bool) { return dispatch.Reading{Pace: 1}, len(value) > 0 },
+		Misdirected: func(string) { b.misdirected.Add(1) },
+	})
+	b.view.Store(newView(t, now, targets))
+	if err := b.gateway.Open(); err != nil {
+		t.Fatal(err)
+	}
+	b.address = b.gateway.listener.BoundAddress()
+	go func() { _ = b.gateway.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_ = b.gateway.Shutdown(ctx)
+		b.gateway.Forget(func(string) bool { return false })
+	})
+	return b
+}
+
+func newView(t *testing.T, now func() time.Duration, targets []*rawtarget.Target) *View {
+	t.Helper()
+	route := func(name string, idempotent bool) routes.Route {
+		return routes.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Idempotent: idempotent, Timeout: 900 * time.Millisecond,
+			LatencyObjective: 400 * time.Millisecond, MaxAttempts: 2, Split: []routes.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	table, err := routes.Build(&routes.Config{
+		Version: 1, Services: []routes.Service{{Name: "s", MaxConnections: 100}},
+		Routes: []routes.Route{route("safe", true), route("once", false)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", now, rand.New(rand.NewPCG(1, 2)))
+	var registered []registry.Target
+	for i, target := range targets {
+		registered = append(registered, registry.Target{Entry: registry.Entry{
+			ID: fmt.Sprintf("t%d", i), Address: target.Address(), Zone: "a", Service: "s", Slots: 4,
+		}})
+	}
+	pool.SetTargets(registered, 1, time.Now())
+	return &View{Table: table, Pools: map[string]*dispatch.Pool{"s": pool}, Instances: 1}
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (b *bed) call(t *testing.T) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return &caller{t, conn, bufio.NewReader(conn)}
+}
+
+func (c *caller) send(method, path, id, body string) {
+	c.t.Helper()
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Deadline: 2000\r\n", method, path, id)
+	if body != "" {
+		request += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	if _, err := io.WriteString(c.conn, request+"\r\n"+body); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// receive returns the status and the body. A body that is cut short fails.
+func (c *caller) receive() (*http.Response, string, error) {
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
+
+func (c *caller) exchange(method, path, id, body string) (*http.Response, string) {
+	c.t.Helper()
+	c.send(method, path, id, body)
+	answer, got, err := c.receive()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return answer, got
+}
+
+// answer returns an answer with the id of the request.
+func answer(status int, request *http.Request, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, request.Header.Get("X-Id"), extra, len(body), body)
+}
+
+// scripted answers every request by a function of it.
+func scripted(t *testing.T, f func(r *http.Request, n int64) (raw string, keep bool)) *rawtarget.Target {
+	return rawtarget.Start(t, func(conn net.Conn, r *http.Request, n int64) bool {
+		raw, keep := f(r, n)
+		_, err := io.WriteString(conn, raw)
+		return err == nil && keep
+	})
+}
+
+func good(t *testing.T, body string) *rawtarget.Target {
+	return scripted(t, func(r *http.Request, _ int64) (string, bool) {
+		return answer(200, r, "X-Sig: s\r\nX-Load: 1,0,4\r\n", body+strings.ToUpper(r.Header.Get(rawtarget.BodyHeader))), true
+	})
+}
+
+func targetAt(address string) []registry.Target {
+	return []registry.Target{{Entry: registry.Entry{ID: "t0", Address: address, Zone: "a", Service: "s", Slots: 4}}}
+}
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -57,6 +57,13 @@
 	request.SetBodyRaw(call.request.Body())
 }
 
+// announceClose tells the caller that its connection ends with this answer when the instance is being stopped.
+func (g *Gateway) announceClose(c *app.RequestContext) {
+	if g.draining.Load() {
+		c.Response.Header.SetConnectionClose(true)
+	}
+}
+
 // writeTimeout bounds how long a caller may take to accept an answer that is already whole.
 const writeTimeout = 10 * time.Second
 
@@ -73,6 +80,8 @@
 	h.SetNoDefaultContentType(true)
 	h.SetNoDefaultDate(true)
 	h.SetStatusCode(source.StatusCode())
+	// Without this, the library reports a content type that the target did not send.
+	source.Header.SetNoDefaultContentType(true)
 	source.Header.VisitAll(func(key, value []byte) {
 		if !connectionHeaders[string(key)] && !slices.Contains(answer.Options, string(key)) {
 			setAnswerHeader(h, key, value)
@@ -84,6 +93,7 @@
 			h.SetContentLength(length)
 		}
 	}
+	g.announceClose(c)
 	g.noteAnswer(call, r)
 	if answer.Whole() {
 		c.Response.SetBodyRaw(source.Body())
@@ -170,6 +180,7 @@
 	if err := c.GetConn().SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	g.announceClose(c)
 	h := &c.Response.Header
 	h.SetStatusCode(r.why.Status)
 	h.SetNoDefaultDate(true)
--- /dev/null
+++ b/internal/routes/table_test.go
@@ -0,0 +1,90 @@
+package routes
+
+import (
+	"errors"
+	"math"
+	"testing"
+)
+
+func config() *Config {
+	return &Config{
+		Version:  7,
+		Services: []Service{{Name: "a"}, {Name: "b"}},
+		Routes: []Route{
+			{Name: "short", Host: "desk.example", PathPrefix: "/x/", Split: []Share{{"a", 1}}},
+			{Name: "long", Host: "desk.example", PathPrefix: "/x/y/", Split: []Share{{"a", 90}, {"b", 10}}},
+			{Name: "other", Host: "other.example", PathPrefix: "/", Split: []Share{{"b", 3}, {"a", 5}}},
+		},
+	}
+}
+
+// Guards against requests that reach the service of a shorter prefix, of another host, or none.
+func TestMatch(t *testing.T) {
+	table, err := Build(config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ host, path, want string }{
+		{"desk.example", "/x/1", "short"}, {"desk.example", "/x/y/1", "long"}, {"DESK.example:8080", "/x/y/", "long"},
+		{"desk.example", "/x", ""}, {"desk.example", "/xy/", ""}, {"desk.example", "/", ""},
+		{"other.example", "/x/y/z", "other"}, {"third.example", "/x/", ""}, {"", "/x/", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if entry := table.Match(c.host, c.path); entry != nil {
+			got = entry.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against a split whose parts lie off their weights: the platform allows 0.1 over 300 requests.
+func TestSplitKeepsToWeights(t *testing.T) {
+	for _, weights := range [][]int{{90, 10}, {50, 50}, {3, 5}, {1, 1, 1}, {99, 1}, {700, 200, 100}, {0, 4}} {
+		c := &Config{Routes: []Route{{Name: "r", Host: "h", PathPrefix: "/"}}}
+		total := 0
+		names := []string{"s0", "s1", "s2"}
+		for i, weight := range weights {
+			c.Services = append(c.Services, Service{Name: names[i]})
+			c.Routes[0].Split = append(c.Routes[0].Split, Share{names[i], weight})
+			total += weight
+		}
+		table, err := Build(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts := map[string]int{}
+		const requests = 300
+		for range requests {
+			counts[table.Match("h", "/").Next()]++
+		}
+		for i, weight := range weights {
+			want := float64(weight) / float64(total)
+			if got := float64(counts[names[i]]) / requests; math.Abs(got-want) > 0.1 {
+				t.Errorf("%v: part %d has a share of %.3f, want %.3f", weights, i, got, want)
+			}
+		}
+	}
+}
+
+// Guards against configurations that would send requests nowhere, or to a service that does not exist.
+func TestBuildRefuses(t *testing.T) {
+	cases := map[string]func(*Config){
+		"unknown service":   func(c *Config) { c.Routes[0].Split[0].Service = "z" },
+		"no split":          func(c *Config) { c.Routes[0].Split = nil },
+		"no weight":         func(c *Config) { c.Routes[0].Split[0].Weight = 0 },
+		"negative weight":   func(c *Config) { c.Routes[1].Split[1].Weight = -1 },
+		"prefix not closed": func(c *Config) { c.Routes[0].PathPrefix = "/x" },
+		"prefix not rooted": func(c *Config) { c.Routes[0].PathPrefix = "x/" },
+	}
+	for name, spoil := range cases {
+		c := config()
+		spoil(c)
+		var refused *ConfigError
+		if _, err := Build(c); !errors.As(err, &refused) || refused.Version != 7 || refused.Route == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
