--- /dev/null
+++ b/internal/dispatch/pool_test.go
@@ -0,0 +1,321 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/registry"
+)
+
+var wall = time.Unix(1_000_000, 0)
+
+// bench is a pool with a clock that the test moves.
+type bench struct {
+	*Pool
+	clock time.Duration
+}
+
+func newBench(policy Policy, targets ...registry.Target) *bench {
+	b := &bench{clock: time.Minute}
+	b.Pool = NewPool(policy, "a", func() time.Duration { return b.clock }, rand.New(rand.NewPCG(1, 2)))
+	b.SetTargets(targets, 1, wall)
+	return b
+}
+
+func target(id, zone string) registry.Target {
+	return registry.Target{Entry: registry.Entry{ID: id, Address: id + ":80", Zone: zone, Service: "s", Slots: 5}}
+}
+
+func (b *bench) ask(priority int) *Ask {
+	return &Ask{Route: "r", Priority: priority, Objective: 300 * time.Millisecond, Arrived: b.clock, Deadline: b.clock + time.Second}
+}
+
+// read reports a load for a target.
+func (b *bench) read(id string, running int, pace float64) {
+	b.Observe(map[string]Reading{id: {Running: running, Slots: 5, Pace: pace, At: b.clock}})
+}
+
+// now decides a request that must not wait.
+func (b *bench) now(t *testing.T, a *Ask) Decision {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return b.Acquire(ctx, a)
+}
+
+// Guards against requests to a target that neighbours slow down while another is at its usual speed. The pattern is a
+// machine whose pace changes within milliseconds.
+func TestAvoidsSlowedTarget(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("slow", "a"), target("fast", "a"))
+	b.read("slow", 0, 4)
+	b.read("fast", 2, 1)
+	for range 2 {
+		if d := b.now(t, b.ask(1)); d.Target == nil || d.Target.ID != "fast" {
+			t.Fatalf("%+v", d)
+		}
+	}
+}
+
+// Guards against trust in a pace that was read long ago: it returns to the mean.
+func TestOldPaceFades(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	b.read("t", 0, 4)
+	t0 := b.targets[0]
+	fresh := t0.pace(b.clock, time.Millisecond, 1.5, &b.policy)
+	old := t0.pace(b.clock+5*paceMemory, time.Millisecond, 1.5, &b.policy)
+	long := t0.pace(b.clock, time.Second, 1.5, &b.policy)
+	if fresh < 3.9 || old > 1.6 || long >= fresh || long <= 1.5 {
+		t.Errorf("fresh %.2f, old %.2f, long work %.2f", fresh, old, long)
+	}
+}
+
+// Guards against the slots beyond the usable share being filled: targets slow down when they are nearly full. The pattern
+// is a burst beyond the capacity.
+func TestBurstWaitsAtTheKnee(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t1", "a"), target("t2", "a"))
+	b.read("t1", 0, 1)
+	b.read("t2", 0, 1)
+	sent, refused := 0, 0
+	for range 20 {
+		a := b.ask(1)
+		if d := b.now(t, a); d.Target != nil {
+			sent++
+		} else {
+			refused++
+		}
+	}
+	if sent != 8 || refused != 12 {
+		t.Errorf("sent %d, refused %d; two targets have 4 usable slots each", sent, refused)
+	}
+}
+
+// Guards against a reading that hides requests which were still on their way when it was taken.
+func TestReadingKeepsRequestsOnTheirWay(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	b.read("t", 0, 1)
+	for range 4 {
+		b.now(t, b.ask(1))
+	}
+	b.Observe(map[string]Reading{"t": {Running: 0, Slots: 5, Pace: 1, At: b.clock + time.Millisecond}})
+	if got := b.targets[0].occupied(b.clock, &b.policy); got != 4 {
+		t.Errorf("occupied %d", got)
+	}
+	b.clock += 20 * time.Millisecond
+	b.Announced("t")
+	b.clock += 20 * time.Millisecond
+	b.read("t", 3, 1)
+	if got := b.targets[0].occupied(b.clock, &b.policy); got != 4 {
+		t.Errorf("own requests are forgotten: occupied %d", got)
+	}
+	if got := b.targets[0].since; got != 0 {
+		t.Errorf("moves before the reading are counted: %d", got)
+	}
+}
+
+// Guards against a less urgent request that gets a free slot before a more urgent one that waits for it.
+func TestUrgentFirst(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	b.read("t", 0, 1)
+	var running []Decision
+	for range 4 {
+		running = append(running, b.now(t, b.ask(1)))
+	}
+	order := make(chan int, 2)
+	wait := func(priority int) {
+		if d := b.Acquire(context.Background(), b.ask(priority)); d.Target != nil {
+			order <- priority
+		}
+	}
+	go wait(2)
+	waitFor(t, func() bool { return b.queued() == 1 })
+	go wait(1)
+	waitFor(t, func() bool { return b.queued() == 2 })
+	b.Release(b.ask(1), running[0], Report{End: Answered})
+	if got := <-order; got != 1 {
+		t.Errorf("priority %d first", got)
+	}
+}
+
+func (p *Pool) queued() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting)
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("timed out")
+}
+
+// Guards against a request that waits although its answer cannot come within the latency objective any more. The pattern
+// is an overload that lasts.
+func TestRefusesWhatCannotBeInTime(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	b.read("t", 0, 1)
+	for range 4 {
+		b.now(t, b.ask(1))
+	}
+	late := b.ask(1)
+	late.Arrived = b.clock - 200*time.Millisecond
+	d := b.Acquire(context.Background(), late)
+	if d.Target != nil || d.Refusal != reason.Overloaded || d.RetryAfter < minRetryAfter || d.RetryAfter > maxRetryAfter {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Guards against callers that are all told to come back at the same moment.
+func TestRetryAfterIsSpread(t *testing.T) {
+	b := newBench(DefaultPolicy())
+	times := map[time.Duration]bool{}
+	for range 50 {
+		times[b.now(t, b.ask(1)).RetryAfter] = true
+	}
+	if len(times) < 40 {
+		t.Errorf("%d different times", len(times))
+	}
+}
+
+// Guards against the choice of a target that fails requests while its load looks best, and against leaving it out for
+// ever. The pattern is a target that fails part of its requests with a good health check.
+func TestFailingTargetLosesRequests(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("grey", "a"), target("sound", "a"))
+	for range 6 {
+		b.read("grey", 0, 1)
+		b.read("sound", 2, 1)
+		d := b.now(t, b.ask(1))
+		end := Answered
+		if d.Target.ID == "grey" {
+			end = Failed
+		}
+		b.Release(b.ask(1), d, Report{End: end})
+	}
+	b.read("grey", 0, 1)
+	b.read("sound", 3, 1)
+	if d := b.now(t, b.ask(1)); d.Target.ID != "sound" {
+		t.Error("the failing target is chosen")
+	}
+	b.clock += 10 * failureHalfLife
+	b.read("grey", 0, 1)
+	b.read("sound", 3, 1)
+	if d := b.now(t, b.ask(1)); d.Target.ID != "grey" {
+		t.Error("the target is not tried again")
+	}
+}
+
+// Guards against requests to a target to which no connection can be opened while others are there.
+func TestUnreachableTargetIsLeftOut(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("dark", "a"), target("far", "b"))
+	b.read("dark", 0, 1)
+	b.read("far", 2, 1)
+	b.Unreachable("dark")
+	if d := b.now(t, b.ask(1)); d.Target.ID != "far" {
+		t.Errorf("%+v", d)
+	}
+	b.clock += unreachableMax
+	b.read("dark", 0, 1)
+	b.read("far", 2, 1)
+	if d := b.now(t, b.ask(1)); d.Target.ID != "dark" {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Guards against bytes between zones that buy nothing, and against a zone that keeps its requests while another one
+// could serve them in time. Large exchanges stay nearer than small ones.
+func TestZoneCrossing(t *testing.T) {
+	cases := []struct {
+		name         string
+		localRunning int
+		localPace    float64
+		bytes        int
+		want         string
+	}{
+		{"local is a little worse", 2, 1.1, 0, "near"},
+		{"local is slowed", 2, 4, 0, "far"},
+		{"local is slowed, large body", 2, 3, 20_000, "near"},
+		{"local is full", 5, 1, 0, "far"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(DefaultPolicy(), target("near", "a"), target("far", "b"))
+			b.read("near", c.localRunning, c.localPace)
+			b.read("far", 0, 1)
+			a := b.ask(1)
+			a.RequestBytes = c.bytes
+			if d := b.now(t, a); d.Target == nil || d.Target.ID != c.want {
+				t.Errorf("%+v", d)
+			}
+		})
+	}
+}
+
+// Guards against retries beyond the budget that all instances share, when each of them knows only its own.
+func TestRetryBudgetOfTheFleet(t *testing.T) {
+	const instances, seconds, perSecond = 20, 60, 10
+	policy := DefaultPolicy()
+	policy.RetryRatio, policy.RetryExtra = 0.2*0.6, 64*0.6
+	retries := make([]int, seconds)
+	for range instances {
+		b := newBench(policy, target("t", "a"))
+		b.SetTargets([]registry.Target{target("t", "a")}, instances, wall)
+		for second := range seconds {
+			for range perSecond {
+				b.clock += time.Second / perSecond
+				b.Arrived()
+				for b.MayRetry() {
+					retries[second]++
+				}
+			}
+		}
+	}
+	for first := 0; first+10 <= seconds; first++ {
+		sum := 0
+		for _, n := range retries[first : first+10] {
+			sum += n
+		}
+		if allowed := 0.2*instances*perSecond*10 + 64; float64(sum) > allowed {
+			t.Errorf("%d retries in the 10 s from second %d, %v are allowed", sum, first, allowed)
+		}
+	}
+}
+
+// Guards against a target that has just started and receives as many requests as a warm one.
+func TestWarmupCosts(t *testing.T) {
+	cold := target("cold", "a")
+	cold.WarmUntil = wall.Add(3 * time.Second)
+	b := newBench(DefaultPolicy(), cold, target("warm", "a"))
+	b.read("cold", 0, 1)
+	b.read("warm", 2, 1)
+	if d := b.now(t, b.ask(1)); d.Target.ID != "warm" {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Guards against what was learnt of a target being lost, or kept for another incarnation, when the registry changes.
+func TestSetTargetsKeepsKnownOnes(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t1", "a"))
+	b.read("t1", 3, 2)
+	var more []registry.Target
+	for i := range 3 {
+		more = append(more, target(fmt.Sprintf("t%d", i), "a"))
+	}
+	b.SetTargets(more, 1, wall)
+	if !b.byID["t1"].read || b.byID["t0"].read {
+		t.Error("readings")
+	}
+	moved := target("t1", "a")
+	moved.Address = "elsewhere:80"
+	b.SetTargets([]registry.Target{moved}, 1, wall)
+	if b.byID["t1"].read {
+		t.Error("the reading of another address is used")
+	}
+}
