Let an instance that starts while the store is away ask its peers

Cause: only instances that had a configuration fetched one from a peer, so that one that started during an outage stayed unready (TestStartWithoutStore failed). Tests of membership, of the schedule of reads and of nodes with a store that turns some of them away are added.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -177,7 +177,8 @@
 	case n.table != nil && note.Version == n.table.Version:
 		n.configs.fresh(asOf)
 	case n.table != nil && note.Version < n.table.Version:
-	case p.Zone == n.Self.Zone && n.table != nil:
+	case p.Zone == n.Self.Zone || n.View() == nil && n.configs.backoff+n.targets.backoff > 0:
+		// An instance that starts while the store is away asks whoever answers.
 		n.fetchState(ctx, p.Address, now)
 	default:
 		n.configs.behind = true
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -9,7 +9,7 @@
 
 const (
 	// joinRetry is the pause before this instance tries again to announce itself in the store.
-	joinRetry = 2 * time.Second
+	joinRetry = 700 * time.Millisecond
 )
 
 // join announces this instance in the store and reads the others, until that has worked once. After that the members
--- /dev/null
+++ b/internal/fleet/members_test.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func member(id, zone string) discovery.Member {
+	return discovery.Member{ID: id, Zone: zone, Address: id + ":1", Started: 1}
+}
+
+// table returns the members as one of them sees them after all were heard.
+func table(self string, at time.Time, all ...discovery.Member) *members {
+	var m *members
+	for _, each := range all {
+		if each.ID == self {
+			m = newMembers(each)
+		}
+	}
+	for _, each := range all {
+		if m.learn(each) {
+			m.peers[each.ID].heard = at
+		}
+	}
+	return m
+}
+
+// Guards against a zone without a reader after its reader died, and against two readers while it lives.
+func TestReaderSuccession(t *testing.T) {
+	all := []discovery.Member{member("a1", "a"), member("a2", "a"), member("a3", "a")}
+	now := begin.Add(time.Minute)
+	second, third := table("a2", now, all...), table("a3", now, all...)
+	for _, m := range []*members{second, third} {
+		m.peers["a1"].readerAt = now
+	}
+	if second.readsZone(now, begin) || third.readsZone(now, begin) {
+		t.Error("a later member reads while the first one does")
+	}
+	now = now.Add(readerSilence + successionStep + time.Millisecond)
+	if !second.readsZone(now, begin) {
+		t.Error("the second member does not take over")
+	}
+	third.peers["a2"].readerAt = now
+	if third.readsZone(now, begin) {
+		t.Error("the third member reads as well")
+	}
+	if first := table("a1", now, all...); !first.readsZone(now, begin) {
+		t.Error("the first member does not read")
+	}
+}
+
+// Guards against reads of the store by every instance, which are paid for, and against none when those before are gone.
+func TestRanksDiffer(t *testing.T) {
+	var all []discovery.Member
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range 3 {
+			all = append(all, member(fmt.Sprintf("%s%d", zone, i), zone))
+		}
+	}
+	readers := map[int]string{}
+	for _, id := range []string{"a0", "b0", "c0"} {
+		rank := table(id, begin, all...).rank(begin, true)
+		if other, taken := readers[rank]; taken {
+			t.Errorf("%s and %s share rank %d", id, other, rank)
+		}
+		readers[rank] = id
+	}
+	if rank := table("a1", begin, all...).rank(begin, false); rank <= 2 {
+		t.Errorf("an instance that does not read its zone has rank %d", rank)
+	}
+}
+
+// Guards against an earlier incarnation that takes the place of a later one.
+func TestLaterIncarnationWins(t *testing.T) {
+	m := newMembers(member("a1", "a"))
+	later := member("a2", "a")
+	later.Started = 9
+	if !m.learn(later) || m.learn(member("a2", "a")) {
+		t.Error("the earlier incarnation replaced the later one")
+	}
+	if m.learn(member("a1", "a")) {
+		t.Error("the instance met itself")
+	}
+}
+
+// Guards against a wrong number of instances, by which budgets and waiting times are shared.
+func TestCountsInstances(t *testing.T) {
+	all := []discovery.Member{member("a1", "a"), member("a2", "a"), member("b1", "b")}
+	m := table("a1", begin, all...)
+	m.peers["b1"].live = 5
+	if got := m.instances(begin); got != 7 {
+		t.Errorf("a reader counts %d", got)
+	}
+	m.fleet, m.fleetAt = 12, begin
+	if got := m.instances(begin); got != 12 {
+		t.Errorf("an instance that was told counts %d", got)
+	}
+	if got := m.instances(begin.Add(2 * liveFor)); got != 1 {
+		t.Errorf("alone it counts %d", got)
+	}
+}
+
+// Guards against reads that are too rare for the bound on departures, too many, or missing when a reader fails.
+func TestTopicReads(t *testing.T) {
+	r := topicReads{}
+	if !r.due(begin, 5) {
+		t.Error("an unknown topic is not read")
+	}
+	r.reading = true
+	if r.due(begin, 0) {
+		t.Error("two reads at a time")
+	}
+	r.succeeded(begin, 10)
+	cases := []struct {
+		age  time.Duration
+		rank int
+		want bool
+	}{
+		{readInterval - time.Millisecond, 0, false}, {readInterval, 0, true}, {readInterval, 1, false},
+		{readInterval + standbyDelay, 1, true}, {readInterval + standbyDelay, 2, false}, {time.Second, 3, true},
+	}
+	for _, c := range cases {
+		if got := r.due(begin.Add(c.age), c.rank); got != c.want {
+			t.Errorf("age %s, rank %d: %v", c.age, c.rank, got)
+		}
+	}
+	r.failed(begin, 1)
+	if r.due(begin.Add(firstBackoff), 0) || !r.due(begin.Add(2*time.Second), 0) {
+		t.Error("the pause after a failure")
+	}
+	for range 10 {
+		r.failed(begin, 1)
+	}
+	if !r.due(begin.Add(2*lastBackoff), 0) {
+		t.Error("the pause grows without bound")
+	}
+}
--- /dev/null
+++ b/internal/fleet/node_test.go
@@ -0,0 +1,279 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+var errDown = errors.New("the store is down")
+
+// fakeStore holds topics in memory and counts calls. Each node sees it through a door that can be shut.
+type fakeStore struct {
+	mu      sync.Mutex
+	configs []*routes.Config
+	targets []registry.Change
+	members []discovery.Member
+	calls   int
+}
+
+type door struct {
+	store *fakeStore
+	mu    sync.Mutex
+	shut  bool
+}
+
+func (d *door) set(shut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shut = shut
+}
+
+func (d *door) enter() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.store.mu.Lock()
+	d.store.calls++
+	if d.shut {
+		d.store.mu.Unlock()
+		return errDown
+	}
+	return nil
+}
+
+func (d *door) NewestConfig(context.Context) (*routes.Config, int64, error) {
+	if err := d.enter(); err != nil {
+		return nil, 0, err
+	}
+	defer d.store.mu.Unlock()
+	n := len(d.store.configs)
+	if n == 0 {
+		return nil, 0, nil
+	}
+	return d.store.configs[n-1], int64(n), nil
+}
+
+func (d *door) ConfigsSince(_ context.Context, from int64) ([]*routes.Config, int64, error) {
+	if err := d.enter(); err != nil {
+		return nil, 0, err
+	}
+	defer d.store.mu.Unlock()
+	return d.store.configs[from:], int64(len(d.store.configs)), nil
+}
+
+func (d *door) NewestTargets(ctx context.Context) ([]registry.Change, int64, error) {
+	return d.TargetsSince(ctx, 0)
+}
+
+func (d *door) TargetsSince(_ context.Context, from int64) ([]registry.Change, int64, error) {
+	if err := d.enter(); err != nil {
+		return nil, 0, err
+	}
+	defer d.store.mu.Unlock()
+	return append([]registry.Change(nil), d.store.targets[from:]...), int64(len(d.store.targets)), nil
+}
+
+func (d *door) Members(context.Context) ([]discovery.Member, error) {
+	if err := d.enter(); err != nil {
+		return nil, err
+	}
+	defer d.store.mu.Unlock()
+	return append([]discovery.Member(nil), d.store.members...), nil
+}
+
+func (d *door) Announce(_ context.Context, m discovery.Member) error {
+	if err := d.enter(); err != nil {
+		return err
+	}
+	defer d.store.mu.Unlock()
+	d.store.members = append(d.store.members, m)
+	return nil
+}
+
+func (s *fakeStore) publish(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configs = append(s.configs, &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}})
+}
+
+func (s *fakeStore) record(id string, e *registry.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = append(s.targets, registry.Change{ID: id, Offset: int64(len(s.targets)), Entry: e})
+}
+
+func (s *fakeStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// noProber reads nothing.
+type noProber struct{}
+
+func (noProber) Open(string, string, string) Probe { return noProbe{} }
+
+type noProbe struct{}
+
+func (noProbe) Read(context.Context) (dispatch.Reading, error) {
+	return dispatch.Reading{Slots: 4, Pace: 1}, nil
+}
+func (noProbe) Close() {}
+
+// testFleet runs nodes in two zones on loopback.
+type testFleet struct {
+	store *fakeStore
+	nodes []*Node
+	doors []*door
+	stops []context.CancelFunc
+}
+
+func startFleet(t *testing.T, count int) *testFleet {
+	t.Helper()
+	f := &testFleet{store: &fakeStore{}}
+	f.store.publish(1)
+	f.store.record("t1", &registry.Entry{ID: "t1", Address: "127.0.0.1:9", Zone: "z0", Service: "s", Slots: 4})
+	f.store.record("t2", &registry.Entry{ID: "t2", Address: "127.0.0.1:9", Zone: "z1", Service: "s", Slots: 4})
+	for i := range count {
+		f.start(t, i)
+	}
+	f.await(t, "all nodes serve", func(n *Node) bool { return n.Ready() })
+	return f
+}
+
+func (f *testFleet) start(t *testing.T, i int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	start := time.Now()
+	d := &door{store: f.store}
+	n := New(Config{
+		Self:  discovery.Member{ID: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%2), Address: address, Started: start.UnixNano()},
+		Store: d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond,
+		Now:    func() time.Duration { return time.Since(start) },
+		Random: rand.New(rand.NewPCG(uint64(i), 1)), Log: slog.New(slog.DiscardHandler),
+	})
+	if err := n.Open(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { n.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.nodes, f.doors, f.stops = append(f.nodes, n), append(f.doors, d), append(f.stops, cancel)
+}
+
+// await waits until all nodes fulfil a condition.
+func (f *testFleet) await(t *testing.T, what string, holds func(*Node) bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for _, n := range f.nodes {
+		for !holds(n) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: not on %s", what, n.Self.ID)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func version(n *Node) uint64 { return n.View().Table.Version }
+
+// Guards against configurations and departures that reach only the instances that read the store.
+func TestNewsReachAll(t *testing.T) {
+	f := startFleet(t, 4)
+	f.store.publish(2)
+	f.await(t, "version 2", func(n *Node) bool { return version(n) == 2 })
+}
+
+// Guards against an instance that the store turns away and that therefore misses a configuration.
+func TestInstanceTurnedAwayHearsFromPeers(t *testing.T) {
+	f := startFleet(t, 4)
+	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 4 })
+	for _, i := range []int{0, 3} {
+		f.doors[i].set(true)
+	}
+	f.store.publish(3)
+	f.await(t, "version 3", func(n *Node) bool { return version(n) == 3 })
+}
+
+// Guards against a configuration that is older than the one in force.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	f := startFleet(t, 2)
+	f.store.publish(9)
+	f.await(t, "version 9", func(n *Node) bool { return version(n) == 9 })
+	f.store.publish(4)
+	f.store.publish(10)
+	f.await(t, "version 10", func(n *Node) bool {
+		if v := version(n); v < 9 {
+			t.Fatalf("%s went back to %d", n.Self.ID, v)
+		}
+		return version(n) == 10
+	})
+}
+
+// Guards against calls to the store that grow with the number of instances: each call is paid for.
+func TestFewReadTheStore(t *testing.T) {
+	f := startFleet(t, 6)
+	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 6 })
+	time.Sleep(500 * time.Millisecond)
+	before := f.store.callCount()
+	time.Sleep(2 * time.Second)
+	calls := f.store.callCount() - before
+	// Two topics are read every 400 ms, which makes 10 calls; a late datagram may cost some more.
+	if calls > 16 {
+		t.Errorf("6 instances made %d calls in 2 s", calls)
+	}
+}
+
+// Guards against an instance that starts while the store is away although peers know everything: it asks the seeds.
+func TestStartWithoutStore(t *testing.T) {
+	f := startFleet(t, 2)
+	for _, d := range f.doors {
+		d.set(true)
+	}
+	f.start(t, 2)
+	f.doors[2].set(true)
+	f.nodes[2].post(received{datagram: f.nodes[0].introduction(time.Now()), from: f.nodes[0].Self.Address})
+	f.await(t, "the new node serves", func(n *Node) bool { return n.Ready() })
+}
+
+// Guards against datagrams of others that end the control loop.
+func FuzzDatagram(f *testing.F) {
+	seed, _ := encode(&datagram{From: "n1", Started: 2, Loads: []loadNote{{Target: 1, PacePercent: 100}}})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := decode(b)
+		if err != nil {
+			return
+		}
+		n := New(Config{
+			Self: member("n0", "z0"), Store: &door{store: &fakeStore{}}, Prober: noProber{},
+			Now: func() time.Duration { return time.Second }, Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
+		})
+		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Skip("no socket")
+		}
+		defer func() { _ = socket.Close() }()
+		n.socket = socket
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.handle(ctx, received{datagram: d, from: "127.0.0.1:9"}, begin)
+	})
+}
