Share the reading of a zone's targets among its instances

Cause: the grown deployments have 95 targets a zone, 3,800 readings a second for one instance of 0.16 to 0.8 cores.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -139,6 +139,7 @@
 	}
 	n.observe(d.Loads)
 	if p.Zone == n.Self.Zone {
+		n.keepForZones(d)
 		return
 	}
 	if n.reader && !changed && !isNews(d.Config, before) {
@@ -150,6 +151,17 @@
 	n.tellZone(relay, now)
 }
 
+// keepForZones keeps readings by another instance of this zone for the other zones.
+func (n *Node) keepForZones(d *datagram) {
+	if !n.reader || d.Reader {
+		return
+	}
+	at := n.Now()
+	for _, note := range d.Loads {
+		n.pending[note.Target] = loadSample{note, at - time.Duration(note.AgeMS)*time.Millisecond}
+	}
+}
+
 // isNews reports whether a peer's configuration is newer than a version.
 func isNews(note *configNote, version uint64) bool { return note != nil && note.Version > version }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -83,13 +83,53 @@
 
 // order is the number of live peers of this zone that come before this instance.
 func (m *members) order(now time.Time) int {
-	before := 0
+	before, _ := m.position(now, liveFor)
+	return before
+}
+
+// position returns how many peers of this zone that were heard lately come before this instance, and how many there are.
+func (m *members) position(now time.Time, within time.Duration) (before, count int) {
 	for _, p := range m.zonePeers(now) {
+		if now.Sub(p.heard) > within {
+			continue
+		}
+		count++
 		if p.ID < m.self.ID {
 			before++
 		}
 	}
-	return before
+	return before, count
+}
+
+const (
+	// targetsPerReader is how many targets one instance reads before another one of the zone takes a part of them.
+	targetsPerReader = 14
+	// shareSilence is how long an instance that reads a part may be silent before its part goes to others.
+	shareSilence = 700 * time.Millisecond
+)
+
+// share is the part of the zone's targets that an instance reads: those whose hash leaves a remainder.
+type share struct{ part, parts int }
+
+// includes reports whether a target belongs to the share.
+func (s share) includes(hash uint32) bool { return s.parts > 0 && int(hash%uint32(s.parts)) == s.part }
+
+// readingShare returns the part of a number of targets of this zone that this instance reads. The first instances of the
+// zone read, as many as the targets need.
+func (m *members) readingShare(now time.Time, targets int, reader bool) share {
+	parts := (targets + targetsPerReader - 1) / targetsPerReader
+	if parts <= 1 {
+		if reader {
+			return share{0, 1}
+		}
+		return share{}
+	}
+	before, count := m.position(now, shareSilence)
+	parts = min(parts, count+1)
+	if before >= parts {
+		return share{}
+	}
+	return share{before, parts}
 }
 
 // readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately.
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -140,3 +140,34 @@
 		t.Error("the pause grows without bound")
 	}
 }
+
+// Guards against targets that nobody reads, or that several instances read, when there are too many for one of them.
+func TestReadingShares(t *testing.T) {
+	var all []discovery.Member
+	for i := range 8 {
+		all = append(all, member(fmt.Sprintf("a%d", i), "a"))
+	}
+	for _, targets := range []int{1, targetsPerReader, targetsPerReader + 1, 95, 400} {
+		readers := make([]int, targets)
+		instances := 0
+		for i, each := range all {
+			part := table(each.ID, begin, all...).readingShare(begin, targets, i == 0)
+			if part.parts > 0 {
+				instances++
+			}
+			for target := range readers {
+				if part.includes(hashID(fmt.Sprint("t", target))) {
+					readers[target]++
+				}
+			}
+		}
+		for target, n := range readers {
+			if n != 1 {
+				t.Errorf("%d targets: target %d is read by %d instances", targets, target, n)
+			}
+		}
+		if want := min(8, (targets+targetsPerReader-1)/targetsPerReader); instances != want {
+			t.Errorf("%d targets are read by %d instances, want %d", targets, instances, want)
+		}
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -87,6 +87,8 @@
 	instances  int
 	fetching   bool
 	fetchAt    time.Time
+	// share is the part of the zone's targets that this instance reads.
+	share share
 	// busy is true while the targets of this zone are filled.
 	busy bool
 	// remote are readings of other zones that were not passed on to this zone yet.
@@ -204,15 +206,9 @@
 	}
 	n.reader = reads
 	n.remote = nil
-	if reads {
-		n.ticker.Reset(readerTick)
-	} else {
-		n.ticker.Reset(idleTick)
-	}
+	clear(n.pending)
+	n.adjustTick()
 	n.Log.Info("Changed the reader of the zone.", "reads", reads, "order", n.members.order(now))
-	if !reads {
-		n.sampler.stop()
-	}
 }
 
 // noteAvailability notes outages of the store by the age of the latest read of any instance.
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// probe starts a round of readings when one is due and this instance reads its zone.
+// probe starts a round of readings when one is due and this instance reads targets of its zone.
 func (n *Node) probe(now time.Time) {
-	if !n.reader || n.table == nil || now.Sub(n.roundAt) < n.ProbeInterval-readerTick/2 {
+	if n.table == nil || now.Sub(n.roundAt) < n.probeInterval()-readerTick/2 {
 		return
 	}
 	n.roundAt = now
@@ -173,13 +173,53 @@
 		_, served := n.table.Services[t.Service]
 		return t.Zone != n.Self.Zone || !served
 	})
+	part := n.members.readingShare(now, len(targets), n.reader)
+	n.noteShare(part, len(targets))
+	if part.parts == 0 {
+		return
+	}
+	targets = slices.DeleteFunc(targets, func(t registry.Target) bool { return !part.includes(hashID(t.ID)) })
 	n.sampler.sync(targets, func(service string) string { return n.table.Services[service].HealthPath })
 	n.sampler.round(func(samples []sample) { n.post(roundRead{samples}) })
 }
 
+// noteShare notes a change of the part of the zone's targets that this instance reads.
+func (n *Node) noteShare(part share, targets int) {
+	if part == n.share {
+		return
+	}
+	n.share = part
+	n.Log.Info("Changed the share of targets to read.", "part", part.part, "parts", part.parts, "targets", targets)
+	if part.parts == 0 {
+		n.sampler.stop()
+	}
+	n.adjustTick()
+}
+
+// crowdedZoneFactor is how much rarer the readings of a zone are that several instances read: each reading is told to
+// every instance of the zone, and there are as many of them.
+const crowdedZoneFactor = 2
+
+// probeInterval is the time between two readings of one target.
+func (n *Node) probeInterval() time.Duration {
+	if n.share.parts > 1 {
+		return crowdedZoneFactor * n.ProbeInterval
+	}
+	return n.ProbeInterval
+}
+
+// adjustTick lets the control loop of instances that read targets run more often.
+func (n *Node) adjustTick() {
+	if n.reader || n.share.parts > 0 {
+		n.ticker.Reset(readerTick)
+	} else {
+		n.ticker.Reset(idleTick)
+	}
+}
+
 // handleRound passes the readings of a round on to the zone.
 func (n *Node) handleRound(e roundRead, now time.Time) {
-	if !n.reader {
+	if n.share.parts == 0 {
 		return
 	}
 	d := n.base(now)
@@ -199,7 +239,9 @@
 			note.PacePercent, note.AgeMS = 0, 0
 		}
 		d.Loads = append(d.Loads, note)
-		n.pending[note.Target] = loadSample{note, s.reading.At}
+		if n.reader {
+			n.pending[note.Target] = loadSample{note, s.reading.At}
+		}
 	}
 	n.busy = float64(occupied) > busyShare*float64(slots)
 	n.observe(d.Loads)
