--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,6 +34,8 @@
 	Refusal *reason.Reason
 	// RetryAfter is when the caller should come back after a refusal.
 	RetryAfter time.Duration
+	// Contended is true when the target is nearly full, so that others should know of the request.
+	Contended bool
 	// Inputs are kept for the log.
 	Inputs Inputs
 	// sent and pace describe the moment of the decision.
@@ -320,9 +322,13 @@
 	inputs.Waited = now - a.Arrived
 	t.own++
 	t.note(now, 1)
-	return Decision{Target: t, Inputs: inputs, sent: now, pace: inputs.Pace}
+	contended := inputs.Occupied+contendedMargin >= t.usable(&p.policy)
+	return Decision{Target: t, Contended: contended, Inputs: inputs, sent: now, pace: inputs.Pace}
 }
 
+// contendedMargin is how many usable slots may be left when a target counts as nearly full.
+const contendedMargin = 2
+
 // refuse returns a refusal with the time after which room is expected. The lock is held.
 func (p *Pool) refuse(a *Ask, why *reason.Reason, now time.Duration) Decision {
 	work := p.workOf(a).estimate()
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -19,6 +19,8 @@
 	busyCrossInterval = 60 * time.Millisecond
 	// busyShare is the share of its slots from which on a zone is busy.
 	busyShare = 0.45
+	// fillingShare is the share of its slots from which on a zone reads its targets more often.
+	fillingShare = 0.33
 	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
 	greetAgain   = 300 * time.Millisecond
 	maxGreetings = 4
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -89,8 +89,8 @@
 	fetchAt    time.Time
 	// share is the part of the zone's targets that this instance reads.
 	share share
-	// busy is true while the targets of this zone are filled.
-	busy bool
+	// busy and filling are true while the targets of this zone are filled, or getting there.
+	busy, filling bool
 	// remote are readings of other zones that were not passed on to this zone yet.
 	remote []loadSample
 	// noted is when the zone was last told how far the store was read.
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -200,10 +200,17 @@
 // every instance of the zone, and there are as many of them.
 const crowdedZoneFactor = 2
 
+// calmFactor is how much rarer the readings are while the targets of the zone are far from full: they change as fast, but
+// a wrong choice costs less.
+const calmFactor = 2
+
 // probeInterval is the time between two readings of one target.
 func (n *Node) probeInterval() time.Duration {
-	if n.share.parts > 1 {
+	switch {
+	case n.share.parts > 1:
 		return crowdedZoneFactor * n.ProbeInterval
+	case !n.filling:
+		return calmFactor * n.ProbeInterval
 	}
 	return n.ProbeInterval
 }
@@ -244,6 +251,7 @@
 		}
 	}
 	n.busy = float64(occupied) > busyShare*float64(slots)
+	n.filling = float64(occupied) > fillingShare*float64(slots)
 	n.observe(d.Loads)
 	for _, sample := range n.remote {
 		d.Loads = append(d.Loads, sample.aged(at))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -77,7 +77,7 @@
 		inbound.Linger(ctx)
 		return false
 	}
-	ctx, stop := inbound.WatchCaller(ctx)
+	ctx, stop := inbound.WatchCaller(ctx, inbound.DepartureInterval)
 	defer stop()
 	if g.inFlight.draining.Load() || c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
--- a/internal/inbound/departure.go
+++ b/internal/inbound/departure.go
@@ -9,22 +9,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// departureInterval is how often the connection of a waiting caller is looked at. A caller that leaves is noticed
-// within the stated 100 ms, and a request that is shorter than the interval costs no system call.
-const departureInterval = 40 * time.Millisecond
+// DepartureInterval is how often the connection of a waiting caller is looked at by default. A caller that leaves is
+// noticed within the stated 100 ms, and a request that is shorter than the interval costs no system call.
+const DepartureInterval = 40 * time.Millisecond
 
 // departure cancels a request when its caller closes the connection, or its sending half.
 type departure struct {
 	raw    syscall.RawConn
 	cancel context.CancelFunc
+	every  time.Duration
 
 	mu      sync.Mutex
 	stopped bool
 	timer   *time.Timer
 }
 
-// WatchCaller returns a context that ends when the caller leaves. The returned function ends the watch.
-func WatchCaller(ctx context.Context) (context.Context, func()) {
+// WatchCaller returns a context that ends when the caller leaves. It looks at the connection at intervals. The returned
+// function ends the watch.
+func WatchCaller(ctx context.Context, every time.Duration) (context.Context, func()) {
 	socket, ok := ctx.Value(socketKey{}).(syscall.Conn)
 	ctx, cancel := context.WithCancel(ctx)
 	if !ok {
@@ -34,10 +36,10 @@
 	if err != nil {
 		return ctx, cancel
 	}
-	d := &departure{raw: raw, cancel: cancel}
+	d := &departure{raw: raw, cancel: cancel, every: every}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(departureInterval, d.look)
+	d.timer = time.AfterFunc(every, d.look)
 	return ctx, d.stop
 }
 
@@ -59,7 +61,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.stopped {
-		d.timer.Reset(departureInterval)
+		d.timer.Reset(d.every)
 	}
 }
 
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -25,7 +25,10 @@
 
 // Open opens the port, so that an address that cannot be used is reported before anything runs.
 func (l *Listener) Open() error {
-	inner, err := net.Listen("tcp", l.Address)
+	// Idle connections are closed by the server, so that the kernel's probes, four system calls a connection, are not
+	// needed.
+	config := net.ListenConfig{KeepAlive: -1}
+	inner, err := config.Listen(context.Background(), "tcp", l.Address)
 	if err != nil {
 		return err
 	}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -92,7 +92,7 @@
 		WholeBytes: wholeAnswerBytes, MaxBytes: maxAnswerBytes, CloseDelimited: true, ConnectTimeout: connectTimeout,
 		Accept: func(h *protocol.ResponseHeader) bool { return g.belongs(h, call.id) },
 	}
-	if g.Sent != nil {
+	if g.Sent != nil && d.Contended {
 		g.Sent(d.Target.ID)
 	}
 	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.setDeadline)
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -65,7 +65,7 @@
 	ParseLoad func(value []byte) (dispatch.Reading, bool)
 	// Misdirected is called when an address answered for another incarnation. It must not block.
 	Misdirected func(targetID string)
-	// Sent is called after a target was chosen. It must not block. It may be nil.
+	// Sent is called after a target was chosen that is nearly full. It must not block. It may be nil.
 	Sent func(targetID string)
 	// Now is the monotonic time.
 	Now func() time.Duration
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -62,7 +62,7 @@
 	misdirected atomic.Int64
 }
 
-func newBed(t *testing.T, targets ...*rawtarget.Target) *bed {
+func newBed(t testing.TB, targets ...*rawtarget.Target) *bed {
 	t.Helper()
 	b := &bed{counts: &counts{refused: map[string]int{}, retried: map[string]int{}}}
 	start := time.Now()
@@ -88,7 +88,7 @@
 	return b
 }
 
-func newView(t *testing.T, now func() time.Duration, targets []*rawtarget.Target) *View {
+func newView(t testing.TB, now func() time.Duration, targets []*rawtarget.Target) *View {
 	t.Helper()
 	route := func(name string, idempotent bool) routes.Route {
 		return routes.Route{
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -17,6 +17,9 @@
 const (
 	// bodyTimeout bounds the time for a request body, so that slow senders do not hold goroutines for ever.
 	bodyTimeout = 30 * time.Second
+	// departureInterval is how often the connection of a waiting caller is looked at. Targets may work on for half a second
+	// after a caller left; each look costs a wake-up.
+	departureInterval = 180 * time.Millisecond
 	// idleSlack keeps a connection a little longer than announced, so that a request that crosses the end is read.
 	idleSlack = time.Second
 )
@@ -95,7 +98,7 @@
 		inbound.Linger(ctx)
 		return false
 	}
-	ctx, stop := inbound.WatchCaller(ctx)
+	ctx, stop := inbound.WatchCaller(ctx, departureInterval)
 	defer stop()
 	err := g.serve(ctx, c, arrived)
 	return err == nil && !c.Response.Header.ConnectionClose()
