--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -21,10 +21,11 @@
 )
 
 const (
-	// readerTick and idleTick are the intervals of the control loop of an instance that reads the load of its zone, and of
-	// the others, which mostly react to datagrams.
-	readerTick = 25 * time.Millisecond
-	idleTick   = 100 * time.Millisecond
+	// idleTick is the interval of the control loop of an instance that reads no targets and mostly reacts to datagrams. The
+	// loop of the others runs at the interval of their readings.
+	idleTick = 100 * time.Millisecond
+	// acceptPause is the pause after a failed accept.
+	acceptPause = 25 * time.Millisecond
 	// inboxSize bounds the events that wait for the control loop. Senders never block; an event too many is dropped, and
 	// what it told is told again.
 	inboxSize = 1024
@@ -77,6 +78,7 @@
 	byHash     map[uint32]targetRef
 	reader     bool
 	ticker     *time.Ticker
+	tick       time.Duration
 	joined     bool
 	joining    bool
 	joinAt     time.Time
@@ -163,7 +165,7 @@
 	go n.receive(ctx)
 	go n.rpc.run()
 	defer n.sampler.stop()
-	ticker := time.NewTicker(readerTick)
+	ticker := time.NewTicker(idleTick)
 	n.ticker = ticker
 	defer ticker.Stop()
 	n.greetSeeds()
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -165,7 +165,7 @@
 
 // probe starts a round of readings when one is due and this instance reads targets of its zone.
 func (n *Node) probe(now time.Time) {
-	if n.table == nil || now.Sub(n.roundAt) < n.probeInterval()-readerTick/2 {
+	if n.table == nil || now.Sub(n.roundAt) < n.probeInterval()*3/4 {
 		return
 	}
 	n.roundAt = now
@@ -202,7 +202,7 @@
 
 // calmFactor is how much rarer the readings are while the targets of the zone are far from full: they change as fast, but
 // a wrong choice costs less.
-const calmFactor = 2
+const calmFactor = 1.4
 
 // probeInterval is the time between two readings of one target.
 func (n *Node) probeInterval() time.Duration {
@@ -210,17 +210,20 @@
 	case n.share.parts > 1:
 		return crowdedZoneFactor * n.ProbeInterval
 	case !n.filling:
-		return calmFactor * n.ProbeInterval
+		return time.Duration(calmFactor * float64(n.ProbeInterval))
 	}
 	return n.ProbeInterval
 }
 
 // adjustTick lets the control loop of instances that read targets run more often.
 func (n *Node) adjustTick() {
+	interval := idleTick
 	if n.reader || n.share.parts > 0 {
-		n.ticker.Reset(readerTick)
-	} else {
-		n.ticker.Reset(idleTick)
+		interval = min(n.probeInterval(), idleTick)
+	}
+	if interval != n.tick {
+		n.tick = interval
+		n.ticker.Reset(interval)
 	}
 }
 
@@ -252,6 +255,7 @@
 	}
 	n.busy = float64(occupied) > busyShare*float64(slots)
 	n.filling = float64(occupied) > fillingShare*float64(slots)
+	n.adjustTick()
 	n.observe(d.Loads)
 	for _, sample := range n.remote {
 		d.Loads = append(d.Loads, sample.aged(at))
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -69,7 +69,7 @@
 		}
 		if err != nil {
 			s.node.Log.Warn("Could not accept a peer.", "error", err)
-			time.Sleep(readerTick)
+			time.Sleep(acceptPause)
 			continue
 		}
 		if err := conn.SetDeadline(time.Now().Add(callIdleLimit)); err != nil {
