Let the strongest instance of a zone join the readings of all parts

Parts now go to the reader of the zone, which sends one datagram with all of them. Instances announce a capacity, and the strongest of a zone read. Large zones exchange heartbeats every 1.2 s.

--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -33,6 +33,8 @@
 	Zone string `json:"zone"`
 	// Address receives the datagrams of peers.
 	Address string `json:"address"`
+	// Capacity orders the instances of a zone: stronger ones do the work for all.
+	Capacity int `json:"capacity,omitempty"`
 	// Started is the start of the process as Unix time in ns. It orders incarnations of one instance.
 	Started int64 `json:"started"`
 }
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,20 +56,40 @@
 	}
 }
 
-// send sends a datagram to an address. Datagrams may be lost, so that errors only show up in the log.
+// send sends a datagram to an address.
 func (n *Node) send(address string, d *datagram) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		n.Log.Warn("Could not read an address.", "address", address, "error", err)
+		return
+	}
+	n.sendAll(d, net.UDPAddrFromAddrPort(to))
+}
+
+// sendAll sends a datagram to addresses. Datagrams may be lost, so that errors only show up in the log.
+func (n *Node) sendAll(d *datagram, addresses ...*net.UDPAddr) {
+	if len(addresses) == 0 {
+		return
+	}
 	b, err := encode(d)
 	if err != nil {
 		n.Log.Error("Could not encode a datagram.", "error", err)
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err == nil {
-		_, err = n.socket.WriteToUDP(b, to)
+	for _, to := range addresses {
+		if _, err := n.socket.WriteToUDP(b, to); err != nil {
+			n.Log.Debug("Could not send a datagram.", "to", to.String(), "error", err)
+		}
 	}
-	if err != nil {
-		n.Log.Debug("Could not send a datagram.", "to", address, "error", err)
+}
+
+// addressesOf returns the addresses of peers.
+func addressesOf(peers []*peerState) []*net.UDPAddr {
+	addresses := make([]*net.UDPAddr, 0, len(peers))
+	for _, p := range peers {
+		addresses = append(addresses, p.udp)
 	}
+	return addresses
 }
 
 func (n *Node) base(now time.Time) *datagram {
@@ -153,7 +174,7 @@
 	n.tellZone(relay, now)
 }
 
-// keepForZones keeps readings by another instance of this zone for the other zones.
+// keepForZones keeps readings by another instance of this zone for the others of the zone and for the other zones.
 func (n *Node) keepForZones(d *datagram) {
 	if !n.reader || d.Reader {
 		return
@@ -162,6 +183,7 @@
 	for _, note := range d.Loads {
 		n.pending[note.Target] = loadSample{note, at - time.Duration(note.AgeMS)*time.Millisecond}
 	}
+	n.keepRemote(d.Loads)
 }
 
 // isNews reports whether a peer's configuration is newer than a version.
@@ -175,7 +197,7 @@
 	return n.table.Version
 }
 
-// keepRemote keeps readings of another zone for the next datagram to this zone.
+// keepRemote keeps readings by another instance for the next datagram to this zone.
 func (n *Node) keepRemote(loads []loadNote) {
 	at := n.Now()
 	for _, note := range loads {
@@ -280,9 +302,7 @@
 
 // tellZone sends a datagram to the live members of this zone.
 func (n *Node) tellZone(d *datagram, now time.Time) {
-	for _, p := range n.members.zonePeers(now) {
-		n.send(p.Address, d)
-	}
+	n.sendAll(d, addressesOf(n.members.zonePeers(now))...)
 }
 
 // tellNews tells the zone, and after a change the other zones too, how far the store was read by this instance.
@@ -293,14 +313,17 @@
 	if !changed && n.reader {
 		return
 	}
-	for _, p := range n.members.remoteReaders(now) {
-		n.send(p.Address, d)
-	}
+	n.tellZones(d, now)
+}
+
+// tellZones sends a datagram to the readers of the other zones.
+func (n *Node) tellZones(d *datagram, now time.Time) {
+	n.sendAll(d, addressesOf(n.members.remoteReaders(now))...)
 }
 
 // sendHeartbeat tells the zone that this instance lives.
 func (n *Node) sendHeartbeat(now time.Time) {
-	if now.Sub(n.heartbeat) < heartbeatInterval {
+	if now.Sub(n.heartbeat) < n.members.heartbeatEvery() {
 		return
 	}
 	n.heartbeat = now
@@ -323,9 +346,7 @@
 		d.Loads = append(d.Loads, sample.aged(at))
 	}
 	clear(n.pending)
-	for _, p := range n.members.remoteReaders(now) {
-		n.send(p.Address, d)
-	}
+	n.tellZones(d, now)
 }
 
 // crossInterval is the time between two datagrams to each other zone.
@@ -347,12 +368,7 @@
 
 // refreshZonePeers keeps the addresses to which sent requests are announced.
 func (n *Node) refreshZonePeers(now time.Time) {
-	var addresses []*net.UDPAddr
-	for _, p := range n.members.zonePeers(now) {
-		if address, err := net.ResolveUDPAddr("udp", p.Address); err == nil {
-			addresses = append(addresses, address)
-		}
-	}
+	addresses := addressesOf(n.members.zonePeers(now))
 	n.zonePeers.Store(&addresses)
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,17 +13,30 @@
 const (
 	// heartbeatInterval is how often an instance tells those of its zone that it lives.
 	heartbeatInterval = 500 * time.Millisecond
+	// largeZone is the number of members beyond which a zone counts as large, and largeZoneHeartbeat the heartbeat there.
+	largeZone          = 10
+	largeZoneHeartbeat = 1200 * time.Millisecond
 	// liveFor is how long a member counts as live after its last datagram.
-	liveFor = 1600 * time.Millisecond
+	liveFor = 2600 * time.Millisecond
 	// readerSilence is how long the reader of the zone may be silent before the next member takes over, and
 	// successionStep the further wait of each member behind that one.
 	readerSilence  = 160 * time.Millisecond
 	successionStep = 60 * time.Millisecond
 )
 
+// precedes reports whether a member takes on work for its zone before another one: the stronger first, then by id.
+func precedes(a, b discovery.Member) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	return a.ID < b.ID
+}
+
 // peerState is what is known of another instance.
 type peerState struct {
 	discovery.Member
+	// udp is the address, nil if it cannot be resolved.
+	udp *net.UDPAddr
 	// heard is when its last datagram arrived, zero if none did.
 	heard time.Time
 	// readerAt is when it last claimed to be the reader of its zone.
@@ -38,6 +53,8 @@
 type members struct {
 	self  discovery.Member
 	peers map[string]*peerState
+	// zoneSize is the number of known members of this zone.
+	zoneSize int
 	// fleet is the number of live instances that the reader of this zone told at fleetAt.
 	fleet   int
 	fleetAt time.Time
@@ -56,7 +73,14 @@
 	if known != nil && known.Started >= member.Started {
 		return false
 	}
-	m.peers[member.ID] = &peerState{Member: member}
+	if known == nil && member.Zone == m.self.Zone {
+		m.zoneSize++
+	}
+	address, err := netip.ParseAddrPort(member.Address)
+	if err != nil {
+		return false
+	}
+	m.peers[member.ID] = &peerState{Member: member, udp: net.UDPAddrFromAddrPort(address)}
 	return true
 }
 
@@ -94,7 +118,7 @@
 			continue
 		}
 		count++
-		if p.ID < m.self.ID {
+		if precedes(p.Member, m.self) {
 			before++
 		}
 	}
@@ -139,13 +163,33 @@
 		return false
 	}
 	for _, p := range m.peers {
-		if p.Zone == m.self.Zone && !p.leaving && p.ID < m.self.ID && now.Sub(p.readerAt) < limit {
+		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) && now.Sub(p.readerAt) < limit {
 			return false
 		}
 	}
 	return true
 }
 
+// zoneReader returns the peer of this zone that claimed last to be its reader, or nil.
+func (m *members) zoneReader(now time.Time) *peerState {
+	var best *peerState
+	for _, p := range m.zonePeers(now) {
+		if now.Sub(p.readerAt) < liveFor && (best == nil || p.readerAt.After(best.readerAt)) {
+			best = p
+		}
+	}
+	return best
+}
+
+// heartbeatEvery is how often an instance tells its zone that it lives. In large zones that is less often, because each
+// instance hears all others.
+func (m *members) heartbeatEvery() time.Duration {
+	if m.zoneSize > largeZone {
+		return largeZoneHeartbeat
+	}
+	return heartbeatInterval
+}
+
 // remoteReaders returns for each other zone the instance to send to: the one that claimed last to be its reader, or any
 // live one.
 func (m *members) remoteReaders(now time.Time) []*peerState {
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -11,7 +11,8 @@
 var begin = time.Unix(1_000_000, 0)
 
 func member(id, zone string) discovery.Member {
-	return discovery.Member{ID: id, Zone: zone, Address: id + ":1", Started: 1}
+	address := fmt.Sprintf("127.0.0.%d:%d", id[0], 1000+int(id[1]))
+	return discovery.Member{ID: id, Zone: zone, Address: address, Started: 1}
 }
 
 // table returns the members as one of them sees them after all were heard.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -87,6 +87,7 @@
 	roundAt    time.Time
 	storeDown  bool
 	instances  int
+	countedAt  time.Time
 	fetching   bool
 	fetchAt    time.Time
 	// share is the part of the zone's targets that this instance reads.
@@ -231,8 +232,15 @@
 	}
 }
 
+// countInterval is how often the live instances are counted.
+const countInterval = 200 * time.Millisecond
+
 // noteInstances passes the number of live instances on when it changed.
 func (n *Node) noteInstances(now time.Time) {
+	if now.Sub(n.countedAt) < countInterval {
+		return
+	}
+	n.countedAt = now
 	instances := n.members.instances(now)
 	n.refreshZonePeers(now)
 	if instances == n.instances {
@@ -278,12 +286,9 @@
 
 // leave tells peers of the stop and closes the sockets.
 func (n *Node) leave(now time.Time) {
-	for _, p := range n.members.zonePeers(now) {
-		n.send(p.Address, &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true})
-	}
-	for _, p := range n.members.remoteReaders(now) {
-		n.send(p.Address, &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true})
-	}
+	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true}
+	n.tellZone(d, now)
+	n.tellZones(d, now)
 	_ = n.socket.Close()
 	n.rpc.close()
 }
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -257,6 +257,13 @@
 	n.filling = float64(occupied) > fillingShare*float64(slots)
 	n.adjustTick()
 	n.observe(d.Loads)
+	if !n.reader {
+		// The reader of the zone joins the readings of all parts in one datagram.
+		if p := n.members.zoneReader(now); p != nil {
+			n.sendAll(d, p.udp)
+		}
+		return
+	}
 	for _, sample := range n.remote {
 		d.Loads = append(d.Loads, sample.aged(at))
 	}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -37,6 +37,8 @@
 
 // EdgePeer configures the connections between edge instances.
 type EdgePeer struct {
+	// Capacity is what this instance can do for the others of its zone. Those with more of it read the targets' load.
+	Capacity float64 `toml:"capacity" accept:"number:0..1000000" default:"1"`
 	// Seeds are addresses of instances to contact while the store is unavailable. The port is not used.
 	Seeds []string `toml:"seeds" accept:"addresses" default:"none"`
 }
