Read the targets at once after a start, and spread the reaction to readings

Every instance now reads its zone until it hears of an earlier one, requests wait up to 100 ms for the first reading, and announced members count before they are heard. Besides, all instances reacted to a reading at the same moment and claimed the same free slots; they now look at their waiting requests within 4 ms of it, in which the announcements of the others arrive. A request is decided once more at the end of its wait.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -72,12 +72,19 @@
 	sharers int
 	retries retryBudget
 	random  *rand.Rand
+	// blindUntil is until when targets without a reading receive no requests.
+	blindUntil time.Duration
+	// serving is true while a look at the waiting requests is scheduled.
+	serving bool
+	// awaitingSight is true once a look at the end of the blind time is scheduled.
+	awaitingSight bool
 }
 
 // NewPool returns a pool without targets for an instance in a zone.
 func NewPool(policy Policy, zone string, now func() time.Duration, random *rand.Rand) *Pool {
 	return &Pool{
-		policy: policy, zone: zone, now: now, random: random, sharers: 1, meanPace: usualPace,
+		blindUntil: now() + blindTime,
+		policy:     policy, zone: zone, now: now, random: random, sharers: 1, meanPace: usualPace,
 		byID: map[string]*Target{}, work: map[string]*workEstimate{},
 	}
 }
@@ -125,7 +132,51 @@
 			p.meanPace += paceGain * (reading.Pace - p.meanPace)
 		}
 	}
-	p.serveWaiting(p.now())
+	p.serveSoon()
+}
+
+// serveJitter is the time over which instances spread their reaction to a reading. All of them see the same free slots at
+// the same moment; those that look later know of the requests that the others sent.
+const serveJitter = 4 * time.Millisecond
+
+// serveSoon decides the waiting requests after a random pause. The lock is held.
+func (p *Pool) serveSoon() {
+	if len(p.waiting) == 0 || p.serving {
+		return
+	}
+	if p.sharers == 1 {
+		p.serveWaiting(p.now())
+		return
+	}
+	p.serveAfter(time.Duration(p.random.Int64N(int64(serveJitter))))
+}
+
+// blindTime is how long after the start of an instance requests wait for the first reading of a target. When all
+// instances start together, the requests that have piled up would fill the targets several times over.
+const blindTime = 100 * time.Millisecond
+
+// endBlindness lets the waiting requests be decided at the end of the blind time, when no reading has come. The lock is
+// held.
+func (p *Pool) endBlindness(now time.Duration) {
+	if now < p.blindUntil && !p.awaitingSight && len(p.waiting) > 0 {
+		p.awaitingSight = true
+		time.AfterFunc(p.blindUntil-now, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.serveWaiting(p.now())
+		})
+	}
+}
+
+// serveAfter decides the waiting requests after a pause. The lock is held.
+func (p *Pool) serveAfter(pause time.Duration) {
+	p.serving = true
+	time.AfterFunc(pause, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.serving = false
+		p.serveWaiting(p.now())
+	})
 }
 
 // paceGain is the weight of one reading in the mean pace. A service is read some hundred times a second.
@@ -157,6 +208,7 @@
 	w := &waiter{ask: ask, ready: make(chan Decision, 1)}
 	p.enqueue(w)
 	p.serveWaiting(now)
+	p.endBlindness(now)
 	p.mu.Unlock()
 	select {
 	case d := <-w.ready:
@@ -169,12 +221,25 @@
 	case d := <-w.ready:
 		return d
 	case <-timer.C:
-		return p.abandon(w, reason.Overloaded)
+		return p.decideLast(w)
 	case <-ctx.Done():
 		return p.abandon(w, reason.CallerLeftEarly)
 	}
 }
 
+// decideLast decides a request that has waited as long as it may.
+func (p *Pool) decideLast(w *waiter) Decision {
+	p.mu.Lock()
+	now := p.now()
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		if d, decided := p.decide(w.ask, now, i); decided {
+			w.ready <- d
+		}
+	}
+	p.mu.Unlock()
+	return p.abandon(w, reason.Overloaded)
+}
+
 // abandon withdraws a waiting request, unless it has been decided meanwhile.
 func (p *Pool) abandon(w *waiter, why *reason.Reason) Decision {
 	p.mu.Lock()
@@ -251,6 +316,9 @@
 		return p.refuse(a, reason.Overloaded, now), true
 	}
 	wait := time.Duration(float64(ahead+1) / p.throughput(now, work))
+	if now < p.blindUntil && open.target == nil {
+		return Decision{}, false
+	}
 	if open.target != nil && wait+best.cost > open.cost {
 		return p.send(open, a, now, inputs), true
 	}
@@ -262,7 +330,7 @@
 
 // choose returns the best target, and the best of those with a free slot. The lock is held.
 func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
-	o := outlook{work: work, crossing: p.crossing(a), meanPace: p.meanPace}
+	o := outlook{work: work, crossing: p.crossing(a), meanPace: p.meanPace, blindUntil: p.blindUntil}
 	var unreachable estimate
 	for _, t := range p.targets {
 		if slices.Contains(a.Tried, t) {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -319,3 +319,32 @@
 		t.Error("the reading of another address is used")
 	}
 }
+
+// Guards against requests that have piled up during a restart of all instances and fill the targets several times over,
+// because no instance has a reading yet.
+func TestWaitsForFirstReading(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	got := make(chan Decision, 1)
+	go func() { got <- b.Acquire(context.Background(), b.ask(1)) }()
+	waitFor(t, func() bool { return b.queued() == 1 })
+	select {
+	case d := <-got:
+		t.Fatalf("decided without a reading: %+v", d)
+	default:
+	}
+	b.read("t", 0, 1)
+	if d := <-got; d.Target == nil {
+		t.Errorf("%+v", d)
+	}
+}
+
+// Guards against a request that is refused at the end of its wait although a slot is free then.
+func TestDecidesAtTheEndOfTheWait(t *testing.T) {
+	start := time.Now()
+	p := NewPool(DefaultPolicy(), "a", func() time.Duration { return time.Since(start) }, rand.New(rand.NewPCG(1, 2)))
+	p.SetTargets([]registry.Target{target("t", "a")}, 1, wall)
+	a := &Ask{Route: "r", Objective: 300 * time.Millisecond, Arrived: time.Since(start), Deadline: time.Second}
+	if d := p.Acquire(context.Background(), a); d.Target == nil || d.Inputs.Waited < 50*time.Millisecond {
+		t.Errorf("%+v", d)
+	}
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -169,7 +169,7 @@
 	pace := t.pace(now, o.work, o.meanPace, p)
 	one := float64(o.work) * pace
 	answer := one
-	open := occupied < usable
+	open := occupied < usable && (t.read || now >= o.blindUntil)
 	if !open {
 		// One of the running requests ends in the mean after its share of the work; those beyond it queue up.
 		answer += one * float64(occupied-usable+1) / float64(usable)
@@ -187,6 +187,8 @@
 	// work is the expected time on a target at its usual pace, and crossing the cost of another zone.
 	work, crossing time.Duration
 	meanPace       float64
+	// blindUntil is until when targets without a reading are not open.
+	blindUntil time.Duration
 }
 
 const (
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -42,5 +42,7 @@
 		return
 	}
 	n.joined = true
+	n.countedAt = time.Time{}
+	n.noteInstances(now)
 	n.Log.Info("Announced this instance.", "members", len(e.members))
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -156,12 +156,10 @@
 	return share{before, parts}
 }
 
-// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately.
-func (m *members) readsZone(now, started time.Time) bool {
+// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately. After a
+// start nobody has, so that the first readings come at once even when all instances start together.
+func (m *members) readsZone(now time.Time) bool {
 	limit := readerSilence + time.Duration(m.order(now))*successionStep
-	if now.Sub(started) < limit {
-		return false
-	}
 	for _, p := range m.peers {
 		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) && now.Sub(p.readerAt) < limit {
 			return false
@@ -206,6 +204,11 @@
 	return readers
 }
 
+// instancesAtStart estimates the number of instances, this one included, before they have been heard.
+func (m *members) instancesAtStart(now time.Time) int {
+	return max(m.instances(now), 1+len(m.peers))
+}
+
 // instances estimates the number of live instances, this one included.
 func (m *members) instances(now time.Time) int {
 	if now.Sub(m.fleetAt) < liveFor && m.fleet > 0 {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -203,7 +203,7 @@
 
 // noteReader notes whether this instance reads the load of its zone.
 func (n *Node) noteReader(now time.Time) {
-	reads := n.members.readsZone(now, n.started)
+	reads := n.members.readsZone(now)
 	if reads == n.reader {
 		return
 	}
@@ -232,6 +232,10 @@
 	}
 }
 
+// settleTime is how long after a start members count that were announced but not heard yet. When all instances start
+// together, each would take itself for the only one.
+const settleTime = 3 * time.Second
+
 // countInterval is how often the live instances are counted.
 const countInterval = 200 * time.Millisecond
 
@@ -242,6 +246,9 @@
 	}
 	n.countedAt = now
 	instances := n.members.instances(now)
+	if now.Sub(n.started) < settleTime {
+		instances = n.members.instancesAtStart(now)
+	}
 	n.refreshZonePeers(now)
 	if instances == n.instances {
 		return
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -14,6 +14,10 @@
 	"github.com/basillink/basillink/internal/routes"
 )
 
+// notReadyRetryAfter is when callers should come back whom an instance refuses because it has just started or knows no
+// target. Another instance may serve them at once.
+const notReadyRetryAfter = 50 * time.Millisecond
+
 // answerMargin is kept from a caller's time for the answer's way back.
 const answerMargin = 10 * time.Millisecond
 
@@ -38,7 +42,7 @@
 // parse selects the route of a request. The view stays the same until the request has ended.
 func (g *Gateway) parse(c *app.RequestContext, arrived time.Duration) (*call, *reason.Reason) {
 	call := &call{request: &c.Request, arrived: arrived, id: string(c.Request.Header.Peek(g.Headers.RequestID))}
-	view := g.View()
+	view := g.awaitView()
 	if view == nil {
 		return call, reason.NotReady
 	}
@@ -64,6 +68,22 @@
 	return call, nil
 }
 
+const (
+	// viewWait is how long a request waits for the first configuration after a start, which takes some milliseconds.
+	viewWait = 250 * time.Millisecond
+	// viewPoll is the interval of looking for it.
+	viewPoll = 5 * time.Millisecond
+)
+
+// awaitView returns the current view. Just after the start it waits for the first one.
+func (g *Gateway) awaitView() *View {
+	view := g.View()
+	for end := g.opened + viewWait; view == nil && g.Now() < end; view = g.View() {
+		time.Sleep(viewPoll)
+	}
+	return view
+}
+
 func pathOf(uri string) string {
 	for i := range len(uri) {
 		if uri[i] == '?' {
@@ -90,7 +110,9 @@
 		c.Response.Header.SetConnectionClose(true)
 	}
 	if refusal != nil {
-		return g.writeRefusal(c, call, refused(refusal))
+		r := refused(refusal)
+		r.retryAfter = notReadyRetryAfter
+		return g.writeRefusal(c, call, r)
 	}
 	call.pool.Arrived()
 	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.Now())
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -81,6 +81,7 @@
 	connections inbound.Connections
 	draining    atomic.Bool
 	inFlight    atomic.Int64
+	opened      time.Duration
 	served      atomic.Uint64
 
 	mu      sync.Mutex
@@ -101,7 +102,10 @@
 }
 
 // Open opens the listener, so that an address that cannot be used is reported before anything runs.
-func (g *Gateway) Open() error { return g.listener.Open() }
+func (g *Gateway) Open() error {
+	g.opened = g.Now()
+	return g.listener.Open()
+}
 
 // Run serves until Shutdown. Open comes first.
 func (g *Gateway) Run() error { return g.server.Run() }
