--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -76,6 +76,10 @@
 		n.Log.Error("Could not encode a datagram.", "error", err)
 		return
 	}
+	// A full link must not hold up the control loop. What is lost is told again.
+	if err := n.socket.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		n.Log.Debug("Could not bound the sending.", "error", err)
+	}
 	for _, to := range addresses {
 		if _, err := n.socket.WriteToUDP(b, to); err != nil {
 			n.Log.Debug("Could not send a datagram.", "to", to.String(), "error", err)
@@ -83,6 +87,9 @@
 	}
 }
 
+// sendTimeout bounds the sending of one datagram to all its receivers.
+const sendTimeout = 10 * time.Millisecond
+
 // addressesOf returns the addresses of peers.
 func addressesOf(peers []*peerState) []*net.UDPAddr {
 	addresses := make([]*net.UDPAddr, 0, len(peers))
@@ -134,6 +141,9 @@
 	p.live = d.Live
 	if d.Reader {
 		p.readerAt = now
+		if p.Zone == n.Self.Zone && len(d.Parts) > 0 && !n.reader {
+			n.parts, n.partsAt = d.Parts, now
+		}
 		if p.Zone == n.Self.Zone {
 			n.members.fleet, n.members.fleetAt = d.Fleet, now
 		}
@@ -154,6 +164,9 @@
 func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
 	before := n.version()
 	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
+	if n.targets.behind && p.Zone == n.Self.Zone {
+		n.fetchState(ctx, p.Address, now)
+	}
 	if changed {
 		n.publish(now)
 	}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -225,12 +225,15 @@
 // recentFor is how long changes are repeated. It covers several lost datagrams in a row.
 const recentFor = 1500 * time.Millisecond
 
+// maxNoteChanges bounds the changes in one datagram. An instance that misses more fetches the whole state.
+const maxNoteChanges = 24
+
 // targetsNote describes what was read of the targets, with the latest changes.
 func (n *Node) targetsNote(now time.Time) *targetsNote {
 	if !n.targets.known {
 		return nil
 	}
-	for len(n.recent) > 0 && now.Sub(n.recent[0].at) > recentFor {
+	for len(n.recent) > 0 && (now.Sub(n.recent[0].at) > recentFor || len(n.recent) > maxNoteChanges) {
 		n.recentBase = n.recent[0].change.Offset + 1
 		n.recent = n.recent[1:]
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -22,6 +22,8 @@
 	// successionStep the further wait of each member behind that one.
 	readerSilence  = 160 * time.Millisecond
 	successionStep = 60 * time.Millisecond
+	// startSilence is how long instances of large zones wait after their start.
+	startSilence = 200 * time.Millisecond
 )
 
 // precedes reports whether a member takes on work for its zone before another one: the stronger first, then by id.
@@ -44,6 +46,8 @@
 	// live is the number of live instances that it reported for its zone.
 	live    int
 	leaving bool
+	// assigned is when it was given a part of the targets to read, and skipUntil until when it is given none.
+	assigned, skipUntil time.Time
 	// greeted is when it was last sent a greeting, and greetings how many it was sent without an answer.
 	greeted   time.Time
 	greetings int
@@ -107,29 +111,33 @@
 
 // order is the number of live peers of this zone that come before this instance.
 func (m *members) order(now time.Time) int {
-	before, _ := m.position(now, liveFor)
+	before := 0
+	for _, p := range m.zonePeers(now) {
+		if precedes(p.Member, m.self) {
+			before++
+		}
+	}
 	return before
 }
 
-// position returns how many peers of this zone that were heard lately come before this instance, and how many there are.
-func (m *members) position(now time.Time, within time.Duration) (before, count int) {
-	for _, p := range m.zonePeers(now) {
-		if now.Sub(p.heard) > within {
-			continue
-		}
-		count++
-		if precedes(p.Member, m.self) {
+// knownOrder is the number of known members of this zone that come before this instance, heard or not.
+func (m *members) knownOrder() int {
+	before := 0
+	for _, p := range m.peers {
+		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) {
 			before++
 		}
 	}
-	return before, count
+	return before
 }
 
 const (
 	// targetsPerReader is how many targets one instance reads before another one of the zone takes a part of them.
 	targetsPerReader = 14
-	// shareSilence is how long an instance that reads a part may be silent before its part goes to others.
-	shareSilence = 700 * time.Millisecond
+	// partSilence is how long an instance that reads a part may be silent before its part goes to another one, and
+	// partPause how long it is then left out.
+	partSilence = 400 * time.Millisecond
+	partPause   = 3 * time.Second
 )
 
 // share is the part of the zone's targets that an instance reads: those whose hash leaves a remainder.
@@ -138,28 +146,51 @@
 // includes reports whether a target belongs to the share.
 func (s share) includes(hash uint32) bool { return s.parts > 0 && int(hash%uint32(s.parts)) == s.part }
 
-// readingShare returns the part of a number of targets of this zone that this instance reads. The first instances of the
-// zone read, as many as the targets need.
-func (m *members) readingShare(now time.Time, targets int, reader bool) share {
-	parts := (targets + targetsPerReader - 1) / targetsPerReader
-	if parts <= 1 {
-		if reader {
-			return share{0, 1}
+// assignParts returns the instances that read the targets of this zone, as many as the targets need: this one, its
+// reader, and the next ones that are heard. One that was assigned before and fell silent is left out for a while.
+func (m *members) assignParts(now time.Time, targets int, before []string) []string {
+	parts := []string{m.self.ID}
+	for _, p := range m.zonePeers(now) {
+		if slices.Contains(before, p.ID) && now.Sub(p.heard) > partSilence && now.Sub(p.assigned) > partSilence {
+			p.skipUntil = now.Add(partPause)
 		}
-		return share{}
 	}
-	before, count := m.position(now, shareSilence)
-	parts = min(parts, count+1)
-	if before >= parts {
-		return share{}
+	wanted := (targets + targetsPerReader - 1) / targetsPerReader
+	for _, p := range m.byPrecedence(now) {
+		if len(parts) >= wanted {
+			break
+		}
+		if now.Before(p.skipUntil) {
+			continue
+		}
+		if !slices.Contains(before, p.ID) {
+			p.assigned = now
+		}
+		parts = append(parts, p.ID)
 	}
-	return share{before, parts}
+	return parts
+}
+
+// byPrecedence returns the live peers of this zone, those first that take on work before the others.
+func (m *members) byPrecedence(now time.Time) []*peerState {
+	peers := m.zonePeers(now)
+	slices.SortStableFunc(peers, func(a, b *peerState) int {
+		if precedes(a.Member, b.Member) {
+			return -1
+		}
+		return 1
+	})
+	return peers
 }
 
 // readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately. After a
-// start nobody has, so that the first readings come at once even when all instances start together.
-func (m *members) readsZone(now time.Time) bool {
+// start nobody has, so that the first readings come at once even when all instances start together. In
+// large zones the instances wait for their turn, because readings by all of them would flood the zone.
+func (m *members) readsZone(now, started time.Time) bool {
 	limit := readerSilence + time.Duration(m.order(now))*successionStep
+	if m.zoneSize > largeZone && now.Sub(started) < startSilence+time.Duration(min(m.knownOrder(), largeZone))*successionStep {
+		return false
+	}
 	for _, p := range m.peers {
 		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) && now.Sub(p.readerAt) < limit {
 			return false
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -39,18 +39,18 @@
 	for _, m := range []*members{second, third} {
 		m.peers["a1"].readerAt = now
 	}
-	if second.readsZone(now) || third.readsZone(now) {
+	if second.readsZone(now, begin) || third.readsZone(now, begin) {
 		t.Error("a later member reads while the first one does")
 	}
 	now = now.Add(readerSilence + successionStep + time.Millisecond)
-	if !second.readsZone(now) {
+	if !second.readsZone(now, begin) {
 		t.Error("the second member does not take over")
 	}
 	third.peers["a2"].readerAt = now
-	if third.readsZone(now) {
+	if third.readsZone(now, begin) {
 		t.Error("the third member reads as well")
 	}
-	if first := table("a1", now, all...); !first.readsZone(now) {
+	if first := table("a1", now, all...); !first.readsZone(now, begin) {
 		t.Error("the first member does not read")
 	}
 }
@@ -142,33 +142,38 @@
 	}
 }
 
-// Guards against targets that nobody reads, or that several instances read, when there are too many for one of them.
-func TestReadingShares(t *testing.T) {
+// Guards against targets that nobody reads, or that several instances read, when there are too many for one of them, and
+// against a part that stays with an instance which fell silent.
+func TestReadingParts(t *testing.T) {
 	var all []discovery.Member
 	for i := range 8 {
 		all = append(all, member(fmt.Sprintf("a%d", i), "a"))
 	}
 	for _, targets := range []int{1, targetsPerReader, targetsPerReader + 1, 95, 400} {
-		readers := make([]int, targets)
-		instances := 0
-		for i, each := range all {
-			part := table(each.ID, begin, all...).readingShare(begin, targets, i == 0)
-			if part.parts > 0 {
-				instances++
-			}
-			for target := range readers {
-				if part.includes(hashID(fmt.Sprint("t", target))) {
-					readers[target]++
+		m := table("a0", begin, all...)
+		parts := m.assignParts(begin, targets, nil)
+		if want := min(8, (targets+targetsPerReader-1)/targetsPerReader); len(parts) != want || parts[0] != "a0" {
+			t.Errorf("%d targets are read by %v, want %d instances", targets, parts, want)
+		}
+		for target := range targets {
+			readers := 0
+			for i := range parts {
+				if (share{i, len(parts)}).includes(hashID(fmt.Sprint("t", target))) {
+					readers++
 				}
 			}
-		}
-		for target, n := range readers {
-			if n != 1 {
-				t.Errorf("%d targets: target %d is read by %d instances", targets, target, n)
+			if readers != 1 {
+				t.Errorf("target %d of %d is read by %d instances", target, targets, readers)
 			}
 		}
-		if want := min(8, (targets+targetsPerReader-1)/targetsPerReader); instances != want {
-			t.Errorf("%d targets are read by %d instances, want %d", targets, instances, want)
-		}
+	}
+	m := table("a0", begin, all...)
+	parts := m.assignParts(begin, 40, nil)
+	now := begin.Add(partSilence + time.Millisecond)
+	for _, id := range []string{"a2", "a3"} {
+		m.peers[id].heard = now
+	}
+	if parts = m.assignParts(now, 40, parts); fmt.Sprint(parts) != "[a0 a2 a3]" {
+		t.Errorf("after a1 fell silent: %v", parts)
 	}
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -38,6 +38,8 @@
 	// Targets and Config tell how far the store was read.
 	Targets *targetsNote `cbor:"7,keyasint,omitempty"`
 	Config  *configNote  `cbor:"8,keyasint,omitempty"`
+	// Parts are the instances that read the targets of the zone, as its reader assigns them.
+	Parts []string `cbor:"15,keyasint,omitempty"`
 	// Leaving is true when the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Sent are targets that the sender has just sent a request to.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -92,6 +92,9 @@
 	fetchAt    time.Time
 	// share is the part of the zone's targets that this instance reads.
 	share share
+	// parts are the instances that read the targets of this zone, as its reader assigned them at partsAt.
+	parts   []string
+	partsAt time.Time
 	// busy and filling are true while the targets of this zone are filled, or getting there.
 	busy, filling bool
 	// remote are readings of other zones that were not passed on to this zone yet.
@@ -203,7 +206,7 @@
 
 // noteReader notes whether this instance reads the load of its zone.
 func (n *Node) noteReader(now time.Time) {
-	reads := n.members.readsZone(now)
+	reads := n.members.readsZone(now, n.started)
 	if reads == n.reader {
 		return
 	}
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -173,7 +173,7 @@
 		_, served := n.table.Services[t.Service]
 		return t.Zone != n.Self.Zone || !served
 	})
-	part := n.members.readingShare(now, len(targets), n.reader)
+	part := n.ownShare(now, len(targets))
 	n.noteShare(part, len(targets))
 	if part.parts == 0 {
 		return
@@ -183,6 +183,24 @@
 	n.sampler.round(func(samples []sample) { n.post(roundRead{samples}) })
 }
 
+// partsLifetime is how long an assignment holds without being repeated.
+const partsLifetime = time.Second
+
+// ownShare returns the part of the targets that this instance reads. The reader of the zone assigns the parts.
+func (n *Node) ownShare(now time.Time, targets int) share {
+	if n.reader {
+		n.parts, n.partsAt = n.members.assignParts(now, targets, n.parts), now
+		return share{0, len(n.parts)}
+	}
+	if now.Sub(n.partsAt) > partsLifetime {
+		return share{}
+	}
+	if i := slices.Index(n.parts, n.Self.ID); i >= 0 {
+		return share{i, len(n.parts)}
+	}
+	return share{}
+}
+
 // noteShare notes a change of the part of the zone's targets that this instance reads.
 func (n *Node) noteShare(part share, targets int) {
 	if part == n.share {
@@ -271,6 +289,9 @@
 	if now.Sub(n.noted) >= noteInterval {
 		n.noted = now
 		d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
+		if len(n.parts) > 1 {
+			d.Parts = n.parts
+		}
 	}
 	n.tellZone(d, now)
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -14,6 +14,9 @@
 // fetchTimeout bounds a request for the state of a peer. A silent connection is given up.
 const fetchTimeout = 300 * time.Millisecond
 
+// fetchSpread is the time, per instance of the zone, over which requests to one peer are spread.
+const fetchSpread = 4 * time.Millisecond
+
 // stateServer answers peers that ask for the state, over net/rpc.
 type stateServer struct {
 	node    *Node
@@ -118,11 +121,13 @@
 		return
 	}
 	n.fetching = true
+	pause := time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zoneSize)*fetchSpread) + 1))
 	request := StateRequest{}
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
 	}
 	go func() {
+		time.Sleep(pause)
 		state, err := fetch(ctx, address, request)
 		n.deliver(ctx, stateFetched{state, err})
 	}()
