--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -61,8 +61,12 @@
 	// now is the monotonic time.
 	now func() time.Duration
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// targets are those of the own zone first, of which there are locals.
 	targets []*Target
+	locals  int
+	// drawn holds the targets of one decision.
+	drawn   []*Target
 	byID    map[string]*Target
 	work    map[string]*workEstimate
 	waiting []*waiter
@@ -118,10 +122,23 @@
 	for id, t := range p.byID {
 		t.removed = byID[id] != t
 	}
+	slices.SortStableFunc(p.targets, func(a, b *Target) int { return zoneOrder(a) - zoneOrder(b) })
+	p.locals = 0
+	for _, t := range p.targets {
+		p.locals += 1 - zoneOrder(t)
+	}
 	p.byID = byID
 	p.serveWaiting(now)
 }
 
+// zoneOrder puts targets of the own zone before the others.
+func zoneOrder(t *Target) int {
+	if t.local {
+		return 0
+	}
+	return 1
+}
+
 // Observe takes over readings of load by target id. Waiting requests are decided again.
 func (p *Pool) Observe(readings map[string]Reading) {
 	p.mu.Lock()
@@ -332,7 +349,7 @@
 func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
 	o := outlook{work: work, crossing: p.crossing(a), meanPace: p.meanPace, blindUntil: p.blindUntil}
 	var unreachable estimate
-	for _, t := range p.targets {
+	for _, t := range p.candidates() {
 		if slices.Contains(a.Tried, t) {
 			continue
 		}
@@ -373,6 +390,39 @@
 	return time.Duration(float64(p.policy.ZoneCrossing) * bytes / 1024)
 }
 
+// candidates returns the targets to choose from. In a large fleet many instances choose at the same time by readings of
+// the same age, and would all send to the few best ones. Each then looks at a random part of the targets, those of its own
+// zone first. The lock is held.
+func (p *Pool) candidates() []*Target {
+	if p.locals <= wholeZone {
+		return p.targets
+	}
+	p.drawn = p.drawn[:0]
+	p.draw(p.targets[:p.locals], max(leastDrawn, p.locals/drawnShare))
+	p.draw(p.targets[p.locals:], leastDrawn)
+	return p.drawn
+}
+
+const (
+	// wholeZone is the number of targets of the own zone up to which all targets are looked at.
+	wholeZone = 16
+	// leastDrawn and drawnShare say how many targets are looked at otherwise: at least so many, or that part of the zone.
+	leastDrawn = 3
+	drawnShare = 16
+)
+
+// draw adds targets at random, none of them twice. The lock is held.
+func (p *Pool) draw(from []*Target, count int) {
+	if len(from) == 0 {
+		return
+	}
+	count = min(count, len(from))
+	// Consecutive targets from a random one on are a random part, because the order of ids tells nothing.
+	for i, start := 0, p.random.IntN(len(from)); i < count; i++ {
+		p.drawn = append(p.drawn, from[(start+i)%len(from)])
+	}
+}
+
 // tieShare is the part of the work by which the cost of targets is varied at random, so that instances with the same
 // readings do not all choose the same target.
 const tieShare = 10
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -348,3 +348,28 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+// Guards against a herd: many instances that know the same old readings must not all send to the same few targets. The
+// pattern is a fleet of 30 instances and 50 targets in a zone that decide between two readings.
+func TestLargeFleetSpreads(t *testing.T) {
+	const instances, targets = 30, 50
+	arrivals := map[string]int{}
+	for i := range instances {
+		var registered []registry.Target
+		for j := range targets {
+			registered = append(registered, target(fmt.Sprintf("t%02d", j), "a"))
+		}
+		b := newBench(DefaultPolicy(), registered...)
+		b.Pool.random = rand.New(rand.NewPCG(uint64(i), 7))
+		for j := range targets {
+			// One target in ten looks best.
+			b.read(fmt.Sprintf("t%02d", j), min(j%10, 1), 1)
+		}
+		arrivals[b.now(t, b.ask(1)).Target.ID]++
+	}
+	for id, n := range arrivals {
+		if n > 4 {
+			t.Errorf("%d of %d instances chose %s; 4 fill its usable slots", n, instances, id)
+		}
+	}
+}
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -18,6 +18,8 @@
 	// are paid for, and readings of this zone matter to others when its targets are filled.
 	calmCrossInterval = 200 * time.Millisecond
 	busyCrossInterval = 60 * time.Millisecond
+	// largeCrossInterval is that time between large zones, which have targets enough of their own.
+	largeCrossInterval = 400 * time.Millisecond
 	// busyShare is the share of its slots from which on a zone is busy.
 	busyShare = 0.45
 	// fillingShare is the share of its slots from which on a zone reads its targets more often.
@@ -364,7 +366,10 @@
 
 // crossInterval is the time between two datagrams to each other zone.
 func (n *Node) crossInterval() time.Duration {
-	if n.busy {
+	switch {
+	case n.members.zoneSize > largeZone:
+		return largeCrossInterval
+	case n.busy:
 		return busyCrossInterval
 	}
 	return calmCrossInterval
@@ -382,6 +387,10 @@
 // refreshZonePeers keeps the addresses to which sent requests are announced.
 func (n *Node) refreshZonePeers(now time.Time) {
 	addresses := addressesOf(n.members.zonePeers(now))
+	if n.members.zoneSize > largeZone {
+		// Each of many instances sends a small part of the requests, and telling all others would cost more than it saves.
+		addresses = nil
+	}
 	n.zonePeers.Store(&addresses)
 }
 
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -10,12 +10,25 @@
 const (
 	// joinRetry is the pause before this instance tries again to announce itself in the store.
 	joinRetry = 700 * time.Millisecond
+	// seedTime is how long seeds are asked before the store is.
+	seedTime = 400 * time.Millisecond
+	// announceAfter is how long an instance has read its zone before it is announced in the store.
+	announceAfter = time.Second
 )
 
-// join announces this instance in the store and reads the others, until that has worked once. After that the members
-// hear of each other without the store.
+// join finds the other instances: through the seeds, and when none of them answers in the store. Only the readers of zones
+// are announced there, because whoever finds one of them hears of all others.
 func (n *Node) join(ctx context.Context, now time.Time) {
-	if n.joined || n.joining || now.Before(n.joinAt) {
+	if n.joining || n.announced || now.Before(n.joinAt) {
+		return
+	}
+	found := len(n.members.peers) > 0
+	switch {
+	case !found && now.Sub(n.started) < seedTime:
+		n.joinAt = now.Add(seedTime / 4)
+		n.greetSeeds()
+		return
+	case found && !(n.reader && now.Sub(n.readerSince) > announceAfter):
 		return
 	}
 	n.joining = true
@@ -41,7 +54,7 @@
 		n.Log.Info("Could not announce this instance.", "error", e.err)
 		return
 	}
-	n.joined = true
+	n.announced = true
 	n.countedAt = time.Time{}
 	n.noteInstances(now)
 	n.Log.Info("Announced this instance.", "members", len(e.members))
