--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -360,7 +360,7 @@
 			registered = append(registered, target(fmt.Sprintf("t%02d", j), "a"))
 		}
 		b := newBench(DefaultPolicy(), registered...)
-		b.Pool.random = rand.New(rand.NewPCG(uint64(i), 7))
+		b.random = rand.New(rand.NewPCG(uint64(i), 7))
 		for j := range targets {
 			// One target in ten looks best.
 			b.read(fmt.Sprintf("t%02d", j), min(j%10, 1), 1)
--- a/internal/docs/docs.go
+++ b/internal/docs/docs.go
@@ -35,14 +35,14 @@
 }
 
 // SettingsTable returns the table of settings. Source is the file that declares them, from which doc comments come.
-func SettingsTable(source string) (string, error) {
+func SettingsTable(source string, fields []settings.Field) (string, error) {
 	comments, err := fieldComments(source)
 	if err != nil {
 		return "", err
 	}
 	var b strings.Builder
 	b.WriteString("| setting | type | unit | default | accepted | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
-	for _, field := range settings.Fields() {
+	for _, field := range fields {
 		comment := comments[field.Section+"."+field.Name]
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n",
 			field.Key, field.Type, field.Unit, defaultText(field.Default), field.Accepted, meaning(field.Name, comment))
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -16,6 +17,7 @@
 	operatorsFile = "../../docs/operators.md"
 	chartsFile    = "../../docs/design-charts.md"
 	settingsFile  = "../settings/settings.go"
+	edgeFile      = "../settings/edge.go"
 )
 
 // generated returns what each generated file should hold.
@@ -25,12 +27,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	table, err := SettingsTable(settingsFile)
+	table, err := SettingsTable(settingsFile, settings.Fields())
+	if err != nil {
+		t.Fatal(err)
+	}
+	edgeTable, err := SettingsTable(edgeFile, edgeFields())
 	if err != nil {
 		t.Fatal(err)
 	}
 	operators := string(document)
-	for _, part := range []struct{ name, text string }{{"settings", table}, {"reasons", reason.MarkdownTable()}} {
+	for _, part := range []struct{ name, text string }{{"settings", table}, {"edge settings", edgeTable}, {"reasons", reason.MarkdownTable()}} {
 		if operators, err = Replace(operators, part.name, part.text); err != nil {
 			t.Fatal(err)
 		}
@@ -63,17 +69,26 @@
 
 // Guards against settings without an explanation.
 func TestEverySettingIsDocumented(t *testing.T) {
-	comments, err := fieldComments(settingsFile)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, field := range settings.Fields() {
-		if comment := comments[field.Section+"."+field.Name]; !strings.HasPrefix(comment, field.Name+" ") {
-			t.Errorf("%s: doc comment %q", field.Key, comment)
+	for file, fields := range map[string][]settings.Field{settingsFile: settings.Fields(), edgeFile: edgeFields()} {
+		comments, err := fieldComments(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, field := range fields {
+			if comment := comments[field.Section+"."+field.Name]; !strings.HasPrefix(comment, field.Name+" ") {
+				t.Errorf("%s: doc comment %q", field.Key, comment)
+			}
 		}
 	}
 }
 
+// edgeFields are the settings that only edge instances have.
+func edgeFields() []settings.Field {
+	return slices.DeleteFunc(settings.EdgeFields(), func(f settings.Field) bool {
+		return strings.HasPrefix(f.Key, "instance.")
+	})
+}
+
 // Guards against a document that loses text around the generated part, or silently lacks it.
 func TestReplace(t *testing.T) {
 	const document = "a\n<!-- generated: x -->\nold\n<!-- end: x -->\nb\n"
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -2,49 +2,38 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
 )
 
-const (
-	// joinRetry is the pause before this instance tries again to announce itself in the store.
-	joinRetry = 700 * time.Millisecond
-	// seedTime is how long seeds are asked before the store is.
-	seedTime = 400 * time.Millisecond
-	// announceAfter is how long an instance has read its zone before it is announced in the store.
-	announceAfter = time.Second
-)
+// joinRetry is the pause before this instance asks the store again for the members.
+const joinRetry = 700 * time.Millisecond
 
-// join finds the other instances: through the seeds, and when none of them answers in the store. Only the readers of zones
-// are announced there, because whoever finds one of them hears of all others.
+// join reads the announced members from the store and announces this instance unless it is, until that has worked once.
+// After that the members hear of each other without the store. An instance that starts again finds itself announced, and
+// knows at once how many share the targets with it.
 func (n *Node) join(ctx context.Context, now time.Time) {
-	if n.joining || n.announced || now.Before(n.joinAt) {
-		return
-	}
-	found := len(n.members.peers) > 0
-	switch {
-	case !found && now.Sub(n.started) < seedTime:
-		n.joinAt = now.Add(seedTime / 4)
-		n.greetSeeds()
-		return
-	case found && !(n.reader && now.Sub(n.readerSince) > announceAfter):
+	if n.joined || n.joining || now.Before(n.joinAt) {
 		return
 	}
 	n.joining = true
 	go func() {
-		r := membersRead{err: n.Store.Announce(ctx, n.Self)}
-		var list []discovery.Member
-		var err error
-		if list, err = n.Store.Members(ctx); err == nil {
-			r.members = list
-		} else if r.err == nil {
-			r.err = err
+		var r membersRead
+		r.members, r.err = n.Store.Members(ctx)
+		if r.err == nil && !slices.ContainsFunc(r.members, n.isSelf) {
+			r.err = n.Store.Announce(ctx, n.Self)
 		}
 		n.deliver(ctx, r)
 	}()
 }
 
+// isSelf reports whether an announced member is this instance, in this or an earlier incarnation.
+func (n *Node) isSelf(m discovery.Member) bool {
+	return m.ID == n.Self.ID && m.Address == n.Self.Address && m.Zone == n.Self.Zone && m.Capacity == n.Self.Capacity
+}
+
 func (n *Node) handleMembers(e membersRead, now time.Time) {
 	n.joining = false
 	n.meet(e.members, now)
@@ -54,7 +43,7 @@
 		n.Log.Info("Could not announce this instance.", "error", e.err)
 		return
 	}
-	n.announced = true
+	n.joined = true
 	n.countedAt = time.Time{}
 	n.noteInstances(now)
 	n.Log.Info("Announced this instance.", "members", len(e.members))
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -11,9 +11,6 @@
 	"github.com/basillink/basillink/internal/routes"
 )
 
-// maxDatagramBytes keeps a datagram within one packet of usual links. Longer ones are split over several.
-const maxDatagramBytes = 8 << 10
-
 // datagram is what instances tell each other without an answer. Parts that are not set are left out. Keys are only ever
 // added, so that versions can be mixed.
 type datagram struct {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -68,29 +68,28 @@
 	members  *members
 	registry *registry.Registry
 	// recent are the latest changes of targets with their time, for instances that missed a datagram.
-	recent      []recentChange
-	recentBase  int64
-	targets     topicReads
-	configs     topicReads
-	config      *routes.Config
-	table       *routes.Table
-	pools       map[string]*dispatch.Pool
-	byHash      map[uint32]targetRef
-	reader      bool
-	ticker      *time.Ticker
-	tick        time.Duration
-	announced   bool
-	readerSince time.Time
-	joining     bool
-	joinAt      time.Time
-	heartbeat   time.Time
-	crossAt     time.Time
-	roundAt     time.Time
-	storeDown   bool
-	instances   int
-	countedAt   time.Time
-	fetching    bool
-	fetchAt     time.Time
+	recent     []recentChange
+	recentBase int64
+	targets    topicReads
+	configs    topicReads
+	config     *routes.Config
+	table      *routes.Table
+	pools      map[string]*dispatch.Pool
+	byHash     map[uint32]targetRef
+	reader     bool
+	ticker     *time.Ticker
+	tick       time.Duration
+	joined     bool
+	joining    bool
+	joinAt     time.Time
+	heartbeat  time.Time
+	crossAt    time.Time
+	roundAt    time.Time
+	storeDown  bool
+	instances  int
+	countedAt  time.Time
+	fetching   bool
+	fetchAt    time.Time
 	// share is the part of the zone's targets that this instance reads.
 	share share
 	// parts are the instances that read the targets of this zone, as its reader assigned them at partsAt.
@@ -211,7 +210,7 @@
 	if reads == n.reader {
 		return
 	}
-	n.reader, n.readerSince = reads, now
+	n.reader = reads
 	n.remote = nil
 	clear(n.pending)
 	n.adjustTick()
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -163,7 +163,7 @@
 	changed := false
 	if s.TargetsListed && (!n.targets.known || s.TargetsNext > n.targets.next) {
 		for _, c := range s.Targets {
-			changed = n.registry.Apply(c, now) || changed
+			n.registry.Apply(c, now)
 		}
 		n.recent, n.recentBase = nil, s.TargetsNext
 		n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
--- a/internal/ingress/bench_test.go
+++ b/internal/ingress/bench_test.go
@@ -28,6 +28,7 @@
 			b.Fatal(got, err)
 		}
 		_, _ = io.Copy(io.Discard, got.Body)
+		_ = got.Body.Close()
 	}
 	dial := func() (net.Conn, *bufio.Reader) {
 		conn, err := net.Dial("tcp", g.address)
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -145,17 +145,25 @@
 	}
 }
 
-// receive returns the status and the body. A body that is cut short fails.
-func (c *caller) receive() (*http.Response, string, error) {
+// receive returns an answer and its body. A body that is cut short fails.
+func (c *caller) receive() (exchanged, string, error) {
 	answer, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return nil, "", err
+		return exchanged{}, "", err
 	}
+	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(answer.Body)
-	return answer, string(body), err
+	return exchanged{answer.StatusCode, answer.Header, answer.Close}, string(body), err
 }
 
-func (c *caller) exchange(method, path, id, body string) (*http.Response, string) {
+// exchanged is a whole answer.
+type exchanged struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+func (c *caller) exchange(method, path, id, body string) (exchanged, string) {
 	c.t.Helper()
 	c.send(method, path, id, body)
 	answer, got, err := c.receive()
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -130,7 +130,10 @@
 	c.spoiled = true
 	if err != nil || answer.remainder == nil {
 		c.closeSocket()
-		<-sent
+		// The answer decides; the rest of the body was cut off on purpose.
+		if cut := <-sent; err == nil && cut == nil {
+			c.spoiled = true
+		}
 	}
 	return err
 }
