--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -27,6 +27,9 @@
 	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
 	greetAgain   = 300 * time.Millisecond
 	maxGreetings = 4
+	// fewMembers is the number of known members up to which an instance of another zone is told of all. Bytes between zones
+	// are paid for.
+	fewMembers = 3
 	// remoteGreetings is how many members of another zone are greeted at a time while none of them is heard.
 	remoteGreetings = 2
 )
@@ -153,7 +156,7 @@
 	n.meet(d.Members, now)
 	if d.Greeting {
 		answer := n.introduction(now)
-		if len(n.members.peers) > d.Knows {
+		if len(n.members.peers) > d.Knows && (p.Zone == n.Self.Zone || d.Knows <= fewMembers) {
 			answer.Members = n.members.all()
 		}
 		answer.Targets, answer.Config = n.targetsNote(now), n.configNote(now)
@@ -276,12 +279,13 @@
 // their silence means nothing while any member of their zone is heard.
 func (n *Node) greet(now time.Time) {
 	greeted := map[string]int{}
+	hasReader := n.members.zoneReader(now) != nil
 	for zone := range n.members.heardZones(now) {
 		greeted[zone] = remoteGreetings
 	}
 	for _, p := range n.members.peers {
 		remote := p.Zone != n.Self.Zone
-		if remote && (greeted[p.Zone] >= remoteGreetings || !p.heard.IsZero() && !n.reader) {
+		if remote && (greeted[p.Zone] >= remoteGreetings || !n.reader && hasReader) {
 			continue
 		}
 		if p.isLive(now) || p.leaving || p.greetings >= maxGreetings || now.Sub(p.greeted) < greetAgain {
