--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -131,12 +131,15 @@
 		n.Log.Info("Met an instance.", "instance", d.From, "zone", d.Self.Zone, "address", d.Self.Address)
 	}
 	p := n.members.peers[d.From]
-	if p == nil || d.Started > p.Started {
+	switch {
+	case p == nil:
 		n.send(e.from, n.greeting(now))
 		return
-	}
-	if d.Started < p.Started {
+	case d.Started < p.Started:
 		return
+	case d.Started > p.Started:
+		// The member was announced by an earlier incarnation, or started again at the same address.
+		p.Started, p.leaving, p.readerAt = d.Started, false, time.Time{}
 	}
 	p.heard, p.leaving, p.greetings = now, d.Leaving, 0
 	if d.Leaving {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -277,3 +277,19 @@
 		n.handle(ctx, received{datagram: d, from: "127.0.0.1:9"}, begin)
 	})
 }
+
+// Guards against datagrams of an instance that started again being dropped until it has introduced itself: after a
+// restart of the whole fleet, readings would come late.
+func TestLaterIncarnationIsHeardAtOnce(t *testing.T) {
+	f := startFleet(t, 1)
+	n := New(Config{
+		Self: member("x0", "z0"), Store: f.doors[0], Prober: noProber{}, Now: func() time.Duration { return time.Second },
+		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
+	})
+	announced := member("x1", "z0")
+	n.members.learn(announced)
+	n.handle(context.Background(), received{datagram: &datagram{From: "x1", Started: announced.Started + 5, Reader: true}}, begin)
+	if p := n.members.peers["x1"]; !p.isLive(begin) || p.readerAt != begin {
+		t.Errorf("%+v", p)
+	}
+}
