Reload the settings of an edge instance on SIGHUP and when the file changes

Cause: SIGHUP ended the process, because nothing handled it. A file that is not accepted leaves the settings in force; a log line names what changed and what takes effect at the next start only.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -85,6 +86,16 @@
 	return hosts
 }
 
+// Apply puts reloaded settings in force as far as they can change while the instance runs: the share of logged requests.
+// The others take effect at the next start, and a log line names them.
+func (e *Edge) Apply(next *settings.Edge) {
+	e.gateway.SetSample(next.Log.SampleOneIn)
+	later := slices.DeleteFunc(Changed(e.settings, next), func(key string) bool { return key == "log.sample_one_in" })
+	if len(later) > 0 {
+		e.log.Warn("Settings take effect at the next start.", "keys", later)
+	}
+}
+
 // Run serves until the context ends, then drains.
 func (e *Edge) Run(ctx context.Context) error {
 	if err := e.open(); err != nil {
--- /dev/null
+++ b/internal/edge/reload_test.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/settings"
+)
+
+const file = `
+[instance]
+id = "i1"
+zone = "a"
+[listen]
+caller = "127.0.0.1:8080"
+readiness = "127.0.0.1:8081"
+peer = "127.0.0.1:8082"
+[store]
+address = "127.0.0.1:7000"
+[log]
+sample_one_in = 5
+`
+
+// Guards against a SIGHUP that ends the process, a changed file that is not noticed, and a bad file that replaces the
+// settings in force.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(file)
+	inForce, err := settings.LoadEdge(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sample atomic.Int64
+	r := Reload{File: path, Log: slog.New(slog.DiscardHandler), Apply: func(s *settings.Edge) {
+		sample.Store(int64(s.Log.SampleOneIn))
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx, inForce); close(done) }()
+	defer func() { cancel(); <-done }()
+	await := func(want int64) {
+		t.Helper()
+		for range 500 {
+			if sample.Load() == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatalf("sample %d, want %d", sample.Load(), want)
+	}
+	time.Sleep(50 * time.Millisecond)
+	write(strings.Replace(file, "= 5", "= 6", 1))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	await(6)
+	write(strings.Replace(file, "= 5", "= -1", 1))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if sample.Load() != 6 {
+		t.Error("a bad file was applied")
+	}
+	write(strings.Replace(file, "= 5", "= 7", 1))
+	if err := os.Chtimes(path, time.Now(), time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	await(7)
+}
+
+// Guards against a deployed template that renders settings which are refused.
+func TestDeployedTemplate(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/settings.toml.template")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(
+		"{{node|json}}", `"edge-a-1"`, "{{zone|json}}", `"tz-north-a"`, "{{listen.front|json}}", `"10.1.0.10:8161"`,
+		"{{listen.readiness|json}}", `"10.1.0.10:8167"`, "{{ip}}:{{internalPorts.0}}", "10.1.0.10:7720",
+		"{{provider.address|json}}", `"10.200.1.7:8169"`, "{{bounds.graceS}}", "6", "{{bounds.retryBudgetRatio}}", "0.2",
+		"{{bounds.retryBudgetExtra}}", "64", "{{bounds.budgetWindowS}}", "10", "{{bounds.probesPerS}}", "60",
+		"{{limits.cpuShare}}", "0.32", "{{seeds|json}}", `["10.1.0.10:8166"]`,
+	).Replace(string(b))
+	s, err := settings.DecodeEdge("template", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Bounds.RetryRatio != 0.2 || s.Peer.Capacity != 0.32 || len(s.Peer.Seeds) != 1 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -83,6 +83,7 @@
 	inFlight    atomic.Int64
 	opened      time.Duration
 	served      atomic.Uint64
+	sample      atomic.Int64
 
 	mu      sync.Mutex
 	origins map[string]*origin
@@ -91,6 +92,7 @@
 // New returns a gateway. It opens no port.
 func New(c Config) *Gateway {
 	g := &Gateway{Config: c, listener: inbound.Listener{Address: c.Address}, origins: map[string]*origin{}}
+	g.SetSample(c.SampleOneIn)
 	g.server = server.New(
 		server.WithListener(&g.listener),
 		server.WithTransport(standard.NewTransporter),
@@ -113,6 +115,9 @@
 // InFlight returns the number of requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// SetSample sets how many requests that went well share one log line. 0 logs none.
+func (g *Gateway) SetSample(oneIn int) { g.sample.Store(int64(oneIn)) }
+
 // Drain announces the close of connections with each further answer. New connections are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/internal/ingress/note.go
+++ b/internal/ingress/note.go
@@ -19,7 +19,8 @@
 	n := g.served.Add(1)
 	status := r.answer.Response.StatusCode()
 	late := total > call.route.LatencyObjective
-	if status < 400 && !late && call.attempts == 1 && (g.SampleOneIn == 0 || n%uint64(g.SampleOneIn) != 0) {
+	sample := g.sample.Load()
+	if status < 400 && !late && call.attempts == 1 && (sample == 0 || n%uint64(sample) != 0) {
 		return
 	}
 	message := "Answered."
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -33,6 +33,15 @@
 // EdgeFields returns all settings of an edge instance in the order of declaration.
 func EdgeFields() []Field { return fieldsOf(&Edge{}) }
 
+// Values returns the values of the settings of an edge instance in the order of EdgeFields.
+func Values(s *Edge) []any {
+	var values []any
+	for _, field := range fieldsOf(s) {
+		values = append(values, field.value.Interface())
+	}
+	return values
+}
+
 // fieldsOf returns the settings of a document, a pointer to a struct of sections, with access to their values.
 func fieldsOf(document any) []Field {
 	var list []Field
