--- a/internal/daemoncli/edge.go
+++ b/internal/daemoncli/edge.go
@@ -5,6 +5,8 @@
 	"flag"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -18,6 +20,8 @@
 
 // RunEdge runs an edge instance from a settings file until the context ends. Logs go to out.
 func RunEdge(ctx context.Context, out, errOut io.Writer, file string) subcommands.ExitStatus {
+	// A signal to reload must not end the process before it can be followed.
+	signal.Ignore(syscall.SIGHUP)
 	s, err := settings.LoadEdge(file)
 	if err != nil {
 		return refuse(errOut, err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,7 +47,7 @@
 			Capacity: int(s.Peer.Capacity * fleet.CapacityUnit),
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Policy: e.policy(), Prober: platform.Prober{},
-		ProbeInterval: time.Duration(s.Probe.IntervalMS) * time.Millisecond, Now: now,
+		ProbeInterval: probeInterval(s), Now: now,
 		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:     telemetry.Component(log, "fleet"),
 		Changed: func(registered func(string) bool) { e.gateway.Forget(registered) },
@@ -61,6 +61,19 @@
 	return e, nil
 }
 
+// probeInterval is the time between two readings of a target. The platform's bound holds over all instances; one reads a
+// target at a time, and for a moment two while one takes over.
+func probeInterval(s *settings.Edge) time.Duration {
+	interval := time.Duration(s.Probe.IntervalMS) * time.Millisecond
+	if s.Bounds.ProbesPerS <= 0 {
+		return interval
+	}
+	return max(interval, time.Duration(float64(time.Second)/(probeShare*s.Bounds.ProbesPerS)))
+}
+
+// probeShare is the part of the bound on health checks that regular readings use.
+const probeShare = 0.85
+
 // policy derives the policy of the dispatcher from the settings and the bounds of the platform.
 func (e *Edge) policy() dispatch.Policy {
 	p := dispatch.DefaultPolicy()
--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -103,3 +103,16 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Guards against more health checks than the platform allows.
+func TestProbeIntervalKeepsBound(t *testing.T) {
+	for _, c := range []struct {
+		perSecond float64
+		want      time.Duration
+	}{{60, 25 * time.Millisecond}, {10, 117647 * time.Microsecond}, {0, 25 * time.Millisecond}} {
+		s := &settings.Edge{Probe: settings.EdgeProbe{IntervalMS: 25}, Bounds: settings.EdgeBounds{ProbesPerS: c.perSecond}}
+		if got := probeInterval(s).Truncate(time.Microsecond); got != c.want {
+			t.Errorf("%v a second: %s", c.perSecond, got)
+		}
+	}
+}
