--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -172,7 +172,7 @@
 func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
 	before := n.version()
 	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
-	if n.targets.behind && p.Zone == n.Self.Zone {
+	if n.targets.behind && p.Zone == n.Self.Zone && !n.reader {
 		n.fetchState(ctx, p.Address, now)
 	}
 	if changed {
@@ -236,8 +236,9 @@
 	case n.table != nil && note.Version == n.table.Version:
 		n.configs.fresh(asOf)
 	case n.table != nil && note.Version < n.table.Version:
-	case p.Zone == n.Self.Zone || n.View() == nil && n.configs.backoff+n.targets.backoff > 0:
+	case p.Zone == n.Self.Zone && !n.reader || n.View() == nil && n.configs.backoff+n.targets.backoff > 0:
 		// An instance that starts while the store is away asks whoever answers.
+		n.configs.behind = true
 		n.fetchState(ctx, p.Address, now)
 	default:
 		n.configs.behind = true
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -96,7 +96,7 @@
 
 // readConfigs reads the configurations when it is this instance's turn.
 func (n *Node) readConfigs(ctx context.Context, now time.Time, rank int) {
-	if !n.configs.due(now, rank) {
+	if !n.configs.due(now, rank, n.reader) {
 		return
 	}
 	n.configs.reading = true
@@ -163,7 +163,7 @@
 
 // readTargets reads the records of targets when it is this instance's turn.
 func (n *Node) readTargets(ctx context.Context, now time.Time, rank int) {
-	if !n.targets.due(now, rank) {
+	if !n.targets.due(now, rank, n.reader) {
 		return
 	}
 	n.targets.reading = true
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -109,11 +109,11 @@
 // Guards against reads that are too rare for the bound on departures, too many, or missing when a reader fails.
 func TestTopicReads(t *testing.T) {
 	r := topicReads{}
-	if !r.due(begin, 5) {
+	if !r.due(begin, 5, false) {
 		t.Error("an unknown topic is not read")
 	}
 	r.reading = true
-	if r.due(begin, 0) {
+	if r.due(begin, 0, true) {
 		t.Error("two reads at a time")
 	}
 	r.succeeded(begin, 10)
@@ -126,18 +126,27 @@
 		{readInterval + standbyDelay, 1, true}, {readInterval + standbyDelay, 2, false}, {time.Second, 3, true},
 	}
 	for _, c := range cases {
-		if got := r.due(begin.Add(c.age), c.rank); got != c.want {
+		if got := r.due(begin.Add(c.age), c.rank, true); got != c.want {
 			t.Errorf("age %s, rank %d: %v", c.age, c.rank, got)
 		}
 	}
+	r.behind = true
+	if r.due(begin, 5, false) || !r.due(begin, 5, true) {
+		t.Error("an instance that lacks records reads although the reader of its zone may tell them, or the reader does not")
+	}
+	r.alone = true
+	if !r.due(begin, 5, false) {
+		t.Error("an instance that nobody tells does not read")
+	}
+	r.behind, r.alone = false, false
 	r.failed(begin, 1)
-	if r.due(begin.Add(firstBackoff), 0) || !r.due(begin.Add(2*time.Second), 0) {
+	if r.due(begin.Add(firstBackoff), 0, true) || !r.due(begin.Add(2*time.Second), 0, true) {
 		t.Error("the pause after a failure")
 	}
 	for range 10 {
 		r.failed(begin, 1)
 	}
-	if !r.due(begin.Add(2*lastBackoff), 0) {
+	if !r.due(begin.Add(2*lastBackoff), 0, true) {
 		t.Error("the pause grows without bound")
 	}
 }
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -24,19 +24,21 @@
 	next int64
 	// known is true once the topic was listed or taken over from a peer.
 	known bool
-	// behind is true when a peer knows of records that this instance lacks.
+	// behind is true when a peer knows of records that this instance lacks, and alone when no peer could tell them.
 	behind  bool
+	alone   bool
 	reading bool
 	retryAt time.Time
 	backoff time.Duration
 }
 
-// due reports whether this instance should read now.
-func (t *topicReads) due(now time.Time, rank int) bool {
+// due reports whether this instance should read now. Readers of zones read at once what they lack; the others ask them
+// first, because each call to the store is paid for.
+func (t *topicReads) due(now time.Time, rank int, reader bool) bool {
 	if t.reading || now.Before(t.retryAt) {
 		return false
 	}
-	if !t.known || t.behind {
+	if !t.known || t.behind && (reader || t.alone) {
 		return true
 	}
 	wait := readInterval
@@ -48,7 +50,7 @@
 
 // succeeded notes a read that began at a time.
 func (t *topicReads) succeeded(began time.Time, next int64) {
-	t.reading, t.behind, t.known = false, false, true
+	t.reading, t.behind, t.alone, t.known = false, false, false, true
 	t.backoff = 0
 	t.next = max(t.next, next)
 	t.fresh(began)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -154,7 +154,7 @@
 	n.fetching = false
 	if e.err != nil {
 		n.fetchAt = now.Add(fetchTimeout)
-		n.configs.behind = true
+		n.configs.alone, n.targets.alone = true, true
 		n.Log.Info("Could not fetch the state of a peer.", "error", e.err)
 		return
 	}
