Let a reader that the store turns away ask its peers, and read rarer in a cut zone

The interval now grows by the share of members that fell silent in the last 30 s, twice at the most.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -172,7 +172,7 @@
 func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
 	before := n.version()
 	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
-	if n.targets.behind && p.Zone == n.Self.Zone && !n.reader {
+	if n.targets.behind && n.asksPeer(p, &n.targets) {
 		n.fetchState(ctx, p.Address, now)
 	}
 	if changed {
@@ -209,6 +209,12 @@
 	}
 }
 
+// asksPeer reports whether this instance fetches from a peer what it lacks of a topic. Readers of zones read the store
+// themselves, unless it does not answer them: one that was cut off would else know nothing until its next try.
+func (n *Node) asksPeer(p *peerState, topic *topicReads) bool {
+	return topic.backoff > 0 || p.Zone == n.Self.Zone && !n.reader
+}
+
 // isNews reports whether a peer's configuration is newer than a version.
 func isNews(note *configNote, version uint64) bool { return note != nil && note.Version > version }
 
@@ -236,8 +242,7 @@
 	case n.table != nil && note.Version == n.table.Version:
 		n.configs.fresh(asOf)
 	case n.table != nil && note.Version < n.table.Version:
-	case p.Zone == n.Self.Zone && !n.reader || n.View() == nil && n.configs.backoff+n.targets.backoff > 0:
-		// An instance that starts while the store is away asks whoever answers.
+	case n.asksPeer(p, &n.configs):
 		n.configs.behind = true
 		n.fetchState(ctx, p.Address, now)
 	default:
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -220,6 +220,25 @@
 	return best
 }
 
+// missing is how many times more members of this zone were heard in the last half minute than are heard now. The others
+// may be cut off from this instance and read the same targets.
+func (m *members) missing(now time.Time) float64 {
+	live, recent := 1, 1
+	for _, p := range m.peers {
+		if p.Zone != m.self.Zone || p.leaving || now.Sub(p.heard) > missingFor {
+			continue
+		}
+		recent++
+		if p.isLive(now) {
+			live++
+		}
+	}
+	return float64(recent) / float64(live)
+}
+
+// missingFor is how long a silent member counts as one that may be cut off.
+const missingFor = 30 * time.Second
+
 // heartbeatEvery is how often an instance tells its zone that it lives. In large zones that is less often, because each
 // instance hears all others.
 func (m *members) heartbeatEvery() time.Duration {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -293,3 +293,58 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// Guards against a reader that the store turns away and that keeps sending to a target that left, until its next try:
+// on scale-2 of wingworks-tz a reader that had been cut off did so for 12 s (DRAIN, seed 93889207).
+func TestTurnedAwayReaderLearnsDepartures(t *testing.T) {
+	f := startFleet(t, 4)
+	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 4 })
+	f.doors[0].set(true)
+	// More changes than a datagram repeats, so that the reader falls behind.
+	for i := range 3 * maxNoteChanges {
+		f.store.record(fmt.Sprintf("u%d", i), &registry.Entry{ID: fmt.Sprintf("u%d", i), Address: "127.0.0.1:9", Zone: "z0", Service: "s", Slots: 4})
+	}
+	f.store.record("t1", nil)
+	began := time.Now()
+	gone := make(chan struct{}, 1)
+	for time.Since(began) < 5*time.Second {
+		answer := stateAsked{reply: make(chan State, 1)}
+		f.nodes[0].post(answer)
+		state := <-answer.reply
+		for _, c := range state.Targets {
+			if c.ID == "t1" && c.Entry == nil {
+				select {
+				case gone <- struct{}{}:
+				default:
+				}
+			}
+		}
+		if len(gone) > 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if elapsed := time.Since(began); elapsed > 2*time.Second {
+		t.Errorf("the departure was known after %s; it binds after 2 s", elapsed)
+	}
+}
+
+// Guards against two readers of a zone that is cut in two and together read its targets too often.
+func TestReadsRarerWhileMembersAreMissing(t *testing.T) {
+	all := []discovery.Member{member("a1", "a"), member("a2", "a"), member("a3", "a"), member("a4", "a")}
+	now := begin.Add(time.Minute)
+	m := table("a1", now, all...)
+	if got := m.missing(now); got != 1 {
+		t.Errorf("all are heard: %v", got)
+	}
+	later := now.Add(2 * liveFor)
+	m.peers["a2"].heard = later
+	if got := m.missing(later); got != 2 {
+		t.Errorf("half of the zone is silent: %v", got)
+	}
+	long := later.Add(missingFor)
+	m.peers["a2"].heard = long
+	if got := m.missing(long); got != 1 {
+		t.Errorf("long after: %v", got)
+	}
+}
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -228,6 +228,15 @@
 
 // probeInterval is the time between two readings of one target.
 func (n *Node) probeInterval() time.Duration {
+	interval := n.wholeProbeInterval()
+	return time.Duration(float64(interval) * min(n.members.missing(time.Now()), maxMissing))
+}
+
+// maxMissing bounds how much rarer readings are while members of the zone are missing.
+const maxMissing = 2
+
+// wholeProbeInterval is the time between two readings of one target while all members of the zone are heard.
+func (n *Node) wholeProbeInterval() time.Duration {
 	switch {
 	case n.share.parts > directParts:
 		return crowdedZoneFactor * n.ProbeInterval
