Split the dispatcher and the datagrams by concern, and share what stood twice

The waiting, the choice, greetings and news have files of their own. The end of connections at a stop and the copying of headers, which both interfaces had, are shared.

--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// choose returns the best target, and the best of those with a free slot. The lock is held.
+func (p *Pool) choose(a *Ask, now time.Duration, work time.Duration) (best, open estimate, inputs Inputs) {
+	o := outlook{work: work, crossing: p.crossing(a), meanPace: p.meanPace, blindUntil: p.blindUntil}
+	var unreachable estimate
+	for _, t := range p.candidates() {
+		if slices.Contains(a.Tried, t) {
+			continue
+		}
+		inputs.Candidates++
+		e := t.estimate(now, a, o, &p.policy)
+		e.cost += time.Duration(p.random.Int64N(int64(work)/tieShare + 1))
+		if now < t.unreachableUntil {
+			if unreachable.target == nil || t.unreachableUntil < unreachable.target.unreachableUntil {
+				unreachable = e
+			}
+			continue
+		}
+		if best.target == nil || e.cost < best.cost {
+			best = e
+		}
+		if e.open {
+			inputs.Open++
+			if open.target == nil || e.cost < open.cost {
+				open = e
+			}
+		}
+	}
+	if best.target == nil {
+		best = unreachable
+		if unreachable.open {
+			open = unreachable
+		}
+	}
+	return best, open, inputs
+}
+
+// headBytes is the usual size of the heads of a request and its answer.
+const headBytes = 700
+
+// crossing is the cost of sending a request to another zone, by the bytes that the exchange is expected to carry.
+func (p *Pool) crossing(a *Ask) time.Duration {
+	bytes := headBytes + float64(a.RequestBytes) + p.workOf(a).bytes
+	return time.Duration(float64(p.policy.ZoneCrossing) * bytes / 1024)
+}
+
+// candidates returns the targets to choose from. In a large fleet many instances choose at the same time by readings of
+// the same age, and would all send to the few best ones. Each then looks at a random part of the targets, those of its own
+// zone first. The lock is held.
+func (p *Pool) candidates() []*Target {
+	if p.locals <= wholeZone {
+		return p.targets
+	}
+	p.drawn = p.drawn[:0]
+	p.draw(p.targets[:p.locals], max(leastDrawn, p.locals/drawnShare))
+	p.draw(p.targets[p.locals:], leastDrawn)
+	return p.drawn
+}
+
+const (
+	// wholeZone is the number of targets of the own zone up to which all targets are looked at.
+	wholeZone = 16
+	// leastDrawn and drawnShare say how many targets are looked at otherwise: at least so many, or that part of the zone.
+	leastDrawn = 3
+	drawnShare = 16
+)
+
+// draw adds targets at random, none of them twice. The lock is held.
+func (p *Pool) draw(from []*Target, count int) {
+	if len(from) == 0 {
+		return
+	}
+	count = min(count, len(from))
+	// Consecutive targets from a random one on are a random part, because the order of ids tells nothing.
+	for i, start := 0, p.random.IntN(len(from)); i < count; i++ {
+		p.drawn = append(p.drawn, from[(start+i)%len(from)])
+	}
+}
+
+// tieShare is the part of the work by which the cost of targets is varied at random, so that instances with the same
+// readings do not all choose the same target.
+const tieShare = 10
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -55,8 +55,6 @@
 	// unreachableUntil leaves the target out after a failed connection.
 	unreachableUntil time.Duration
 	unreachableFor   time.Duration
-	// removed targets are no longer registered. Requests in flight end on them.
-	removed bool
 }
 
 // move is a request sent to a target (+1) or ended on it (-1).
--- /dev/null
+++ b/internal/fleet/news.go
@@ -0,0 +1,118 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/basillink/basillink/internal/dispatch"
+)
+
+// takeNews takes over what a peer read, and passes what came from another zone on to this zone.
+func (n *Node) takeNews(ctx context.Context, d *datagram, p *peerState, now time.Time) {
+	before := n.version()
+	changed := d.Targets != nil && n.takeTargets(d.Targets, now)
+	if n.targets.behind && n.asksPeer(p, &n.targets) {
+		n.fetchState(ctx, p.Address, now)
+	}
+	if changed {
+		n.publish(now)
+	}
+	if d.Config != nil {
+		n.takeConfig(ctx, d.Config, p, now)
+	}
+	n.observe(d.Loads)
+	if p.Zone == n.Self.Zone {
+		n.keepForZones(d)
+		return
+	}
+	if n.reader && !changed && !isNews(d.Config, before) {
+		n.keepRemote(d.Loads)
+		return
+	}
+	relay := n.base(now)
+	relay.Loads, relay.Targets, relay.Config = d.Loads, n.targetsNote(now), n.configNote(now)
+	n.tellZone(relay, now)
+}
+
+// keepForZones keeps readings by another instance of this zone for the others of the zone and for the other zones.
+func (n *Node) keepForZones(d *datagram) {
+	if !n.reader || d.Reader {
+		return
+	}
+	at := n.Now()
+	for _, note := range d.Loads {
+		n.pending[note.Target] = loadSample{note, at - time.Duration(note.AgeMS)*time.Millisecond}
+	}
+	if len(n.parts) > directParts {
+		n.keepRemote(d.Loads)
+	}
+}
+
+// asksPeer reports whether this instance fetches from a peer what it lacks of a topic. Readers of zones read the store
+// themselves, unless it does not answer them: one that was cut off would else know nothing until its next try.
+func (n *Node) asksPeer(p *peerState, topic *topicReads) bool {
+	return topic.backoff > 0 || p.Zone == n.Self.Zone && !n.reader
+}
+
+// isNews reports whether a peer's configuration is newer than a version.
+func isNews(note *configNote, version uint64) bool { return note != nil && note.Version > version }
+
+// version returns the version of the configuration in force, 0 for none.
+func (n *Node) version() uint64 {
+	if n.table == nil {
+		return 0
+	}
+	return n.table.Version
+}
+
+// keepRemote keeps readings by another instance for the next datagram to this zone.
+func (n *Node) keepRemote(loads []loadNote) {
+	at := n.Now()
+	for _, note := range loads {
+		n.remote = append(n.remote, loadSample{note, at - time.Duration(note.AgeMS)*time.Millisecond})
+	}
+}
+
+// takeConfig notes the configuration of a peer, and fetches a newer one: from a peer of this zone, where bytes cost
+// nothing, else from the store.
+func (n *Node) takeConfig(ctx context.Context, note *configNote, p *peerState, now time.Time) {
+	asOf := now.Add(-time.Duration(note.AgeMS) * time.Millisecond)
+	switch {
+	case n.table != nil && note.Version == n.table.Version:
+		n.configs.fresh(asOf)
+	case n.table != nil && note.Version < n.table.Version:
+	case n.asksPeer(p, &n.configs):
+		n.configs.behind = true
+		n.fetchState(ctx, p.Address, now)
+	default:
+		n.configs.behind = true
+	}
+}
+
+// observe hands readings to the dispatcher.
+func (n *Node) observe(loads []loadNote) {
+	if len(loads) == 0 {
+		return
+	}
+	now := n.Now()
+	byService := map[string]map[string]dispatch.Reading{}
+	for _, note := range loads {
+		ref, known := n.byHash[note.Target]
+		if !known {
+			continue
+		}
+		if note.PacePercent == 0 {
+			n.pools[ref.service].Unreachable(ref.id)
+			continue
+		}
+		if byService[ref.service] == nil {
+			byService[ref.service] = map[string]dispatch.Reading{}
+		}
+		byService[ref.service][ref.id] = toReading(note, now)
+	}
+	for service, readings := range byService {
+		if pool := n.pools[service]; pool != nil {
+			pool.Observe(readings)
+		}
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/basillink/basillink/internal/header"
@@ -60,7 +59,7 @@
 	h.SetNoDefaultContentType(true)
 	h.SetNoDefaultDate(true)
 	h.SetStatusCode(source.StatusCode())
-	visitPassed(answer, func(key, value []byte) { addAnswerHeader(h, key, value) })
+	visitPassed(answer, func(key, value []byte) { header.AddToResponse(h, key, value) })
 	if c.Request.Header.IsHead() {
 		c.Response.SkipBody = true
 		if length := source.Header.ContentLength(); length >= 0 {
@@ -87,19 +86,6 @@
 	})
 }
 
-func addAnswerHeader(h *protocol.ResponseHeader, key, value []byte) {
-	switch string(key) {
-	case "Content-Type":
-		h.SetContentTypeBytes(value)
-	case "Content-Encoding":
-		h.SetContentEncodingBytes(value)
-	case "Server":
-		h.SetServerBytes(value)
-	default:
-		h.AddArgBytes(key, value, protocol.ArgsHasValue)
-	}
-}
-
 // write sends c.Response to the caller.
 func (g *Gateway) write(c *app.RequestContext) error {
 	conn := c.GetConn()
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -131,7 +131,7 @@
 	h.SetNoDefaultDate(true)
 	h.SetStatusCode(kept.Status)
 	for _, f := range kept.Fields {
-		addAnswerHeader(h, []byte(f.Name), []byte(f.Value))
+		header.AddToResponse(h, []byte(f.Name), []byte(f.Value))
 	}
 	h.Set(header.Outcome, string(reason.Done))
 	h.Set(header.Instance, g.instance)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -24,23 +24,12 @@
 	framing.Visit(lines, func(key, value []byte) {
 		utils.NormalizeHeaderKey(key, false)
 		if passesToTarget(key) && !slices.Contains(options, string(key)) {
-			addRequestHeader(&request.Header, key, value)
+			header.AddToRequest(&request.Header, key, value)
 		}
 	})
 	request.SetBodyRaw(call.request.Body())
 }
 
-func addRequestHeader(h *protocol.RequestHeader, key, value []byte) {
-	switch string(key) {
-	case "Content-Type":
-		h.SetContentTypeBytes(value)
-	case "User-Agent":
-		h.SetUserAgentBytes(value)
-	default:
-		h.AddArgBytes(key, value, protocol.ArgsHasValue)
-	}
-}
-
 // addProtocolHeaders adds what the target is told about this dispatch. The remaining time is rounded down, so that the
 // target does not start a request whose caller has given up.
 func addProtocolHeaders(request *protocol.Request, call *call, runID string, remaining time.Duration) {
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -1,7 +1,9 @@
 package inbound
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
 )
@@ -45,6 +47,23 @@
 	entry.busy = busy
 }
 
+// closeInterval is how often CloseAll looks for connections that have become idle.
+const closeInterval = 10 * time.Millisecond
+
+// CloseAll closes each connection as soon as it carries no request. It returns an error when the context ends first.
+func (s *Connections) CloseAll(ctx context.Context) error {
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for s.CloseIdle() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // CloseIdle closes the connections without a request and returns the number of the others.
 func (s *Connections) CloseIdle() int {
 	s.mu.Lock()
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -121,23 +121,9 @@
 // Drain announces the close of connections with each further answer. New connections are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-const (
-	// drainInterval is how often Shutdown looks for connections that have become idle.
-	drainInterval = 20 * time.Millisecond
-)
-
 // Shutdown stops accepting, closes idle connections and waits for the requests in flight until the context ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
 	_ = g.listener.Close()
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	for g.connections.CloseIdle() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
+	return g.connections.CloseAll(ctx)
 }
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -44,14 +44,7 @@
 		if connectionHeaders[string(key)] || slices.Contains(options, string(key)) {
 			return
 		}
-		switch string(key) {
-		case "Content-Type":
-			h.SetContentTypeBytes(value)
-		case "User-Agent":
-			h.SetUserAgentBytes(value)
-		default:
-			h.AddArgBytes(key, value, protocol.ArgsHasValue)
-		}
+		header.AddToRequest(h, key, value)
 	})
 	h.Set(g.Headers.ExpectedInstance, targetID)
 	request.SetBodyRaw(call.request.Body())
@@ -84,7 +77,7 @@
 	source.Header.SetNoDefaultContentType(true)
 	source.Header.VisitAll(func(key, value []byte) {
 		if !connectionHeaders[string(key)] && !slices.Contains(answer.Options, string(key)) {
-			setAnswerHeader(h, key, value)
+			header.AddToResponse(h, key, value)
 		}
 	})
 	if c.Request.Header.IsHead() {
@@ -102,19 +95,6 @@
 	return g.stream(c, call, answer)
 }
 
-func setAnswerHeader(h *protocol.ResponseHeader, key, value []byte) {
-	switch string(key) {
-	case "Content-Type":
-		h.SetContentTypeBytes(value)
-	case "Content-Encoding":
-		h.SetContentEncodingBytes(value)
-	case "Server":
-		h.SetServerBytes(value)
-	default:
-		h.AddArgBytes(key, value, protocol.ArgsHasValue)
-	}
-}
-
 func writeResponse(c *app.RequestContext) error {
 	if err := resp.Write(&c.Response, c.GetConn()); err != nil {
 		return err
