Ignore readings of services that are not known yet

Cause: a datagram that reports a silent target of a service outside this instance's configuration ended the process by a nil pointer. Found by reading the diff; TestReadingOfUnknownService failed before.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -98,11 +98,13 @@
 	byService := map[string]map[string]dispatch.Reading{}
 	for _, note := range loads {
 		ref, known := n.byHash[note.Target]
-		if !known {
+		pool := n.pools[ref.service]
+		if !known || pool == nil {
+			// Another instance may have a configuration with services that this one does not know yet.
 			continue
 		}
 		if note.PacePercent == 0 {
-			n.pools[ref.service].Unreachable(ref.id)
+			pool.Unreachable(ref.id)
 			continue
 		}
 		if byService[ref.service] == nil {
@@ -111,8 +113,6 @@
 		byService[ref.service][ref.id] = toReading(note, now)
 	}
 	for service, readings := range byService {
-		if pool := n.pools[service]; pool != nil {
-			pool.Observe(readings)
-		}
+		n.pools[service].Observe(readings)
 	}
 }
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -348,3 +348,15 @@
 		t.Errorf("long after: %v", got)
 	}
 }
+
+// Guards against a process that ends because a peer reports a silent target of a service that this instance does not know
+// yet.
+func TestReadingOfUnknownService(t *testing.T) {
+	f := startFleet(t, 1)
+	n := New(Config{
+		Self: member("x0", "z0"), Store: f.doors[0], Prober: noProber{}, Now: func() time.Duration { return time.Second },
+		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
+	})
+	n.byHash[7] = targetRef{id: "t7", service: "later", zone: "z1"}
+	n.observe([]loadNote{{Target: 7}, {Target: 7, PacePercent: 100}, {Target: 8}})
+}
