Pass readings of other zones on in a zone without targets

Cause: readings of other zones waited for a datagram with own readings, which never comes in a zone without targets: they piled up in the reader and reached nobody.

--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -73,6 +73,30 @@
 	}
 }
 
+// addRemote moves the readings by other instances into a datagram to this zone.
+func (n *Node) addRemote(d *datagram, now time.Time) {
+	at := n.Now()
+	for _, sample := range n.remote {
+		d.Loads = append(d.Loads, sample.aged(at))
+	}
+	n.remote = n.remote[:0]
+	n.remoteAt = now
+}
+
+// remoteWait is how long readings by other instances wait for a datagram with own readings.
+const remoteWait = 200 * time.Millisecond
+
+// passRemote passes the readings of other zones on when there are none of this zone to go with them, for example because
+// it has no targets.
+func (n *Node) passRemote(now time.Time) {
+	if !n.reader || len(n.remote) == 0 || now.Sub(n.remoteAt) < remoteWait {
+		return
+	}
+	d := n.base(now)
+	n.addRemote(d, now)
+	n.tellZone(d, now)
+}
+
 // takeConfig notes the configuration of a peer, and fetches a newer one: from a peer of this zone, where bytes cost
 // nothing, else from the store.
 func (n *Node) takeConfig(ctx context.Context, note *configNote, p *peerState, now time.Time) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -98,7 +98,8 @@
 	// busy and filling are true while the targets of this zone are filled, or getting there.
 	busy, filling bool
 	// remote are readings of other zones that were not passed on to this zone yet.
-	remote []loadSample
+	remote   []loadSample
+	remoteAt time.Time
 	// noted is when the zone was last told how far the store was read.
 	noted time.Time
 	// pending are readings that were not sent to other zones yet.
@@ -199,6 +200,7 @@
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
 	n.probe(now)
+	n.passRemote(now)
 	n.sendHeartbeat(now)
 	n.sendAcross(now)
 	n.noteInstances(now)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -360,3 +360,26 @@
 	n.byHash[7] = targetRef{id: "t7", service: "later", zone: "z1"}
 	n.observe([]loadNote{{Target: 7}, {Target: 7, PacePercent: 100}, {Target: 8}})
 }
+
+// Guards against readings of other zones that pile up for ever in the reader of a zone without targets, and never reach
+// the other instances of that zone.
+func TestZoneWithoutTargetsPassesReadingsOn(t *testing.T) {
+	f := startFleet(t, 1)
+	n := New(Config{
+		Self: member("x0", "z9"), Store: f.doors[0], Prober: noProber{}, Now: func() time.Duration { return time.Second },
+		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
+	})
+	n.reader = true
+	far := member("x1", "z0")
+	n.members.learn(far)
+	now := begin
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		d := &datagram{From: "x1", Started: far.Started, Reader: true, Loads: []loadNote{{Target: 7, PacePercent: 100}}}
+		n.handle(context.Background(), received{datagram: d}, now)
+		n.passRemote(now)
+	}
+	if len(n.remote) > 3 {
+		t.Errorf("%d readings wait", len(n.remote))
+	}
+}
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -298,10 +298,7 @@
 		}
 		return
 	}
-	for _, sample := range n.remote {
-		d.Loads = append(d.Loads, sample.aged(at))
-	}
-	n.remote = n.remote[:0]
+	n.addRemote(d, now)
 	if now.Sub(n.noted) >= noteInterval {
 		n.noted = now
 		d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
