Serve services whose targets do not tell their load

Cause: a health answer without load counted as silence, so that all targets of a service that tells none were left out and only the fallback for unreachable targets served it; and the list of moves of such a target grew with every request.

--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -373,3 +373,22 @@
 		}
 	}
 }
+
+// Guards against memory that grows with every request to a target that does not tell its load, and against such a target
+// that receives no requests.
+func TestTargetWithoutLoad(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("t", "a"))
+	b.clock += time.Second
+	for range 1000 {
+		a := b.ask(1)
+		d := b.now(t, a)
+		if d.Target == nil {
+			t.Fatalf("%+v", d)
+		}
+		b.clock += 10 * time.Millisecond
+		b.Release(a, d, Report{End: Answered})
+	}
+	if n := len(b.targets[0].moves); n > maxMoves {
+		t.Errorf("%d moves are kept", n)
+	}
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -69,9 +69,16 @@
 // note counts a move.
 func (t *Target) note(now time.Duration, change int) {
 	t.since += change
+	if len(t.moves) >= maxMoves {
+		// Without readings, as for targets that do not tell their load, nothing else ends the list.
+		t.moves = t.moves[:copy(t.moves, t.moves[maxMoves/2:])]
+	}
 	t.moves = append(t.moves, move{now, change})
 }
 
+// maxMoves bounds the moves that are kept. Only those of the last milliseconds before a reading matter.
+const maxMoves = 64
+
 // take replaces the reading by a newer one. Moves that it cannot include stay counted.
 func (t *Target) take(r Reading) {
 	if t.read && r.At < t.reading.At {
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,11 @@
 	Close()
 }
 
+// NoLoadError reports a target that answers but does not tell its load.
+type NoLoadError struct{ Target string }
+
+func (e *NoLoadError) Error() string { return "target " + e.Target + " does not tell its load" }
+
 const (
 	// roundWait is how long a round waits for readings before it passes on those that came. Later ones join the next.
 	roundWait = 6 * time.Millisecond
@@ -36,6 +42,8 @@
 	id       string
 	reading  dispatch.Reading
 	failures int
+	// unread is true when the target answered without telling its load.
+	unread bool
 }
 
 // sampler reads the load of a set of targets in rounds. It is used by the control loop.
@@ -105,13 +113,15 @@
 			return
 		}
 		reading, err := s.read(ctx, probe)
+		var noLoad *NoLoadError
+		unread := errors.As(err, &noLoad)
 		failures++
-		if err == nil {
+		if err == nil || unread {
 			failures = 0
 			reading.At = s.now()
 		}
 		select {
-		case s.results <- sample{id: id, reading: reading, failures: failures}:
+		case s.results <- sample{id: id, reading: reading, failures: failures, unread: unread}:
 		case <-ctx.Done():
 			return
 		}
@@ -269,7 +279,7 @@
 	for _, s := range e.samples {
 		occupied += s.reading.Running + s.reading.Waiting
 		slots += s.reading.Slots
-		if s.failures > 0 && s.failures < silentReadings {
+		if s.unread || s.failures > 0 && s.failures < silentReadings {
 			continue
 		}
 		note := loadNote{
