Compute the wait of a request under the lock

Cause: Acquire read the table of learnt work and the mean pace after it had given up the lock of the service. A concurrent write to that table can end the process.

--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -67,13 +67,14 @@
 	p.enqueue(w)
 	p.serveWaiting(now)
 	p.endBlindness(now)
+	wait := max(p.waitLimit(ask)-now, 0)
 	p.mu.Unlock()
 	select {
 	case d := <-w.ready:
 		return d
 	default:
 	}
-	timer := time.NewTimer(max(p.waitLimit(ask)-now, 0))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case d := <-w.ready:
@@ -142,6 +143,7 @@
 
 // waitLimit is when a request that still waits is refused: when its answer would come after its latency objective, and at
 // the latest after its share of it.
+// The lock is held.
 func (p *Pool) waitLimit(a *Ask) time.Duration {
 	work := p.workOf(a).estimate()
 	span := float64(a.Objective)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -249,7 +249,8 @@
 	}
 	f.start(t, 2)
 	f.doors[2].set(true)
-	f.nodes[2].post(received{datagram: f.nodes[0].introduction(time.Now()), from: f.nodes[0].Self.Address})
+	self := f.nodes[0].Self
+	f.nodes[2].post(received{datagram: &datagram{From: self.ID, Started: self.Started, Self: &self}, from: self.Address})
 	f.await(t, "the new node serves", func(n *Node) bool { return n.Ready() })
 }
 
