Let instances that start together find each other

Cause: an instance read the announced members before it announced itself, so that two that started at the same moment knew nothing of each other. The members are read again after the announcement, and an instance asks a peer of its zone that hears more members than it does.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -144,6 +144,11 @@
 		return
 	}
 	p.live = d.Live
+	if p.Zone == n.Self.Zone && d.Live > 1+len(n.members.zonePeers(now)) && now.Sub(p.greeted) > heartbeatInterval {
+		// The peer hears members of this zone that this instance does not know.
+		p.greeted = now
+		n.sendAll(n.greeting(now), p.udp)
+	}
 	if d.Reader {
 		p.readerAt = now
 		if p.Zone == n.Self.Zone && len(d.Parts) > 0 && !n.reader {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -23,7 +23,10 @@
 		var r membersRead
 		r.members, r.err = n.Store.Members(ctx)
 		if r.err == nil && !slices.ContainsFunc(r.members, n.isSelf) {
-			r.err = n.Store.Announce(ctx, n.Self)
+			// The second reading finds those that were announced at the same time and read before this instance was.
+			if r.err = n.Store.Announce(ctx, n.Self); r.err == nil {
+				r.members, r.err = n.Store.Members(ctx)
+			}
 		}
 		n.deliver(ctx, r)
 	}()
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -384,3 +384,16 @@
 		t.Errorf("%d readings wait", len(n.remote))
 	}
 }
+
+// Guards against instances that start at the same moment and never meet, because each reads the announced members before
+// the other one is announced: on quiet-1 of wingworks-tz two of them read the same zone.
+func TestInstancesThatStartTogetherMeet(t *testing.T) {
+	f := &testFleet{store: &fakeStore{}}
+	f.store.publish(1)
+	for i := range 6 {
+		f.start(t, i)
+	}
+	f.await(t, "all instances", func(n *Node) bool { return n.Ready() && n.View().Instances == 6 })
+	time.Sleep(settleTime + time.Second)
+	f.await(t, "all instances are heard", func(n *Node) bool { return n.View().Instances == 6 })
+}
