--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -21,8 +21,10 @@
 	busyShare = 0.45
 	// fillingShare is the share of its slots from which on a zone reads its targets more often.
 	fillingShare = 0.33
-	// greetAgain is the pause before a silent member is greeted again, and maxGreetings how often that happens.
+	// greetAgain is the pause before a silent member is greeted again, maxGreetings how often that happens, and greetLater
+	// the pause after that.
 	greetAgain   = 300 * time.Millisecond
+	greetLater   = 5 * time.Second
 	maxGreetings = 4
 	// fewMembers is the number of known members up to which an instance of another zone is told of all. Bytes between zones
 	// are paid for.
@@ -158,6 +160,10 @@
 			n.members.fleet, n.members.fleetAt = d.Fleet, now
 		}
 	}
+	if reader := n.members.zoneReader(now); d.Reader && p.Zone != n.Self.Zone && !n.reader && reader != nil {
+		// The reader of another zone does not know yet who reads this one. After this it hears from it.
+		n.sendAll(d, reader.udp)
+	}
 	n.meet(d.Members, now)
 	if d.Greeting {
 		answer := n.introduction(now)
--- a/internal/fleet/greet.go
+++ b/internal/fleet/greet.go
@@ -28,7 +28,7 @@
 		if remote && (greeted[p.Zone] >= remoteGreetings || !n.reader && hasReader) {
 			continue
 		}
-		if p.isLive(now) || p.leaving || p.greetings >= maxGreetings || now.Sub(p.greeted) < greetAgain {
+		if p.isLive(now) || p.leaving || now.Sub(p.greeted) < greetAgain || p.greetings >= maxGreetings && now.Sub(p.greeted) < greetLater {
 			continue
 		}
 		p.greeted = now
