--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -269,7 +269,7 @@
 		})
 		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
-			t.Skip("no socket")
+			t.Fatal(err)
 		}
 		defer func() { _ = socket.Close() }()
 		n.socket = socket
