Let the reader of a zone count for itself and claim its zone without targets

A dump of the tables of all six instances showed that all links stood, but all six counted three. An instance claimed to read its zone only with readings; in a zone without targets the claims came with heartbeats, every 500 ms, while the next member takes over after 160 ms. Two instances of a zone took each other for the reader, each told the other the number it had been told (3), and the number never changed again. Ruled out: greetings and their limits; every member that has to be heard was heard.

Change: a reader counts what it hears itself and never repeats a number, and it claims its zone at least every 100 ms.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -108,7 +108,7 @@
 		From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now)),
 	}
 	if n.reader {
-		d.Fleet = n.members.instances(now)
+		d.Fleet = n.members.instances(now, true)
 	}
 	return d
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -265,13 +265,14 @@
 }
 
 // instancesAtStart estimates the number of instances, this one included, before they have been heard.
-func (m *members) instancesAtStart(now time.Time) int {
-	return max(m.instances(now), 1+len(m.peers))
+func (m *members) instancesAtStart(now time.Time, reader bool) int {
+	return max(m.instances(now, reader), 1+len(m.peers))
 }
 
-// instances estimates the number of live instances, this one included.
-func (m *members) instances(now time.Time) int {
-	if now.Sub(m.fleetAt) < liveFor && m.fleet > 0 {
+// instances estimates the number of live instances, this one included. A reader counts what it hears itself: two that
+// took each other for the reader would else repeat an old number to each other for good.
+func (m *members) instances(now time.Time, reader bool) int {
+	if !reader && now.Sub(m.fleetAt) < liveFor && m.fleet > 0 {
 		return max(m.fleet, 1+len(m.zonePeers(now)))
 	}
 	zones := map[string]int{m.self.Zone: 1 + len(m.zonePeers(now))}
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -94,14 +94,17 @@
 	all := []discovery.Member{member("a1", "a"), member("a2", "a"), member("b1", "b")}
 	m := table("a1", begin, all...)
 	m.peers["b1"].live = 5
-	if got := m.instances(begin); got != 7 {
+	if got := m.instances(begin, true); got != 7 {
 		t.Errorf("a reader counts %d", got)
 	}
 	m.fleet, m.fleetAt = 12, begin
-	if got := m.instances(begin); got != 12 {
+	if got := m.instances(begin, false); got != 12 {
 		t.Errorf("an instance that was told counts %d", got)
 	}
-	if got := m.instances(begin.Add(2 * liveFor)); got != 1 {
+	if got := m.instances(begin, true); got != 7 {
+		t.Errorf("a reader that another one told counts %d", got)
+	}
+	if got := m.instances(begin.Add(2*liveFor), false); got != 1 {
 		t.Errorf("alone it counts %d", got)
 	}
 }
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -83,13 +83,13 @@
 	n.remoteAt = now
 }
 
-// remoteWait is how long readings by other instances wait for a datagram with own readings.
-const remoteWait = 200 * time.Millisecond
+// claimInterval is how long the reader of a zone is silent at most. The next member takes over after readerSilence.
+const claimInterval = 100 * time.Millisecond
 
-// passRemote passes the readings of other zones on when there are none of this zone to go with them, for example because
-// it has no targets.
-func (n *Node) passRemote(now time.Time) {
-	if !n.reader || len(n.remote) == 0 || now.Sub(n.remoteAt) < remoteWait {
+// claim tells the zone that this instance reads it when no readings did so, for example because the zone has no targets,
+// and passes the readings of other zones on.
+func (n *Node) claim(now time.Time) {
+	if !n.reader || now.Sub(n.remoteAt) < claimInterval {
 		return
 	}
 	d := n.base(now)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -200,7 +200,7 @@
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
 	n.probe(now)
-	n.passRemote(now)
+	n.claim(now)
 	n.sendHeartbeat(now)
 	n.sendAcross(now)
 	n.noteInstances(now)
@@ -250,9 +250,9 @@
 		return
 	}
 	n.countedAt = now
-	instances := n.members.instances(now)
+	instances := n.members.instances(now, n.reader)
 	if now.Sub(n.started) < settleTime {
-		instances = n.members.instancesAtStart(now)
+		instances = n.members.instancesAtStart(now, n.reader)
 	}
 	n.refreshZonePeers(now)
 	if instances == n.instances {
