--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -128,9 +128,18 @@
 	f.allAt(f.publish(fleetService("flightdesk", 1, target.Address())), f.all()...)
 	waitForMembers(f)
 	f.signal(2, syscall.SIGSTOP)
+	var seen map[string]int
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("members last seen by a peer: %v", seen)
+		}
+	})
 	testwait.Until(t, "the paused instance dead for a peer", func() bool {
 		status := f.status(0)
-		return status != nil && status.Members["dead"] == 1
+		if status != nil {
+			seen = status.Members
+		}
+		return seen["dead"] == 1
 	})
 	revision := f.publish(fleetService("flightdesk", 2, target.Address()))
 	f.signal(2, syscall.SIGCONT)
