Take a request out of the queue when it is decided at the end of its wait

A print of its table showed four of its own requests on each target, all of them unconfirmed claims. A request that was decided when its wait ended stayed in the queue; the next reading decided it again, nobody took that decision, and the request counted on its target until the instance ended. Ruled out: the servers of the soak (they told 0 to 3 of 4 slots taken), stale readings (4 to 219 ms old), denials.

Change: decideLast removes the request from the queue in the same step.

--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/basillink/basillink/internal/reason"
@@ -345,6 +346,34 @@
 	}
 }
 
+// Guards against a request that stays in the queue after it was decided at the end of its wait: it was decided again at the
+// next reading, and counted on its target for good. Found by the fault soak (seed 2): an instance refused everything,
+// because each target seemed to hold four of its requests.
+func TestLastDecisionLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(DefaultPolicy(), target("t1", "a"), target("t2", "a"))
+		b.blindUntil = 0
+		b.read("t1", 5, 1)
+		b.read("t2", 5, 1)
+		done := make(chan Decision)
+		go func() { done <- b.Acquire(context.Background(), b.ask(1)) }()
+		synctest.Wait()
+		// The wait ends with free slots that no reading has shown to the queue yet.
+		b.mu.Lock()
+		b.clock += 200 * time.Millisecond
+		b.byID["t1"].take(Reading{Running: 1, Slots: 5, Pace: 1, At: b.clock})
+		b.mu.Unlock()
+		d := <-done
+		if d.Target == nil || b.queued() != 0 {
+			t.Fatalf("%+v, %d still wait", d, b.queued())
+		}
+		b.read("t2", 0, 1)
+		if own := b.byID["t1"].own + b.byID["t2"].own; own != 1 {
+			t.Errorf("one request counts %d times", own)
+		}
+	})
+}
+
 // Guards against a request that is refused at the end of its wait although a slot is free then.
 func TestDecidesAtTheEndOfTheWait(t *testing.T) {
 	start := time.Now()
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -103,13 +103,16 @@
 	}
 }
 
-// decideLast decides a request that has waited as long as it may.
+// decideLast decides a request that has waited as long as it may. The request leaves the queue: one that stayed would be
+// decided again, and nobody would send or release it.
 func (p *Pool) decideLast(w *waiter) Decision {
 	p.mu.Lock()
 	now := p.now()
 	if i := slices.Index(p.waiting, w); i >= 0 {
 		if d, decided := p.decide(w.ask, now, i); decided {
-			w.ready <- d
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			p.mu.Unlock()
+			return d
 		}
 	}
 	p.mu.Unlock()
