--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -26,12 +26,13 @@
 	noiseShare       = 0.35
 	noiseFactor      = 4.0
 	noisePeriod      = 300 * time.Millisecond
-	kneeShare        = 0.8
-	kneeFactor       = 1.35
-	targetSlots      = 4
-	targetQueue      = 8
-	creditWindow     = 2 * time.Second
-	drainTime        = 5 * time.Second
+	// A target is slowed by kneeFactor beyond kneeShare of its slots. The site files say 1.7; with that the model prefers
+	// four fifths of the slots, which the bench does not confirm, so that a smaller factor stands here.
+	kneeShare   = 0.8
+	kneeFactor  = 1.35
+	targetSlots = 4
+	targetQueue = 8
+	drainTime   = 5 * time.Second
 	// clump is how many callers come at the same moment.
 	clump = 2
 )
@@ -39,16 +40,15 @@
 // modelClass is a kind of request.
 type modelClass struct {
 	route                              string
-	share                              float64
 	work, objective, timeout, deadline time.Duration
 	worth, late                        float64
 	priority                           int
 	idempotent                         bool
 }
 
-// longClasses are requests that take most of their latency objective when a target's machine is busy.
-var longClasses = []modelClass{
-	{"stock-digest", 1, 300 * time.Millisecond, 800 * time.Millisecond, 1070 * time.Millisecond, 2 * time.Second, 1, 0.1, 2, true},
+// longClass are requests that take most of their latency objective when a target's machine is busy.
+var longClass = modelClass{
+	"stock-digest", 300 * time.Millisecond, 800 * time.Millisecond, 1070 * time.Millisecond, 2 * time.Second, 1, 0.1, 2, true,
 }
 
 // modelTarget runs jobs at a speed that its neighbours and its own load change.
@@ -56,8 +56,6 @@
 	id, zone       string
 	noisy          bool
 	noiseUntil     time.Duration
-	slow           float64
-	down           bool
 	running, queue []*modelJob
 }
 
@@ -67,7 +65,7 @@
 }
 
 func (t *modelTarget) pace() float64 {
-	pace := t.slow
+	pace := 1.0
 	if t.noisy {
 		pace *= noiseFactor
 	}
@@ -119,33 +117,22 @@
 	order   []*modelTarget
 	pools   map[string][]*Pool
 	all     []*Pool
-	windows []windowCredit
-	total   windowCredit
-	classes map[string]*windowCredit
+	total   credit
 	// overfull counts the milliseconds of targets with more requests than slots, and busy all of them.
 	overfull, busy int
 }
 
-type windowCredit struct{ owed, earned float64 }
+type credit struct{ owed, earned float64 }
 
-func (w windowCredit) ratio() float64 {
-	if w.owed == 0 {
-		return 1
-	}
-	return w.earned / w.owed
-}
+func (c credit) ratio() float64 { return c.earned / c.owed }
 
 // modelLoad describes a day of the model.
 type modelLoad struct {
 	seed      uint64
 	length    time.Duration
 	perSecond float64
-	// factor multiplies the rate at a time.
-	factor func(time.Duration) float64
-	// disturb is called every tick.
-	disturb func(*loadModel, time.Duration)
-	policy  Policy
-	classes []modelClass
+	policy    Policy
+	class     modelClass
 	// claims tells whether the instances announce requests to the one that reads the target's zone.
 	claims bool
 	// targets is the number of targets of each zone.
@@ -163,8 +150,7 @@
 	t.Helper()
 	m := &loadModel{
 		random: rand.New(rand.NewPCG(load.seed, 5)), targets: map[string]*modelTarget{},
-		pools: map[string][]*Pool{}, classes: map[string]*windowCredit{},
-		windows: make([]windowCredit, load.length/creditWindow+1),
+		pools: map[string][]*Pool{},
 	}
 	synctest.Test(t, func(*testing.T) { m.play(load) })
 	return m
@@ -179,7 +165,7 @@
 	for zone, z := range modelZones {
 		for i := range load.targets[zone] {
 			id := fmt.Sprintf("%s%d", z.name, i)
-			m.targets[id] = &modelTarget{id: id, zone: z.name, slow: 1}
+			m.targets[id] = &modelTarget{id: id, zone: z.name}
 			m.order = append(m.order, m.targets[id])
 			registered = append(registered, registry.Target{Entry: registry.Entry{ID: id, Address: id, Zone: z.name, Slots: targetSlots}})
 		}
@@ -201,9 +187,6 @@
 		time.Sleep(modelTick)
 		m.mu.Lock()
 		now := m.now()
-		if load.disturb != nil {
-			load.disturb(m, now)
-		}
 		for _, t := range m.order {
 			t.advance(now, m.random)
 			m.busy++
@@ -225,21 +208,13 @@
 
 // arrive starts the requests of one tick.
 func (m *loadModel) arrive(ctx context.Context, load modelLoad, now time.Duration) {
-	factor := 1.0
-	if load.factor != nil {
-		factor = load.factor(now)
-	}
 	for _, z := range modelZones {
-		for expected := load.perSecond * factor * z.share * modelTick.Seconds(); expected > 0; expected-- {
+		for expected := load.perSecond * z.share * modelTick.Seconds(); expected > 0; expected-- {
 			if m.random.Float64() >= expected/clump {
 				continue
 			}
-			class := load.classes[0]
-			if m.random.Float64() >= class.share {
-				class = load.classes[1]
-			}
 			for range clump {
-				go m.call(ctx, z.name, class, now)
+				go m.call(ctx, z.name, load.class, now)
 			}
 		}
 	}
@@ -252,10 +227,8 @@
 		if byZone[t.zone] == nil {
 			byZone[t.zone] = map[string]Reading{}
 		}
-		if !t.down {
-			byZone[t.zone][t.id] = Reading{
-				Running: len(t.running), Waiting: len(t.queue), Slots: targetSlots, Pace: t.pace(), At: m.now(),
-			}
+		byZone[t.zone][t.id] = Reading{
+			Running: len(t.running), Waiting: len(t.queue), Slots: targetSlots, Pace: t.pace(), At: m.now(),
 		}
 	}
 	time.AfterFunc(2*targetDelay, func() {
@@ -275,15 +248,7 @@
 func (m *loadModel) call(ctx context.Context, zone string, class modelClass, began time.Duration) {
 	m.mu.Lock()
 	work := time.Duration(float64(class.work) * math.Exp(0.3*m.random.NormFloat64()-0.045))
-	w := &m.windows[min(int(began/creditWindow), len(m.windows)-1)]
-	c := m.classes[class.route]
-	if c == nil {
-		c = &windowCredit{}
-		m.classes[class.route] = c
-	}
-	for _, x := range []*windowCredit{w, &m.total, c} {
-		x.owed += class.worth
-	}
+	m.total.owed += class.worth
 	m.mu.Unlock()
 	deadline := began + class.deadline
 	for range 2 {
@@ -295,15 +260,11 @@
 		time.Sleep(callerDelay)
 		if ok {
 			m.mu.Lock()
-			credit := class.worth
-			if m.now() > began+class.objective {
-				credit = class.late
-			}
-			if m.now() > deadline {
-				credit = 0
-			}
-			for _, x := range []*windowCredit{w, &m.total, c} {
-				x.earned += credit
+			switch now := m.now(); {
+			case now <= began+class.objective:
+				m.total.earned += class.worth
+			case now <= deadline:
+				m.total.earned += class.late
 			}
 			m.mu.Unlock()
 			return
@@ -395,7 +356,7 @@
 	for seed := range uint64(rushSeeds) {
 		for i, claims := range []bool{false, true} {
 			m := playLoad(t, modelLoad{
-				seed: seed, length: 10 * time.Second, perSecond: 95, policy: DefaultPolicy(), classes: longClasses,
+				seed: seed, length: 10 * time.Second, perSecond: 95, policy: DefaultPolicy(), class: longClass,
 				targets: []int{5, 4, 4}, claims: claims,
 			})
 			overfull[i] += m.overfullShare() / rushSeeds
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -22,9 +22,7 @@
 	work        = 25 * time.Millisecond
 	perService  = 6
 	callerCount = 20
-	// applyBound is the time within which a configuration is in force.
-	applyBound = 2 * time.Second
-	heartbeat  = time.Second
+	heartbeat   = time.Second
 )
 
 // world is a store, servers, instances and callers.
@@ -41,10 +39,6 @@
 	sequence int64
 	next     int
 	version  uint64
-	// changedAt is when the configuration last changed.
-	changedAt time.Time
-	// storeCalmSince and steadySince are when the last fault of the store and of an instance ended.
-	storeCalmSince, steadySince time.Time
 
 	requests sync.Map
 	count    atomic.Int64
@@ -62,7 +56,7 @@
 	t.Helper()
 	w := &world{
 		t: t, store: platformtest.NewStore(), runs: platformtest.NewRuns(), random: rand.New(rand.NewPCG(*seed, 1)),
-		started: time.Now(), storeCalmSince: time.Now(), steadySince: time.Now(),
+		started: time.Now(),
 	}
 	t.Cleanup(w.store.Close)
 	w.configure()
@@ -103,7 +97,6 @@
 			route("read", "s0", true), route("book", "s0", false), route("log", "s1", true), route("which", serviceOf(w.version), true),
 		},
 	})
-	w.changedAt = time.Now()
 }
 
 func serviceOf(version uint64) string { return fmt.Sprintf("s%d", version%2) }
