--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -87,6 +87,21 @@
 	return w
 }
 
+// MeanWork returns the mean over the routes of how long their work takes on a target at its present pace, or 0 before the
+// first request.
+func (p *Pool) MeanWork() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.work) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, w := range p.work {
+		sum += w.mean
+	}
+	return time.Duration(sum / float64(len(p.work)) * p.meanPace)
+}
+
 // retryBudget is this instance's share of the fleet's allowance for sending requests to a further target.
 type retryBudget struct {
 	tokens float64
@@ -127,11 +142,22 @@
 func (p *Pool) refillRetries() {
 	now := p.now()
 	r := &p.retries
+	extra := p.policy.RetryExtra / float64(p.sharers)
+	if !p.sharersKnown {
+		extra = 0
+	}
 	if !r.started {
-		r.started, r.tokens = true, p.policy.RetryExtra/float64(p.sharers)
+		r.started, r.tokens = true, extra
 	} else {
-		share := p.policy.RetryExtra / 2 / float64(p.sharers)
-		r.tokens = min(r.tokens+share*float64(now-r.at)/float64(p.policy.RetryWindow), p.retryCap())
+		r.tokens = min(r.tokens+extra/2*float64(now-r.at)/float64(p.policy.RetryWindow), p.retryCap())
 	}
 	r.at = now
 }
+
+// KnowSharers tells whether the number of instances that share the targets is known. While it is a guess, as just after a
+// start of all instances, each of them uses only the retries that its own requests earn.
+func (p *Pool) KnowSharers(known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sharersKnown = known
+}
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -222,14 +222,11 @@
 
 // read hands the load of the targets to the pools of their zone, and to those of the other zones less often.
 func (m *loadModel) read(across bool) {
-	byZone := map[string]map[string]Reading{}
+	byZone := map[string][]Observation{}
 	for _, t := range m.order {
-		if byZone[t.zone] == nil {
-			byZone[t.zone] = map[string]Reading{}
-		}
-		byZone[t.zone][t.id] = Reading{
+		byZone[t.zone] = append(byZone[t.zone], Observation{t.id, Reading{
 			Running: len(t.running), Waiting: len(t.queue), Slots: targetSlots, Pace: t.pace(), At: m.now(),
-		}
+		}})
 	}
 	time.AfterFunc(2*targetDelay, func() {
 		for zone, readings := range byZone {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -77,10 +77,11 @@
 	waiting []*waiter
 	// meanPace is the mean over the readings of all targets.
 	meanPace float64
-	// sharers is the number of instances that send to the same targets.
-	sharers int
-	retries retryBudget
-	random  *rand.Rand
+	// sharers is the number of instances that send to the same targets, and sharersKnown is false while it is a guess.
+	sharers      int
+	sharersKnown bool
+	retries      retryBudget
+	random       *rand.Rand
 	// blindUntil is until when targets without a reading receive no requests.
 	blindUntil time.Duration
 	// serving is true while a look at the waiting requests is scheduled.
@@ -93,7 +94,7 @@
 func NewPool(policy Policy, zone string, now func() time.Duration, random *rand.Rand) *Pool {
 	return &Pool{
 		blindUntil: now() + blindTime,
-		policy:     policy, zone: zone, now: now, random: random, sharers: 1, meanPace: usualPace,
+		policy:     policy, zone: zone, now: now, random: random, sharers: 1, sharersKnown: true, meanPace: usualPace,
 		byID: map[string]*Target{}, work: map[string]*workEstimate{},
 	}
 }
@@ -136,14 +137,21 @@
 	return 1
 }
 
-// Observe takes over readings of load by target id. Waiting requests are decided again.
-func (p *Pool) Observe(readings map[string]Reading) {
+// Observation is the reading of one target.
+type Observation struct {
+	// Target is the id of the target.
+	Target string
+	Reading
+}
+
+// Observe takes over readings of load. Waiting requests are decided again.
+func (p *Pool) Observe(readings []Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, reading := range readings {
-		if t := p.byID[id]; t != nil {
-			t.take(reading)
-			p.meanPace += paceGain * (reading.Pace - p.meanPace)
+	for _, o := range readings {
+		if t := p.byID[o.Target]; t != nil {
+			t.take(o.Reading)
+			p.meanPace += paceGain * (o.Pace - p.meanPace)
 		}
 	}
 	p.serveSoon()
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -44,7 +44,7 @@
 
 // read reports a load for a target.
 func (b *bench) read(id string, running int, pace float64) {
-	b.Observe(map[string]Reading{id: {Running: running, Slots: 5, Pace: pace, At: b.clock}})
+	b.Observe([]Observation{{id, Reading{Running: running, Slots: 5, Pace: pace, At: b.clock}}})
 }
 
 // now decides a request that must not wait.
@@ -108,7 +108,7 @@
 	for range 4 {
 		b.now(t, b.ask(1))
 	}
-	b.Observe(map[string]Reading{"t": {Running: 0, Slots: 5, Pace: 1, At: b.clock + time.Millisecond}})
+	b.Observe([]Observation{{"t", Reading{Running: 0, Slots: 5, Pace: 1, At: b.clock + time.Millisecond}}})
 	if got := b.targets[0].occupied(b.clock, &b.policy); got != 4 {
 		t.Errorf("occupied %d", got)
 	}
@@ -332,6 +332,35 @@
 	}
 }
 
+// Guards against a fleet that spends the allowance for retries many times over after a restart of all instances, when each
+// of them hears nobody yet and takes the whole allowance for its own.
+func TestNoExtraRetriesWhileTheFleetIsUnknown(t *testing.T) {
+	const instances = 400
+	policy := DefaultPolicy()
+	policy.RetryRatio, policy.RetryExtra = 0.12, 378
+	retries := 0
+	for range instances {
+		b := newBench(policy, target("t", "a"))
+		b.KnowSharers(false)
+		for range 2 {
+			b.Arrived()
+			for b.MayRetry() {
+				retries++
+			}
+		}
+		b.clock += time.Second
+		b.SetTargets([]registry.Target{target("t", "a")}, instances, wall)
+		b.KnowSharers(true)
+		b.Arrived()
+		for b.MayRetry() {
+			retries++
+		}
+	}
+	if retries > int(policy.RetryExtra) {
+		t.Errorf("%d retries, %v are allowed", retries, policy.RetryExtra)
+	}
+}
+
 // Guards against a target that has just started and receives as many requests as a warm one.
 func TestWarmupCosts(t *testing.T) {
 	cold := target("cold", "a")
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"net"
 	"time"
 
@@ -93,6 +94,7 @@
 // refreshReaders notes who reads the targets of each zone. Instances talk to the readers of other zones only when they
 // read their own zone; the others learn of them from the reader of their zone.
 func (n *Node) refreshReaders(now time.Time) {
+	before := n.readers
 	n.readers = map[string]*peerState{}
 	if n.reader {
 		for _, p := range n.members.remoteReaders(now) {
@@ -106,7 +108,9 @@
 			}
 		}
 	}
-	n.refreshClaims()
+	if !maps.Equal(before, n.readers) {
+		n.refreshClaims()
+	}
 }
 
 // remoteReaderIDs returns the instances that read the targets of the other zones.
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -19,18 +19,6 @@
 	largeCrossInterval = 400 * time.Millisecond
 	// busyShare is the share of its slots from which on a zone is busy.
 	busyShare = 0.45
-	// fillingShare is the share of its slots from which on a zone reads its targets more often.
-	fillingShare = 0.33
-	// greetAgain is the pause before a silent member is greeted again, maxGreetings how often that happens, and greetLater
-	// the pause after that.
-	greetAgain   = 300 * time.Millisecond
-	greetLater   = 5 * time.Second
-	maxGreetings = 4
-	// fewMembers is the number of known members up to which an instance of another zone is told of all. Bytes between zones
-	// are paid for.
-	fewMembers = 3
-	// remoteGreetings is how many members of another zone are greeted at a time while none of them is heard.
-	remoteGreetings = 2
 )
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
@@ -109,11 +97,9 @@
 }
 
 func (n *Node) base(now time.Time) *datagram {
-	d := &datagram{
-		From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: 1 + len(n.members.zonePeers(now)),
-	}
-	if n.reader {
-		d.Fleet = n.members.instances(now, true)
+	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: n.liveInZone(now)}
+	if n.reader && n.settled(now) {
+		d.Fleet = n.instances
 	}
 	return d
 }
@@ -131,7 +117,7 @@
 	if d.From == n.Self.ID {
 		return
 	}
-	if d.Self != nil && n.members.learn(*d.Self) {
+	if d.Self != nil && n.members.learn(*d.Self, now) {
 		n.Log.Info("Met an instance.", "instance", d.From, "zone", d.Self.Zone, "address", d.Self.Address)
 	}
 	p := n.members.peers[d.From]
@@ -151,40 +137,48 @@
 		return
 	}
 	p.live = d.Live
-	if p.Zone == n.Self.Zone && d.Live > 1+len(n.members.zonePeers(now)) && now.Sub(p.greeted) > heartbeatInterval {
+	if p.Zone == n.Self.Zone && d.Live > 1+n.members.zoneSize() && now.Sub(p.greeted) > heartbeatInterval {
 		// The peer hears members of this zone that this instance does not know.
 		p.greeted = now
 		n.sendAll(n.greeting(now), p.udp)
 	}
 	if d.Reader {
-		p.readerAt = now
-		if p.Zone == n.Self.Zone && len(d.Parts) > 0 && !n.reader {
-			n.parts, n.partsAt = d.Parts, now
-		}
-		if p.Zone == n.Self.Zone && len(d.Readers) > 0 {
-			n.toldReaders = d.Readers
-		}
-		if p.Zone == n.Self.Zone {
-			n.members.fleet, n.members.fleetAt = d.Fleet, now
-		}
+		n.takeReader(d, p, now)
 	}
 	if reader := n.members.zoneReader(now); d.Reader && p.Zone != n.Self.Zone && !n.reader && reader != nil {
 		// The reader of another zone does not know yet who reads this one. After this it hears from it.
 		n.sendAll(d, reader.udp)
 	}
+	n.members.toldSize = max(n.members.toldSize, d.ZoneSize)
 	n.meet(d.Members, now)
 	if d.Greeting {
-		answer := n.introduction(now)
-		if len(n.members.peers) > d.Knows && (p.Zone == n.Self.Zone || d.Knows <= fewMembers) {
-			answer.Members = n.members.all()
-		}
-		answer.Targets, answer.Config = n.targetsNote(now), n.configNote(now)
-		n.send(p.Address, answer)
+		n.answerGreeting(d, p, now)
 	}
 	n.takeNews(ctx, d, p, now)
 }
 
-// tellZone sends a datagram to the live members of this zone.
+// takeReader takes over what the reader of a zone tells of the zone.
+func (n *Node) takeReader(d *datagram, p *peerState, now time.Time) {
+	n.members.noteReader(p, now)
+	if p.Zone != n.Self.Zone {
+		return
+	}
+	if len(d.Parts) > 0 && !n.reader {
+		n.parts, n.partsAt = d.Parts, now
+	}
+	if len(d.Readers) > 0 {
+		n.toldReaders = d.Readers
+	}
+	if len(d.Council) > 0 {
+		n.members.told, n.members.toldAt = d.Council, now
+	}
+	if d.Fleet > 0 {
+		n.members.fleet, n.members.zoneLive, n.members.fleetAt = d.Fleet, d.Live, now
+	}
+}
+
+// tellZone sends a datagram to the members of this zone that this instance hears. The reader and the council hear all of
+// them; what others tell, the reader passes on.
 func (n *Node) tellZone(d *datagram, now time.Time) {
 	n.sendAll(d, addressesOf(n.members.zonePeers(now))...)
 }
@@ -205,15 +199,15 @@
 	n.sendAll(d, addressesOf(n.members.remoteReaders(now))...)
 }
 
-// sendHeartbeat tells the zone that this instance lives.
+// sendHeartbeat tells the council of the zone that this instance lives.
 func (n *Node) sendHeartbeat(now time.Time) {
 	if now.Sub(n.heartbeat) < n.members.heartbeatEvery() {
 		return
 	}
 	n.heartbeat = now
 	d := n.introduction(now)
-	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
-	n.tellZone(d, now)
+	d.Targets, d.Config = n.targetsSummary(now), n.configNote(now)
+	n.sendAll(d, addressesOf(n.members.council(now))...)
 	n.greet(now)
 }
 
@@ -236,7 +230,7 @@
 // crossInterval is the time between two datagrams to each other zone.
 func (n *Node) crossInterval() time.Duration {
 	switch {
-	case n.members.zoneSize > largeZone:
+	case n.members.zoneSize() > largeZone:
 		return largeCrossInterval
 	case n.busy:
 		return busyCrossInterval
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -36,10 +36,11 @@
 	err     error
 }
 
-// membersRead is the end of the announcement of this instance and the read of the others.
+// membersRead is the end of a read of the announced members, after the announcement of this instance if it reads its zone.
 type membersRead struct {
-	members []discovery.Member
-	err     error
+	members   []discovery.Member
+	announced bool
+	err       error
 }
 
 // stateFetched is the answer of a peer to a request for its state.
@@ -87,10 +88,11 @@
 
 // readConfigs reads the configurations when it is this instance's turn.
 func (n *Node) readConfigs(ctx context.Context, now time.Time, rank int) {
-	if !n.configs.due(now, rank, n.reader) {
+	if !n.configs.due(now, rank, n.reader, n.firstRead(now, rank)) {
 		return
 	}
 	n.configs.reading = true
+	n.noteRead("configs", &n.configs, rank, now)
 	next, known := n.configs.next, n.configs.known
 	go func() {
 		r := configsRead{began: now}
@@ -108,6 +110,15 @@
 	}()
 }
 
+// noteRead logs that an instance reads a topic that another one usually reads for it.
+func (n *Node) noteRead(name string, topic *topicReads, rank int, now time.Time) {
+	if n.reader && topic.known {
+		return
+	}
+	n.Log.Info("Reading the store.", "topic", name, "known", topic.known, "behind", topic.behind, "alone", topic.alone,
+		"age_ms", now.Sub(topic.asOf).Milliseconds(), "rank", rank, "reader", n.reader)
+}
+
 // deliver hands the end of an own read to the control loop. It waits, because the loop relies on it.
 func (n *Node) deliver(ctx context.Context, e event) {
 	select {
@@ -154,10 +165,11 @@
 
 // readTargets reads the records of targets when it is this instance's turn.
 func (n *Node) readTargets(ctx context.Context, now time.Time, rank int) {
-	if !n.targets.due(now, rank, n.reader) {
+	if !n.targets.due(now, rank, n.reader, n.firstRead(now, rank)) {
 		return
 	}
 	n.targets.reading = true
+	n.noteRead("targets", &n.targets, rank, now)
 	next, known := n.targets.next, n.targets.known
 	go func() {
 		r := targetsRead{began: now}
@@ -235,16 +247,26 @@
 	return note
 }
 
+// targetsSummary describes how far the targets were read, without the changes.
+func (n *Node) targetsSummary(now time.Time) *targetsNote {
+	if !n.targets.known {
+		return nil
+	}
+	return &targetsNote{Base: n.targets.next, Next: n.targets.next, AgeMS: now.Sub(n.targets.asOf).Milliseconds()}
+}
+
+// configNote describes the configuration in force. Version 0 stands for none.
 func (n *Node) configNote(now time.Time) *configNote {
-	if n.table == nil {
+	if !n.configs.known {
 		return nil
 	}
-	return &configNote{Version: n.table.Version, AgeMS: now.Sub(n.configs.asOf).Milliseconds()}
+	return &configNote{Version: n.version(), AgeMS: now.Sub(n.configs.asOf).Milliseconds()}
 }
 
 // takeTargets takes over what a peer read of the targets. It reports whether anything changed.
 func (n *Node) takeTargets(note *targetsNote, now time.Time) bool {
 	if !n.targets.known {
+		n.targets.behind = true
 		return false
 	}
 	if note.Next > n.targets.next && note.Base > n.targets.next {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -8,30 +8,51 @@
 	"github.com/basillink/basillink/internal/discovery"
 )
 
-// joinRetry is the pause before this instance asks the store again for the members.
-const joinRetry = 700 * time.Millisecond
+const (
+	// announceAfter is how long an instance reads its zone before it announces itself in the store.
+	announceAfter = 400 * time.Millisecond
+	// joinRetry is the pause before this instance asks the store again for the members, and lastJoinRetry the longest.
+	joinRetry     = 700 * time.Millisecond
+	lastJoinRetry = 10 * time.Second
+)
 
-// join reads the announced members from the store and announces this instance unless it is, until that has worked once.
-// After that the members hear of each other without the store. An instance that starts again finds itself announced, and
-// knows at once how many share the targets with it.
+// join asks the store for the announced members while no other instance is heard, and announces this instance when it
+// reads its zone. The others find each other through the seeds and through the readers, because each call to the store is
+// paid for.
 func (n *Node) join(ctx context.Context, now time.Time) {
-	if n.joined || n.joining || now.Before(n.joinAt) {
+	isolated := n.members.isolated(now)
+	if isolated || n.members.zoneReader(now) == nil && !n.reader {
+		n.greetSeeds(now)
+	}
+	announces := n.reader && !n.announced && now.Sub(n.readerSince) >= announceAfter
+	asks := isolated && now.Sub(n.started) >= n.startPatience()
+	if n.joining || now.Before(n.joinAt) || !announces && !asks {
 		return
 	}
 	n.joining = true
 	go func() {
 		var r membersRead
 		r.members, r.err = n.Store.Members(ctx)
-		if r.err == nil && !slices.ContainsFunc(r.members, n.isSelf) {
-			// The second reading finds those that were announced at the same time and read before this instance was.
-			if r.err = n.Store.Announce(ctx, n.Self); r.err == nil {
-				r.members, r.err = n.Store.Members(ctx)
-			}
+		if r.err == nil && announces {
+			r = n.announce(ctx, r.members)
 		}
 		n.deliver(ctx, r)
 	}()
 }
 
+// announce announces this instance unless it is, and reads the members once more. That finds those that were announced at
+// the same time and read before this instance was.
+func (n *Node) announce(ctx context.Context, members []discovery.Member) membersRead {
+	r := membersRead{members: members, announced: true}
+	if slices.ContainsFunc(members, n.isSelf) {
+		return r
+	}
+	if r.err = n.Store.Announce(ctx, n.Self); r.err == nil {
+		r.members, r.err = n.Store.Members(ctx)
+	}
+	return r
+}
+
 // isSelf reports whether an announced member is this instance, in this or an earlier incarnation.
 func (n *Node) isSelf(m discovery.Member) bool {
 	return m.ID == n.Self.ID && m.Address == n.Self.Address && m.Zone == n.Self.Zone && m.Capacity == n.Self.Capacity
@@ -40,14 +61,45 @@
 func (n *Node) handleMembers(e membersRead, now time.Time) {
 	n.joining = false
 	n.meet(e.members, now)
+	n.joinPause = min(max(2*n.joinPause, joinRetry), lastJoinRetry)
+	n.joinAt = now.Add(n.joinPause)
 	if e.err != nil {
-		n.joinAt = now.Add(joinRetry)
-		n.greetSeeds()
-		n.Log.Info("Could not announce this instance.", "error", e.err)
+		n.Log.Info("Could not read or announce members.", "error", e.err)
 		return
 	}
-	n.joined = true
+	if e.announced {
+		n.announced = true
+		n.joinPause = 0
+	}
 	n.countedAt = time.Time{}
 	n.noteInstances(now)
-	n.Log.Info("Announced this instance.", "members", len(e.members))
+	n.Log.Info("Read the announced members.", "members", len(e.members), "announced", e.announced)
+}
+
+const (
+	// patienceOfCore is how long an instance with a whole core waits after its start for instances that tell it what they
+	// know, before it asks the store. Weaker instances start more slowly and wait longer.
+	patienceOfCore = 50 * time.Millisecond
+	// helpWait is how much longer it waits while a member is heard that comes before it in its zone.
+	helpWait = 800 * time.Millisecond
+)
+
+// startPatience is how long this instance waits after its start before it asks the store for what it lacks.
+func (n *Node) startPatience() time.Duration {
+	if len(n.Seeds) == 0 {
+		return 0
+	}
+	return patienceOfCore * CapacityUnit / time.Duration(max(n.Self.Capacity, leastCapacity))
+}
+
+// firstRead is when this instance reads a topic that nobody told it of.
+func (n *Node) firstRead(now time.Time, rank int) time.Time {
+	at := n.started.Add(n.startPatience())
+	if claim := n.members.mayClaim(n.started); len(n.Seeds) > 0 && at.Before(claim) {
+		at = claim
+	}
+	if n.members.zoneReader(now) != nil {
+		at = at.Add(helpWait + time.Duration(rank)*standbyStep)
+	}
+	return at
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -4,14 +4,13 @@
 	"net"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
 )
 
 const (
-	// heartbeatInterval is how often an instance tells those of its zone that it lives.
+	// heartbeatInterval is how often an instance tells the council of its zone that it lives.
 	heartbeatInterval = 500 * time.Millisecond
 	// largeZone is the number of members beyond which a zone counts as large, and largeZoneHeartbeat the heartbeat there.
 	largeZone          = 10
@@ -22,8 +21,19 @@
 	// successionStep the further wait of each member behind that one.
 	readerSilence  = 160 * time.Millisecond
 	successionStep = 60 * time.Millisecond
+	// resumeSilence is how long an instance whose process was paused listens. A reader speaks every readerInterval.
+	resumeSilence = 250 * time.Millisecond
 	// startSilence is how long instances of large zones wait after their start.
 	startSilence = 200 * time.Millisecond
+	// councilSize is the number of members of a zone that hear the heartbeats of all its members, so that one of them can
+	// take over from the reader. Heartbeats of all to all would grow with the square of the zone.
+	councilSize = 8
+	// councilFor is how long the council holds that the reader of the zone told.
+	councilFor = 5 * time.Second
+	// missingFor is how long a silent member counts as one that may be cut off.
+	missingFor = 30 * time.Second
+	// forgetAfter is how long a silent member is remembered.
+	forgetAfter = 10 * time.Minute
 )
 
 // precedes reports whether a member takes on work for its zone before another one: the stronger first, then by id.
@@ -37,8 +47,10 @@
 // peerState is what is known of another instance.
 type peerState struct {
 	discovery.Member
-	// udp is the address, nil if it cannot be resolved.
+	// udp is the address.
 	udp *net.UDPAddr
+	// learnt is when the member was first told of.
+	learnt time.Time
 	// heard is when its last datagram arrived, zero if none did.
 	heard time.Time
 	// readerAt is when it last claimed to be the reader of its zone.
@@ -53,23 +65,54 @@
 	greetings int
 }
 
-// members is the table of known instances. It is not safe for concurrent use.
+// isLive reports whether a peer was heard lately.
+func (p *peerState) isLive(now time.Time) bool {
+	return !p.leaving && !p.heard.IsZero() && now.Sub(p.heard) < liveFor
+}
+
+// givenUp reports whether a peer left, or is silent and did not answer greetings.
+func (p *peerState) givenUp(now time.Time) bool {
+	return p.leaving || !p.isLive(now) && p.greetings >= maxGreetings
+}
+
+// members is the table of known instances. It is not safe for concurrent use. The lists are kept in order when a member
+// comes or goes, so that a datagram costs no sorting.
 type members struct {
 	self  discovery.Member
 	peers map[string]*peerState
-	// zoneSize is the number of known members of this zone.
-	zoneSize int
-	// fleet is the number of live instances that the reader of this zone told at fleetAt.
-	fleet   int
-	fleetAt time.Time
+	// zone are the known members of this zone, and remote those of each other zone, in order of precedence.
+	zone   []*peerState
+	remote map[string][]*peerState
+	// lastReader is the peer of this zone that claimed last to be its reader.
+	lastReader *peerState
+	// fleet and zoneLive are the numbers of live instances in all zones and in this one that the reader of this zone told
+	// at fleetAt.
+	fleet, zoneLive int
+	fleetAt         time.Time
+	// toldSize is the largest number of members of this zone that another instance said to know.
+	toldSize int
+	// told are the ids of the council that the reader of this zone told at toldAt.
+	told   []string
+	toldAt time.Time
 }
 
 func newMembers(self discovery.Member) *members {
-	return &members{self: self, peers: map[string]*peerState{}}
+	return &members{self: self, peers: map[string]*peerState{}, remote: map[string][]*peerState{}}
+}
+
+// zoneSize is the number of known members of this zone besides this instance.
+func (m *members) zoneSize() int { return len(m.zone) }
+
+// sizeOf is the number of known members of any zone, this instance included.
+func (m *members) sizeOf(zone string) int {
+	if zone == m.self.Zone {
+		return 1 + len(m.zone)
+	}
+	return len(m.remote[zone])
 }
 
 // learn adds a member, or a later incarnation of one. It reports whether it is new.
-func (m *members) learn(member discovery.Member) bool {
+func (m *members) learn(member discovery.Member, now time.Time) bool {
 	if member.ID == m.self.ID || member.Address == m.self.Address || member.Address == "" {
 		return false
 	}
@@ -77,143 +120,226 @@
 	if known != nil && known.Started >= member.Started {
 		return false
 	}
-	if known == nil && member.Zone == m.self.Zone {
-		m.zoneSize++
-	}
 	address, err := netip.ParseAddrPort(member.Address)
 	if err != nil {
 		return false
 	}
-	m.peers[member.ID] = &peerState{Member: member, udp: net.UDPAddrFromAddrPort(address)}
+	if known != nil {
+		m.unlist(known)
+	}
+	p := &peerState{Member: member, udp: net.UDPAddrFromAddrPort(address), learnt: now}
+	m.peers[member.ID] = p
+	m.list(p)
 	return true
 }
 
-// isLive reports whether a peer was heard lately.
-func (p *peerState) isLive(now time.Time) bool {
-	return !p.leaving && !p.heard.IsZero() && now.Sub(p.heard) < liveFor
+// list adds a member to the list of its zone.
+func (m *members) list(p *peerState) {
+	if p.Zone == m.self.Zone {
+		m.zone = insertByPrecedence(m.zone, p)
+		return
+	}
+	m.remote[p.Zone] = insertByPrecedence(m.remote[p.Zone], p)
 }
 
-// zonePeers returns the live peers of this zone, ordered by id.
-func (m *members) zonePeers(now time.Time) []*peerState {
-	return m.livePeers(now, func(p *peerState) bool { return p.Zone == m.self.Zone })
+func insertByPrecedence(list []*peerState, p *peerState) []*peerState {
+	at := slices.IndexFunc(list, func(other *peerState) bool { return precedes(p.Member, other.Member) })
+	if at < 0 {
+		return append(list, p)
+	}
+	return slices.Insert(list, at, p)
 }
 
-func (m *members) livePeers(now time.Time, match func(*peerState) bool) []*peerState {
-	var peers []*peerState
-	for _, p := range m.peers {
-		if p.isLive(now) && match(p) {
+// unlist removes a member from the list of its zone.
+func (m *members) unlist(p *peerState) {
+	same := func(other *peerState) bool { return other == p }
+	if m.lastReader == p {
+		m.lastReader = nil
+	}
+	if p.Zone == m.self.Zone {
+		m.zone = slices.DeleteFunc(m.zone, same)
+		return
+	}
+	if m.remote[p.Zone] = slices.DeleteFunc(m.remote[p.Zone], same); len(m.remote[p.Zone]) == 0 {
+		delete(m.remote, p.Zone)
+	}
+}
+
+// forget removes members that have been silent for long.
+func (m *members) forget(now time.Time) {
+	for id, p := range m.peers {
+		if now.Sub(p.heard) > forgetAfter && now.Sub(p.learnt) > forgetAfter {
+			m.unlist(p)
+			delete(m.peers, id)
+		}
+	}
+}
+
+// noteReader notes that a peer of this zone claims to be its reader.
+func (m *members) noteReader(p *peerState, now time.Time) {
+	p.readerAt = now
+	if p.Zone == m.self.Zone {
+		m.lastReader = p
+	}
+}
+
+// zonePeers returns the live peers of this zone in order of precedence.
+func (m *members) zonePeers(now time.Time) []*peerState { return live(m.zone, now) }
+
+func live(list []*peerState, now time.Time) []*peerState {
+	peers := make([]*peerState, 0, len(list))
+	for _, p := range list {
+		if p.isLive(now) {
 			peers = append(peers, p)
 		}
 	}
-	slices.SortFunc(peers, func(a, b *peerState) int { return strings.Compare(a.ID, b.ID) })
 	return peers
 }
 
-// order is the number of live peers of this zone that come before this instance.
-func (m *members) order(now time.Time) int {
-	before := 0
-	for _, p := range m.zonePeers(now) {
-		if precedes(p.Member, m.self) {
-			before++
+// liveInZone is the number of live instances of this zone that this instance hears, itself included.
+func (m *members) liveInZone(now time.Time) int {
+	count := 1
+	for _, p := range m.zone {
+		if p.isLive(now) {
+			count++
 		}
 	}
-	return before
+	return count
 }
 
-// knownOrder is the number of known members of this zone that come before this instance, heard or not.
-func (m *members) knownOrder() int {
-	before := 0
+// isolated reports whether no other instance is heard.
+func (m *members) isolated(now time.Time) bool {
 	for _, p := range m.peers {
-		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) {
-			before++
+		if p.isLive(now) {
+			return false
 		}
 	}
-	return before
+	return true
 }
 
-const (
-	// targetsPerCapacity is how many targets an instance with a capacity of 1, a whole core, reads before another one of
-	// the zone takes a part of them. A reading costs about 0.1 ms of processor time with all that belongs to it.
-	targetsPerCapacity = 64
-	// CapacityUnit is the capacity of a whole core between instances, and leastCapacity what each instance can do.
-	CapacityUnit  = 1000
-	leastCapacity = 50
-	// partSilence is how long an instance that reads a part may be silent before its part goes to another one, and
-	// partPause how long it is then left out.
-	partSilence = 400 * time.Millisecond
-	partPause   = 3 * time.Second
-)
+// council returns the members of this zone that hear the heartbeats of all its members, and its reader: those that the
+// reader told, or the first of those that are known.
+func (m *members) council(now time.Time) []*peerState {
+	list := make([]*peerState, 0, councilSize+1)
+	if m.isTold(now) {
+		for _, id := range m.told {
+			if p := m.peers[id]; p != nil && !p.leaving {
+				list = append(list, p)
+			}
+		}
+	} else {
+		for _, p := range m.zone {
+			if len(list) < councilSize && !p.givenUp(now) {
+				list = append(list, p)
+			}
+		}
+	}
+	if p := m.zoneReader(now); p != nil && !slices.Contains(list, p) {
+		list = append(list, p)
+	}
+	return list
+}
 
-// share is the part of the zone's targets that an instance reads: those whose hash leaves a remainder.
-type share struct{ part, parts int }
+// isTold reports whether the reader of the zone told the council lately.
+func (m *members) isTold(now time.Time) bool {
+	return len(m.told) > 0 && now.Sub(m.toldAt) < councilFor
+}
 
-// includes reports whether a target belongs to the share.
-func (s share) includes(hash uint32) bool { return s.parts > 0 && int(hash%uint32(s.parts)) == s.part }
+// inCouncil reports whether this instance belongs to the council of its zone.
+func (m *members) inCouncil(now time.Time) bool {
+	if m.isTold(now) {
+		return slices.Contains(m.told, m.self.ID)
+	}
+	return m.knownOrder() < councilSize
+}
 
-// assignParts returns the instances that read the targets of this zone, as many as the targets need: this one, its
-// reader, and the next ones that are heard. One that was assigned before and fell silent is left out for a while.
-func (m *members) assignParts(now time.Time, targets int, before []string) []string {
-	parts := []string{m.self.ID}
-	for _, p := range m.zonePeers(now) {
-		if slices.Contains(before, p.ID) && now.Sub(p.heard) > partSilence && now.Sub(p.assigned) > partSilence {
-			p.skipUntil = now.Add(partPause)
+// councilIDs is the council as the reader of a zone sees it: the live members that come first.
+func (m *members) councilIDs(now time.Time) []string {
+	ids := make([]string, 0, councilSize)
+	for _, p := range m.zone {
+		if len(ids) < councilSize && p.isLive(now) {
+			ids = append(ids, p.ID)
 		}
 	}
-	room := readable(m.self)
-	for _, p := range m.byPrecedence(now) {
-		if room >= targets {
+	return ids
+}
+
+// order is the number of members of this zone that take over from its reader before this instance. Members of the council
+// hear each other; the others go by the members that they know.
+func (m *members) order(now time.Time) int {
+	if !m.inCouncil(now) {
+		return max(m.knownOrder(), councilSize)
+	}
+	before := 0
+	for _, p := range m.zone {
+		if !precedes(p.Member, m.self) {
 			break
 		}
-		if now.Before(p.skipUntil) {
-			continue
-		}
-		if !slices.Contains(before, p.ID) {
-			p.assigned = now
+		if p.isLive(now) {
+			before++
 		}
-		parts = append(parts, p.ID)
-		room += readable(p.Member)
 	}
-	return parts
-}
-
-// readable is the number of targets that a member can read.
-func readable(m discovery.Member) int {
-	return max(m.Capacity, leastCapacity) * targetsPerCapacity / CapacityUnit
+	return before
 }
 
-// byPrecedence returns the live peers of this zone, those first that take on work before the others.
-func (m *members) byPrecedence(now time.Time) []*peerState {
-	peers := m.zonePeers(now)
-	slices.SortStableFunc(peers, func(a, b *peerState) int {
-		if precedes(a.Member, b.Member) {
-			return -1
+// knownOrder is the number of known members of this zone that come before this instance, heard or not.
+func (m *members) knownOrder() int {
+	before := 0
+	for _, p := range m.zone {
+		if !precedes(p.Member, m.self) {
+			break
 		}
-		return 1
-	})
-	return peers
+		if !p.leaving {
+			before++
+		}
+	}
+	return before
 }
 
-// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately. After a
-// start nobody has, so that the first readings come at once even when all instances start together. In
-// large zones the instances wait for their turn, because readings by all of them would flood the zone.
-func (m *members) readsZone(now, started time.Time) bool {
-	limit := readerSilence + time.Duration(m.order(now))*successionStep
-	if m.zoneSize > largeZone && now.Sub(started) < startSilence+time.Duration(min(m.knownOrder(), largeZone))*successionStep {
+// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately. It
+// listens for others first, after a pause of its process and after its start. In a small zone all members may read for a
+// moment after a start, so that the first readings come at once.
+func (m *members) readsZone(now, started, resumed time.Time) bool {
+	if now.Sub(resumed) < resumeSilence {
 		return false
 	}
-	for _, p := range m.peers {
-		if p.Zone == m.self.Zone && !p.leaving && precedes(p.Member, m.self) && now.Sub(p.readerAt) < limit {
+	if now.Before(m.mayClaim(started)) {
+		return false
+	}
+	limit := readerSilence + time.Duration(m.order(now))*successionStep
+	for _, p := range m.zone {
+		if !precedes(p.Member, m.self) {
+			break
+		}
+		if !p.leaving && now.Sub(p.readerAt) < limit {
 			return false
 		}
 	}
 	return true
 }
 
-// zoneReader returns the peer of this zone that claimed last to be its reader, or nil.
+// mayClaim is when an instance that started at a time may claim to be the reader of its zone, though nobody else does.
+func (m *members) mayClaim(started time.Time) time.Time {
+	alone := len(m.peers) == 0
+	if alone || max(m.zoneSize(), m.toldSize) > largeZone {
+		return started.Add(startSilence + time.Duration(min(m.knownOrder(), largeZone))*successionStep)
+	}
+	return started
+}
+
+// zoneReader returns the live peer of this zone that claimed last to be its reader, or nil.
 func (m *members) zoneReader(now time.Time) *peerState {
+	if p := m.lastReader; p != nil && p.isLive(now) && now.Sub(p.readerAt) < liveFor {
+		return p
+	}
+	return latestReader(m.zone, now, liveFor)
+}
+
+// latestReader returns the live member of a list that claimed last to be a reader, within a time.
+func latestReader(list []*peerState, now time.Time, within time.Duration) *peerState {
 	var best *peerState
-	for _, p := range m.zonePeers(now) {
-		if now.Sub(p.readerAt) < liveFor && (best == nil || p.readerAt.After(best.readerAt)) {
+	for _, p := range list {
+		if p.isLive(now) && now.Sub(p.readerAt) < within && (best == nil || p.readerAt.After(best.readerAt)) {
 			best = p
 		}
 	}
@@ -224,8 +350,8 @@
 // may be cut off from this instance and read the same targets.
 func (m *members) missing(now time.Time) float64 {
 	live, recent := 1, 1
-	for _, p := range m.peers {
-		if p.Zone != m.self.Zone || p.leaving || now.Sub(p.heard) > missingFor {
+	for _, p := range m.zone {
+		if p.leaving || now.Sub(p.heard) > missingFor {
 			continue
 		}
 		recent++
@@ -236,13 +362,10 @@
 	return float64(recent) / float64(live)
 }
 
-// missingFor is how long a silent member counts as one that may be cut off.
-const missingFor = 30 * time.Second
-
-// heartbeatEvery is how often an instance tells its zone that it lives. In large zones that is less often, because each
-// instance hears all others.
+// heartbeatEvery is how often an instance tells its zone that it lives. In large zones that is less often, because the
+// council hears all others.
 func (m *members) heartbeatEvery() time.Duration {
-	if m.zoneSize > largeZone {
+	if m.zoneSize() > largeZone {
 		return largeZoneHeartbeat
 	}
 	return heartbeatInterval
@@ -251,19 +374,18 @@
 // remoteReaders returns for each other zone the instance to send to: the one that claimed last to be its reader, or any
 // live one.
 func (m *members) remoteReaders(now time.Time) []*peerState {
-	best := map[string]*peerState{}
-	for _, p := range m.livePeers(now, func(p *peerState) bool { return p.Zone != m.self.Zone }) {
-		if other := best[p.Zone]; other == nil || p.readerAt.After(other.readerAt) {
-			best[p.Zone] = p
+	readers := make([]*peerState, 0, len(m.remote))
+	for _, list := range m.remote {
+		if p := latestReader(list, now, unbounded); p != nil {
+			readers = append(readers, p)
 		}
 	}
-	readers := make([]*peerState, 0, len(best))
-	for _, p := range best {
-		readers = append(readers, p)
-	}
 	return readers
 }
 
+// unbounded accepts claims of any age.
+const unbounded = time.Duration(1<<63 - 1)
+
 // instancesAtStart estimates the number of instances, this one included, before they have been heard.
 func (m *members) instancesAtStart(now time.Time, reader bool) int {
 	return max(m.instances(now, reader), 1+len(m.peers))
@@ -272,18 +394,18 @@
 // instances estimates the number of live instances, this one included. A reader counts what it hears itself: two that
 // took each other for the reader would else repeat an old number to each other for good.
 func (m *members) instances(now time.Time, reader bool) int {
-	if !reader && now.Sub(m.fleetAt) < liveFor && m.fleet > 0 {
-		return max(m.fleet, 1+len(m.zonePeers(now)))
+	if !reader && m.fleet > 0 && now.Sub(m.fleetAt) < liveFor {
+		return max(m.fleet, m.liveInZone(now))
 	}
-	zones := map[string]int{m.self.Zone: 1 + len(m.zonePeers(now))}
-	for _, p := range m.peers {
-		if p.Zone != m.self.Zone && p.isLive(now) {
-			zones[p.Zone] = max(zones[p.Zone], p.live, 1)
+	total := m.liveInZone(now)
+	for _, list := range m.remote {
+		most := 0
+		for _, p := range list {
+			if p.isLive(now) {
+				most = max(most, p.live, 1)
+			}
 		}
-	}
-	total := 0
-	for _, n := range zones {
-		total += n
+		total += most
 	}
 	return total
 }
@@ -291,39 +413,46 @@
 // rank orders the instances that may read the store: readers of zones first, by zone, then the others.
 func (m *members) rank(now time.Time, reader bool) int {
 	if !reader {
-		zones := map[string]bool{m.self.Zone: true}
-		for _, p := range m.peers {
-			zones[p.Zone] = true
-		}
-		return len(zones) + m.order(now)
+		return 1 + len(m.remote) + m.order(now)
 	}
 	before := 0
-	for zone := range m.heardZones(now) {
-		if zone < m.self.Zone {
+	for zone := range m.remote {
+		if zone < m.self.Zone && m.hears(zone, now) {
 			before++
 		}
 	}
 	return before
 }
 
-// heardZones returns the other zones of which a member is live.
-func (m *members) heardZones(now time.Time) map[string]bool {
-	zones := map[string]bool{}
-	for _, p := range m.peers {
-		if p.isLive(now) && p.Zone != m.self.Zone {
-			zones[p.Zone] = true
-		}
-	}
-	return zones
+// hears reports whether a member of another zone is live.
+func (m *members) hears(zone string, now time.Time) bool {
+	return slices.ContainsFunc(m.remote[zone], func(p *peerState) bool { return p.isLive(now) })
 }
 
-// all returns every known member that is not leaving, this instance included.
-func (m *members) all() []discovery.Member {
+// introductions returns the members that an instance of a zone needs to find the others: those that come first in its
+// zone, or all of them, and some of each other zone. This instance is included.
+func (m *members) introductions(zone string, whole bool) []discovery.Member {
 	list := []discovery.Member{m.self}
-	for _, p := range m.peers {
-		if !p.leaving {
-			list = append(list, p.Member)
+	add := func(peers []*peerState, most int) {
+		for _, p := range peers {
+			if most > 0 && !p.leaving {
+				list = append(list, p.Member)
+				most--
+			}
 		}
 	}
+	most := func(other string) int {
+		switch {
+		case other != zone:
+			return remoteGreetings
+		case whole:
+			return len(m.peers)
+		}
+		return councilSize
+	}
+	add(m.zone, most(m.self.Zone))
+	for other, peers := range m.remote {
+		add(peers, most(other))
+	}
 	return list
 }
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	for _, each := range all {
-		if m.learn(each) {
+		if m.learn(each, at) {
 			m.peers[each.ID].heard = at
 		}
 	}
@@ -39,18 +39,18 @@
 	for _, m := range []*members{second, third} {
 		m.peers["a1"].readerAt = now
 	}
-	if second.readsZone(now, begin) || third.readsZone(now, begin) {
+	if second.readsZone(now, begin, begin) || third.readsZone(now, begin, begin) {
 		t.Error("a later member reads while the first one does")
 	}
 	now = now.Add(readerSilence + successionStep + time.Millisecond)
-	if !second.readsZone(now, begin) {
+	if !second.readsZone(now, begin, begin) {
 		t.Error("the second member does not take over")
 	}
 	third.peers["a2"].readerAt = now
-	if third.readsZone(now, begin) {
+	if third.readsZone(now, begin, begin) {
 		t.Error("the third member reads as well")
 	}
-	if first := table("a1", now, all...); !first.readsZone(now, begin) {
+	if first := table("a1", now, all...); !first.readsZone(now, begin, begin) {
 		t.Error("the first member does not read")
 	}
 }
@@ -81,10 +81,10 @@
 	m := newMembers(member("a1", "a"))
 	later := member("a2", "a")
 	later.Started = 9
-	if !m.learn(later) || m.learn(member("a2", "a")) {
+	if !m.learn(later, begin) || m.learn(member("a2", "a"), begin) {
 		t.Error("the earlier incarnation replaced the later one")
 	}
-	if m.learn(member("a1", "a")) {
+	if m.learn(member("a1", "a"), begin) {
 		t.Error("the instance met itself")
 	}
 }
@@ -112,11 +112,11 @@
 // Guards against reads that are too rare for the bound on departures, too many, or missing when a reader fails.
 func TestTopicReads(t *testing.T) {
 	r := topicReads{}
-	if !r.due(begin, 5, false) {
+	if !r.due(begin, 5, false, begin) {
 		t.Error("an unknown topic is not read")
 	}
 	r.reading = true
-	if r.due(begin, 0, true) {
+	if r.due(begin, 0, true, begin) {
 		t.Error("two reads at a time")
 	}
 	r.succeeded(begin, 10)
@@ -129,27 +129,27 @@
 		{readInterval + standbyDelay, 1, true}, {readInterval + standbyDelay, 2, false}, {time.Second, 3, true},
 	}
 	for _, c := range cases {
-		if got := r.due(begin.Add(c.age), c.rank, true); got != c.want {
+		if got := r.due(begin.Add(c.age), c.rank, true, begin); got != c.want {
 			t.Errorf("age %s, rank %d: %v", c.age, c.rank, got)
 		}
 	}
 	r.behind = true
-	if r.due(begin, 5, false) || !r.due(begin, 5, true) {
+	if r.due(begin, 5, false, begin) || !r.due(begin, 5, true, begin) {
 		t.Error("an instance that lacks records reads although the reader of its zone may tell them, or the reader does not")
 	}
 	r.alone = true
-	if !r.due(begin, 5, false) {
+	if !r.due(begin, 5, false, begin) {
 		t.Error("an instance that nobody tells does not read")
 	}
 	r.behind, r.alone = false, false
 	r.failed(begin, 1)
-	if r.due(begin.Add(firstBackoff), 0, true) || !r.due(begin.Add(2*time.Second), 0, true) {
+	if r.due(begin.Add(firstBackoff), 0, true, begin) || !r.due(begin.Add(2*time.Second), 0, true, begin) {
 		t.Error("the pause after a failure")
 	}
 	for range 10 {
 		r.failed(begin, 1)
 	}
-	if !r.due(begin.Add(2*lastBackoff), 0, true) {
+	if !r.due(begin.Add(2*lastBackoff), 0, true, begin) {
 		t.Error("the pause grows without bound")
 	}
 }
@@ -198,7 +198,7 @@
 	strong.Capacity = 800
 	m := table("a1", begin, weak, strong)
 	m.peers["a2"].readerAt = begin
-	if m.readsZone(begin, begin.Add(-time.Minute)) {
+	if m.readsZone(begin, begin.Add(-time.Minute), begin.Add(-time.Minute)) {
 		t.Error("the weak instance reads")
 	}
 	if parts := table("a2", begin, weak, strong).assignParts(begin, 50, nil); len(parts) != 1 {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
@@ -30,8 +32,10 @@
 	// Knows is the number of members that the sender of a greeting knows.
 	Knows   int                `cbor:"14,keyasint,omitempty"`
 	Members []discovery.Member `cbor:"5,keyasint,omitempty"`
-	// Loads are readings of the targets of one or more zones.
-	Loads []loadNote `cbor:"6,keyasint,omitempty"`
+	// Loads are readings of the targets of one or more zones. They travel in Packed; instances of earlier versions send them
+	// as they are.
+	Loads  []loadNote `cbor:"6,keyasint,omitempty"`
+	Packed []byte     `cbor:"20,keyasint,omitempty"`
 	// Targets and Config tell how far the store was read.
 	Targets *targetsNote `cbor:"7,keyasint,omitempty"`
 	Config  *configNote  `cbor:"8,keyasint,omitempty"`
@@ -39,6 +43,10 @@
 	Parts []string `cbor:"15,keyasint,omitempty"`
 	// Readers are the instances that read the targets of the other zones.
 	Readers []string `cbor:"18,keyasint,omitempty"`
+	// Council are the members that hear the heartbeats of the whole zone besides its reader.
+	Council []string `cbor:"19,keyasint,omitempty"`
+	// ZoneSize is how many members of the receiver's zone the sender of an answer to a greeting knows.
+	ZoneSize int `cbor:"21,keyasint,omitempty"`
 	// Leaving is true when the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Claim and Denial stand alone in a datagram. Key 10 was used before.
@@ -83,6 +91,8 @@
 	TargetsAge    time.Duration
 	Members       []discovery.Member
 	TargetsListed bool
+	// ConfigListed is true when the configuration was read, though there may be none yet.
+	ConfigListed bool
 }
 
 // StateRequest asks for the state of another instance.
@@ -92,16 +102,51 @@
 	HaveConfig  bool
 }
 
-func encode(d *datagram) ([]byte, error) { return cbor.Marshal(d) }
+func encode(d *datagram) ([]byte, error) {
+	packed := *d
+	packed.Loads, packed.Packed = nil, packLoads(d.Loads)
+	return cbor.Marshal(&packed)
+}
 
 func decode(b []byte) (*datagram, error) {
 	var d datagram
 	if err := cbor.Unmarshal(b, &d); err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
+	}
+	if d.Packed != nil {
+		d.Loads, d.Packed = append(d.Loads, unpackLoads(d.Packed)...), nil
 	}
 	return &d, nil
 }
 
+// packedNoteBytes is the size of a packed reading: five numbers of fixed size. Most datagrams consist of readings, and
+// each instance of a zone receives them.
+const packedNoteBytes = 12
+
+func packLoads(notes []loadNote) []byte {
+	packed := make([]byte, 0, packedNoteBytes*len(notes))
+	for _, n := range notes {
+		packed = binary.BigEndian.AppendUint32(packed, n.Target)
+		for _, figure := range [...]uint16{n.Running, n.Waiting, n.PacePercent, n.AgeMS} {
+			packed = binary.BigEndian.AppendUint16(packed, figure)
+		}
+	}
+	return packed
+}
+
+// unpackLoads ignores an incomplete reading at the end.
+func unpackLoads(packed []byte) []loadNote {
+	notes := make([]loadNote, 0, len(packed)/packedNoteBytes)
+	for ; len(packed) >= packedNoteBytes; packed = packed[packedNoteBytes:] {
+		notes = append(notes, loadNote{
+			Target: binary.BigEndian.Uint32(packed), Running: binary.BigEndian.Uint16(packed[4:]),
+			Waiting: binary.BigEndian.Uint16(packed[6:]), PacePercent: binary.BigEndian.Uint16(packed[8:]),
+			AgeMS: binary.BigEndian.Uint16(packed[10:]),
+		})
+	}
+	return notes
+}
+
 func toReading(n loadNote, now time.Duration) dispatch.Reading {
 	return dispatch.Reading{
 		Running: int(n.Running), Waiting: int(n.Waiting), Pace: float64(n.PacePercent) / 100,
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -94,17 +94,29 @@
 	}
 	d := n.base(now)
 	n.addRemote(d, now)
+	n.addCouncil(d, now)
 	n.tellZone(d, now)
 }
 
+// councilInterval is how often the reader of a zone tells its council, where not all members belong to it.
+const councilInterval = time.Second
+
+// addCouncil adds the council of this zone to a datagram of its reader when it is time.
+func (n *Node) addCouncil(d *datagram, now time.Time) {
+	if now.Sub(n.councilAt) >= councilInterval && n.members.zoneSize() > councilSize {
+		n.councilAt = now
+		d.Council = n.members.councilIDs(now)
+	}
+}
+
 // takeConfig notes the configuration of a peer, and fetches a newer one: from a peer of this zone, where bytes cost
 // nothing, else from the store.
 func (n *Node) takeConfig(ctx context.Context, note *configNote, p *peerState, now time.Time) {
 	asOf := now.Add(-time.Duration(note.AgeMS) * time.Millisecond)
 	switch {
-	case n.table != nil && note.Version == n.table.Version:
+	case note.Version == n.version() && n.configs.known:
 		n.configs.fresh(asOf)
-	case n.table != nil && note.Version < n.table.Version:
+	case note.Version < n.version():
 	case n.asksPeer(p, &n.configs):
 		n.configs.behind = true
 		n.fetchState(ctx, p.Address, now)
@@ -119,7 +131,7 @@
 		return
 	}
 	now := n.Now()
-	byService := map[string]map[string]dispatch.Reading{}
+	byService := map[string][]dispatch.Observation{}
 	for _, note := range loads {
 		ref, known := n.byHash[note.Target]
 		pool := n.pools[ref.service]
@@ -131,10 +143,7 @@
 			pool.Unreachable(ref.id)
 			continue
 		}
-		if byService[ref.service] == nil {
-			byService[ref.service] = map[string]dispatch.Reading{}
-		}
-		byService[ref.service][ref.id] = toReading(note, now)
+		byService[ref.service] = append(byService[ref.service], dispatch.Observation{Target: ref.id, Reading: toReading(note, now)})
 	}
 	for service, readings := range byService {
 		n.pools[service].Observe(readings)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -24,6 +24,10 @@
 	// idleTick is the interval of the control loop of an instance that reads no targets and mostly reacts to datagrams. The
 	// loop of the others runs at the interval of their readings.
 	idleTick = 100 * time.Millisecond
+	// startTick is the interval of the control loop during startTime after the start, when much depends on the first answers
+	// of peers and of the store.
+	startTick = 10 * time.Millisecond
+	startTime = 500 * time.Millisecond
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 25 * time.Millisecond
 	// inboxSize bounds the events that wait for the control loop. Senders never block; an event too many is dropped, and
@@ -76,26 +80,41 @@
 	pools      map[string]*dispatch.Pool
 	byHash     map[uint32]targetRef
 	reader     bool
-	ticker     *time.Ticker
-	tick       time.Duration
-	joined     bool
-	joining    bool
-	joinAt     time.Time
-	heartbeat  time.Time
-	crossAt    time.Time
-	roundAt    time.Time
-	storeDown  bool
-	instances  int
-	countedAt  time.Time
-	fetching   bool
-	fetchAt    time.Time
+	// stepped is when the control loop last ran, and resumed when it last ran again after a pause of the process.
+	stepped, resumed time.Time
+	// readerSince is since when this instance reads its zone.
+	readerSince time.Time
+	// announced is true once this instance is found in the store.
+	announced, joining bool
+	joinAt             time.Time
+	joinPause          time.Duration
+	seedsAt            time.Time
+	seedPause          time.Duration
+	heartbeat          time.Time
+	forgotAt           time.Time
+	crossAt            time.Time
+	storeDown          bool
+	instances          int
+	countedAt          time.Time
+	// sharersKnown is true when instances is more than an estimate of the first seconds.
+	sharersKnown bool
+	// live is the number of live instances of this zone when they were last counted.
+	live     int
+	fetching bool
+	fetchAt  time.Time
 	// share is the part of the zone's targets that this instance reads.
 	share share
 	// parts are the instances that read the targets of this zone, as its reader assigned them at partsAt.
 	parts   []string
 	partsAt time.Time
-	// busy and filling are true while the targets of this zone are filled, or getting there.
-	busy, filling bool
+	// zoneTargets are the usable targets of this zone whose services have routes, and zoneServices those services.
+	zoneTargets  []registry.Target
+	zoneServices map[string]bool
+	// sampling is true while the sampler reads the targets of share.
+	sampling bool
+	rounds   map[string]*serviceRound
+	// busy is true while the targets of this zone are filled.
+	busy bool
 	// remote are readings of other zones that were not passed on to this zone yet.
 	remote   []loadSample
 	remoteAt time.Time
@@ -103,8 +122,8 @@
 	// the reader of this zone.
 	readers     map[string]*peerState
 	toldReaders []string
-	// noted is when the zone was last told how far the store was read.
-	noted time.Time
+	// noted is when the zone was last told how far the store was read, and councilAt when it was told its council.
+	noted, councilAt time.Time
 	// pending are readings that were not sent to other zones yet.
 	pending map[uint32]loadSample
 }
@@ -127,7 +146,8 @@
 	n := &Node{
 		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(),
 		pools: map[string]*dispatch.Pool{}, byHash: map[uint32]targetRef{}, pending: map[uint32]loadSample{},
-		recentBase: -1, instances: 1,
+		rounds:     map[string]*serviceRound{},
+		recentBase: -1, instances: 1, live: 1,
 	}
 	n.sampler = newSampler(c.Prober, c.Now)
 	n.rpc = newStateServer(n, c.Self.Address)
@@ -170,20 +190,23 @@
 // Run keeps the node in step until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	n.started = time.Now()
+	n.stepped = n.started
 	go n.receive(ctx)
 	go n.rpc.run()
 	defer n.sampler.stop()
-	ticker := time.NewTicker(idleTick)
-	n.ticker = ticker
-	defer ticker.Stop()
-	n.greetSeeds()
-	n.step(ctx, time.Now())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case e := <-n.inbox:
 			n.handle(ctx, e, time.Now())
-		case <-ticker.C:
+			if _, isRound := e.(roundRead); isRound {
+				// The next round may be due earlier than before.
+				timer.Reset(n.nextStep(time.Now()))
+			}
+		case <-timer.C:
 			n.step(ctx, time.Now())
+			timer.Reset(n.nextStep(time.Now()))
 		case <-ctx.Done():
 			n.leave(time.Now())
 			return
@@ -193,6 +216,7 @@
 
 // step does what time makes due.
 func (n *Node) step(ctx context.Context, now time.Time) {
+	n.notePause(now)
 	n.join(ctx, now)
 	n.noteAvailability(now)
 	if n.registry.Expire(now) {
@@ -209,16 +233,29 @@
 	n.noteInstances(now)
 }
 
+// pauseLimit is how long the control loop may rest before the process counts as paused. Its ticks are at most idleTick apart.
+const pauseLimit = time.Second
+
+// notePause notes that the process was paused. Another instance may read the zone since, so that this one listens first.
+func (n *Node) notePause(now time.Time) {
+	pause := now.Sub(n.stepped)
+	n.stepped = now
+	if pause < pauseLimit {
+		return
+	}
+	n.Log.Warn("The process was paused.", "pause_ms", pause.Milliseconds(), "reader", n.reader)
+	n.resumed = now
+}
+
 // noteReader notes whether this instance reads the load of its zone.
 func (n *Node) noteReader(now time.Time) {
-	reads := n.members.readsZone(now, n.started)
+	reads := n.members.readsZone(now, n.started, n.resumed)
 	if reads == n.reader {
 		return
 	}
-	n.reader = reads
+	n.reader, n.readerSince = reads, now
 	n.remote = nil
 	clear(n.pending)
-	n.adjustTick()
 	n.refreshReaders(now)
 	n.Log.Info("Changed the reader of the zone.", "reads", reads, "order", n.members.order(now))
 }
@@ -258,15 +295,42 @@
 	if now.Sub(n.started) < settleTime {
 		instances = n.members.instancesAtStart(now, n.reader)
 	}
+	n.live = n.members.liveInZone(now)
 	n.refreshReaders(now)
-	if instances == n.instances {
+	n.forget(now)
+	settled := n.settled(now)
+	if instances == n.instances && settled == n.sharersKnown {
 		return
 	}
-	n.Log.Info("Changed the number of live instances.", "instances", instances, "before", n.instances)
-	n.instances = instances
+	n.Log.Info("Changed the number of live instances.", "instances", instances, "before", n.instances, "settled", settled)
+	n.instances, n.sharersKnown = instances, settled
 	n.publish(now)
 }
 
+// settled reports whether the number of live instances is known: the reader of the zone told it, or enough time has
+// passed to hear the others.
+func (n *Node) settled(now time.Time) bool {
+	return now.Sub(n.started) >= settleTime || !n.reader && n.members.fleet > 0
+}
+
+// liveInZone is the number of live instances of this zone, itself included: as the reader told it, or as it was counted.
+func (n *Node) liveInZone(now time.Time) int {
+	if !n.reader && now.Sub(n.members.fleetAt) < liveFor {
+		return max(n.members.zoneLive, 1)
+	}
+	return n.live
+}
+
+// forgetInterval is how often members are looked at that have been silent for long.
+const forgetInterval = time.Minute
+
+func (n *Node) forget(now time.Time) {
+	if now.Sub(n.forgotAt) >= forgetInterval {
+		n.forgotAt = now
+		n.members.forget(now)
+	}
+}
+
 // publish makes what is known the current view.
 func (n *Node) publish(now time.Time) {
 	if n.table == nil || !n.targets.known {
@@ -275,10 +339,15 @@
 	byService := map[string][]registry.Target{}
 	n.byHash = map[uint32]targetRef{}
 	ids := map[string]bool{}
+	n.zoneTargets, n.zoneServices, n.sampling = nil, map[string]bool{}, false
 	for _, t := range n.registry.Usable() {
 		byService[t.Service] = append(byService[t.Service], t)
 		n.byHash[hashID(t.ID)] = targetRef{t.ID, t.Service, t.Zone}
 		ids[t.ID] = true
+		if _, served := n.table.Services[t.Service]; served && t.Zone == n.Self.Zone {
+			n.zoneTargets = append(n.zoneTargets, t)
+			n.zoneServices[t.Service] = true
+		}
 	}
 	view := &ingress.View{Table: n.table, Pools: map[string]*dispatch.Pool{}, Instances: n.instances}
 	for name := range n.table.Services {
@@ -290,6 +359,7 @@
 			n.pools[name] = pool
 		}
 		pool.SetTargets(byService[name], n.instances, now)
+		pool.KnowSharers(n.sharersKnown)
 		view.Pools[name] = pool
 	}
 	n.view.Store(view)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -136,6 +136,8 @@
 	store *fakeStore
 	nodes []*Node
 	doors []*door
+	// began is when the first node was started.
+	began time.Time
 	stops []context.CancelFunc
 }
 
@@ -160,13 +162,21 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
+	f.startAt(t, fmt.Sprintf("n%d", i), fmt.Sprintf("z%d", i%2), address, nil)
+}
+
+func (f *testFleet) startAt(t *testing.T, id, zone, address string, seeds []string) {
+	t.Helper()
 	start := time.Now()
+	if f.began.IsZero() {
+		f.began = start
+	}
 	d := &door{store: f.store}
 	n := New(Config{
-		Self:  discovery.Member{ID: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%2), Address: address, Started: start.UnixNano()},
-		Store: d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond,
+		Self:  discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: 300},
+		Store: d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, Seeds: seeds,
 		Now:    func() time.Duration { return time.Since(start) },
-		Random: rand.New(rand.NewPCG(uint64(i), 1)), Log: slog.New(slog.DiscardHandler),
+		Random: rand.New(rand.NewPCG(uint64(len(f.nodes)), 1)), Log: slog.New(slog.DiscardHandler),
 	})
 	if err := n.Open(); err != nil {
 		t.Fatal(err)
@@ -288,7 +298,7 @@
 		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
 	})
 	announced := member("x1", "z0")
-	n.members.learn(announced)
+	n.members.learn(announced, begin)
 	n.handle(context.Background(), received{datagram: &datagram{From: "x1", Started: announced.Started + 5, Reader: true}}, begin)
 	if p := n.members.peers["x1"]; !p.isLive(begin) || p.readerAt != begin {
 		t.Errorf("%+v", p)
@@ -372,7 +382,7 @@
 	})
 	n.reader = true
 	far := member("x1", "z0")
-	n.members.learn(far)
+	n.members.learn(far, begin)
 	now := begin
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -33,14 +33,17 @@
 }
 
 // due reports whether this instance should read now. Readers of zones read at once what they lack; the others ask them
-// first, because each call to the store is paid for.
-func (t *topicReads) due(now time.Time, rank int, reader bool) bool {
+// first, because each call to the store is paid for. First is when a topic is read that is not known yet.
+func (t *topicReads) due(now time.Time, rank int, reader bool, first time.Time) bool {
 	if t.reading || now.Before(t.retryAt) {
 		return false
 	}
-	if !t.known || t.behind && (reader || t.alone) {
+	if reader && (!t.known || t.behind) || t.alone && (!t.known || t.behind) {
 		return true
 	}
+	if !t.known {
+		return !now.Before(first)
+	}
 	wait := readInterval
 	if rank > 0 {
 		wait += standbyDelay + time.Duration(rank-1)*standbyStep
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +39,7 @@
 // sample is the end of one reading.
 type sample struct {
 	id       string
+	service  string
 	reading  dispatch.Reading
 	failures int
 	// unread is true when the target answered without telling its load.
@@ -60,6 +60,7 @@
 // worker reads one target when it is triggered.
 type worker struct {
 	address string
+	service string
 	trigger chan struct{}
 	cancel  context.CancelFunc
 }
@@ -73,12 +74,12 @@
 	wanted := map[string]bool{}
 	for _, t := range targets {
 		wanted[t.ID] = true
-		if w := s.workers[t.ID]; w != nil && w.address == t.Address {
+		if w := s.workers[t.ID]; w != nil && w.address == t.Address && w.service == t.Service {
 			continue
 		}
 		s.end(t.ID)
 		ctx, cancel := context.WithCancel(context.Background())
-		w := &worker{address: t.Address, trigger: make(chan struct{}, 1), cancel: cancel}
+		w := &worker{address: t.Address, service: t.Service, trigger: make(chan struct{}, 1), cancel: cancel}
 		s.workers[t.ID] = w
 		go s.work(ctx, w, t.ID, s.prober.Open(t.Address, healthPath(t.Service), t.ID))
 	}
@@ -121,7 +122,7 @@
 			reading.At = s.now()
 		}
 		select {
-		case s.results <- sample{id: id, reading: reading, failures: failures, unread: unread}:
+		case s.results <- sample{id: id, service: w.service, reading: reading, failures: failures, unread: unread}:
 		case <-ctx.Done():
 			return
 		}
@@ -134,8 +135,8 @@
 	return probe.Read(ctx)
 }
 
-// round triggers a reading of each target and passes those that come in time on.
-func (s *sampler) round(done func([]sample)) {
+// round triggers a reading of each target of the services that are due, and passes those that come in time on.
+func (s *sampler) round(due func(service string) bool, done func([]sample)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rounding {
@@ -144,6 +145,9 @@
 	s.rounding = true
 	triggered := 0
 	for _, w := range s.workers {
+		if !due(w.service) {
+			continue
+		}
 		select {
 		case w.trigger <- struct{}{}:
 			triggered++
@@ -172,152 +176,3 @@
 		done(samples)
 	}
 }
-
-// probe starts a round of readings when one is due and this instance reads targets of its zone.
-func (n *Node) probe(now time.Time) {
-	if n.table == nil || now.Sub(n.roundAt) < n.probeInterval()*3/4 {
-		return
-	}
-	n.roundAt = now
-	targets := slices.DeleteFunc(n.registry.Usable(), func(t registry.Target) bool {
-		_, served := n.table.Services[t.Service]
-		return t.Zone != n.Self.Zone || !served
-	})
-	part := n.ownShare(now, len(targets))
-	n.noteShare(part, len(targets))
-	if part.parts == 0 {
-		return
-	}
-	targets = slices.DeleteFunc(targets, func(t registry.Target) bool { return !part.includes(hashID(t.ID)) })
-	n.sampler.sync(targets, func(service string) string { return n.table.Services[service].HealthPath })
-	n.sampler.round(func(samples []sample) { n.post(roundRead{samples}) })
-}
-
-// partsLifetime is how long an assignment holds without being repeated.
-const partsLifetime = time.Second
-
-// ownShare returns the part of the targets that this instance reads. The reader of the zone assigns the parts.
-func (n *Node) ownShare(now time.Time, targets int) share {
-	if n.reader {
-		n.parts, n.partsAt = n.members.assignParts(now, targets, n.parts), now
-		return share{0, len(n.parts)}
-	}
-	if now.Sub(n.partsAt) > partsLifetime {
-		return share{}
-	}
-	if i := slices.Index(n.parts, n.Self.ID); i >= 0 {
-		return share{i, len(n.parts)}
-	}
-	return share{}
-}
-
-// noteShare notes a change of the part of the zone's targets that this instance reads.
-func (n *Node) noteShare(part share, targets int) {
-	if part == n.share {
-		return
-	}
-	n.share = part
-	n.Log.Info("Changed the share of targets to read.", "part", part.part, "parts", part.parts, "targets", targets)
-	if part.parts == 0 {
-		n.sampler.stop()
-	}
-	n.adjustTick()
-}
-
-// crowdedZoneFactor is how much rarer the readings of a zone are that more than directParts instances read: each reading
-// is told to every instance of the zone, and there are as many of them.
-const crowdedZoneFactor = 2
-
-// directParts is the number of parts up to which each part is told to the zone directly. The reader of the zone joins the
-// readings of more parts in one datagram.
-const directParts = 3
-
-// calmFactor is how much rarer the readings are while the targets of the zone are far from full: they change as fast, but
-// a wrong choice costs less.
-const calmFactor = 1.4
-
-// probeInterval is the time between two readings of one target.
-func (n *Node) probeInterval() time.Duration {
-	interval := n.wholeProbeInterval()
-	return time.Duration(float64(interval) * min(n.members.missing(time.Now()), maxMissing))
-}
-
-// maxMissing bounds how much rarer readings are while members of the zone are missing.
-const maxMissing = 2
-
-// wholeProbeInterval is the time between two readings of one target while all members of the zone are heard.
-func (n *Node) wholeProbeInterval() time.Duration {
-	switch {
-	case n.share.parts > directParts:
-		return crowdedZoneFactor * n.ProbeInterval
-	case !n.filling || n.share.parts > 1:
-		return time.Duration(calmFactor * float64(n.ProbeInterval))
-	}
-	return n.ProbeInterval
-}
-
-// adjustTick lets the control loop of instances that read targets run more often.
-func (n *Node) adjustTick() {
-	interval := idleTick
-	if n.reader || n.share.parts > 0 {
-		interval = min(n.probeInterval(), idleTick)
-	}
-	if interval != n.tick {
-		n.tick = interval
-		n.ticker.Reset(interval)
-	}
-}
-
-// handleRound passes the readings of a round on to the zone.
-func (n *Node) handleRound(e roundRead, now time.Time) {
-	if n.share.parts == 0 {
-		return
-	}
-	d := n.base(now)
-	at := n.Now()
-	occupied, slots := 0, 0
-	for _, s := range e.samples {
-		occupied += s.reading.Running + s.reading.Waiting
-		slots += s.reading.Slots
-		if s.unread || s.failures > 0 && s.failures < silentReadings {
-			continue
-		}
-		note := loadNote{
-			Target: hashID(s.id), Running: uint16(s.reading.Running), Waiting: uint16(s.reading.Waiting),
-			PacePercent: uint16(min(s.reading.Pace*100, 1<<16-1)), AgeMS: ageMS(at - s.reading.At),
-		}
-		if s.failures > 0 {
-			note.PacePercent, note.AgeMS = 0, 0
-		}
-		d.Loads = append(d.Loads, note)
-		if n.reader {
-			n.pending[note.Target] = loadSample{note, s.reading.At}
-		}
-	}
-	n.busy = float64(occupied) > busyShare*float64(slots)
-	n.filling = float64(occupied) > fillingShare*float64(slots)
-	n.adjustTick()
-	n.observe(d.Loads)
-	if !n.reader && n.share.parts <= directParts {
-		n.tellZone(d, now)
-		return
-	}
-	if !n.reader {
-		if p := n.members.zoneReader(now); p != nil {
-			n.sendAll(d, p.udp)
-		}
-		return
-	}
-	n.addRemote(d, now)
-	if now.Sub(n.noted) >= noteInterval {
-		n.noted = now
-		d.Targets, d.Config, d.Readers = n.targetsNote(now), n.configNote(now), n.remoteReaderIDs()
-		if len(n.parts) > 1 {
-			d.Parts = n.parts
-		}
-	}
-	n.tellZone(d, now)
-}
-
-// noteInterval is how often the zone is told how far the store was read.
-const noteInterval = 100 * time.Millisecond
--- a/internal/fleet/sampler_test.go
+++ b/internal/fleet/sampler_test.go
@@ -37,7 +37,7 @@
 	last := map[string]sample{}
 	for range 3 {
 		done := make(chan []sample, 1)
-		s.round(func(samples []sample) { done <- samples })
+		s.round(func(string) bool { return true }, func(samples []sample) { done <- samples })
 		for _, one := range <-done {
 			last[one.id] = one
 		}
--- /dev/null
+++ b/internal/fleet/scale_test.go
@@ -0,0 +1,241 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+)
+
+// largeTable returns the members of a zone of a size as one of them sees them: it heard those that talk to it.
+func largeTable(self int, size int, heard func(i int) bool) *members {
+	named := func(i int) discovery.Member {
+		return discovery.Member{
+			ID: fmt.Sprintf("a%04d", i), Zone: "a", Started: 1, Address: fmt.Sprintf("127.1.%d.%d:7000", i/250, 1+i%250),
+		}
+	}
+	m := newMembers(named(self))
+	for i := range size {
+		if i != self && m.learn(named(i), begin) && heard(i) {
+			m.peers[named(i).ID].heard = begin
+		}
+	}
+	return m
+}
+
+func nobody(int) bool    { return false }
+func everybody(int) bool { return true }
+
+// Guards against heartbeats of all to all, which grow with the square of the zone: 80 instances sent 5,300 a second.
+func TestHeartbeatsGoToTheCouncil(t *testing.T) {
+	for _, size := range []int{5, 20, 80, 800} {
+		m := largeTable(size-1, size, nobody)
+		if got, want := len(m.council(begin)), min(size-1, councilSize); got != want {
+			t.Errorf("%d members: heartbeats go to %d, want %d", size, got, want)
+		}
+	}
+	m := largeTable(79, 80, nobody)
+	m.told, m.toldAt = []string{"a0001", "a0004"}, begin
+	m.peers["a0009"].heard = begin
+	m.noteReader(m.peers["a0009"], begin)
+	var ids []string
+	for _, p := range m.council(begin) {
+		ids = append(ids, p.ID)
+	}
+	if fmt.Sprint(ids) != "[a0001 a0004 a0009]" {
+		t.Errorf("told council and reader: %v", ids)
+	}
+}
+
+// Guards against a zone without a reader after its whole council died, and against all others taking over at once.
+func TestSuccessionBeyondTheCouncil(t *testing.T) {
+	now := begin.Add(time.Minute)
+	first, second := 0, 0
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 10 * time.Millisecond {
+		at := now.Add(elapsed)
+		for i, counter := range map[int]*int{councilSize + 2: &first, councilSize + 6: &second} {
+			m := largeTable(i, 80, nobody)
+			m.noteReader(m.peers["a0000"], now)
+			if *counter == 0 && m.readsZone(at, begin, begin) {
+				*counter = int(elapsed / time.Millisecond)
+			}
+		}
+	}
+	if first == 0 || first > 1000 {
+		t.Errorf("the first member after the council takes over after %d ms", first)
+	}
+	if second-first < 3*int(successionStep/time.Millisecond) {
+		t.Errorf("a later member takes over after %d ms, the first one after %d ms", second, first)
+	}
+}
+
+// Guards against an instance that was paused and reads its zone, although another one took over meanwhile.
+func TestPausedReaderListensFirst(t *testing.T) {
+	m := largeTable(0, 3, everybody)
+	resumed := begin.Add(time.Minute)
+	if m.readsZone(resumed.Add(resumeSilence-time.Millisecond), begin, resumed) {
+		t.Error("it reads at once")
+	}
+	if !m.readsZone(resumed.Add(resumeSilence), begin, resumed) {
+		t.Error("it does not read although nobody else does")
+	}
+	n := quietNode(t, member("a1", "a"))
+	n.reader, n.stepped = true, begin
+	n.notePause(begin.Add(pauseLimit - time.Millisecond))
+	if !n.resumed.IsZero() {
+		t.Error("a late step counts as a pause")
+	}
+	woke := n.stepped.Add(pauseLimit)
+	n.notePause(woke)
+	n.noteReader(woke)
+	if n.reader {
+		t.Error("a paused reader reads on")
+	}
+}
+
+// quietNode returns a node that runs no control loop.
+func quietNode(t testing.TB, self discovery.Member) *Node {
+	t.Helper()
+	n := New(Config{
+		Self: self, Store: &door{store: &fakeStore{}}, Prober: noProber{}, Policy: dispatch.DefaultPolicy(),
+		ProbeInterval: 25 * time.Millisecond, Now: func() time.Duration { return time.Second },
+		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
+	})
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	n.socket = socket
+	return n
+}
+
+// Guards against a datagram whose handling walks and sorts all members: with 472 instances half of all processor time went
+// there.
+func TestDatagramCostDoesNotGrowWithTheFleet(t *testing.T) {
+	cost := func(size int) float64 {
+		n := quietNode(t, member("a1", "a"))
+		n.members = largeTable(size-1, size, everybody)
+		n.Self = n.members.self
+		p := n.members.peers["a0000"]
+		d := &datagram{From: p.ID, Started: p.Started, Reader: true, Live: 3, Loads: []loadNote{{Target: 1, PacePercent: 100}}}
+		return testing.AllocsPerRun(100, func() {
+			n.handleDatagram(context.Background(), received{datagram: d, from: p.Address}, begin)
+		})
+	}
+	if small, large := cost(10), cost(1000); large > small {
+		t.Errorf("%v allocations with 10 members, %v with 1,000", small, large)
+	}
+}
+
+// Guards against a target that left while an instance missed it, and that this instance uses for good: the peer that it
+// asks listed the targets later and never heard of the one that left.
+func TestStateOfAPeerRemovesTargets(t *testing.T) {
+	n := quietNode(t, member("a1", "a"))
+	entry := func(id string) *registry.Entry {
+		return &registry.Entry{ID: id, Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
+	}
+	n.registry.Apply(registry.Change{ID: "left", Offset: 3, Entry: entry("left")}, begin)
+	n.registry.Apply(registry.Change{ID: "stays", Offset: 4, Entry: entry("stays")}, begin)
+	n.targets.known, n.targets.next = true, 5
+	n.handleState(stateFetched{state: &State{
+		TargetsListed: true, TargetsNext: 9, Targets: []registry.Change{{ID: "stays", Offset: 8, Entry: entry("stays")}},
+	}}, begin)
+	usable := n.registry.Usable()
+	if len(usable) != 1 || usable[0].ID != "stays" {
+		t.Errorf("usable targets: %+v", usable)
+	}
+}
+
+// Guards against readings that cost the same with and without requests, and against rare ones in a burst.
+func TestReadingsFollowRequests(t *testing.T) {
+	n := quietNode(t, member("a1", "a"))
+	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", n.Now, n.Random)
+	ask := &dispatch.Ask{Route: "r", Objective: time.Second, Deadline: 2 * time.Second}
+	pool.SetTargets([]registry.Target{{Entry: registry.Entry{ID: "t", Address: "x", Zone: "a", Service: "s", Slots: 4}}}, 1, begin)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	pool.Acquire(ctx, ask)
+	n.pools["s"], n.rounds["s"], n.share = pool, &serviceRound{}, share{0, 1}
+	if got := n.readingInterval("s"); got != slowestReading {
+		t.Errorf("idle: %s", got)
+	}
+	n.noteOccupancy([]sample{{service: "s", reading: dispatch.Reading{Running: 4, Slots: 4}}}, begin)
+	if got := n.readingInterval("s"); got != n.ProbeInterval {
+		t.Errorf("busy: %s", got)
+	}
+	n.noteOccupancy([]sample{{service: "s", reading: dispatch.Reading{Slots: 4}}}, begin.Add(50*time.Millisecond))
+	if got := n.readingInterval("s"); got >= slowestReading {
+		t.Errorf("between two requests: %s", got)
+	}
+	n.noteOccupancy([]sample{{service: "s", reading: dispatch.Reading{Slots: 4}}}, begin.Add(20*time.Second))
+	if got := n.readingInterval("s"); got != slowestReading {
+		t.Errorf("long after: %s", got)
+	}
+}
+
+// Guards against readings that are lost or changed on the way, also from instances of the version before.
+func TestReadingsAreKeptInDatagrams(t *testing.T) {
+	notes := []loadNote{{Target: 1 << 31, Running: 3, Waiting: 65535, PacePercent: 400, AgeMS: 12}, {Target: 7, PacePercent: 0}}
+	b, err := encode(&datagram{From: "a", Loads: notes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := decode(b)
+	if err != nil || fmt.Sprint(d.Loads) != fmt.Sprint(notes) {
+		t.Errorf("%+v, %v", d, err)
+	}
+	if got := unpackLoads(append(packLoads(notes), 1, 2, 3)); len(got) != len(notes) {
+		t.Errorf("an incomplete reading counts: %+v", got)
+	}
+}
+
+// startLarge runs nodes on addresses of their own with one port, as on the platform, in zones of the same size. The first
+// three are the seeds.
+func startLarge(t *testing.T, count, zones int) *testFleet {
+	t.Helper()
+	f := &testFleet{store: &fakeStore{}}
+	f.store.configs = []*routes.Config{{Version: 1, Services: []routes.Service{{Name: "s"}}}}
+	for i := range 2 * zones {
+		id := fmt.Sprint("t", i)
+		f.store.record(id, &registry.Entry{ID: id, Address: "127.0.0.1:9", Zone: fmt.Sprint("z", i%zones), Service: "s", Slots: 4})
+	}
+	host := func(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
+	listener, err := net.Listen("tcp", host(0)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := listener.Addr().(*net.TCPAddr).Port
+	_ = listener.Close()
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, host(i))
+	}
+	for i := range count {
+		f.startAt(t, fmt.Sprintf("n%03d", i), fmt.Sprint("z", i%zones), fmt.Sprintf("%s:%d", host(i), port), seeds)
+	}
+	return f
+}
+
+// Guards against calls to the store by each instance at a start of all: 472 instances made 2,827 calls, which cost more than
+// the calls of a whole day. The pattern is a start or a restart of the whole fleet.
+func TestFewCallStoreAtAStartOfAll(t *testing.T) {
+	const zones, count = 2, 40
+	f := startLarge(t, count, zones)
+	f.await(t, "all serve", func(n *Node) bool { return n.Ready() })
+	f.await(t, "all instances are known", func(n *Node) bool { return n.View().Instances == count })
+	calls := f.store.callCount()
+	// As many members of a zone as do not yet take it for a large one read both topics, its reader announces itself in three
+	// calls, and the rest are the reads since.
+	if most := zones*(2*largeZone+3) + 2*int(time.Since(f.began)/readInterval); calls > most {
+		t.Errorf("%d instances made %d calls to the store, want at most %d", count, calls, most)
+	}
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -121,7 +121,7 @@
 		return
 	}
 	n.fetching = true
-	pause := time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zoneSize)*fetchSpread) + 1))
+	pause := time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zoneSize())*fetchSpread) + 1))
 	request := StateRequest{}
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
@@ -138,7 +138,7 @@
 	s := State{
 		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
 		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
-		Members: n.members.all(), TargetsListed: n.targets.known,
+		Members: n.members.introductions(n.Self.Zone, true), TargetsListed: n.targets.known, ConfigListed: n.configs.known,
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
@@ -162,16 +162,15 @@
 	n.meet(s.Members, now)
 	changed := false
 	if s.TargetsListed && (!n.targets.known || s.TargetsNext > n.targets.next) {
-		for _, c := range s.Targets {
-			n.registry.Apply(c, now)
-		}
+		// The peer may have listed the targets after one left that this instance still knows.
+		n.registry.Replace(s.Targets, now)
 		n.recent, n.recentBase = nil, s.TargetsNext
 		n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
 		n.targets.fresh(now.Add(-s.TargetsAge))
 		changed = true
 	}
-	if s.Config != nil {
-		n.configs.next, n.configs.known = max(n.configs.next, s.ConfigNext), true
+	if s.Config != nil || s.ConfigListed && !n.configs.known {
+		n.configs.next, n.configs.known, n.configs.behind = max(n.configs.next, s.ConfigNext), true, false
 		n.configs.fresh(now.Add(-s.ConfigAge))
 		n.applyConfig(s.Config, "peer", now)
 	}
