Read the store in turn across zones, and spend all retries that requests earn

Cause 1: 472 instances made 14 calls a second to the store in steady state instead of 5. The reader that reads for all told the other zones only with the next readings, 400 ms later in large zones, so that what they knew was up to 800 ms old and the next three in line read as well, after 560, 650 and 740 ms. Change: every read is told to the other zones at once; targets are read every 500 ms, configurations every 800 ms. An instance spends 0.9 of what its own requests earn; what all instances hold for later and what is added in a window are together 0.9 of the extra retries.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -130,27 +130,30 @@
 	return true
 }
 
-// retryCap is the most that the allowance holds. The lock is held.
+// retryCap is the most that the allowance holds for later. What all instances hold may be spent in one window. The lock is
+// held.
 func (p *Pool) retryCap() float64 {
-	return max(1, p.policy.RetryExtra/float64(p.sharers)) + retryBurst
+	return max(1, heldShare*p.policy.RetryExtra/float64(p.sharers))
 }
 
-// retryBurst is how many earned retries an instance may keep for later.
-const retryBurst = 3
+// heldShare is the share of the extra retries that the instances may hold for later. The rest is added over each window.
+const heldShare = 0.5
 
 // refillRetries adds this instance's share of the fleet's extra retries. The lock is held.
 func (p *Pool) refillRetries() {
 	now := p.now()
 	r := &p.retries
-	extra := p.policy.RetryExtra / float64(p.sharers)
-	if !p.sharersKnown {
-		extra = 0
-	}
 	if !r.started {
-		r.started, r.tokens = true, extra
-	} else {
-		r.tokens = min(r.tokens+extra/2*float64(now-r.at)/float64(p.policy.RetryWindow), p.retryCap())
+		r.started, r.at = true, now
+		if p.sharersKnown {
+			r.tokens = p.retryCap()
+		}
+	}
+	if p.sharersKnown {
+		refill := max(0, p.policy.RetryExtra/float64(p.sharers)-p.retryCap())
+		r.tokens += refill * float64(now-r.at) / float64(p.policy.RetryWindow)
 	}
+	r.tokens = min(r.tokens, p.retryCap())
 	r.at = now
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,9 +86,9 @@
 	return p
 }
 
-// budgetShare is the part of the platform's budget for retries that is used, because no instance knows what the others
-// spent.
-const budgetShare = 0.6
+// budgetShare is the part of the platform's budget for retries that is used. Each instance spends what its own requests earn
+// and its share of the rest; the reserve covers instances that are counted late.
+const budgetShare = 0.9
 
 // seedHosts returns the IP addresses of the seeds, which were validated with the settings.
 func seedHosts(seeds []string) []string {
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -183,14 +183,12 @@
 	n.sendAll(d, addressesOf(n.members.zonePeers(now))...)
 }
 
-// tellNews tells the zone, and after a change the other zones too, how far the store was read by this instance.
-func (n *Node) tellNews(now time.Time, changed bool) {
+// tellNews tells this zone and the others how far the store was read by this instance. The readers of the other zones would
+// read it themselves if they were not told at once.
+func (n *Node) tellNews(now time.Time) {
 	d := n.base(now)
 	d.Targets, d.Config = n.targetsNote(now), n.configNote(now)
 	n.tellZone(d, now)
-	if !changed && n.reader {
-		return
-	}
 	n.tellZones(d, now)
 }
 
@@ -206,7 +204,6 @@
 	}
 	n.heartbeat = now
 	d := n.introduction(now)
-	d.Targets, d.Config = n.targetsSummary(now), n.configNote(now)
 	n.sendAll(d, addressesOf(n.members.council(now))...)
 	n.greet(now)
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -139,28 +139,26 @@
 		return
 	}
 	n.configs.succeeded(e.began, e.next)
-	changed := false
 	for _, config := range e.configs {
-		changed = n.applyConfig(config, "store", now) || changed
+		n.applyConfig(config, "store", now)
 	}
-	n.tellNews(now, changed)
+	n.tellNews(now)
 }
 
-// applyConfig puts a configuration in force unless a newer one is. It reports whether it did.
-func (n *Node) applyConfig(config *routes.Config, source string, now time.Time) bool {
+// applyConfig puts a configuration in force unless a newer one is.
+func (n *Node) applyConfig(config *routes.Config, source string, now time.Time) {
 	if config == nil || n.table != nil && config.Version <= n.table.Version {
-		return false
+		return
 	}
 	table, err := routes.Build(config)
 	if err != nil {
 		n.Log.Warn("Refused a configuration. The one in force stays.", "version", config.Version, "error", err)
-		return false
+		return
 	}
 	n.config, n.table = config, table
 	n.configs.behind = false
 	n.Log.Info("Configuration in force.", "version", config.Version, "routes", len(config.Routes), "source", source)
 	n.publish(now)
-	return true
 }
 
 // readTargets reads the records of targets when it is this instance's turn.
@@ -203,7 +201,7 @@
 	if changed || first {
 		n.publish(now)
 	}
-	n.tellNews(now, changed)
+	n.tellNews(now)
 }
 
 // applyChanges takes over records of targets and keeps those that say something new for instances that missed them.
@@ -247,14 +245,6 @@
 	return note
 }
 
-// targetsSummary describes how far the targets were read, without the changes.
-func (n *Node) targetsSummary(now time.Time) *targetsNote {
-	if !n.targets.known {
-		return nil
-	}
-	return &targetsNote{Base: n.targets.next, Next: n.targets.next, AgeMS: now.Sub(n.targets.asOf).Milliseconds()}
-}
-
 // configNote describes the configuration in force. Version 0 stands for none.
 func (n *Node) configNote(now time.Time) *configNote {
 	if !n.configs.known {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -148,6 +148,7 @@
 		pools: map[string]*dispatch.Pool{}, byHash: map[uint32]targetRef{}, pending: map[uint32]loadSample{},
 		rounds:     map[string]*serviceRound{},
 		recentBase: -1, instances: 1, live: 1,
+		targets: topicReads{interval: targetsInterval}, configs: topicReads{interval: configsInterval},
 	}
 	n.sampler = newSampler(c.Prober, c.Now)
 	n.rpc = newStateServer(n, c.Self.Address)
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// readInterval is the time between two reads of a topic by the fleet. A departure binds within 2 s of its record.
-	readInterval = 400 * time.Millisecond
+	// targetsInterval and configsInterval are the times between two reads of a topic by the fleet. A departure and a
+	// configuration bind within 2 s of their record, and the next in line reads standbyDelay later.
+	targetsInterval = 500 * time.Millisecond
+	configsInterval = 800 * time.Millisecond
 	// standbyDelay and standbyStep are how much longer those wait who read only when nobody before them does.
 	standbyDelay = 160 * time.Millisecond
 	standbyStep  = 90 * time.Millisecond
@@ -18,6 +20,8 @@
 // topicReads schedules the reads of one topic: the instance whose turn it is reads when what the fleet knows has become
 // old enough. Nobody has to agree on whose turn it is, because an instance that does not read lets the age grow.
 type topicReads struct {
+	// interval is the time between two reads.
+	interval time.Duration
 	// asOf is when the store was last known to have been read to its end, by any instance.
 	asOf time.Time
 	// next is the offset to read on from.
@@ -44,7 +48,7 @@
 	if !t.known {
 		return !now.Before(first)
 	}
-	wait := readInterval
+	wait := t.interval
 	if rank > 0 {
 		wait += standbyDelay + time.Duration(rank-1)*standbyStep
 	}
