Hold requests that crash targets on routes too

The routes' path only had the attempts and the retry allowance; the own interface has internal/crashguard. Change: internal/ingress uses the same guard, by the caller's address, method, path and body. A lost answer counts as a crash when the target refuses a new connection. Marks travel in datagrams: to the zone and the readers, who pass on what is news and repeat it for 1.5 s. A held request is answered 503 crash_held with Retry-After 30 s: it has not run.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,14 +48,15 @@
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Policy: e.policy(), Prober: platform.Prober{},
 		ProbeInterval: probeInterval(s), Now: clk.Now, Check: clk.Check,
-		Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:     telemetry.Component(log, "fleet"),
-		Changed: func(registered func(string) bool) { e.gateway.Forget(registered) },
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:       telemetry.Component(log, "fleet"),
+		Changed:   func(registered func(string) bool) { e.gateway.Forget(registered) },
+		CrashMark: func(key string, data []byte) bool { return e.gateway.TakeCrashMark(key, data) },
 	})
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
 		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, Misdirected: e.node.Misdirected,
-		Now: clk.Now, Check: clk.Check, SampleOneIn: s.Log.SampleOneIn,
+		Now: clk.Now, Check: clk.Check, SampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
 	})
 	gauges := telemetry.Gauges{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, Dropped: e.node.Dropped,
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -155,6 +155,7 @@
 	if d.Greeting {
 		n.answerGreeting(d, p, now)
 	}
+	n.takeMarks(d.Marks, p, now)
 	n.takeNews(ctx, d, p, now)
 }
 
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -78,6 +78,8 @@
 		e.reply <- n.state(e.request, now)
 	case roundRead:
 		n.handleRound(e, now)
+	case markSpread:
+		n.tellMark(e.mark, now)
 	case misdirected:
 		if n.registry.Drop(e.targetID) {
 			n.Log.Info("Dropped a target whose address answers for another one.", "target", e.targetID)
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,3 +55,36 @@
 		t.Errorf("an old record in a newer note brought them back: %+v", usable)
 	}
 }
+
+// Guards against marks of requests that crash targets that reach only some instances: the caller comes again at any of them.
+func TestCrashMarksReachAll(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	f := &testFleet{store: &fakeStore{}}
+	f.crashMark = func(id, key string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		news := key == "k" && !seen[id]
+		seen[id] = true
+		return news
+	}
+	f.fill(t, 6)
+	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 6 })
+	f.nodes[5].SpreadCrashMark("k", []byte{1})
+	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		mu.Lock()
+		reached := 0
+		for _, n := range f.nodes[:5] {
+			if seen[n.Self.ID] {
+				reached++
+			}
+		}
+		mu.Unlock()
+		if reached == 5 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the mark reached %d of 5 other instances", reached)
+		}
+	}
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -47,6 +47,8 @@
 	Council []string `cbor:"19,keyasint,omitempty"`
 	// ZoneSize is how many members of the receiver's zone the sender of an answer to a greeting knows.
 	ZoneSize int `cbor:"21,keyasint,omitempty"`
+	// Marks tell of requests that crash targets.
+	Marks []crashMark `cbor:"22,keyasint,omitempty"`
 	// Leaving is true when the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Claim and Denial stand alone in a datagram. Key 10 was used before.
@@ -54,6 +56,12 @@
 	Denial *denialNote `cbor:"17,keyasint,omitempty"`
 }
 
+// crashMark is what is known of a request that crashes targets. The ingress writes and reads it.
+type crashMark struct {
+	Key  string `cbor:"1,keyasint"`
+	Data []byte `cbor:"2,keyasint"`
+}
+
 // loadNote is one reading of a target. Targets are named by a hash of their id.
 type loadNote struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -53,6 +53,9 @@
 	Check  func() (now, suspended time.Duration)
 	Random *rand.Rand
 	Log    *slog.Logger
+	// CrashMark takes over a mark of a request that crashes targets and reports whether it is news. It must not block, and may
+	// be nil.
+	CrashMark func(key string, data []byte) bool
 	// Changed is called by the control loop after the set of registered targets changed. It must not block.
 	Changed func(registered func(id string) bool)
 }
@@ -128,6 +131,8 @@
 	toldReaders []string
 	// noted is when the zone was last told how far the store was read, and councilAt when it was told its council.
 	noted, councilAt time.Time
+	// marks are the crash marks that were learnt lately.
+	marks []recentMark
 	// pending are readings that were not sent to other zones yet.
 	pending map[uint32]loadSample
 }
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -138,12 +138,21 @@
 	doors []*door
 	// began is when the first node was started.
 	began time.Time
-	stops []context.CancelFunc
+	// crashMark takes over the crash marks of a node.
+	crashMark func(id, key string) bool
+	stops     []context.CancelFunc
 }
 
 func startFleet(t *testing.T, count int) *testFleet {
 	t.Helper()
 	f := &testFleet{store: &fakeStore{}}
+	f.fill(t, count)
+	return f
+}
+
+// fill starts nodes in two zones, each with a target.
+func (f *testFleet) fill(t *testing.T, count int) {
+	t.Helper()
 	f.store.publish(1)
 	f.store.record("t1", &registry.Entry{ID: "t1", Address: "127.0.0.1:9", Zone: "z0", Service: "s", Slots: 4})
 	f.store.record("t2", &registry.Entry{ID: "t2", Address: "127.0.0.1:9", Zone: "z1", Service: "s", Slots: 4})
@@ -151,7 +160,6 @@
 		f.start(t, i)
 	}
 	f.await(t, "all nodes serve", func(n *Node) bool { return n.Ready() })
-	return f
 }
 
 func (f *testFleet) start(t *testing.T, i int) {
@@ -172,9 +180,11 @@
 		f.began = start
 	}
 	d := &door{store: f.store}
+	mark := func(key string, _ []byte) bool { return f.crashMark != nil && f.crashMark(id, key) }
 	n := New(Config{
-		Self:  discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: 300},
-		Store: d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, Seeds: seeds,
+		CrashMark: mark,
+		Self:      discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: 300},
+		Store:     d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, Seeds: seeds,
 		Now:    func() time.Duration { return time.Since(start) },
 		Random: rand.New(rand.NewPCG(uint64(len(f.nodes)), 1)), Log: slog.New(slog.DiscardHandler),
 	})
--- a/internal/fleet/rounds.go
+++ b/internal/fleet/rounds.go
@@ -177,6 +177,7 @@
 	if now.Sub(n.noted) >= noteInterval {
 		n.noted = now
 		d.Targets, d.Config, d.Readers = n.targetsNote(now), n.configNote(now), n.remoteReaderIDs()
+		d.Marks = n.recentMarks(now)
 		if len(n.parts) > 1 {
 			d.Parts = n.parts
 		}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/reason"
@@ -37,6 +38,10 @@
 	attempts int
 	waited   time.Duration
 	last     dispatch.Decision
+	// caller is the address of the caller's machine, and print the fingerprint of the request once it is known.
+	caller string
+	print  crashguard.Fingerprint
+	known  bool
 }
 
 // parse selects the route of a request. The view stays the same until the request has ended.
@@ -114,6 +119,7 @@
 		r.retryAfter = notReadyRetryAfter
 		return g.writeRefusal(c, call, r)
 	}
+	call.identify(c)
 	call.pool.Arrived()
 	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.Now())
 	defer cancel()
--- /dev/null
+++ b/internal/ingress/crash.go
@@ -0,0 +1,129 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/basillink/basillink/internal/crashguard"
+	"github.com/basillink/basillink/internal/reason"
+)
+
+const (
+	// crashCheckTimeout bounds the look whether a target that lost an answer still accepts connections.
+	crashCheckTimeout = 100 * time.Millisecond
+	// crashedRetryAfter is when a caller may come back with a request that crashed targets. It is held for longer; the time
+	// keeps callers from asking all the time.
+	crashedRetryAfter = 30 * time.Second
+)
+
+// CrashMarks passes crash marks between instances.
+type CrashMarks interface {
+	// SpreadCrashMark tells the other instances of a mark. It must not block.
+	SpreadCrashMark(key string, data []byte)
+}
+
+// spreadCrash passes a mark on to the other instances.
+func (g *Gateway) spreadCrash(f crashguard.Fingerprint, data []byte) {
+	if g.CrashMarks != nil {
+		g.CrashMarks.SpreadCrashMark(f.String(), data)
+	}
+}
+
+// TakeCrashMark takes over a mark of another instance and reports whether it is news.
+func (g *Gateway) TakeCrashMark(key string, data []byte) bool {
+	f, err := crashguard.ParseFingerprint(key)
+	if err != nil {
+		g.Log.Warn("Ignored a crash mark.", "error", err)
+		return false
+	}
+	news, err := g.crashes.Receive(g.Now(), f, data)
+	if err != nil {
+		g.Log.Warn("Ignored a crash mark.", "request", key, "error", err)
+		return false
+	}
+	return news
+}
+
+// identify notes who sends a request. A request that crashes targets comes again from the same caller.
+func (call *call) identify(c *app.RequestContext) {
+	if conn := c.GetConn(); conn != nil && conn.RemoteAddr() != nil {
+		call.caller, _, _ = net.SplitHostPort(conn.RemoteAddr().String())
+	}
+}
+
+// fingerprint identifies requests of one caller with the same content.
+func (call *call) fingerprint() crashguard.Fingerprint {
+	if !call.known {
+		h := &call.request.Header
+		call.print = crashguard.FingerprintOf(call.service+" "+call.caller, string(h.Method()), call.uri, call.request.Body())
+		call.known = true
+	}
+	return call.print
+}
+
+// admit lets a request pass that is not suspect of crashing targets, or waits for its turn as a suspect. The entry must be
+// left.
+func (g *Gateway) admit(ctx context.Context, call *call) (crashguard.Entry, *result) {
+	for g.crashes.Watching() {
+		entry, wait, refused := g.crashes.Enter(g.Now(), call.fingerprint())
+		if refused {
+			return entry, g.crashed(reason.CrashHeld)
+		}
+		if wait == nil {
+			return entry, nil
+		}
+		select {
+		case <-wait:
+		case <-time.After(crashguard.PollInterval):
+		case <-ctx.Done():
+			return entry, g.crashed(reason.CrashHeld)
+		}
+	}
+	return crashguard.Entry{}, nil
+}
+
+func (g *Gateway) crashed(why *reason.Reason) *result {
+	r := refused(why)
+	r.retryAfter = crashedRetryAfter
+	return r
+}
+
+// judge tells the crash guard how an exchange with a target ended.
+func (g *Gateway) judge(ctx context.Context, call *call, target, address string, r *result) {
+	switch r.why {
+	case reason.AnswerLost, reason.AnswerTruncated:
+		g.crashes.Lost(g.Now(), call.fingerprint(), target, target)
+		if g.refusesConnections(ctx, address) {
+			g.crashes.Refused(g.Now(), target)
+			g.Log.Warn("A target ended while it ran a request.", "request", call.id, "target", target, "route", call.route.Name,
+				"fingerprint", call.fingerprint().String())
+		}
+	case reason.ConnectionRefused:
+		if g.crashes.Watching() {
+			g.crashes.Refused(g.Now(), target)
+		}
+	default:
+		if r.answer != nil && r.answer.Whole() && g.crashes.Watching() {
+			g.crashes.Answered(g.Now(), call.fingerprint())
+		}
+	}
+}
+
+// refusesConnections reports whether nothing listens at the address of a target any more. The look comes before a further
+// send, so that this already runs as one of a suspect.
+func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -42,33 +42,48 @@
 // execute sends the request to targets until one answers, or no further target may receive it.
 func (g *Gateway) execute(ctx context.Context, call *call) *result {
 	for {
-		decision := call.pool.Acquire(ctx, &call.ask)
-		call.last = decision
-		call.waited = decision.Inputs.Waited
-		if decision.Inputs.Denied > 0 {
-			g.Counter.Denied(call.service, decision.Inputs.Denied)
+		entry, refusal := g.admit(ctx, call)
+		if refusal != nil {
+			return refusal
 		}
-		if decision.Target == nil {
-			return g.unassigned(ctx, call, decision)
-		}
-		call.attempts++
-		outcome := g.attempt(ctx, call, decision)
-		if outcome.expired && ctx.Err() == nil {
-			call.attempts--
-			continue
-		}
-		if !outcome.retryable || ctx.Err() != nil {
-			return outcome
-		}
-		if call.attempts >= max(call.route.MaxAttempts, 1) || !call.pool.MayRetry() {
+		outcome, again := g.tryOnce(ctx, call)
+		entry.Leave()
+		if !again {
 			return outcome
 		}
-		g.noteRetry(call, outcome)
-		call.ask.Tried = append(call.ask.Tried, decision.Target)
-		outcome.release()
 	}
 }
 
+// tryOnce sends the request to one target. It reports whether a further one may receive it.
+func (g *Gateway) tryOnce(ctx context.Context, call *call) (outcome *result, again bool) {
+	decision := call.pool.Acquire(ctx, &call.ask)
+	call.last = decision
+	call.waited = decision.Inputs.Waited
+	if decision.Inputs.Denied > 0 {
+		g.Counter.Denied(call.service, decision.Inputs.Denied)
+	}
+	if decision.Target == nil {
+		return g.unassigned(ctx, call, decision), false
+	}
+	call.attempts++
+	outcome = g.attempt(ctx, call, decision)
+	if outcome.expired && ctx.Err() == nil {
+		call.attempts--
+		return nil, true
+	}
+	g.judge(ctx, call, decision.Target.ID, decision.Target.Address, outcome)
+	if !outcome.retryable || ctx.Err() != nil {
+		return outcome, false
+	}
+	if call.attempts >= max(call.route.MaxAttempts, 1) || !call.pool.MayRetry() {
+		return outcome, false
+	}
+	g.noteRetry(call, outcome)
+	call.ask.Tried = append(call.ask.Tried, decision.Target)
+	outcome.release()
+	return nil, true
+}
+
 // unassigned ends a request for which no target was chosen.
 func (g *Gateway) unassigned(ctx context.Context, call *call, d dispatch.Decision) *result {
 	why := d.Refusal
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/reason"
@@ -72,6 +73,8 @@
 	// suspensions are not noticed.
 	Now   func() time.Duration
 	Check func() (now, suspended time.Duration)
+	// CrashMarks tells other instances of requests that crash targets. It may be nil.
+	CrashMarks CrashMarks
 	// SampleOneIn is how many requests that went well share one log line. 0 logs none.
 	SampleOneIn int
 }
@@ -87,6 +90,7 @@
 	opened      time.Duration
 	served      atomic.Uint64
 	guard       rescue.Guard
+	crashes     *crashguard.Guard
 	// beforeSend is called between the decision and the sending of a request. Tests set it.
 	beforeSend func()
 	sample     atomic.Int64
@@ -101,6 +105,7 @@
 		c.Check = func() (time.Duration, time.Duration) { return c.Now(), 0 }
 	}
 	g := &Gateway{Config: c, listener: inbound.Listener{Address: c.Address}, origins: map[string]*origin{}}
+	g.crashes = crashguard.New(g.spreadCrash)
 	g.SetSample(c.SampleOneIn)
 	g.server = server.New(
 		server.WithListener(&g.listener),
--- a/internal/standin/rawtarget/rawtarget.go
+++ b/internal/standin/rawtarget/rawtarget.go
@@ -46,6 +46,16 @@
 // Address returns the listening address.
 func (w *Target) Address() string { return w.listener.Addr().String() }
 
+// Stop closes the listener and all connections, as the end of the target's process does.
+func (w *Target) Stop() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, conn := range w.conns {
+		_ = conn.Close()
+	}
+}
+
 func (w *Target) accept() {
 	for {
 		conn, err := w.listener.Accept()
@@ -81,12 +91,7 @@
 }
 
 func (w *Target) close() {
-	_ = w.listener.Close()
-	w.mu.Lock()
-	for _, conn := range w.conns {
-		_ = conn.Close()
-	}
-	w.mu.Unlock()
+	w.Stop()
 	w.served.Wait()
 }
 
