Log the best target that was not chosen, and failed answers under their own message

Cause: a line about a request showed the figures of the chosen target only, so that "why not another one" had no answer, and a 504 of a target was logged as "Answered late.". Change: each decision keeps its two cheapest targets; the lines carry other, other_occupied, other_pace, other_age_ms, other_expected_ms and other_behind_ms. Test: TestDecisionNamesTheAlternative.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -11,6 +11,7 @@
 		work: work, crossing: p.crossing(a), left: a.Arrived + a.Objective - now, meanPace: p.meanPace, blindUntil: p.blindUntil,
 	}
 	var unreachable estimate
+	p.cheapest = [2]estimate{}
 	for _, t := range p.candidates() {
 		if slices.Contains(a.Tried, t) {
 			continue
@@ -27,6 +28,7 @@
 			}
 			continue
 		}
+		p.noteCheap(e)
 		inputs.usable += e.usable
 		inputs.filled += min(e.occupied, e.usable)
 		if best.target == nil || e.cost < best.cost {
@@ -48,6 +50,31 @@
 	return best, open, inputs
 }
 
+// noteCheap keeps the two cheapest estimates of a decision. The lock is held.
+func (p *Pool) noteCheap(e estimate) {
+	switch {
+	case p.cheapest[0].target == nil || e.cost < p.cheapest[0].cost:
+		p.cheapest[0], p.cheapest[1] = e, p.cheapest[0]
+	case p.cheapest[1].target == nil || e.cost < p.cheapest[1].cost:
+		p.cheapest[1] = e
+	}
+}
+
+// other describes the cheapest target of the last decision that was not chosen. The lock is held.
+func (p *Pool) other(chosen estimate, now time.Duration) Alternative {
+	e := p.cheapest[0]
+	if e.target == chosen.target {
+		e = p.cheapest[1]
+	}
+	if e.target == nil {
+		return Alternative{}
+	}
+	return Alternative{
+		Target: e.target.ID, Occupied: e.occupied, Pace: e.pace, ReadingAge: e.target.readingAge(now), Expected: e.answer,
+		Behind: e.cost - chosen.cost,
+	}
+}
+
 // headBytes is the usual size of the heads of a request and its answer.
 const headBytes = 700
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -54,11 +54,27 @@
 	// ReadingAge is the age of the load reading, negative without one.
 	ReadingAge time.Duration
 	Expected   time.Duration
+	// Other is the best of the other candidates.
+	Other Alternative
 	// Denied is how many claims of targets were denied before.
 	Denied int
 	Waited time.Duration
 }
 
+// Alternative is a target that was not chosen, with what spoke against it.
+type Alternative struct {
+	// Target is the id, empty without another candidate.
+	Target   string
+	Occupied int
+	Pace     float64
+	// ReadingAge is the age of the load reading, negative without one.
+	ReadingAge time.Duration
+	Expected   time.Duration
+	// Behind is how much more the target cost than the chosen one. It is more than the difference of the expected times for
+	// a target of another zone, one that failed requests lately, and one without an open connection.
+	Behind time.Duration
+}
+
 // Pool decides for the targets of one service. It is safe for concurrent use.
 type Pool struct {
 	// Claim announces a request that is about to be sent to a target. It reports whether a denial may follow. It is set
@@ -73,6 +89,8 @@
 	// targets are those of the own zone first, of which there are locals.
 	targets []*Target
 	locals  int
+	// cheapest are the two cheapest targets of one decision, for the log.
+	cheapest [2]estimate
 	// drawn holds the targets of one decision.
 	drawn []*Target
 	// used are targets of a large own zone that received requests of this instance last.
@@ -208,10 +226,8 @@
 	t := e.target
 	inputs.Occupied = t.occupied(now, &p.policy)
 	inputs.Pace = e.pace
-	inputs.ReadingAge = -1
-	if t.read {
-		inputs.ReadingAge = now - t.reading.At
-	}
+	inputs.ReadingAge = t.readingAge(now)
+	inputs.Other = p.other(e, now)
 	inputs.Expected = e.answer
 	inputs.Waited = now - a.Arrived
 	d := Decision{Target: t, Inputs: inputs, sent: now, pace: inputs.Pace}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -589,3 +589,26 @@
 		t.Errorf("%d moves are kept", n)
 	}
 }
+
+// Guards against a decision that cannot be explained afterwards: the log names the best target that was not chosen, and what
+// it would have cost.
+func TestDecisionNamesTheAlternative(t *testing.T) {
+	b := newBench(DefaultPolicy(), target("fast", "a"), target("slow", "a"), target("far", "b"))
+	b.read("fast", 0, 1)
+	b.read("slow", 2, 3)
+	b.read("far", 3, 4)
+	b.clock += 5 * time.Millisecond
+	d := b.now(t, b.ask(1))
+	other := d.Inputs.Other
+	if d.Target.ID != "fast" || other.Target != "slow" || other.Occupied != 2 || other.ReadingAge != 5*time.Millisecond {
+		t.Errorf("%s, other %+v", d.Target.ID, other)
+	}
+	if other.Behind <= 0 || other.Expected <= d.Inputs.Expected || other.Pace <= d.Inputs.Pace {
+		t.Errorf("chosen %+v, other %+v", d.Inputs, other)
+	}
+	b = newBench(DefaultPolicy(), target("only", "a"))
+	b.read("only", 0, 1)
+	if d := b.now(t, b.ask(1)); d.Inputs.Other != (Alternative{}) {
+		t.Errorf("other of one target: %+v", d.Inputs.Other)
+	}
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -117,6 +117,14 @@
 	return occupied
 }
 
+// readingAge is the age of the reading, negative without one.
+func (t *Target) readingAge(now time.Duration) time.Duration {
+	if !t.read {
+		return -1
+	}
+	return now - t.reading.At
+}
+
 // pace estimates how much longer than usual work of a given length takes on the target, whose pace returns to the mean.
 func (t *Target) pace(now, work time.Duration, mean float64, p *Policy) float64 {
 	pace := mean
--- a/internal/ingress/note.go
+++ b/internal/ingress/note.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/basillink/basillink/internal/reason"
@@ -24,7 +25,10 @@
 		return
 	}
 	message := "Answered."
-	if late {
+	switch {
+	case status >= http.StatusInternalServerError:
+		message = "Passed a failure of a target on."
+	case late:
 		message = "Answered late."
 	}
 	g.Log.Info(message, append(call.attributes(), "status", status, "total_ms", ms(total))...)
@@ -76,6 +80,10 @@
 		attributes = append(attributes, "target", t.ID, "occupied", in.Occupied, "pace", in.Pace,
 			"reading_age_ms", ms(in.ReadingAge), "expected_ms", ms(in.Expected))
 	}
+	if other := in.Other; call.last.Target != nil && other.Target != "" {
+		attributes = append(attributes, "other", other.Target, "other_occupied", other.Occupied, "other_pace", other.Pace,
+			"other_age_ms", ms(other.ReadingAge), "other_expected_ms", ms(other.Expected), "other_behind_ms", ms(other.Behind))
+	}
 	return attributes
 }
 
