Count what instances tell each other and the store

Change: basillink_datagrams, basillink_datagram_bytes (by kind and direction), basillink_store_calls (by call) and basillink_readings, read from atomic counters at each collection. Test: TestTrafficIsCounted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,6 +65,9 @@
 	if err := metrics.Observe(gauges); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := observeTraffic(metrics, e.node.Traffic()); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	e.ready = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler())
 	return e, nil
 }
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -42,9 +42,12 @@
 // take decodes a datagram. Claims are waited for, so that they pass the control loop by.
 func (n *Node) take(b []byte, from *net.UDPAddr) {
 	d, err := decode(b)
-	switch {
-	case err != nil:
+	if err != nil {
 		n.Log.Warn("Ignored a datagram.", "from", from.String(), "error", err)
+		return
+	}
+	n.traffic.received[kindOf(d)].count(1, len(b))
+	switch {
 	case d.Claim != nil:
 		n.takeClaim(d.Claim, from)
 	case d.Denial != nil:
@@ -74,6 +77,7 @@
 		n.Log.Error("Could not encode a datagram.", "error", err)
 		return
 	}
+	n.traffic.sent[kindOf(d)].count(len(addresses), len(b))
 	// A full link must not hold up the control loop. What is lost is told again.
 	if err := n.socket.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		n.Log.Debug("Could not bound the sending.", "error", err)
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -95,6 +95,7 @@
 	}
 	n.configs.reading = true
 	n.noteRead("configs", &n.configs, rank, now)
+	n.traffic.calls[CallConfigs].Add(1)
 	next, known := n.configs.next, n.configs.known
 	go func() {
 		r := configsRead{began: now}
@@ -170,6 +171,7 @@
 	}
 	n.targets.reading = true
 	n.noteRead("targets", &n.targets, rank, now)
+	n.traffic.calls[CallTargets].Add(1)
 	next, known := n.targets.next, n.targets.known
 	go func() {
 		r := targetsRead{began: now}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -32,6 +32,7 @@
 	n.joining = true
 	go func() {
 		var r membersRead
+		n.traffic.calls[CallMembers].Add(1)
 		r.members, r.err = n.Store.Members(ctx)
 		if r.err == nil && announces {
 			r = n.announce(ctx, r.members)
@@ -47,7 +48,9 @@
 	if slices.ContainsFunc(members, n.isSelf) {
 		return r
 	}
+	n.traffic.calls[CallAnnounce].Add(1)
 	if r.err = n.Store.Announce(ctx, n.Self); r.err == nil {
+		n.traffic.calls[CallMembers].Add(1)
 		r.members, r.err = n.Store.Members(ctx)
 	}
 	return r
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -68,6 +68,7 @@
 	ready   atomic.Bool
 	dropped atomic.Int64
 	guard   rescue.Guard
+	traffic Traffic
 	claims  atomic.Pointer[claimTable]
 	socket  *net.UDPConn
 	rpc     *stateServer
@@ -227,6 +228,9 @@
 	}
 }
 
+// Traffic returns the counters of what this instance exchanges with others.
+func (n *Node) Traffic() *Traffic { return &n.traffic }
+
 // Panics returns the number of messages whose handling ended in a panic.
 func (n *Node) Panics() int64 { return n.guard.Panics() }
 
--- a/internal/fleet/rounds.go
+++ b/internal/fleet/rounds.go
@@ -159,6 +159,7 @@
 	if n.share.parts == 0 {
 		return
 	}
+	n.traffic.readings.Add(int64(len(e.samples)))
 	d := n.base(now)
 	n.noteOccupancy(e.samples, now)
 	d.Loads = n.loadNotes(e.samples)
--- /dev/null
+++ b/internal/fleet/traffic_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against traffic of the fleet that nobody sees: what an instance sends is what its peers receive, by kind, and each
+// call to the store is counted.
+func TestTrafficIsCounted(t *testing.T) {
+	f := startFleet(t, 4)
+	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 4 })
+	time.Sleep(heartbeatInterval + 200*time.Millisecond)
+	var sent, received [kinds]int64
+	calls := int64(0)
+	for _, n := range f.nodes {
+		n.Traffic().Each(func(kind Kind, s, r Flow) {
+			sent[kind] += s.Datagrams
+			received[kind] += r.Datagrams
+			if s.Bytes < s.Datagrams || r.Bytes < r.Datagrams {
+				t.Errorf("%s: %+v %+v", kind, s, r)
+			}
+		})
+		n.Traffic().EachCall(func(_ StoreCall, count int64) { calls += count })
+	}
+	for _, kind := range []Kind{KindHeartbeat, KindGreeting, KindReadings, KindNews} {
+		if sent[kind] == 0 || received[kind] < sent[kind]/2 {
+			t.Errorf("%s: %d sent, %d received", kind, sent[kind], received[kind])
+		}
+	}
+	if made := int64(f.store.callCount()); calls < made-2 || calls > made+2 {
+		t.Errorf("%d calls are counted, the store saw %d", calls, made)
+	}
+}
