Restart a small fleet at once, and a large one behind its announced readers

Change: an instance that hears nobody for 15 ms reads the announced members. Readers announce the number of live instances too. Where it says that zones are small, all read at once, as before; in large ones they wait for the announced reader, which reads at once. Ruled out: a shorter wait for all (472 instances would make 1,400 calls at once). Tests: TestRestartFollowsTheSizeOfTheFleet, TestReaderAnnouncesTheSizeOfTheFleet.

--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -35,6 +35,8 @@
 	Address string `json:"address"`
 	// Capacity orders the instances of a zone: stronger ones do the work for all.
 	Capacity int `json:"capacity,omitempty"`
+	// Fleet is the number of live instances when the member was announced, 0 if it was not known.
+	Fleet int `json:"fleet,omitempty"`
 	// Started is the start of the process as Unix time in ns. It orders incarnations of one instance.
 	Started int64 `json:"started"`
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -36,10 +36,11 @@
 	err     error
 }
 
-// membersRead is the end of a read of the announced members, after the announcement of this instance if it reads its zone.
+// membersRead is the end of a read of the announced members, and of the announcement of this instance, nil
+// if it was not announced.
 type membersRead struct {
 	members   []discovery.Member
-	announced bool
+	announced *discovery.Member
 	err       error
 }
 
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -11,9 +11,13 @@
 const (
 	// announceAfter is how long an instance reads its zone before it announces itself in the store.
 	announceAfter = 400 * time.Millisecond
+	// seedWait is how long an instance that starts waits for an answer of the seeds before it asks the store for members.
+	seedWait = 15 * time.Millisecond
 	// joinRetry is the pause before this instance asks the store again for the members, and lastJoinRetry the longest.
 	joinRetry     = 700 * time.Millisecond
 	lastJoinRetry = 10 * time.Second
+	// announceFactor is how much the number of instances must have changed before a reader announces it again.
+	announceFactor = 2
 )
 
 // join asks the store for the announced members while no other instance is heard, and announces this instance when it
@@ -24,32 +28,45 @@
 	if isolated || n.members.zoneReader(now) == nil && !n.reader {
 		n.greetSeeds(now)
 	}
-	announces := n.reader && !n.announced && now.Sub(n.readerSince) >= announceAfter
-	asks := isolated && now.Sub(n.started) >= n.startPatience()
+	asks := isolated && now.Sub(n.started) >= seedWait
+	announces := n.reader && now.Sub(n.readerSince) >= announceAfter && (isolated || n.settled(now)) && n.announcementIsOld()
 	if n.joining || now.Before(n.joinAt) || !announces && !asks {
 		return
 	}
 	n.joining = true
+	self := n.Self
+	if n.settled(now) {
+		self.Fleet = n.instances
+	}
 	go func() {
 		var r membersRead
 		n.traffic.calls[CallMembers].Add(1)
 		r.members, r.err = n.Store.Members(ctx)
 		if r.err == nil && announces {
-			r = n.announce(ctx, r.members)
+			r = n.announce(ctx, self, r.members)
 		}
 		n.deliver(ctx, r)
 	}()
 }
 
+// announcementIsOld reports whether this instance is not announced, or with a number of instances that is far off.
+func (n *Node) announcementIsOld() bool {
+	return n.announced == nil || differByFactor(n.announced.Fleet, n.instances)
+}
+
+func differByFactor(a, b int) bool { return a > announceFactor*b || b > announceFactor*a }
+
 // announce announces this instance unless it is, and reads the members once more. That finds those that were announced at
 // the same time and read before this instance was.
-func (n *Node) announce(ctx context.Context, members []discovery.Member) membersRead {
-	r := membersRead{members: members, announced: true}
-	if slices.ContainsFunc(members, n.isSelf) {
+func (n *Node) announce(ctx context.Context, self discovery.Member, members []discovery.Member) membersRead {
+	r := membersRead{members: members, announced: &self}
+	i := slices.IndexFunc(members, n.isSelf)
+	if i >= 0 && (self.Fleet == 0 || !differByFactor(members[i].Fleet, self.Fleet)) {
+		r.announced = &members[i]
 		return r
 	}
 	n.traffic.calls[CallAnnounce].Add(1)
-	if r.err = n.Store.Announce(ctx, n.Self); r.err == nil {
+	if r.err = n.Store.Announce(ctx, self); r.err == nil {
 		n.traffic.calls[CallMembers].Add(1)
 		r.members, r.err = n.Store.Members(ctx)
 	}
@@ -63,6 +80,7 @@
 
 func (n *Node) handleMembers(e membersRead, now time.Time) {
 	n.joining = false
+	n.takeSize(e.members)
 	n.meet(e.members, now)
 	n.joinPause = min(max(2*n.joinPause, joinRetry), lastJoinRetry)
 	n.joinAt = now.Add(n.joinPause)
@@ -70,13 +88,27 @@
 		n.Log.Info("Could not read or announce members.", "error", e.err)
 		return
 	}
-	if e.announced {
-		n.announced = true
+	if e.announced != nil {
+		n.announced = e.announced
 		n.joinPause = 0
 	}
 	n.countedAt = time.Time{}
 	n.noteInstances(now)
-	n.Log.Info("Read the announced members.", "members", len(e.members), "announced", e.announced)
+	n.Log.Info("Read the announced members.", "members", len(e.members), "announced", e.announced != nil)
+}
+
+// takeSize takes over how large the zone was when its reader was announced. An instance that was the reader itself need not
+// wait for others after a restart of all.
+func (n *Node) takeSize(members []discovery.Member) {
+	zones, fleet := map[string]bool{}, 0
+	for _, m := range members {
+		zones[m.Zone] = true
+		fleet = max(fleet, m.Fleet)
+	}
+	if len(zones) > 0 {
+		n.members.toldSize = max(n.members.toldSize, fleet/len(zones))
+	}
+	n.members.wasReader = slices.ContainsFunc(members, n.isSelf)
 }
 
 const (
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -95,6 +95,8 @@
 	toldSize int
 	// toldFailing is the number of instances that try to read the store in vain, as the reader of this zone told.
 	toldFailing int
+	// wasReader is true when this instance is announced as a reader by an earlier incarnation.
+	wasReader bool
 	// told are the ids of the council that the reader of this zone told at toldAt.
 	told   []string
 	toldAt time.Time
@@ -332,6 +334,9 @@
 
 // mayClaim is when an instance that started at a time may claim to be the reader of its zone, though nobody else does.
 func (m *members) mayClaim(started time.Time) time.Time {
+	if m.wasReader {
+		return started
+	}
 	alone := len(m.peers) == 0
 	if alone || max(m.zoneSize(), m.toldSize) > largeZone {
 		return started.Add(startSilence + time.Duration(min(m.knownOrder(), largeZone))*successionStep)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -92,18 +92,19 @@
 	stepped, resumed time.Time
 	// readerSince is since when this instance reads its zone.
 	readerSince time.Time
-	// announced is true once this instance is found in the store.
-	announced, joining bool
-	joinAt             time.Time
-	joinPause          time.Duration
-	seedsAt            time.Time
-	seedPause          time.Duration
-	heartbeat          time.Time
-	forgotAt           time.Time
-	crossAt            time.Time
-	storeDown          bool
-	instances          int
-	countedAt          time.Time
+	// announced is how this instance stands in the store, nil while that is not known.
+	announced *discovery.Member
+	joining   bool
+	joinAt    time.Time
+	joinPause time.Duration
+	seedsAt   time.Time
+	seedPause time.Duration
+	heartbeat time.Time
+	forgotAt  time.Time
+	crossAt   time.Time
+	storeDown bool
+	instances int
+	countedAt time.Time
 	// sharersKnown is true when instances is more than an estimate of the first seconds.
 	sharersKnown bool
 	// zoneFailing and failing are the numbers of instances that try to read the store in vain.
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -280,3 +280,60 @@
 		t.Errorf("it was in force %s after the outage", elapsed)
 	}
 }
+
+// Guards against a restart of a whole small fleet in which each instance waits for others that start as well, and against
+// one of a large fleet in which all of them read at once. The announced members tell which it is.
+func TestRestartFollowsTheSizeOfTheFleet(t *testing.T) {
+	reader := func(id, zone string, fleet int) discovery.Member {
+		m := member(id, zone)
+		m.Fleet = fleet
+		return m
+	}
+	cases := []struct {
+		name      string
+		self      discovery.Member
+		announced []discovery.Member
+		waits     bool
+	}{
+		{"nothing is announced", member("a5", "a"), nil, true},
+		{"small fleet", member("a5", "a"), []discovery.Member{reader("a1", "a", 14), reader("b1", "b", 14)}, false},
+		{"large fleet", member("a5", "a"), []discovery.Member{reader("a1", "a", 400), reader("b1", "b", 400)}, true},
+		{"large fleet, announced reader", member("a1", "a"), []discovery.Member{reader("a1", "a", 400), reader("b1", "b", 400)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := quietNode(t, c.self)
+			n.started, n.Seeds = begin, []string{"127.0.0.1"}
+			n.handleMembers(membersRead{members: c.announced}, begin)
+			if waits := !n.members.readsZone(begin.Add(time.Millisecond), begin, time.Time{}); waits != c.waits {
+				t.Errorf("waits: %v", waits)
+			}
+		})
+	}
+}
+
+// Guards against a number of instances in the store that is far off, and against an announcement for each small change.
+func TestReaderAnnouncesTheSizeOfTheFleet(t *testing.T) {
+	n := quietNode(t, member("a1", "a"))
+	n.instances = 10
+	if !n.announcementIsOld() {
+		t.Error("an unknown announcement counts as good")
+	}
+	store := &fakeStore{}
+	n.Store = &door{store: store}
+	self := n.Self
+	self.Fleet = 10
+	n.handleMembers(n.announce(context.Background(), self, nil), begin)
+	n.instances = 10
+	if len(store.members) != 1 || store.members[0].Fleet != 10 || n.announcementIsOld() {
+		t.Errorf("%+v", store.members)
+	}
+	n.instances = 18
+	if n.announcementIsOld() {
+		t.Error("a small change is announced")
+	}
+	n.instances = 21
+	if !n.announcementIsOld() {
+		t.Error("twice as many instances are not announced")
+	}
+}
