Do not let served instances wait for those that the store turns away

Readers announce the number of instances once it is settled, 3 s after the start, in up to three calls each; the test counted while they did. A count of calls by kind under the race detector showed 7 calls in 2 s from then on. Change: whoever the store answered within 3 s waits for nobody; the others wait 300 ms for each that is turned away. The store counts as unavailable after 1.8 s, which leaves the first three in line time to be turned away. TestFewReadTheStore begins to count after the announcements; its bound is the same. Ruled out: a larger bound on calls. Tests: TestServedInstanceDoesNotWaitForThoseTurnedAway and TestFourthInLineReadsBeforeTheStoreCountsAsAway, both failed before.

--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -154,6 +154,31 @@
 	}
 }
 
+// Guards against an instance that the store answers and that waits for others, which it turns away, as if it were down. The
+// pattern is a store that turns some instances away, with departures that bind after 2 s.
+func TestServedInstanceDoesNotWaitForThoseTurnedAway(t *testing.T) {
+	const rank, turnedAway = 3, 5
+	r := topicReads{interval: targetsInterval}
+	r.succeeded(begin, 10)
+	own := targetsInterval + standbyDelay + (rank-1)*standbyStep
+	if !r.due(begin.Add(own), turn{rank: rank, first: begin, failing: turnedAway}) {
+		t.Errorf("an instance that the store answered just now does not read after %s", own)
+	}
+	r.fresh(begin.Add(time.Minute))
+	if r.due(begin.Add(time.Minute+own), turn{rank: rank, first: begin, failing: turnedAway}) {
+		t.Error("an instance that the store has not answered for a minute joins those that it turns away at once")
+	}
+}
+
+// Guards against a store that counts as unavailable, so that entries which lapse stay in use, while it only turns the first
+// three in line away and the fourth is about to read.
+func TestFourthInLineReadsBeforeTheStoreCountsAsAway(t *testing.T) {
+	r := topicReads{interval: targetsInterval, known: true, asOf: begin}
+	if !r.due(begin.Add(outageAfter-20*time.Millisecond), turn{rank: 3, first: begin, failing: 3}) {
+		t.Errorf("the fourth in line has not read %s after the latest read", outageAfter)
+	}
+}
+
 // Guards against targets that nobody reads, or that several instances read, when there are too many for one of them, and
 // against a part that stays with an instance which fell silent.
 func TestReadingParts(t *testing.T) {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -251,7 +251,8 @@
 func TestFewReadTheStore(t *testing.T) {
 	f := startFleet(t, 6)
 	f.await(t, "members", func(n *Node) bool { return n.View().Instances == 6 })
-	time.Sleep(500 * time.Millisecond)
+	// Readers announce themselves once more when the number of instances is known, in up to three calls each.
+	time.Sleep(settleTime + 500*time.Millisecond)
 	before := f.store.callCount()
 	time.Sleep(2 * time.Second)
 	calls := f.store.callCount() - before
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -11,12 +11,15 @@
 	standbyDelay = 160 * time.Millisecond
 	standbyStep  = 90 * time.Millisecond
 	// failingStep is how much later an instance reads for each other one that is known to try in vain.
-	failingStep = 500 * time.Millisecond
+	failingStep = 300 * time.Millisecond
+	// servedFor is how long an instance that the store answered need not wait for those that it turns away.
+	servedFor = 3 * time.Second
 	// firstBackoff and lastBackoff bound the pause after a failed read.
 	firstBackoff = 250 * time.Millisecond
 	lastBackoff  = 1500 * time.Millisecond
-	// outageAfter is the age of the latest read at which the store counts as unavailable.
-	outageAfter = 1200 * time.Millisecond
+	// outageAfter is the age of the latest read at which the store counts as unavailable. It leaves the first three in line
+	// time to be turned away. Entries of targets lapse after 4.5 s at the earliest.
+	outageAfter = 1800 * time.Millisecond
 )
 
 // topicReads schedules the reads of one topic: the instance whose turn it is reads when what the fleet knows has become
@@ -36,6 +39,8 @@
 	reading bool
 	retryAt time.Time
 	backoff time.Duration
+	// served is when the store last answered this instance.
+	served time.Time
 }
 
 // turn is what decides when an instance reads.
@@ -65,7 +70,7 @@
 	if turn.rank > 0 {
 		wait += standbyDelay + time.Duration(turn.rank-1)*standbyStep
 	}
-	if t.backoff == 0 {
+	if t.backoff == 0 && now.Sub(t.served) > servedFor {
 		wait += time.Duration(turn.failing) * failingStep
 	}
 	return now.Sub(t.asOf) >= wait
@@ -75,6 +80,7 @@
 func (t *topicReads) succeeded(began time.Time, next int64) {
 	t.reading, t.behind, t.alone, t.known = false, false, false, true
 	t.backoff = 0
+	t.served = began
 	t.next = max(t.next, next)
 	t.fresh(began)
 }
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -263,7 +263,7 @@
 	}
 	before := f.store.callCount()
 	time.Sleep(outage)
-	// Those in line join one by one, 500 ms later for each that fails; each of them repeats a failed read with growing pauses.
+	// Those in line join one by one, 300 ms later for each that fails; each of them repeats a failed read with growing pauses.
 	if calls, most := f.store.callCount()-before, 60; calls > most {
 		for _, n := range f.nodes {
 			n.Traffic().EachCall(func(call StoreCall, count int64) { t.Logf("%s: %s %d", n.Self.ID, call, count) })
