Start processes of tests in process groups of their own

It failed today in eight of eight copies that were started from a shell command in the background which ended a second later, and in none of 72 later ones. The peer saw four live members all the time: the paused instance was running. When the shell that started a test ends, the process group of the test is orphaned, and the kernel continues its stopped processes (SIGHUP, SIGCONT). Change: tests start their processes in groups of their own, and these end when the test ends.

--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/daemoncli"
 	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/internal/testprocess"
 )
 
 // roleVariable selects what a copy of the test binary runs instead of the tests.
@@ -21,6 +22,9 @@
 func TestMain(m *testing.M) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
+	if os.Getenv(roleVariable) != "" {
+		testprocess.ExitWithParent()
+	}
 	switch role, argument, _ := strings.Cut(os.Getenv(roleVariable), " "); role {
 	case "":
 		os.Exit(m.Run())
@@ -87,6 +91,7 @@
 func startCommand(t testing.TB, command *exec.Cmd) *exec.Cmd {
 	t.Helper()
 	command.Stderr = os.Stderr
+	testprocess.OwnGroup(command)
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/daemoncli"
+	"github.com/basillink/basillink/internal/testprocess"
 )
 
 var (
@@ -31,6 +32,7 @@
 	if file == "" {
 		os.Exit(m.Run())
 	}
+	testprocess.ExitWithParent()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	os.Exit(int(daemoncli.RunEdge(ctx, os.Stdout, os.Stderr, file)))
@@ -91,6 +93,7 @@
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), settingsVariable+"="+i.settings)
 	command.Stdout, command.Stderr = logs, logs
+	testprocess.OwnGroup(command)
 	if err := command.Start(); err != nil {
 		return err
 	}
