--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -17,21 +17,6 @@
 	largeZoneHeartbeat = 1200 * time.Millisecond
 	// liveFor is how long a member counts as live after its last datagram.
 	liveFor = 2600 * time.Millisecond
-	// readerSilence is how long the reader of the zone may be silent before the next member takes over, and
-	// successionStep the further wait of each member behind that one.
-	readerSilence  = 160 * time.Millisecond
-	successionStep = 60 * time.Millisecond
-	// resumeSilence is how long an instance whose process was paused listens. A reader speaks every readerInterval.
-	resumeSilence = 250 * time.Millisecond
-	// startSilence is how long instances of large zones wait after their start.
-	startSilence = 200 * time.Millisecond
-	// councilSize is the number of members of a zone that hear the heartbeats of all its members, so that one of them can
-	// take over from the reader. Heartbeats of all to all would grow with the square of the zone.
-	councilSize = 8
-	// councilFor is how long the council holds that the reader of the zone told.
-	councilFor = 5 * time.Second
-	// missingFor is how long a silent member counts as one that may be cut off.
-	missingFor = 30 * time.Second
 	// forgetAfter is how long a silent member is remembered.
 	forgetAfter = 10 * time.Minute
 )
@@ -210,17 +195,6 @@
 	return peers
 }
 
-// liveInZone is the number of live instances of this zone that this instance hears, itself included.
-func (m *members) liveInZone(now time.Time) int {
-	count := 1
-	for _, p := range m.zone {
-		if p.isLive(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // isolated reports whether no other instance is heard.
 func (m *members) isolated(now time.Time) bool {
 	for _, p := range m.peers {
@@ -231,180 +205,6 @@
 	return true
 }
 
-// council returns the members of this zone that hear the heartbeats of all its members, and its reader: those that the
-// reader told, or the first of those that are known.
-func (m *members) council(now time.Time) []*peerState {
-	list := make([]*peerState, 0, councilSize+1)
-	if m.isTold(now) {
-		for _, id := range m.told {
-			if p := m.peers[id]; p != nil && !p.leaving {
-				list = append(list, p)
-			}
-		}
-	} else {
-		for _, p := range m.zone {
-			if len(list) < councilSize && !p.givenUp(now) {
-				list = append(list, p)
-			}
-		}
-	}
-	if p := m.zoneReader(now); p != nil && !slices.Contains(list, p) {
-		list = append(list, p)
-	}
-	return list
-}
-
-// isTold reports whether the reader of the zone told the council lately.
-func (m *members) isTold(now time.Time) bool {
-	return len(m.told) > 0 && now.Sub(m.toldAt) < councilFor
-}
-
-// inCouncil reports whether this instance belongs to the council of its zone.
-func (m *members) inCouncil(now time.Time) bool {
-	if m.isTold(now) {
-		return slices.Contains(m.told, m.self.ID)
-	}
-	return m.knownOrder() < councilSize
-}
-
-// councilIDs is the council as the reader of a zone sees it: the live members that come first.
-func (m *members) councilIDs(now time.Time) []string {
-	ids := make([]string, 0, councilSize)
-	for _, p := range m.zone {
-		if len(ids) < councilSize && p.isLive(now) {
-			ids = append(ids, p.ID)
-		}
-	}
-	return ids
-}
-
-// order is the number of members of this zone that take over from its reader before this instance. Members of the council
-// hear each other; the others go by the members that they know.
-func (m *members) order(now time.Time) int {
-	if !m.inCouncil(now) {
-		return max(m.knownOrder(), councilSize)
-	}
-	before := 0
-	for _, p := range m.zone {
-		if !precedes(p.Member, m.self) {
-			break
-		}
-		if p.isLive(now) {
-			before++
-		}
-	}
-	return before
-}
-
-// knownOrder is the number of known members of this zone that come before this instance, heard or not.
-func (m *members) knownOrder() int {
-	before := 0
-	for _, p := range m.zone {
-		if !precedes(p.Member, m.self) {
-			break
-		}
-		if !p.leaving {
-			before++
-		}
-	}
-	return before
-}
-
-// readsZone reports whether this instance reads the load of its zone: no earlier member has claimed that lately. It
-// listens for others first, after a pause of its process and after its start. In a small zone all members may read for a
-// moment after a start, so that the first readings come at once.
-func (m *members) readsZone(now, started, resumed time.Time) bool {
-	if now.Sub(resumed) < resumeSilence {
-		return false
-	}
-	if now.Before(m.mayClaim(started)) {
-		return false
-	}
-	limit := readerSilence + time.Duration(m.order(now))*successionStep
-	for _, p := range m.zone {
-		if !precedes(p.Member, m.self) {
-			break
-		}
-		if !p.leaving && now.Sub(p.readerAt) < limit {
-			return false
-		}
-	}
-	return true
-}
-
-// mayClaim is when an instance that started at a time may claim to be the reader of its zone, though nobody else does.
-func (m *members) mayClaim(started time.Time) time.Time {
-	if m.wasReader {
-		return started
-	}
-	alone := len(m.peers) == 0
-	if alone || max(m.zoneSize(), m.toldSize) > largeZone {
-		return started.Add(startSilence + time.Duration(min(m.knownOrder(), largeZone))*successionStep)
-	}
-	return started
-}
-
-// zoneReader returns the live peer of this zone that claimed last to be its reader, or nil.
-func (m *members) zoneReader(now time.Time) *peerState {
-	if p := m.lastReader; p != nil && p.isLive(now) && now.Sub(p.readerAt) < liveFor {
-		return p
-	}
-	return latestReader(m.zone, now, liveFor)
-}
-
-// latestReader returns the live member of a list that claimed last to be a reader, within a time.
-func latestReader(list []*peerState, now time.Time, within time.Duration) *peerState {
-	var best *peerState
-	for _, p := range list {
-		if p.isLive(now) && now.Sub(p.readerAt) < within && (best == nil || p.readerAt.After(best.readerAt)) {
-			best = p
-		}
-	}
-	return best
-}
-
-// failing is the number of live peers of this zone that try to read the store in vain.
-func (m *members) failing(now time.Time) int {
-	count := 0
-	for _, p := range m.zone {
-		if p.failing > 0 && p.isLive(now) {
-			count++
-		}
-	}
-	return count
-}
-
-// remoteFailing is the number of instances of other zones that try to read the store in vain.
-func (m *members) remoteFailing(now time.Time) int {
-	count := 0
-	for _, list := range m.remote {
-		most := 0
-		for _, p := range list {
-			if p.isLive(now) {
-				most = max(most, p.failing)
-			}
-		}
-		count += most
-	}
-	return count
-}
-
-// missing is how many times more members of this zone were heard in the last half minute than are heard now. The others
-// may be cut off from this instance and read the same targets.
-func (m *members) missing(now time.Time) float64 {
-	live, recent := 1, 1
-	for _, p := range m.zone {
-		if p.leaving || now.Sub(p.heard) > missingFor {
-			continue
-		}
-		recent++
-		if p.isLive(now) {
-			live++
-		}
-	}
-	return float64(recent) / float64(live)
-}
-
 // heartbeatEvery is how often an instance tells its zone that it lives. In large zones that is less often, because the
 // council hears all others.
 func (m *members) heartbeatEvery() time.Duration {
@@ -429,30 +229,6 @@
 // unbounded accepts claims of any age.
 const unbounded = time.Duration(1<<63 - 1)
 
-// instancesAtStart estimates the number of instances, this one included, before they have been heard.
-func (m *members) instancesAtStart(now time.Time, reader bool) int {
-	return max(m.instances(now, reader), 1+len(m.peers))
-}
-
-// instances estimates the number of live instances, this one included. A reader counts what it hears itself: two that
-// took each other for the reader would else repeat an old number to each other for good.
-func (m *members) instances(now time.Time, reader bool) int {
-	if !reader && m.fleet > 0 && now.Sub(m.fleetAt) < liveFor {
-		return max(m.fleet, m.liveInZone(now))
-	}
-	total := m.liveInZone(now)
-	for _, list := range m.remote {
-		most := 0
-		for _, p := range list {
-			if p.isLive(now) {
-				most = max(most, p.live, 1)
-			}
-		}
-		total += most
-	}
-	return total
-}
-
 // rank orders the instances that may read the store: readers of zones first, by zone, then the others in turn from each
 // zone.
 func (m *members) rank(now time.Time, reader bool) int {
