Change the number of instances without rebuilding what is known of targets

Change: a new number of instances is set in the pools and the view only. Pool.SetSharers replaces KnowSharers. Test: TestNumberOfInstancesLeavesTargetsAlone (68 allocations for 150 targets before, bound 20).

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -158,10 +158,10 @@
 	r.at = now
 }
 
-// KnowSharers tells whether the number of instances that share the targets is known. While it is a guess, as just after a
-// start of all instances, each of them uses only the retries that its own requests earn.
-func (p *Pool) KnowSharers(known bool) {
+// SetSharers tells how many instances share the targets, and whether that number is known. While it is a guess, as just after
+// a start of all instances, each of them uses only the retries that its own requests earn.
+func (p *Pool) SetSharers(sharers int, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sharersKnown = known
+	p.sharers, p.sharersKnown = max(sharers, 1), known
 }
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -403,7 +403,7 @@
 	retries := 0
 	for range instances {
 		b := newBench(policy, target("t", "a"))
-		b.KnowSharers(false)
+		b.SetSharers(1, false)
 		for range 2 {
 			b.Arrived()
 			for b.MayRetry() {
@@ -412,7 +412,7 @@
 		}
 		b.clock += time.Second
 		b.SetTargets([]registry.Target{target("t", "a")}, instances, wall)
-		b.KnowSharers(true)
+		b.SetSharers(instances, true)
 		b.Arrived()
 		for b.MayRetry() {
 			retries++
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -383,7 +383,22 @@
 	}
 	n.Log.Info("Changed the number of live instances.", "instances", instances, "before", n.instances, "settled", settled)
 	n.instances, n.sharersKnown = instances, settled
-	n.publish(now)
+	n.publishInstances()
+}
+
+// publishInstances makes the number of live instances current. It changes often while a large fleet starts, and what is known
+// of the targets stays.
+func (n *Node) publishInstances() {
+	current := n.view.Load()
+	if current == nil {
+		return
+	}
+	for _, pool := range current.Pools {
+		pool.SetSharers(n.instances, n.sharersKnown)
+	}
+	view := *current
+	view.Instances = n.instances
+	n.view.Store(&view)
 }
 
 // settled reports whether the number of live instances is known: the reader of the zone told it, or enough time has
@@ -436,7 +451,7 @@
 			n.pools[name] = pool
 		}
 		pool.SetTargets(byService[name], n.instances, now)
-		pool.KnowSharers(n.sharersKnown)
+		pool.SetSharers(n.instances, n.sharersKnown)
 		view.Pools[name] = pool
 	}
 	n.indexTargets(byService)
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -372,11 +372,8 @@
 	}
 }
 
-// Guards against readings whose cost grows with what an instance knows of each target: with 472 instances a third of all
-// processor time was spent on finding their targets. The pattern is a large fleet in which every instance is told some
-// thousand readings a second.
-func TestReadingsAreTakenOverWithoutAllocations(t *testing.T) {
-	const targets = 150
+// largeNode returns a node that knows many targets, without a network, and a reading of each of them.
+func largeNode(targets int) (*Node, []loadNote) {
 	n := New(Config{
 		Self: member("a0", "a"), Store: &door{store: &fakeStore{}}, Prober: noProber{}, Policy: dispatch.DefaultPolicy(),
 		Now: func() time.Duration { return time.Second }, Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
@@ -391,9 +388,35 @@
 		}})
 		notes = append(notes, loadNote{Target: hashID(id), Running: 1, PacePercent: 100})
 	}
-	n.handleTargets(targetsRead{changes: changes, listed: true, next: targets + 1}, begin)
+	n.handleTargets(targetsRead{changes: changes, listed: true, next: int64(targets) + 1}, begin)
+	return n, notes
+}
+
+// Guards against readings whose cost grows with what an instance knows of each target: with 472 instances a third of all
+// processor time was spent on finding their targets. The pattern is a large fleet in which every instance is told some
+// thousand readings a second.
+func TestReadingsAreTakenOverWithoutAllocations(t *testing.T) {
+	n, notes := largeNode(150)
 	n.observe(notes)
 	if allocations := testing.AllocsPerRun(20, func() { n.observe(notes) }); allocations > 2 {
-		t.Errorf("a datagram with %d readings costs %.0f allocations", targets, allocations)
+		t.Errorf("a datagram with %d readings costs %.0f allocations", len(notes), allocations)
+	}
+}
+
+// Guards against targets that are sorted and indexed anew whenever an instance is met or lost. The pattern is a start of a
+// large fleet, in which each instance counts the others several times a second.
+func TestNumberOfInstancesLeavesTargetsAlone(t *testing.T) {
+	n, _ := largeNode(150)
+	now := begin.Add(time.Minute)
+	count := func() {
+		now = now.Add(countInterval)
+		n.instances++
+		n.noteInstances(now)
+	}
+	if allocations := testing.AllocsPerRun(20, count); allocations > 20 {
+		t.Errorf("a new number of instances costs %.0f allocations", allocations)
+	}
+	if n.View().Instances != n.instances {
+		t.Errorf("the view counts %d instances, not %d", n.View().Instances, n.instances)
 	}
 }
