Do not return a target that left when its last answers come

Instances cut from each other were not the cause: edge-ub-c-4 noted at 4.38 s that i-8d38c6abda drains and sent requests to it until 6.58 s. Ruled out: late reads of the store (117 of 118 instances knew of the departure within 0.4 s), a newer record of the target (there is none). Change: a target that is not registered any more is not remembered. Test: TestAnswerOfTargetThatLeftDoesNotReturnIt, failed before. The pattern is a service of a large zone whose targets leave under load.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -103,10 +103,11 @@
 	return p.drawn
 }
 
-// noteUsed remembers a target of the own zone to which this instance keeps a connection. The lock is held.
+// noteUsed remembers a target of the own zone to which this instance keeps a connection, unless it has left meanwhile. The lock
+// is held.
 func (p *Pool) noteUsed(t *Target, now time.Duration) {
 	t.usedAt = now
-	if p.locals <= wholeZone || !t.local || slices.Contains(p.used, t) {
+	if p.locals <= wholeZone || !t.local || p.byID[t.ID] != t || slices.Contains(p.used, t) {
 		return
 	}
 	if len(p.used) < leastDrawn {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -341,6 +341,39 @@
 	}
 }
 
+// Guards against a target that left and receives requests again when one that it ran at that time is answered: in large zones
+// it came back into use for good (DRAIN on scale-2 of tuul-benches-grown, 27 requests). The pattern is a service of a large
+// zone whose targets leave under load.
+func TestAnswerOfTargetThatLeftDoesNotReturnIt(t *testing.T) {
+	var zone []registry.Target
+	for i := range 2 * wholeZone {
+		zone = append(zone, target(fmt.Sprint("t", i), "a"))
+	}
+	b := newBench(DefaultPolicy(), zone...)
+	for _, each := range zone {
+		b.read(each.ID, 3, 1)
+	}
+	b.read("t0", 0, 1)
+	a := b.ask(1)
+	d := b.now(t, a)
+	for d.Target.ID != "t0" {
+		b.Release(a, d, Report{End: Answered})
+		a = b.ask(1)
+		d = b.now(t, a)
+	}
+	b.SetTargets(zone[1:], 1, wall)
+	b.clock += 10 * time.Millisecond
+	b.Release(a, d, Report{End: Answered})
+	for range 200 {
+		a := b.ask(1)
+		d := b.now(t, a)
+		if d.Target.ID == "t0" {
+			t.Fatal("a target that left is chosen")
+		}
+		b.Release(a, d, Report{End: Answered})
+	}
+}
+
 // Guards against retries beyond the budget that all instances share, when each of them knows only its own, and against
 // retries that many instances saved up for the moment at which all targets begin to shed. The pattern is a service whose
 // targets all refuse requests from one second to the next.
