Send peers only what they lack, and let cut-off members of large zones read in time

A member that lacks a configuration fetched the whole state, with all 900 targets, from the reader of its zone: some 120 KB for each of 79 members at once, within 300 ms. Reading the code for what else could keep them showed a second fault: after a fetch a member knows its whole zone, and the last of 80 waited 4.9 s before it read for itself when it heard nobody, while departures bind within 2 s and configurations within 2.5 to 3 s. Change: a request names the offset up to which the caller knows the targets, and the answer holds the records since. A departure that is found by a listing gets the offset of that listing, so that it is among them. Members behind the council wait for at most 20 others. Tests: TestStateLeavesOutWhatThePeerKnows, TestLastMemberThatIsCutOffReadsInTime, both failed before.

--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -17,6 +17,9 @@
 	// councilSize is the number of members of a zone that hear the heartbeats of all its members, so that one of them can
 	// take over from the reader. Heartbeats of all to all would grow with the square of the zone.
 	councilSize = 8
+	// lastInLine is the place in line of all members behind that many others. One that hears nobody has to read the zone and
+	// the store for itself in time for departures, which bind within 2 s.
+	lastInLine = 20
 	// councilFor is how long the council holds that the reader of the zone told.
 	councilFor = 5 * time.Second
 )
@@ -72,7 +75,7 @@
 // hear each other; the others go by the members that they know.
 func (m *members) order(now time.Time) int {
 	if !m.inCouncil(now) {
-		return max(m.knownOrder(), councilSize)
+		return max(min(m.knownOrder(), lastInLine), councilSize)
 	}
 	before := 0
 	for _, p := range m.zone {
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -227,7 +227,7 @@
 	n.noteAvailability(now)
 	changed := false
 	if e.listed {
-		changed = n.registry.Replace(e.changes, now)
+		changed = n.registry.Replace(e.changes, e.next, now)
 		n.recent, n.recentBase = nil, e.next
 	} else {
 		changed = n.applyChanges(e.changes, now)
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -95,11 +95,13 @@
 
 // State is everything an instance needs to start serving.
 type State struct {
-	Config        *routes.Config
-	ConfigNext    int64
-	ConfigAge     time.Duration
-	Targets       []registry.Change
-	TargetsNext   int64
+	Config      *routes.Config
+	ConfigNext  int64
+	ConfigAge   time.Duration
+	Targets     []registry.Change
+	TargetsNext int64
+	// TargetsFrom is the offset from which on Targets is complete. 0 stands for all targets.
+	TargetsFrom   int64
 	TargetsAge    time.Duration
 	Members       []discovery.Member
 	TargetsListed bool
@@ -112,6 +114,9 @@
 	// HaveVersion is the version of the configuration that the caller has; that configuration is left out of the answer.
 	HaveVersion uint64
 	HaveConfig  bool
+	// TargetsNext is the offset up to which the caller knows the records of targets, 0 if it knows none. Earlier ones are left
+	// out of the answer.
+	TargetsNext int64
 }
 
 func encode(d *datagram) ([]byte, error) {
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -77,6 +77,22 @@
 	}
 }
 
+// Guards against a member of a large zone that is cut off from the others and waits for the turn of each of them: the last of
+// 80 took 4.9 s, while departures bind within 2 s. The pattern is a cut through a large zone.
+func TestLastMemberThatIsCutOffReadsInTime(t *testing.T) {
+	const size, bound = 80, 1500 * time.Millisecond
+	m := largeTable(size-1, size, nobody)
+	reader := m.peers["a0000"]
+	reader.heard, reader.readerAt = begin, begin
+	started := begin.Add(-time.Minute)
+	if m.readsZone(begin.Add(readerSilence), started, started) {
+		t.Error("the last member takes over at once")
+	}
+	if !m.readsZone(begin.Add(bound), started, started) {
+		t.Errorf("the last member does not read after %s of silence", bound)
+	}
+}
+
 // Guards against an instance that was paused and reads its zone, although another one took over meanwhile.
 func TestPausedReaderListensFirst(t *testing.T) {
 	m := largeTable(0, 3, everybody)
@@ -167,6 +183,44 @@
 	}
 }
 
+// Guards against a new configuration that comes with all targets: on trouble-1 of the large site the readers of zones sent all
+// 900 targets to each of 80 members that only lacked the configuration, and some got it too late (CONFIG, seed 253820936). The
+// pattern is a change of the configuration in a large zone.
+func TestStateLeavesOutWhatThePeerKnows(t *testing.T) {
+	const targets = 150
+	peer, _ := largeNode(targets)
+	n, _ := largeNode(targets)
+	request := StateRequest{HaveConfig: true, HaveVersion: 1, TargetsNext: n.targets.next}
+	if state := peer.state(request, begin); len(state.Targets) != 0 || state.Config != nil {
+		t.Errorf("%d targets and configuration %v for a peer that knows them", len(state.Targets), state.Config)
+	}
+	// The peer lists the targets: t0 has left, t1 drains, and the others are as they were.
+	var listing []registry.Change
+	for _, c := range peer.registry.Changes(0) {
+		if c.ID == "t0" {
+			continue
+		}
+		if c.ID == "t1" {
+			draining := *c.Entry
+			draining.Draining = true
+			c = registry.Change{ID: c.ID, Offset: targets + 7, Entry: &draining}
+		}
+		listing = append(listing, c)
+	}
+	peer.handleTargets(targetsRead{began: begin, changes: listing, listed: true, next: targets + 10}, begin)
+	state := peer.state(request, begin)
+	if len(state.Targets) != 2 {
+		t.Errorf("%d targets instead of the two that changed", len(state.Targets))
+	}
+	n.handleState(stateFetched{state: &state}, begin)
+	if got := len(n.registry.Usable()); got != targets-2 || n.targets.next != targets+10 {
+		t.Errorf("%d usable targets, known up to %d", got, n.targets.next)
+	}
+	if full := peer.state(StateRequest{}, begin); len(full.Targets) < targets-1 {
+		t.Errorf("an instance that knows nothing is told %d targets", len(full.Targets))
+	}
+}
+
 // Guards against readings that cost the same with and without requests, and against rare ones in a burst.
 func TestReadingsFollowRequests(t *testing.T) {
 	n := quietNode(t, member("a1", "a"))
@@ -388,7 +442,7 @@
 		}})
 		notes = append(notes, loadNote{Target: hashID(id), Running: 1, PacePercent: 100})
 	}
-	n.handleTargets(targetsRead{changes: changes, listed: true, next: int64(targets) + 1}, begin)
+	n.handleTargets(targetsRead{began: begin, changes: changes, listed: true, next: int64(targets) + 1}, begin)
 	return n, notes
 }
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -126,6 +126,9 @@
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
 	}
+	if n.targets.known {
+		request.TargetsNext = n.targets.next
+	}
 	go func() {
 		time.Sleep(pause)
 		state, err := fetch(ctx, address, request)
@@ -137,14 +140,14 @@
 func (n *Node) state(request StateRequest, now time.Time) State {
 	s := State{
 		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
-		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
+		TargetsNext: n.targets.next, TargetsFrom: request.TargetsNext, TargetsAge: now.Sub(n.targets.asOf),
 		Members: n.members.introductions(n.Self.Zone, true), TargetsListed: n.targets.known, ConfigListed: n.configs.known,
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
 	}
 	if n.targets.known {
-		s.Targets = n.registry.Changes()
+		s.Targets = n.registry.Changes(request.TargetsNext)
 	}
 	return s
 }
@@ -160,16 +163,7 @@
 	}
 	s := e.state
 	n.meet(s.Members, now)
-	changed := false
-	if s.TargetsListed && (!n.targets.known || s.TargetsNext > n.targets.next) {
-		// The peer may have listed the targets after one left that this instance still knows.
-		n.registry.Replace(s.Targets, now)
-		n.registry.ReadTo(s.TargetsNext)
-		n.recent, n.recentBase = nil, s.TargetsNext
-		n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
-		n.targets.fresh(now.Add(-s.TargetsAge))
-		changed = true
-	}
+	changed := n.takeTargetState(s, now)
 	if s.Config != nil || s.ConfigListed && !n.configs.known {
 		n.configs.next, n.configs.known, n.configs.behind = max(n.configs.next, s.ConfigNext), true, false
 		n.configs.fresh(now.Add(-s.ConfigAge))
@@ -179,3 +173,21 @@
 		n.publish(now)
 	}
 }
+
+// takeTargetState takes over the targets that a peer knows. It reports whether there was anything new.
+func (n *Node) takeTargetState(s *State, now time.Time) bool {
+	if !s.TargetsListed || n.targets.known && s.TargetsNext <= n.targets.next {
+		return false
+	}
+	if s.TargetsFrom > 0 {
+		n.applyChanges(s.Targets, now)
+		n.registry.ReadTo(s.TargetsNext)
+	} else {
+		// The peer may have listed the targets after one left that this instance still knows.
+		n.registry.Replace(s.Targets, s.TargetsNext, now)
+		n.recent, n.recentBase = nil, s.TargetsNext
+	}
+	n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
+	n.targets.fresh(now.Add(-s.TargetsAge))
+	return true
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -134,9 +134,9 @@
 	return r.down || !r.outageEnd.IsZero() && now.Sub(r.outageEnd) < disturbedAfter
 }
 
-// Replace takes over a complete listing. Targets that it lacks are gone, or have lapsed. It reports whether anything
-// changed.
-func (r *Registry) Replace(changes []Change, now time.Time) bool {
+// Replace takes over a complete listing of the records before an offset. Targets that it lacks are gone, or have lapsed. It
+// reports whether anything changed.
+func (r *Registry) Replace(changes []Change, next int64, now time.Time) bool {
 	listed := map[string]bool{}
 	changed := false
 	for _, c := range changes {
@@ -148,10 +148,13 @@
 		}
 	}
 	for id, known := range r.records {
-		if !listed[id] && known.presence == present && r.remove(known, Change{ID: id, Offset: known.offset}, now) {
+		// The listing says that the target is gone, so that the departure has the offset of its last record.
+		missing := Change{ID: id, Offset: max(known.offset, next-1)}
+		if !listed[id] && known.presence == present && r.remove(known, missing, now) {
 			changed = true
 		}
 	}
+	r.ReadTo(next)
 	return changed
 }
 
@@ -194,10 +197,13 @@
 	return targets
 }
 
-// Changes returns everything known as changes, for an instance that starts.
-func (r *Registry) Changes() []Change {
+// Changes returns what is known from an offset on as changes, for an instance that lacks it; 0 stands for everything.
+func (r *Registry) Changes(from int64) []Change {
 	var changes []Change
 	for id, known := range r.records {
+		if known.offset < from {
+			continue
+		}
 		change := Change{ID: id, Offset: known.offset}
 		if known.presence != gone {
 			entry := known.target.Entry
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -114,7 +114,7 @@
 	r := New()
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
 	r.Apply(Change{ID: "t2", Offset: 2, Entry: entry("t2")}, begin)
-	r.Replace([]Change{{ID: "t2", Offset: 9, Entry: entry("t2")}, {ID: "bad", Offset: 10}}, begin)
+	r.Replace([]Change{{ID: "t2", Offset: 9, Entry: entry("t2")}, {ID: "bad", Offset: 10}}, 11, begin)
 	if got := usable(r); got["t1"] || !got["t2"] || len(got) != 1 {
 		t.Errorf("usable: %v", got)
 	}
