--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -147,7 +147,7 @@
 	bootstrap bool
 	// capacity is that of each node.
 	capacity int
-	stops     []context.CancelFunc
+	stops    []context.CancelFunc
 }
 
 func startFleet(t *testing.T, count int) *testFleet {
