--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -23,22 +22,6 @@
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// receive hands the datagrams of peers to the control loop.
-func (n *Node) receive(ctx context.Context) {
-	buffer := make([]byte, 64<<10)
-	for ctx.Err() == nil {
-		length, from, err := n.socket.ReadFromUDP(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			n.Log.Warn("Could not receive a datagram.", "error", err)
-			continue
-		}
-		n.guard.Run(n.Log, "datagram", func() { n.take(buffer[:length], from) })
-	}
-}
-
 // take decodes a datagram. Claims are waited for, so that they pass the control loop by.
 func (n *Node) take(b []byte, from *net.UDPAddr) {
 	d, err := decode(b)
@@ -78,20 +61,9 @@
 		return
 	}
 	n.traffic.sent[kindOf(d)].count(len(addresses), len(b))
-	// A full link must not hold up the control loop. What is lost is told again.
-	if err := n.socket.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
-		n.Log.Debug("Could not bound the sending.", "error", err)
-	}
-	for _, to := range addresses {
-		if _, err := n.socket.WriteToUDP(b, to); err != nil {
-			n.Log.Debug("Could not send a datagram.", "to", to.String(), "error", err)
-		}
-	}
+	n.link.send(b, addresses)
 }
 
-// sendTimeout bounds the sending of one datagram to all its receivers.
-const sendTimeout = 10 * time.Millisecond
-
 // addressesOf returns the addresses of peers.
 func addressesOf(peers []*peerState) []*net.UDPAddr {
 	addresses := make([]*net.UDPAddr, 0, len(peers))
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -72,8 +71,7 @@
 	guard   rescue.Guard
 	traffic Traffic
 	claims  atomic.Pointer[claimTable]
-	socket  *net.UDPConn
-	rpc     *stateServer
+	link    link
 	sampler *sampler
 	started time.Time
 
@@ -185,20 +183,17 @@
 		targets: topicReads{interval: targetsInterval}, configs: topicReads{interval: configsInterval},
 	}
 	n.sampler = newSampler(c.Prober, c.Now)
-	n.rpc = newStateServer(n, c.Self.Address)
 	return n
 }
 
 // Open opens the sockets.
 func (n *Node) Open() error {
-	address, err := net.ResolveUDPAddr("udp", n.Self.Address)
+	sockets, err := openSockets(n)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if n.socket, err = net.ListenUDP("udp", address); err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(n.rpc.open())
+	n.link = sockets
+	return nil
 }
 
 // View returns the current view, or nil before the first configuration and listing of targets.
@@ -226,8 +221,7 @@
 func (n *Node) Run(ctx context.Context) {
 	n.started = time.Now()
 	n.stepped = n.started
-	go n.receive(ctx)
-	go n.rpc.run()
+	n.link.run(ctx)
 	defer n.sampler.stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -492,6 +486,5 @@
 	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true}
 	n.tellZone(d, now)
 	n.tellZones(d, now)
-	_ = n.socket.Close()
-	n.rpc.close()
+	n.link.close()
 }
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -300,7 +300,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = socket.Close() }()
-		n.socket = socket
+		n.link = &sockets{node: n, udp: socket}
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		n.handle(ctx, received{datagram: d, from: "127.0.0.1:9"}, begin)
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -158,7 +158,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = socket.Close() })
-	n.socket = socket
+	n.link = &sockets{node: n, udp: socket}
 	return n
 }
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -92,7 +92,7 @@
 }
 
 // fetch asks a peer for its state.
-func fetch(ctx context.Context, address string, request StateRequest) (*State, error) {
+func (s *sockets) fetch(ctx context.Context, address string, request StateRequest) (*State, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -131,7 +131,7 @@
 	}
 	go func() {
 		time.Sleep(pause)
-		state, err := fetch(ctx, address, request)
+		state, err := n.link.fetch(ctx, address, request)
 		n.deliver(ctx, stateFetched{state, err})
 	}()
 }
