Give a peer all targets when departures since what it knows may be unseen

Cause: an instance that lists the targets, at its start or after the store forgot its history, has no record of a target that left before. A peer that knew the target asks it for what changed since its own last read and gets a list that says nothing of the target. It takes that list for complete and never reads the departure. Change: the registry knows from which offset on, and between which ones, departures may be unseen. An instance that asks from such an offset gets all targets, which replace its own. Test: TestDepartureBeforeTheListingOfAPeer, failed before (started and trimmed).

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -88,3 +88,24 @@
 		}
 	}
 }
+
+// Guards against a target that left and stays in use on an instance for good: the peer that tells the instance what changed since has
+// listed the targets after the departure, at its start or because the store forgot its history, and never knew of the target.
+func TestDepartureBeforeTheListingOfAPeer(t *testing.T) {
+	entry := &registry.Entry{ID: "left", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
+	started := quietNode(t, member("a2", "a"))
+	started.handleTargets(targetsRead{began: begin, listed: true, next: 9}, begin)
+	trimmed := quietNode(t, member("a3", "a"))
+	trimmed.handleTargets(targetsRead{began: begin, listed: true, next: 4}, begin)
+	trimmed.handleTargets(targetsRead{began: begin, listed: true, next: 9}, begin)
+	for name, peer := range map[string]*Node{"started": started, "trimmed": trimmed} {
+		n := quietNode(t, member("a1", "a"))
+		listing := []registry.Change{{ID: "left", Offset: 5, Entry: entry}}
+		n.handleTargets(targetsRead{began: begin, changes: listing, listed: true, next: 6}, begin)
+		state := peer.state(StateRequest{TargetsNext: n.targets.next}, begin)
+		n.handleState(stateFetched{state: &state}, begin)
+		if usable := n.registry.Usable(); len(usable) != 0 || n.targets.next != 9 {
+			t.Errorf("%s: usable targets %+v, known up to %d", name, usable, n.targets.next)
+		}
+	}
+}
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -212,7 +212,8 @@
 	}
 	// The peer lists the targets: t0 has left, t1 drains, and the others are as they were.
 	var listing []registry.Change
-	for _, c := range peer.registry.Changes(0) {
+	known, _ := peer.registry.Changes(0)
+	for _, c := range known {
 		if c.ID == "t0" {
 			continue
 		}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -140,14 +140,14 @@
 func (n *Node) state(request StateRequest, now time.Time) State {
 	s := State{
 		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
-		TargetsNext: n.targets.next, TargetsFrom: request.TargetsNext, TargetsAge: now.Sub(n.targets.asOf),
+		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
 		Members: n.members.introductions(n.Self.Zone, true), TargetsListed: n.targets.known, ConfigListed: n.configs.known,
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
 	}
 	if n.targets.known {
-		s.Targets = n.registry.Changes(request.TargetsNext)
+		s.Targets, s.TargetsFrom = n.registry.Changes(request.TargetsNext)
 	}
 	return s
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -72,6 +72,9 @@
 	// readTo is the offset up to which all records were taken over. An older record of a target that is not known is one of a
 	// target that has left since.
 	readTo int64
+	// completeFrom is the offset from which on every departure is known, apart from those between gapFrom and gapTo. A target that left
+	// unseen before a listing is missing there without a record.
+	completeFrom, gapFrom, gapTo int64
 	// anyLapsed is true when a target may be lapsed.
 	anyLapsed bool
 }
@@ -154,10 +157,26 @@
 			changed = true
 		}
 	}
-	r.ReadTo(next)
+	r.noteListing(next)
 	return changed
 }
 
+// noteListing notes that the records before an offset are known by a listing only.
+func (r *Registry) noteListing(next int64) {
+	if r.readTo == 0 {
+		r.completeFrom = next
+	} else {
+		r.completeFrom = max(r.completeFrom, r.gapTo)
+		r.gapFrom, r.gapTo = r.readTo, next
+	}
+	r.ReadTo(next)
+}
+
+// knowsDepartures reports whether every departure from an offset on is known.
+func (r *Registry) knowsDepartures(from int64) bool {
+	return from >= r.completeFrom && (from <= r.gapFrom || from >= r.gapTo)
+}
+
 // Expire removes lapsed targets that did not come back. It reports whether anything changed.
 func (r *Registry) Expire(now time.Time) bool {
 	if !r.anyLapsed || r.down || now.Sub(r.outageEnd) < LapseGrace {
@@ -197,9 +216,12 @@
 	return targets
 }
 
-// Changes returns what is known from an offset on as changes, for an instance that lacks it; 0 stands for everything.
-func (r *Registry) Changes(from int64) []Change {
-	var changes []Change
+// Changes returns what is known from an offset on as changes, for an instance that lacks it, and the offset from which on they are
+// complete: 0, with everything that is known, if departures since the asked one may be unknown.
+func (r *Registry) Changes(from int64) (changes []Change, completeFrom int64) {
+	if !r.knowsDepartures(from) {
+		from = 0
+	}
 	for id, known := range r.records {
 		if known.offset < from {
 			continue
@@ -211,5 +233,5 @@
 		}
 		changes = append(changes, change)
 	}
-	return changes
+	return changes, from
 }
