Tell peers which entries of targets lapsed, and decide that once

Cause: the state that an instance answers named a target whose entry had lapsed as registered. Who started or missed something took it for a registered one and never heard of its end. When the target did come back, an instance that had it from such a state did not pass its record on, because that said nothing new to it; others that had listed the targets meanwhile never learnt of it. Each instance decided for itself whether a removal was a lapse, by an outage that may have been its own. Change: the instance that reads a removal in the store decides whether it may be a lapse, and tells so with how much longer the target stays in use. A listing that is older than what is known of a target does not remove it. A log line names lapsed entries. Test: TestStateOfAPeerTellsLapsedEntries, failed before.

--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -232,7 +232,7 @@
 		changed = n.registry.Replace(e.changes, e.next, now)
 		n.recent, n.recentBase = nil, e.next
 	} else {
-		changed = n.applyChanges(e.changes, now)
+		changed = n.applyChanges(n.judge(e.changes, now), now)
 	}
 	n.registry.ReadTo(n.targets.next)
 	if changed || first {
@@ -241,15 +241,27 @@
 	n.tellNews(now)
 }
 
-// applyChanges takes over records of targets and keeps those that say something new for instances that missed them.
+// judge decides for each removal whether it may be the effect of an outage.
+func (n *Node) judge(changes []registry.Change, now time.Time) []registry.Change {
+	for i := range changes {
+		changes[i] = n.registry.Judge(changes[i], now)
+	}
+	return changes
+}
+
+// applyChanges takes over judged records of targets and keeps those that say something new for instances that missed them.
 func (n *Node) applyChanges(changes []registry.Change, now time.Time) bool {
 	any := false
 	for _, c := range changes {
-		if !n.registry.Apply(c, now) && c.Entry != nil {
+		if !n.registry.Take(c, now) && c.Entry != nil && !c.Lapsed {
 			continue
 		}
 		any = true
 		n.recent = append(n.recent, recentChange{c, now})
+		if c.Lapsed {
+			n.Log.Info("The entry of a target lapsed.", "target", c.ID, "offset", c.Offset, "hold_ms", c.Hold.Milliseconds())
+			continue
+		}
 		if c.Entry == nil {
 			n.Log.Info("A target is gone.", "target", c.ID, "offset", c.Offset)
 			continue
@@ -277,11 +289,21 @@
 	}
 	note := &targetsNote{Base: n.recentBase, Next: n.targets.next, AgeMS: now.Sub(n.targets.asOf).Milliseconds()}
 	for _, r := range n.recent {
-		note.Changes = append(note.Changes, r.change)
+		c := r.change
+		c.Lapsed, c.Hold = n.stillHeld(c, now)
+		note.Changes = append(note.Changes, c)
 	}
 	return note
 }
 
+// stillHeld reports whether a target whose entry lapsed with a change is still in use, and how much longer.
+func (n *Node) stillHeld(c registry.Change, now time.Time) (held bool, left time.Duration) {
+	if !c.Lapsed {
+		return false, 0
+	}
+	return n.registry.Held(c.ID, now)
+}
+
 // configNote describes the configuration in force. Version 0 stands for none.
 func (n *Node) configNote(now time.Time) *configNote {
 	if !n.configs.known {
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -109,3 +109,33 @@
 		}
 	}
 }
+
+// Guards against a target that left during an outage of the store and stays in use for good on an instance that started meanwhile: the
+// state of a peer named it as registered. It also guards against an instance that starts without the targets whose entries lapsed.
+func TestStateOfAPeerTellsLapsedEntries(t *testing.T) {
+	const away = 5 * time.Second
+	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
+	peer := quietNode(t, member("a1", "a"))
+	listing := []registry.Change{{ID: "t", Offset: 1, Entry: entry}}
+	peer.handleTargets(targetsRead{began: begin, changes: listing, listed: true, next: 2}, begin)
+	peer.noteAvailability(begin.Add(away))
+	returned := begin.Add(away + time.Millisecond)
+	peer.handleTargets(targetsRead{began: returned, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, returned)
+
+	n, started := quietNode(t, member("a2", "a")), returned.Add(time.Second)
+	state := peer.state(StateRequest{}, started)
+	n.handleState(stateFetched{state: &state}, started)
+	if len(n.registry.Usable()) != 1 {
+		t.Error("the lapsed target is not in use on the instance that started")
+	}
+	for _, node := range []*Node{peer, n} {
+		node.registry.Expire(returned.Add(registry.LapseGrace - time.Millisecond))
+		if len(node.registry.Usable()) != 1 {
+			t.Errorf("%s gave the target up before it could come back", node.Self.ID)
+		}
+		node.registry.Expire(returned.Add(registry.LapseGrace + time.Millisecond))
+		if len(node.registry.Usable()) != 0 {
+			t.Errorf("%s uses a target that did not come back", node.Self.ID)
+		}
+	}
+}
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -212,7 +212,7 @@
 	}
 	// The peer lists the targets: t0 has left, t1 drains, and the others are as they were.
 	var listing []registry.Change
-	known, _ := peer.registry.Changes(0)
+	known, _ := peer.registry.Changes(0, begin)
 	for _, c := range known {
 		if c.ID == "t0" {
 			continue
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -147,7 +147,7 @@
 		s.Config = n.config
 	}
 	if n.targets.known {
-		s.Targets, s.TargetsFrom = n.registry.Changes(request.TargetsNext)
+		s.Targets, s.TargetsFrom = n.registry.Changes(request.TargetsNext, now)
 	}
 	return s
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,6 +3,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -37,6 +38,10 @@
 	ID     string
 	Offset int64
 	Entry  *Entry
+	// Lapsed is set by an instance that passes a removal on which may be the effect of an outage. Entry is then what the target said
+	// last, or nil, and Hold how much longer the target stays in use, 0 while the store is away.
+	Lapsed bool
+	Hold   time.Duration
 }
 
 // Target is one usable target.
@@ -61,6 +66,8 @@
 	offset   int64
 	target   Target
 	presence presence
+	// heldUntil is how long a lapsed target stays in use, zero while the store is away.
+	heldUntil time.Time
 }
 
 // Registry is not safe for concurrent use.
@@ -85,51 +92,101 @@
 // ReadTo notes that all records before an offset were taken over.
 func (r *Registry) ReadTo(offset int64) { r.readTo = max(r.readTo, offset) }
 
-// StoreDown notes that the store does not answer.
-func (r *Registry) StoreDown() { r.down = true }
+// StoreDown notes that the store does not answer. Lapsed targets cannot come back meanwhile.
+func (r *Registry) StoreDown() {
+	r.down = true
+	for _, known := range r.records {
+		known.heldUntil = time.Time{}
+	}
+}
 
-// StoreUp notes that the store answers.
+// StoreUp notes that the store answers. Targets that lapsed have to come back from now on.
 func (r *Registry) StoreUp(now time.Time) {
-	if r.down {
-		r.down = false
-		r.outageEnd = now
+	if !r.down {
+		return
+	}
+	r.down = false
+	r.outageEnd = now
+	for _, known := range r.records {
+		if known.presence == lapsed && known.heldUntil.IsZero() {
+			known.heldUntil = now.Add(LapseGrace)
+		}
 	}
 }
 
-// Apply takes over one change. It reports whether the set of usable targets or what is known of one changed.
-func (r *Registry) Apply(c Change, now time.Time) bool {
+// Apply takes over one record of the store. It reports whether the set of usable targets or what is known of one changed.
+func (r *Registry) Apply(c Change, now time.Time) bool { return r.Take(r.Judge(c, now), now) }
+
+// Judge decides whether a removal that was read in the store may be the effect of an outage. Who reads it decides for all: the others
+// may not know of the outage, or take a time without the store for one.
+func (r *Registry) Judge(c Change, now time.Time) Change {
+	if known := r.records[c.ID]; c.Entry == nil && known != nil && known.presence != gone && !known.target.Draining && r.disturbed(now) {
+		c.Lapsed = true
+		if !r.down {
+			c.Hold = r.outageEnd.Add(LapseGrace).Sub(now)
+		}
+	}
+	return c
+}
+
+// Take takes over one change that was read in the store and judged, by this instance or by another. It reports whether the set of usable
+// targets or what is known of one changed.
+func (r *Registry) Take(c Change, now time.Time) bool {
 	known := r.records[c.ID]
 	if known != nil && c.Offset <= known.offset || known == nil && c.Offset < r.readTo {
 		return false
 	}
-	if c.Entry == nil {
-		return r.remove(known, c, now)
+	if c.Lapsed {
+		return r.hold(known, c, now)
 	}
-	target := Target{Entry: *c.Entry}
-	if c.Entry.WarmupLeft > 0 {
-		target.WarmUntil = now.Add(c.Entry.WarmupLeft)
+	if c.Entry == nil {
+		return remove(known, c)
 	}
+	target := newTarget(c.Entry, now)
 	r.records[c.ID] = &record{offset: c.Offset, target: target}
 	return known == nil || known.presence != present || differs(known.target, target)
 }
 
-func differs(a, b Target) bool {
-	a.WarmupLeft, b.WarmupLeft = 0, 0
-	return a.Entry != b.Entry
+func newTarget(e *Entry, now time.Time) Target {
+	target := Target{Entry: *e}
+	if e.WarmupLeft > 0 {
+		target.WarmUntil = now.Add(e.WarmupLeft)
+	}
+	return target
 }
 
-func (r *Registry) remove(known *record, c Change, now time.Time) bool {
+// remove notes that a target is gone.
+func remove(known *record, c Change) bool {
 	if known == nil || known.presence == gone {
 		return false
 	}
-	known.offset = c.Offset
-	if r.disturbed(now) && !known.target.Draining {
-		known.presence = lapsed
-		r.anyLapsed = true
+	known.offset, known.presence = c.Offset, gone
+	return true
+}
+
+// hold keeps a target in use whose entry lapsed.
+func (r *Registry) hold(known *record, c Change, now time.Time) bool {
+	unknown := known == nil || known.presence == gone
+	switch {
+	case unknown && c.Entry == nil:
 		return false
+	case unknown:
+		known = &record{target: newTarget(c.Entry, now)}
+		r.records[c.ID] = known
+	case known.target.Draining:
+		return remove(known, c)
 	}
-	known.presence = gone
-	return true
+	known.offset, known.presence, known.heldUntil = c.Offset, lapsed, time.Time{}
+	if !r.down || c.Hold > 0 {
+		known.heldUntil = now.Add(cmp.Or(c.Hold, LapseGrace))
+	}
+	r.anyLapsed = true
+	return unknown
+}
+
+func differs(a, b Target) bool {
+	a.WarmupLeft, b.WarmupLeft = 0, 0
+	return a.Entry != b.Entry
 }
 
 // disturbed reports whether a missing entry may be the effect of an outage.
@@ -137,8 +194,8 @@
 	return r.down || !r.outageEnd.IsZero() && now.Sub(r.outageEnd) < disturbedAfter
 }
 
-// Replace takes over a complete listing of the records before an offset. Targets that it lacks are gone, or have lapsed. It
-// reports whether anything changed.
+// Replace takes over a complete listing of the records before an offset, by the store or by another instance. Targets that it lacks are
+// gone, or have lapsed. It reports whether anything changed.
 func (r *Registry) Replace(changes []Change, next int64, now time.Time) bool {
 	listed := map[string]bool{}
 	changed := false
@@ -146,14 +203,15 @@
 		if c.Entry != nil {
 			listed[c.ID] = true
 		}
-		if r.Apply(c, now) {
+		if r.Take(c, now) {
 			changed = true
 		}
 	}
 	for id, known := range r.records {
-		// The listing says that the target is gone, so that the departure has the offset of its last record.
-		missing := Change{ID: id, Offset: max(known.offset, next-1)}
-		if !listed[id] && known.presence == present && r.remove(known, missing, now) {
+		// The listing says that the target is gone, so that the departure has the offset of its last record. What is known from there on
+		// is newer than the listing.
+		missing := Change{ID: id, Offset: next - 1}
+		if !listed[id] && known.presence == present && r.Apply(missing, now) {
 			changed = true
 		}
 	}
@@ -177,15 +235,19 @@
 	return from >= r.completeFrom && (from <= r.gapFrom || from >= r.gapTo)
 }
 
-// Expire removes lapsed targets that did not come back. It reports whether anything changed.
+// Expire removes lapsed targets that did not come back in time. It reports whether anything changed.
 func (r *Registry) Expire(now time.Time) bool {
-	if !r.anyLapsed || r.down || now.Sub(r.outageEnd) < LapseGrace {
+	if !r.anyLapsed || r.down {
 		return false
 	}
 	r.anyLapsed = false
 	changed := false
 	for _, known := range r.records {
-		if known.presence == lapsed {
+		switch {
+		case known.presence != lapsed:
+		case now.Before(known.heldUntil):
+			r.anyLapsed = true
+		default:
 			known.presence = gone
 			changed = true
 		}
@@ -193,6 +255,18 @@
 	return changed
 }
 
+// Held reports whether a target stays in use though its entry lapsed, and how much longer: 0 while the store is away.
+func (r *Registry) Held(id string, now time.Time) (held bool, left time.Duration) {
+	known := r.records[id]
+	if known == nil || known.presence != lapsed {
+		return false, 0
+	}
+	if known.heldUntil.IsZero() {
+		return true, 0
+	}
+	return true, max(known.heldUntil.Sub(now), time.Nanosecond)
+}
+
 // Drop removes a target that another party proved to be gone, for example because its address answers for another
 // incarnation. A later record brings it back.
 func (r *Registry) Drop(id string) bool {
@@ -218,7 +292,7 @@
 
 // Changes returns what is known from an offset on as changes, for an instance that lacks it, and the offset from which on they are
 // complete: 0, with everything that is known, if departures since the asked one may be unknown.
-func (r *Registry) Changes(from int64) (changes []Change, completeFrom int64) {
+func (r *Registry) Changes(from int64, now time.Time) (changes []Change, completeFrom int64) {
 	if !r.knowsDepartures(from) {
 		from = 0
 	}
@@ -231,6 +305,7 @@
 			entry := known.target.Entry
 			change.Entry = &entry
 		}
+		change.Lapsed, change.Hold = r.Held(id, now)
 		changes = append(changes, change)
 	}
 	return changes, from
