Take a removal for a lapse only when entries can have lapsed

Cause: what is known of the targets grows older than 1.8 s when those whose turn it is are turned away, which counts as an outage of the store. The next that reads took the removals for lapses and kept the targets for 2.2 s more. Change: entries lapse after three silent heartbeats, so that a removal sooner than two of them after the last answer is a departure. The interval comes from the platform's settings (bounds.heartbeat_s). Test: TestRemovalBindsWhenNoEntryCanHaveLapsed, failed before (usable 2.999 s after). TestRemovalWithoutOutageBinds sets its outage a minute earlier, so that it still tests the end of the disturbed time.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,7 +47,7 @@
 			Capacity: int(s.Peer.Capacity * fleet.CapacityUnit),
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Bootstrap: s.Peer.Bootstrap, Policy: e.policy(), Prober: platform.Prober{},
-		ProbeInterval: probeInterval(s), Now: clk.Now, Check: clk.Check,
+		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.Heartbeat(), Now: clk.Now, Check: clk.Check,
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:       telemetry.Component(log, "fleet"),
 		Changed:   func(registered func(string) bool) { e.gateway.Forget(registered) },
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -22,7 +22,7 @@
 	if n.Panics() != 3 {
 		t.Errorf("%d panics were counted, want 3", n.Panics())
 	}
-	n.registry = registry.New()
+	n.registry = registry.New(targetHeartbeat)
 	if n.targets.reading || n.joining || !n.targets.due(begin.Add(lastBackoff), turn{rank: 0, reader: true, first: begin}) {
 		t.Error("the targets are not read again")
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -48,6 +48,8 @@
 	Prober Prober
 	// ProbeInterval is the time between two readings of a target.
 	ProbeInterval time.Duration
+	// TargetHeartbeat is the time between two heartbeats of a target in the store.
+	TargetHeartbeat time.Duration
 	// Now is the time of the dispatcher since the start, and Check that time after a look for a suspension of the machine. If
 	// Check is nil, suspensions are not noticed.
 	Now    func() time.Duration
@@ -176,7 +178,7 @@
 		c.Check = func() (time.Duration, time.Duration) { return c.Now(), 0 }
 	}
 	n := &Node{
-		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(),
+		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(c.TargetHeartbeat),
 		pools: map[string]*dispatch.Pool{}, byHash: map[uint32]targetRef{}, pending: map[uint32]loadSample{},
 		rounds:     map[string]*serviceRound{},
 		recentBase: -1, instances: 1, live: 1,
@@ -344,7 +346,7 @@
 	if down := age > outageAfter; down != n.storeDown {
 		n.storeDown = down
 		if down {
-			n.registry.StoreDown()
+			n.registry.StoreDown(n.targets.asOf)
 			n.Log.Warn("Lost the store.", "age_ms", age.Milliseconds())
 		} else {
 			n.registry.StoreUp(now)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -135,6 +135,9 @@
 // usualCapacity is that of an instance with 0.3 of a core.
 const usualCapacity = 300
 
+// targetHeartbeat is the interval of the targets' heartbeats in the store.
+const targetHeartbeat = 1500 * time.Millisecond
+
 type testFleet struct {
 	store *fakeStore
 	nodes []*Node
@@ -191,7 +194,7 @@
 	n := New(Config{
 		CrashMark: mark,
 		Self:      discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: f.capacity},
-		Store:     d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, Seeds: seeds, Bootstrap: f.bootstrap,
+		Store:     d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Seeds: seeds, Bootstrap: f.bootstrap,
 		Now:    func() time.Duration { return time.Since(start) },
 		Random: rand.New(rand.NewPCG(uint64(len(f.nodes)), 1)), Log: slog.New(slog.DiscardHandler),
 	})
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -150,7 +150,7 @@
 	t.Helper()
 	n := New(Config{
 		Self: self, Store: &door{store: &fakeStore{}}, Prober: noProber{}, Policy: dispatch.DefaultPolicy(),
-		ProbeInterval: 25 * time.Millisecond, Now: func() time.Duration { return time.Second },
+		ProbeInterval: 25 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Now: func() time.Duration { return time.Second },
 		Random: rand.New(rand.NewPCG(1, 1)), Log: slog.New(slog.DiscardHandler),
 	})
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/internal/fleet/virtual_test.go
+++ b/internal/fleet/virtual_test.go
@@ -264,7 +264,7 @@
 	v.mu.Unlock()
 	n := New(Config{
 		Self: self, Store: virtualDoor{s, self.ID}, Seeds: seeds, Policy: dispatch.DefaultPolicy(), Prober: noProber{},
-		ProbeInterval: 50 * time.Millisecond, Now: func() time.Duration { return time.Since(start) }, Random: random, Log: log,
+		ProbeInterval: 50 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Now: func() time.Duration { return time.Since(start) }, Random: random, Log: log,
 	})
 	v.connect(n)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -76,6 +76,9 @@
 	// outageEnd is when the store last answered again after an outage, zero without one.
 	outageEnd time.Time
 	down      bool
+	// outageBegin is when the store last answered before the outage, and lapseAfter how long after that the first entry can lapse.
+	outageBegin time.Time
+	lapseAfter  time.Duration
 	// readTo is the offset up to which all records were taken over. An older record of a target that is not known is one of a
 	// target that has left since.
 	readTo int64
@@ -86,15 +89,22 @@
 	anyLapsed bool
 }
 
-// New returns an empty registry.
-func New() *Registry { return &Registry{records: map[string]*record{}} }
+// silentHeartbeats is the number of missed heartbeats after which the store removes the entry of a target.
+const silentHeartbeats = 3
+
+// New returns an empty registry of targets that send a heartbeat to the store at an interval. The last heartbeat before an outage may be one
+// interval old, so that an entry that is removed within the following ones is that of a target that left.
+func New(heartbeat time.Duration) *Registry {
+	return &Registry{records: map[string]*record{}, lapseAfter: (silentHeartbeats - 1) * heartbeat}
+}
 
 // ReadTo notes that all records before an offset were taken over.
 func (r *Registry) ReadTo(offset int64) { r.readTo = max(r.readTo, offset) }
 
-// StoreDown notes that the store does not answer. Lapsed targets cannot come back meanwhile.
-func (r *Registry) StoreDown() {
+// StoreDown notes that the store does not answer since a time. Lapsed targets cannot come back meanwhile.
+func (r *Registry) StoreDown(since time.Time) {
 	r.down = true
+	r.outageBegin = since
 	for _, known := range r.records {
 		known.heldUntil = time.Time{}
 	}
@@ -191,6 +201,9 @@
 
 // disturbed reports whether a missing entry may be the effect of an outage.
 func (r *Registry) disturbed(now time.Time) bool {
+	if now.Sub(r.outageBegin) < r.lapseAfter {
+		return false
+	}
 	return r.down || !r.outageEnd.IsZero() && now.Sub(r.outageEnd) < disturbedAfter
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -7,6 +7,8 @@
 
 var begin = time.Unix(1_000_000, 0)
 
+const heartbeat = 1500 * time.Millisecond
+
 func entry(id string) *Entry {
 	return &Entry{ID: id, Address: "10.0.0.1:80", Zone: "a", Service: "s", Slots: 4}
 }
@@ -21,7 +23,7 @@
 
 // Guards against requests to a target after its record said that it drains or is gone.
 func TestDeparture(t *testing.T) {
-	r := New()
+	r := New(heartbeat)
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
 	draining := entry("t1")
 	draining.Draining = true
@@ -36,7 +38,7 @@
 
 // Guards against an old record that arrives late, for example from a peer, and brings a gone target back.
 func TestOldRecordDoesNotReturnTarget(t *testing.T) {
-	r := New()
+	r := New(heartbeat)
 	r.Apply(Change{ID: "t1", Offset: 5, Entry: entry("t1")}, begin)
 	r.Apply(Change{ID: "t1", Offset: 6}, begin)
 	if r.Apply(Change{ID: "t1", Offset: 5, Entry: entry("t1")}, begin) || usable(r)["t1"] {
@@ -49,7 +51,7 @@
 
 // Guards against heartbeats that count as changes, which would rebuild the view of every instance many times a second.
 func TestHeartbeatIsNoChange(t *testing.T) {
-	r := New()
+	r := New(heartbeat)
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
 	if r.Apply(Change{ID: "t1", Offset: 2, Entry: entry("t1")}, begin.Add(time.Second)) {
 		t.Error("a heartbeat is a change")
@@ -80,9 +82,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			r := New()
+			r := New(heartbeat)
 			r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
-			r.StoreDown()
+			r.StoreDown(begin)
 			r.StoreUp(begin.Add(5 * time.Second))
 			returned := begin.Add(5 * time.Second)
 			r.Apply(Change{ID: "t1", Offset: 2}, returned)
@@ -99,8 +101,8 @@
 
 // Guards against a lapse that is taken for an outage while the store works, which would keep a departed target in use.
 func TestRemovalWithoutOutageBinds(t *testing.T) {
-	r := New()
-	r.StoreDown()
+	r := New(heartbeat)
+	r.StoreDown(begin.Add(-time.Minute))
 	r.StoreUp(begin)
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
 	r.Apply(Change{ID: "t1", Offset: 2}, begin.Add(disturbedAfter))
@@ -109,9 +111,27 @@
 	}
 }
 
+// Guards against a departure that is taken for a lapse because the store turned those away whose turn it was to read, or was away for a
+// moment: the entry of a living target lapses after three heartbeats without an answer.
+func TestRemovalBindsWhenNoEntryCanHaveLapsed(t *testing.T) {
+	for _, c := range []struct {
+		silent time.Duration
+		want   bool
+	}{{2*heartbeat - time.Millisecond, false}, {2 * heartbeat, true}} {
+		r := New(heartbeat)
+		r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
+		r.StoreDown(begin)
+		r.StoreUp(begin.Add(c.silent))
+		r.Apply(Change{ID: "t1", Offset: 2}, begin.Add(c.silent))
+		if got := usable(r)["t1"]; got != c.want {
+			t.Errorf("store silent for %v: usable %v", c.silent, got)
+		}
+	}
+}
+
 // Guards against targets that stay after the store forgot its history and lists them no more.
 func TestListingReplaces(t *testing.T) {
-	r := New()
+	r := New(heartbeat)
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, begin)
 	r.Apply(Change{ID: "t2", Offset: 2, Entry: entry("t2")}, begin)
 	r.Replace([]Change{{ID: "t2", Offset: 9, Entry: entry("t2")}, {ID: "bad", Offset: 10}}, 11, begin)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -74,6 +74,13 @@
 	RetryWindowS float64 `toml:"retry_window_s" unit:"s" accept:"number:0.1..3600" default:"10"`
 	// ProbesPerS is the most health checks of one target by all instances together.
 	ProbesPerS float64 `toml:"probes_per_s" unit:"1/s" accept:"number:0..100000" default:"40"`
+	// HeartbeatS is the time between two heartbeats of a target in the store, which removes its entry after three without one.
+	HeartbeatS float64 `toml:"heartbeat_s" unit:"s" accept:"number:0.01..3600" default:"1.5"`
+}
+
+// Heartbeat returns the time between two heartbeats of a target in the store.
+func (b EdgeBounds) Heartbeat() time.Duration {
+	return time.Duration(b.HeartbeatS * float64(time.Second))
 }
 
 // Grace returns the time that is granted for a planned stop.
