Read departures in time while the store turns most instances away

Callers saw: requests that reach a target more than 2 s after it said that it leaves, from all instances, while the store turns a part of them away. Cause: the next in line waited 300 ms for each instance that tries in vain, and 90 ms for each place. When the readers of all zones are turned away, what is known grows older than the bound of a departure before one that is served has its turn. Change: for the first eight failures others wait 30 ms each, from then on 300 ms, and the places behind the readers of the zones are 40 ms apart. To keep the calls few, the first pause after a failure grows with the instances that fail, and configurations are not read while the targets are overdue.

--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -239,10 +239,8 @@
 
 func (p *play) arrangeOutage(o outage, random *rand.Rand) {
 	turnedAway := map[string]refusal{}
-	for i := range p.nodes {
-		if random.Float64() < o.share {
-			turnedAway[fmt.Sprintf("n%02d", i)] = o.how
-		}
+	for _, i := range random.Perm(len(p.nodes))[:int(o.share*float64(len(p.nodes)))] {
+		turnedAway[fmt.Sprintf("n%02d", i)] = o.how
 	}
 	back := make([]time.Duration, targetsOfSchedule)
 	for i := range back {
@@ -360,10 +358,10 @@
 	p.failures[i].to = at
 }
 
-func playSchedule(t *testing.T, seed uint64) (schedule, []failure) {
-	random := rand.New(rand.NewPCG(seed, 22))
+// playOne plays a schedule.
+func playOne(t *testing.T, s schedule, seed uint64, random *rand.Rand) (schedule, []failure) {
 	p := &play{
-		schedule: drawSchedule(random), absent: map[int]bool{},
+		schedule: s, absent: map[int]bool{},
 		net:   &virtualNet{random: rand.New(rand.NewPCG(seed, 23)), nodes: map[string]*Node{}, cut: map[string]bool{}, loss: 0.01},
 		store: &virtualStore{},
 	}
@@ -376,9 +374,52 @@
 func TestDeparturesBindUnderRandomTroubles(t *testing.T) {
 	for i := range *schedules {
 		seed := *scheduleSeed + uint64(i)
-		s, failures := playSchedule(t, seed)
+		random := rand.New(rand.NewPCG(seed, 22))
+		s, failures := playOne(t, drawSchedule(random), seed, random)
 		if len(failures) > 0 {
 			t.Errorf("seed %d: %s\n\t%d failures: %v", seed, s, len(failures), failures[:min(len(failures), 4)])
 		}
 	}
 }
+
+// Guards against a departure that is taken for a lapse by an instance that the store turned away while all others were down.
+func TestDepartureBindsOnTheOnlyInstanceThatRuns(t *testing.T) {
+	const seed = 304
+	random := rand.New(rand.NewPCG(seed, 22))
+	s, failures := playOne(t, drawSchedule(random), seed, random)
+	if len(failures) > 0 {
+		t.Errorf("%s\n\t%v", s, failures)
+	}
+}
+
+// Guards against departures that are read late while the store turns most instances away, those first whose turn it is: the next in line
+// waited 300 ms for each that fails, so that what was known grew older than the bound.
+func TestDepartureBindsWhileMostAreTurnedAway(t *testing.T) {
+	playDirected(t, 32, func(r *rand.Rand) schedule {
+		from := settling + time.Duration(r.Int64N(int64(time.Second)))
+		return schedule{
+			perZone: 4,
+			outages: []outage{{span: span{from, from + 6*time.Second}, how: refuses + refusal(r.IntN(2)), share: 0.8}},
+			departures: []departure{{
+				target: r.IntN(targetsOfSchedule), at: from + time.Duration(r.Int64N(int64(4*time.Second))), abrupt: r.IntN(2) == 0,
+			}},
+		}
+	})
+}
+
+// playDirected plays schedules of one pattern.
+func playDirected(t *testing.T, plays int, draw func(r *rand.Rand) schedule) {
+	t.Helper()
+	failed := 0
+	for seed := range uint64(plays) {
+		random := rand.New(rand.NewPCG(seed, 24))
+		s, failures := playOne(t, draw(random), seed, random)
+		if len(failures) > 0 {
+			failed++
+			t.Logf("seed %d: %s\n\t%v", seed, s, failures[:min(len(failures), 2)])
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d schedules failed", failed, plays)
+	}
+}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -91,11 +91,13 @@
 
 // readConfigs reads the configurations when it is this instance's turn.
 func (n *Node) readConfigs(ctx context.Context, now time.Time, rank int) {
-	// While the targets cannot be read, the store does not answer this instance.
-	if n.targets.backoff > 0 || !n.configs.due(now, n.turn(now, rank)) {
+	// While the targets cannot be read, the store does not answer this instance. While nobody has read them in time, it may answer nobody,
+	// and one topic is enough to find out.
+	overdue := n.targets.known && n.configs.known && now.Sub(n.targets.asOf) >= targetsInterval+standbyDelay
+	if n.targets.backoff > 0 || overdue || !n.configs.due(now, n.turn(now, rank)) {
 		return
 	}
-	n.configs.reading = true
+	n.configs.begin(now)
 	n.noteRead("configs", &n.configs, rank, now)
 	n.traffic.calls[CallConfigs].Add(1)
 	next, known := n.configs.next, n.configs.known
@@ -166,7 +168,7 @@
 
 func (n *Node) handleConfigs(e configsRead, now time.Time) {
 	if e.err != nil {
-		n.configs.failed(now, n.Random.Float64())
+		n.configs.failed(now, n.Random.Float64(), n.failing)
 		n.Log.Info("Could not read configurations.", "error", e.err, "age_ms", now.Sub(n.configs.asOf).Milliseconds())
 		return
 	}
@@ -199,7 +201,7 @@
 	if !n.targets.due(now, n.turn(now, rank)) {
 		return
 	}
-	n.targets.reading = true
+	n.targets.begin(now)
 	n.noteRead("targets", &n.targets, rank, now)
 	n.traffic.calls[CallTargets].Add(1)
 	next, known := n.targets.next, n.targets.known
@@ -218,7 +220,7 @@
 
 func (n *Node) handleTargets(e targetsRead, now time.Time) {
 	if e.err != nil {
-		n.targets.failed(now, n.Random.Float64())
+		n.targets.failed(now, n.Random.Float64(), n.failing)
 		n.tellFailure(now)
 		n.Log.Info("Could not read targets.", "error", e.err, "age_ms", now.Sub(n.targets.asOf).Milliseconds())
 		return
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -16,14 +16,14 @@
 	ctx := context.Background()
 	n.handleSafely(ctx, received{}, begin)
 	n.handleSafely(ctx, stateFetched{}, begin)
-	n.targets.reading, n.joining = true, true
+	n.targets.reading, n.joining = 1, true
 	n.registry = nil
 	n.handleSafely(ctx, targetsRead{began: begin, changes: []registry.Change{{ID: "t"}}}, begin)
 	if n.Panics() != 3 {
 		t.Errorf("%d panics were counted, want 3", n.Panics())
 	}
 	n.registry = registry.New(targetHeartbeat)
-	if n.targets.reading || n.joining || !n.targets.due(begin.Add(lastBackoff), turn{rank: 0, reader: true, first: begin}) {
+	if n.targets.reading > 0 || n.joining || !n.targets.due(begin.Add(lastBackoff), turn{rank: 0, reader: true, first: begin}) {
 		t.Error("the targets are not read again")
 	}
 	n.handleSafely(ctx, received{datagram: &datagram{From: "b1", Started: 1}, from: "127.0.0.1:9"}, begin)
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -115,7 +115,7 @@
 	if !r.due(begin, turn{rank: 5, reader: false, first: begin}) {
 		t.Error("an unknown topic is not read")
 	}
-	r.reading = true
+	r.begin(begin)
 	if r.due(begin, turn{rank: 0, reader: true, first: begin}) {
 		t.Error("two reads at a time")
 	}
@@ -142,12 +142,12 @@
 		t.Error("an instance that nobody tells does not read")
 	}
 	r.behind, r.alone = false, false
-	r.failed(begin, 1)
+	r.failed(begin, 1, 0)
 	if r.due(begin.Add(firstBackoff), turn{rank: 0, reader: true, first: begin}) || !r.due(begin.Add(2*time.Second), turn{rank: 0, reader: true, first: begin}) {
 		t.Error("the pause after a failure")
 	}
 	for range 10 {
-		r.failed(begin, 1)
+		r.failed(begin, 1, 0)
 	}
 	if !r.due(begin.Add(2*lastBackoff), turn{rank: 0, reader: true, first: begin}) {
 		t.Error("the pause grows without bound")
@@ -177,7 +177,7 @@
 	n := quietNode(t, member("a1", "a"))
 	n.targets.known, n.targets.asOf = true, begin
 	outage := begin.Add(4 * time.Second)
-	n.targets.failed(outage, 0.5)
+	n.targets.failed(outage, 0.5, 0)
 	if d := n.base(outage); d.Failing != 1 {
 		t.Error("an instance that fails in an outage does not tell it")
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -271,8 +271,8 @@
 func (n *Node) releaseReads(now time.Time) {
 	n.joining = false
 	for _, topic := range []*topicReads{&n.targets, &n.configs} {
-		if topic.reading {
-			topic.failed(now, n.Random.Float64())
+		if topic.reading > 0 {
+			topic.failed(now, n.Random.Float64(), n.failing)
 		}
 	}
 }
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -10,13 +10,22 @@
 	// standbyDelay and standbyStep are how much longer those wait who read only when nobody before them does.
 	standbyDelay = 160 * time.Millisecond
 	standbyStep  = 90 * time.Millisecond
-	// failingStep is how much later an instance reads for each other one that is known to try in vain.
-	failingStep = 300 * time.Millisecond
+	// firstInLine are the places in line that are that far apart. Behind them comes who reads only when the store turns those away, which
+	// has to show in time for a departure to bind.
+	firstInLine = 3
+	memberStep  = 40 * time.Millisecond
+	// failingStep is how much later an instance reads for each other one that is known to try in vain, once so many do as leave little
+	// hope that the store serves anybody. Before that it reads failedStep later for each.
+	hopefulFailures = 8
+	failedStep      = 30 * time.Millisecond
+	failingStep     = 300 * time.Millisecond
 	// servedFor is how long an instance that the store answered need not wait for those that it turns away.
 	servedFor = 3 * time.Second
 	// firstBackoff and lastBackoff bound the pause after a failed read.
 	firstBackoff = 250 * time.Millisecond
 	lastBackoff  = 1500 * time.Millisecond
+	// sharedBackoff is how much longer the first pause is for each instance that fails, so that many in line cost few calls.
+	sharedBackoff = 300 * time.Millisecond
 	// outageAfter is the age of the latest read at which the store counts as unavailable. It leaves the first three in line
 	// time to be turned away. Entries of targets lapse after 4.5 s at the earliest.
 	outageAfter = 1800 * time.Millisecond
@@ -34,9 +43,11 @@
 	// known is true once the topic was listed or taken over from a peer.
 	known bool
 	// behind is true when a peer knows of records that this instance lacks, and alone when no peer could tell them.
-	behind  bool
-	alone   bool
-	reading bool
+	behind bool
+	alone  bool
+	// reading is the number of reads that are under way, and began when the last of them began.
+	reading int
+	began   time.Time
 	retryAt time.Time
 	backoff time.Duration
 }
@@ -57,7 +68,7 @@
 // due reports whether this instance should read now. Readers of zones read at once what they lack; the others ask them
 // first, because each call to the store is paid for. The more instances try in vain, the later others join them.
 func (t *topicReads) due(now time.Time, turn turn) bool {
-	if t.reading || now.Before(t.retryAt) {
+	if t.reading > 0 || now.Before(t.retryAt) {
 		return false
 	}
 	if (turn.reader || t.alone) && (!t.known || t.behind) {
@@ -66,19 +77,42 @@
 	if !t.known {
 		return !now.Before(turn.first)
 	}
-	wait := t.interval
-	if turn.rank > 0 {
-		wait += standbyDelay + time.Duration(turn.rank-1)*standbyStep
-	}
+	wait := t.interval + placeDelay(turn.rank)
 	if t.backoff == 0 && now.Sub(turn.served) > servedFor {
-		wait += time.Duration(turn.failing) * failingStep
+		wait += failureDelay(turn.failing)
 	}
 	return now.Sub(t.asOf) >= wait
 }
 
+// begin notes that a read begins.
+func (t *topicReads) begin(now time.Time) {
+	t.reading++
+	t.began = now
+}
+
+// end notes that a read has ended.
+func (t *topicReads) end() { t.reading = max(t.reading-1, 0) }
+
+// placeDelay is how much longer an instance waits than the first in line.
+func placeDelay(rank int) time.Duration {
+	if rank == 0 {
+		return 0
+	}
+	behind := rank - 1
+	near := min(behind, firstInLine)
+	return standbyDelay + time.Duration(near)*standbyStep + time.Duration(behind-near)*memberStep
+}
+
+// failureDelay is how much longer an instance waits while others try in vain.
+func failureDelay(failing int) time.Duration {
+	hopeful := min(failing, hopefulFailures)
+	return time.Duration(hopeful)*failedStep + time.Duration(failing-hopeful)*failingStep
+}
+
 // succeeded notes a read that began at a time.
 func (t *topicReads) succeeded(began time.Time, next int64) {
-	t.reading, t.behind, t.alone, t.known = false, false, false, true
+	t.end()
+	t.behind, t.alone, t.known = false, false, true
 	t.backoff = 0
 	t.next = max(t.next, next)
 	t.fresh(began)
@@ -97,9 +131,10 @@
 	}
 }
 
-// failed notes a read without an answer. The jitter, between 0 and 1, keeps instances apart.
-func (t *topicReads) failed(now time.Time, jitter float64) {
-	t.reading = false
-	t.backoff = min(max(2*t.backoff, firstBackoff), lastBackoff)
+// failed notes a read without an answer, while a number of other instances fail. The jitter, between 0 and 1, keeps instances apart.
+func (t *topicReads) failed(now time.Time, jitter float64, failing int) {
+	t.end()
+	first := max(firstBackoff, time.Duration(failing)*sharedBackoff)
+	t.backoff = min(max(2*t.backoff, first), lastBackoff)
 	t.retryAt = now.Add(t.backoff/2 + time.Duration(jitter*float64(t.backoff)))
 }
