Watch for the return of a store that is away

Callers saw: requests that reach a target that left just before an outage of the store, more than 3 s after its return. Cause: a departure without a draining state that is read after the outage may be a lapse, and the target stays in use for 2.2 s after the first answer. Each instance paused up to 2.25 s between its tries, and one whose call got no answer waited 0.9 s for that first, so that the first answer came up to 1.5 s after the return. Change: while what is known of the targets is older than the age of an outage, the first in line reads every 400 ms, without waiting for earlier calls. A call that fails after a later one succeeded does not count.

--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -382,6 +382,28 @@
 	}
 }
 
+// Guards against a target that left just before an outage of the store and stays in use when the instances are in touch again: none of them
+// reads for long after the return, and what they take for a lapsed entry stays in use for LapseGrace after that.
+func TestDepartureJustBeforeAnOutageBinds(t *testing.T) {
+	playDirected(t, 16, func(r *rand.Rand) schedule { return drawDepartureBeforeOutage(r, refuses) })
+}
+
+// Guards against the same where calls get no answer, so that those that wait for one at the return of the store try again late.
+func TestDepartureJustBeforeASilentOutageBinds(t *testing.T) {
+	playDirected(t, 40, func(r *rand.Rand) schedule { return drawDepartureBeforeOutage(r, silent) })
+}
+
+func drawDepartureBeforeOutage(r *rand.Rand, how refusal) schedule {
+	from := settling + time.Duration(r.Int64N(int64(time.Second)))
+	length := 3*time.Second + time.Duration(r.Int64N(int64(5*time.Second)))
+	left := from - time.Duration(r.Int64N(int64(400*time.Millisecond)))
+	return schedule{
+		perZone:    2 + r.IntN(3),
+		outages:    []outage{{span: span{from, from + length}, how: how, share: 1}},
+		departures: []departure{{target: r.IntN(targetsOfSchedule), at: left, abrupt: true}},
+	}
+}
+
 // Guards against a departure that is taken for a lapse by an instance that the store turned away while all others were down.
 func TestDepartureBindsOnTheOnlyInstanceThatRuns(t *testing.T) {
 	const seed = 304
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -219,6 +219,11 @@
 }
 
 func (n *Node) handleTargets(e targetsRead, now time.Time) {
+	if e.err != nil && e.began.Before(n.served) {
+		n.targets.end()
+		n.Log.Info("A read of targets failed after a later one succeeded.", "error", e.err)
+		return
+	}
 	if e.err != nil {
 		n.targets.failed(now, n.Random.Float64(), n.failing)
 		n.tellFailure(now)
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -26,6 +26,10 @@
 	lastBackoff  = 1500 * time.Millisecond
 	// sharedBackoff is how much longer the first pause is for each instance that fails, so that many in line cost few calls.
 	sharedBackoff = 300 * time.Millisecond
+	// watchInterval is the time between two reads of the first in line while the store seems away, and watchReads how many of them may wait
+	// for an answer. Departures bind again 3 s after the return, and what lapsed stays in use for LapseGrace after the first answer.
+	watchInterval = 400 * time.Millisecond
+	watchReads    = 3
 	// outageAfter is the age of the latest read at which the store counts as unavailable. It leaves the first three in line
 	// time to be turned away. Entries of targets lapse after 4.5 s at the earliest.
 	outageAfter = 1800 * time.Millisecond
@@ -43,8 +47,8 @@
 	// known is true once the topic was listed or taken over from a peer.
 	known bool
 	// behind is true when a peer knows of records that this instance lacks, and alone when no peer could tell them.
-	behind bool
-	alone  bool
+	behind  bool
+	alone   bool
 	// reading is the number of reads that are under way, and began when the last of them began.
 	reading int
 	began   time.Time
@@ -68,6 +72,9 @@
 // due reports whether this instance should read now. Readers of zones read at once what they lack; the others ask them
 // first, because each call to the store is paid for. The more instances try in vain, the later others join them.
 func (t *topicReads) due(now time.Time, turn turn) bool {
+	if turn.rank == 0 && t.watches(now) {
+		return t.reading < watchReads && now.Sub(t.began) >= watchInterval
+	}
 	if t.reading > 0 || now.Before(t.retryAt) {
 		return false
 	}
@@ -84,6 +91,11 @@
 	return now.Sub(t.asOf) >= wait
 }
 
+// watches reports whether the store seems away, so that the first in line watches for its return.
+func (t *topicReads) watches(now time.Time) bool {
+	return t.backoff > 0 && now.Sub(t.asOf) > outageAfter
+}
+
 // begin notes that a read begins.
 func (t *topicReads) begin(now time.Time) {
 	t.reading++
