Do not send a request to a target that left since the decision

Cause: a decision holds for 0.5 s, so that a request for which a connection is opened, or a claim waited for, went to a target whose departure had become known meanwhile. Within the bound of 2 s that was 0.5 s of it. Change: the last step before the sending looks whether the target is still registered, and decides again if not. Test: TestTargetThatLeftSinceTheDecisionGetsNothing, failed without the look.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -174,6 +174,13 @@
 	return p.byID[id]
 }
 
+// Registered reports whether a target that was chosen may still receive requests.
+func (p *Pool) Registered(t *Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byID[t.ID] == t
+}
+
 // Observe takes over readings of load. Waiting requests are decided again.
 func (p *Pool) Observe(readings []Observation) {
 	p.mu.Lock()
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -26,7 +26,7 @@
 	retryable bool
 	// retry is the reason of that.
 	retry *reason.Reason
-	// expired is true when nothing was sent because the decision was too old.
+	// expired is true when nothing was sent because the decision did not hold any more.
 	expired bool
 }
 
@@ -119,13 +119,30 @@
 	return fmt.Sprintf("the decision for the target is %s old", e.Age.Round(time.Millisecond))
 }
 
-// prepare completes a request just before it is sent, by the time that is read now.
+// DepartedTargetError reports a decision for a target that left before the request was sent.
+type DepartedTargetError struct{ Target string }
+
+func (e *DepartedTargetError) Error() string {
+	return "the target " + e.Target + " has left since the decision"
+}
+
+// withdraws reports whether an error says that a decision was not carried out.
+func withdraws(err error) bool {
+	var expired *ExpiredDecisionError
+	var departed *DepartedTargetError
+	return errors.As(err, &expired) || errors.As(err, &departed)
+}
+
+// prepare completes a request just before it is sent, by what is known now.
 func (g *Gateway) prepare(call *call, d dispatch.Decision) transport.Prepare {
 	return func(request *protocol.Request, remaining time.Duration) error {
 		now, _ := g.Check()
 		if age := now - d.At(); age > decisionLifetime {
 			return &ExpiredDecisionError{age}
 		}
+		if !call.pool.Registered(d.Target) {
+			return &DepartedTargetError{d.Target.ID}
+		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
 		return nil
 	}
@@ -144,8 +161,7 @@
 		g.beforeSend()
 	}
 	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.prepare(call, d))
-	var expired *ExpiredDecisionError
-	if errors.As(err, &expired) {
+	if withdraws(err) {
 		g.Log.Warn("Deciding again.", "request", call.id, "target", d.Target.ID, "error", err)
 		call.pool.Release(&call.ask, d, dispatch.Report{End: dispatch.Withdrawn})
 		return &result{why: reason.ConnectionLost, cause: err, expired: true}
--- a/internal/ingress/faults_test.go
+++ b/internal/ingress/faults_test.go
@@ -380,3 +380,24 @@
 		t.Error("it counts as a retry")
 	}
 }
+
+// Guards against a request that is sent to a target whose departure became known between the decision and the sending, as while a connection
+// is opened.
+func TestTargetThatLeftSinceTheDecisionGetsNothing(t *testing.T) {
+	left, stays := good(t, "left"), good(t, "stays")
+	b := newBed(t, left)
+	decided := false
+	b.gateway.beforeSend = func() {
+		if !decided {
+			decided = true
+			target := registry.Target{Entry: registry.Entry{ID: "t9", Address: stays.Address(), Zone: "a", Service: "s", Slots: 4}}
+			b.view.Load().Pools["s"].SetTargets([]registry.Target{target}, 1, time.Now())
+		}
+	}
+	if got, body := b.call(t).exchange("POST", "/once/", "id1", "x"); got.StatusCode != 200 || !strings.HasPrefix(body, "stays") {
+		t.Errorf("%d %q", got.StatusCode, body)
+	}
+	if left.Requests.Load() != 0 {
+		t.Error("the request reached the target that had left")
+	}
+}
