Tell departures to services that lost their routes

Cause: a new configuration leaves services without routes. Requests of the earlier one may still wait in the pools of these services, which heard no more of their targets. Change: they are told the targets as well. Test: TestDepartureReachesServicesWithoutRoutes, failed without it.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
 )
 
 // Guards against one message that takes the process down, and with it all instances that receive it: of a peer, and of the
@@ -139,3 +140,18 @@
 		}
 	}
 }
+
+// Guards against requests of an earlier configuration that are sent to a target which left after their service lost its routes.
+func TestDepartureReachesServicesWithoutRoutes(t *testing.T) {
+	n := quietNode(t, member("a1", "a"))
+	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
+	n.applyConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, "store", begin)
+	listing := []registry.Change{{ID: "t", Offset: 1, Entry: entry}}
+	n.handleTargets(targetsRead{began: begin, changes: listing, listed: true, next: 2}, begin)
+	pool := n.View().Pools["s"]
+	n.applyConfig(&routes.Config{Version: 2, Services: []routes.Service{{Name: "other"}}}, "store", begin)
+	n.handleTargets(targetsRead{began: begin, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, begin)
+	if pool.Target("t") != nil {
+		t.Error("a waiting request may still be sent to the target")
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -452,6 +452,7 @@
 		pool.SetSharers(n.instances, n.sharersKnown)
 		view.Pools[name] = pool
 	}
+	n.updateUnrouted(byService, now)
 	n.indexTargets(byService)
 	n.view.Store(view)
 	n.refreshClaims()
@@ -463,6 +464,16 @@
 	}
 }
 
+// updateUnrouted tells the pools of services that lost their routes which targets there are: requests of an earlier configuration may wait
+// there.
+func (n *Node) updateUnrouted(byService map[string][]registry.Target, now time.Time) {
+	for name, pool := range n.pools {
+		if _, routed := n.table.Services[name]; !routed {
+			pool.SetTargets(byService[name], n.instances, now)
+		}
+	}
+}
+
 // indexTargets makes targets known by the hash of their id.
 func (n *Node) indexTargets(byService map[string][]registry.Target) {
 	n.byHash, n.collected = map[uint32]targetRef{}, nil
--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -47,8 +47,8 @@
 	// known is true once the topic was listed or taken over from a peer.
 	known bool
 	// behind is true when a peer knows of records that this instance lacks, and alone when no peer could tell them.
-	behind  bool
-	alone   bool
+	behind bool
+	alone  bool
 	// reading is the number of reads that are under way, and began when the last of them began.
 	reading int
 	began   time.Time
