Do not let an earlier heartbeat return a target that drains

A write of a target that gets no answer may be executed seconds later, after the report that it drains, and makes the newest record say ready. Cause: records were ordered by their offset only. The sequence that orders what an incarnation says of itself was not read. Change: an entry that an incarnation said before its report does not return it. An instance that lists the targets after such a record still takes it for ready; nothing in the listing tells. Test: TestEarlierHeartbeatDoesNotReturnTarget, failed before in the two cases of an earlier heartbeat.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -30,6 +30,8 @@
 	WarmupLeft time.Duration
 	// Born is the start of the incarnation as Unix time in ms.
 	Born int64
+	// Sequence orders what the incarnation says of itself, 0 if that is not known.
+	Sequence int64
 }
 
 // Change is one record of the store about a target. Entry is nil when the target is gone or its record names no target
@@ -152,11 +154,21 @@
 	if c.Entry == nil {
 		return remove(known, c)
 	}
+	if known != nil && known.target.Draining && saidBefore(c.Entry, &known.target.Entry) {
+		known.offset = c.Offset
+		return false
+	}
 	target := newTarget(c.Entry, now)
 	r.records[c.ID] = &record{offset: c.Offset, target: target}
 	return known == nil || known.presence != present || differs(known.target, target)
 }
 
+// saidBefore reports whether an incarnation said one entry before another. A write of a target without an answer may be executed after later
+// ones.
+func saidBefore(e, other *Entry) bool {
+	return e.Born == other.Born && e.Sequence > 0 && e.Sequence < other.Sequence
+}
+
 func newTarget(e *Entry, now time.Time) Target {
 	target := Target{Entry: *e}
 	if e.WarmupLeft > 0 {
@@ -196,6 +208,7 @@
 
 func differs(a, b Target) bool {
 	a.WarmupLeft, b.WarmupLeft = 0, 0
+	a.Sequence, b.Sequence = 0, 0
 	return a.Entry != b.Entry
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -36,6 +36,36 @@
 	}
 }
 
+// Guards against a target that drains and comes back into use, also after it left, when an earlier heartbeat of it that got no answer is
+// executed by the store after the report.
+func TestEarlierHeartbeatDoesNotReturnTarget(t *testing.T) {
+	said := func(draining bool, born, sequence int64) *Entry {
+		e := entry("t1")
+		e.Draining, e.Born, e.Sequence = draining, born, sequence
+		return e
+	}
+	for _, c := range []struct {
+		name string
+		next *Entry
+		want bool
+	}{
+		{"earlier heartbeat", said(false, 7, 4), false}, {"later heartbeat", said(false, 7, 6), true},
+		{"other incarnation", said(false, 9, 1), true}, {"without sequence", said(false, 7, 0), true},
+	} {
+		for _, removed := range []bool{false, true} {
+			r := New(heartbeat)
+			r.Apply(Change{ID: "t1", Offset: 1, Entry: said(true, 7, 5)}, begin)
+			if removed {
+				r.Apply(Change{ID: "t1", Offset: 2}, begin)
+			}
+			r.Apply(Change{ID: "t1", Offset: 3, Entry: c.next}, begin)
+			if got := usable(r)["t1"]; got != c.want {
+				t.Errorf("%s, removed %v: usable %v", c.name, removed, got)
+			}
+		}
+	}
+}
+
 // Guards against an old record that arrives late, for example from a peer, and brings a gone target back.
 func TestOldRecordDoesNotReturnTarget(t *testing.T) {
 	r := New(heartbeat)
