Log lists of targets that are taken over, and lapsed targets that are given up

Cause: a target could leave the view of an instance without a line: through a list of a peer or the store, and when its lapse ended. No decision changes.

--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -236,8 +236,7 @@
 	n.noteAvailability(now)
 	changed := false
 	if e.listed {
-		changed = n.registry.Replace(e.changes, e.next, now)
-		n.recent, n.recentBase = nil, e.next
+		changed = n.replaceTargets(e.changes, e.next, "store", now)
 	} else {
 		changed = n.applyChanges(n.judge(e.changes, now), now)
 	}
@@ -248,6 +247,20 @@
 	n.tellNews(now)
 }
 
+// maxLogged bounds the targets that one log line names.
+const maxLogged = 16
+
+func firstOf(ids []string) []string { return ids[:min(len(ids), maxLogged)] }
+
+// replaceTargets takes over a complete listing of the targets. It reports whether anything changed.
+func (n *Node) replaceTargets(changes []registry.Change, next int64, source string, now time.Time) bool {
+	left, changed := n.registry.Replace(changes, next, now)
+	n.recent, n.recentBase = nil, next
+	n.Log.Info("Took a list of the targets over.", "source", source, "records", len(changes), "next", next,
+		"left", len(left), "targets", firstOf(left))
+	return changed
+}
+
 // judge decides for each removal whether it may be the effect of an outage.
 func (n *Node) judge(changes []registry.Change, now time.Time) []registry.Change {
 	for i := range changes {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -282,7 +282,8 @@
 	n.notePause(now)
 	n.join(ctx, now)
 	n.noteAvailability(now)
-	if n.registry.Expire(now) {
+	if left := n.registry.Expire(now); len(left) > 0 {
+		n.Log.Info("Gave targets up that did not come back.", "count", len(left), "targets", firstOf(left))
 		n.publish(now)
 	}
 	n.noteReader(now)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -184,8 +184,7 @@
 		n.registry.ReadTo(s.TargetsNext)
 	} else {
 		// The peer may have listed the targets after one left that this instance still knows.
-		n.registry.Replace(s.Targets, s.TargetsNext, now)
-		n.recent, n.recentBase = nil, s.TargetsNext
+		n.replaceTargets(s.Targets, s.TargetsNext, "peer", now)
 	}
 	n.targets.next, n.targets.known, n.targets.behind = s.TargetsNext, true, false
 	n.targets.fresh(now.Add(-s.TargetsAge))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -221,10 +221,9 @@
 }
 
 // Replace takes over a complete listing of the records before an offset, by the store or by another instance. Targets that it lacks are
-// gone, or have lapsed. It reports whether anything changed.
-func (r *Registry) Replace(changes []Change, next int64, now time.Time) bool {
+// gone, or have lapsed. It returns those that are gone, and reports whether anything changed.
+func (r *Registry) Replace(changes []Change, next int64, now time.Time) (left []string, changed bool) {
 	listed := map[string]bool{}
-	changed := false
 	for _, c := range changes {
 		if c.Entry != nil {
 			listed[c.ID] = true
@@ -238,11 +237,11 @@
 		// is newer than the listing.
 		missing := Change{ID: id, Offset: next - 1}
 		if !listed[id] && known.presence == present && r.Apply(missing, now) {
-			changed = true
+			left = append(left, id)
 		}
 	}
 	r.noteListing(next)
-	return changed
+	return left, changed || len(left) > 0
 }
 
 // noteListing notes that the records before an offset are known by a listing only.
@@ -261,24 +260,23 @@
 	return from >= r.completeFrom && (from <= r.gapFrom || from >= r.gapTo)
 }
 
-// Expire removes lapsed targets that did not come back in time. It reports whether anything changed.
-func (r *Registry) Expire(now time.Time) bool {
+// Expire removes lapsed targets that did not come back in time, and returns them.
+func (r *Registry) Expire(now time.Time) (left []string) {
 	if !r.anyLapsed || r.down {
-		return false
+		return nil
 	}
 	r.anyLapsed = false
-	changed := false
-	for _, known := range r.records {
+	for id, known := range r.records {
 		switch {
 		case known.presence != lapsed:
 		case now.Before(known.heldUntil):
 			r.anyLapsed = true
 		default:
 			known.presence = gone
-			changed = true
+			left = append(left, id)
 		}
 	}
-	return changed
+	return left
 }
 
 // Held reports whether a target stays in use though its entry lapsed, and how much longer: 0 while the store is away.
