List the departures that no instance in reach can tell

As with seed 304, the store turns instances away, and all that it serves are down or cut off from them.

--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -404,13 +404,15 @@
 	}
 }
 
-// Guards against a departure that is taken for a lapse by an instance that the store turned away while all others were down.
-func TestDepartureBindsOnTheOnlyInstanceThatRuns(t *testing.T) {
-	const seed = 304
-	random := rand.New(rand.NewPCG(seed, 22))
-	s, failures := playOne(t, drawSchedule(random), seed, random)
-	if len(failures) > 0 {
-		t.Errorf("%s\n\t%v", s, failures)
+// Guards against departures that an instance does not learn of, or takes for lapses, while the store turns it away and all instances that are
+// served are down or cut off.
+func TestDepartureBindsWhereNoServedInstanceIsReached(t *testing.T) {
+	for _, seed := range []uint64{304, 1043, 1489} {
+		random := rand.New(rand.NewPCG(seed, 22))
+		s, failures := playOne(t, drawSchedule(random), seed, random)
+		if len(failures) > 0 {
+			t.Errorf("seed %d: %s\n\t%v", seed, s, failures)
+		}
 	}
 }
 
