--- a/internal/fleet/reads.go
+++ b/internal/fleet/reads.go
@@ -10,12 +10,12 @@
 	// standbyDelay and standbyStep are how much longer those wait who read only when nobody before them does.
 	standbyDelay = 160 * time.Millisecond
 	standbyStep  = 90 * time.Millisecond
-	// firstInLine are the places in line that are that far apart. Behind them comes who reads only when the store turns those away, which
-	// has to show in time for a departure to bind.
+	// firstInLine is the number of places in line that are standbyStep apart. Those behind them are memberStep apart: they read only when
+	// the store turns the first ones away, and a departure has to be known in time even then.
 	firstInLine = 3
 	memberStep  = 40 * time.Millisecond
-	// failingStep is how much later an instance reads for each other one that is known to try in vain, once so many do as leave little
-	// hope that the store serves anybody. Before that it reads failedStep later for each.
+	// hopefulFailures is the number of instances that try in vain up to which each of them delays the others by failedStep. Each further
+	// one delays them by failingStep, because the store then probably serves nobody.
 	hopefulFailures = 8
 	failedStep      = 30 * time.Millisecond
 	failingStep     = 300 * time.Millisecond
