Log and count what happens to requests that crash targets

Lines now tell a lost answer whose target still accepts connections, a mark that a peer tells, a mark that an answer ends, and with a refusal the fingerprint and the crashes that it counts. basillink_crash_marks_total counts the same events. No decision changes.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -29,6 +29,7 @@
 	answered history
 	// vacated is closed and replaced when a suspect leaves a target.
 	vacated chan struct{}
+	stats   Stats
 }
 
 // loss is a request whose answer was lost on one incarnation of a target.
@@ -66,6 +67,7 @@
 	}
 	g.losses[target] = append(g.losses[target], loss{fingerprint: f, incarnation: incarnation, at: now})
 	g.lossCount++
+	g.stats.Losses++
 	g.watch()
 }
 
@@ -100,18 +102,20 @@
 func (g *Guard) count(now time.Duration, f Fingerprint, c crash) {
 	m := g.mark(now, f)
 	if m.add(now, c) {
+		g.stats.Crashes++
 		m.last = now
 		g.spread(f, m.encode(now))
 	}
 }
 
-// Answered records a complete answer, which clears the mark and open losses of the request.
-func (g *Guard) Answered(now time.Duration, f Fingerprint) {
+// Answered records a complete answer, which clears the mark and open losses of the request. It reports whether there was a
+// mark.
+func (g *Guard) Answered(now time.Duration, f Fingerprint) (cleared bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.answered.add(f)
 	if g.watched.Load() == 0 {
-		return
+		return false
 	}
 	open := g.lossCount
 	for target := range g.losses {
@@ -122,11 +126,14 @@
 		m.generation++
 		m.crashes = nil
 		m.last = now
+		cleared = true
+		g.stats.Cleared++
 		g.spread(f, m.encode(now))
 	} else if g.lossCount == open {
-		return
+		return false
 	}
 	g.watch()
+	return cleared
 }
 
 // forgive forgets the open losses of a request on a target.
@@ -154,6 +161,9 @@
 		g.mark(now, f).last = remote.last
 	}
 	news := g.marks[f].merge(now, remote)
+	if news {
+		g.stats.Learnt++
+	}
 	g.watch()
 	return news, nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -68,6 +68,9 @@
 	if err := observeTraffic(metrics, e.node.Traffic()); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	e.ready = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler())
 	return e, nil
 }
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -43,12 +44,18 @@
 	}
 	news, err := g.crashes.Receive(g.Now(), f, data)
 	if err != nil {
-		g.Log.Warn("Ignored a crash mark.", "request", key, "error", err)
+		g.Log.Warn("Ignored a crash mark.", "fingerprint", key, "error", err)
 		return false
 	}
+	if news {
+		g.Log.Info("Learnt of a request that crashes targets.", "fingerprint", key, "crashes", g.crashes.Crashes(f))
+	}
 	return news
 }
 
+// CrashStats counts what happened to the marks of requests that crash targets.
+func (g *Gateway) CrashStats() crashguard.Stats { return g.crashes.Stats() }
+
 // identify notes who sends a request. A request that crashes targets comes again from the same caller.
 func (call *call) identify(c *app.RequestContext) {
 	if conn := c.GetConn(); conn != nil && conn.RemoteAddr() != nil {
@@ -72,7 +79,7 @@
 	for g.crashes.Watching() {
 		entry, wait, refused := g.crashes.Enter(g.Now(), call.fingerprint())
 		if refused {
-			return entry, g.crashed(reason.CrashHeld)
+			return entry, g.crashed(call)
 		}
 		if wait == nil {
 			return entry, nil
@@ -81,14 +88,26 @@
 		case <-wait:
 		case <-time.After(crashguard.PollInterval):
 		case <-ctx.Done():
-			return entry, g.crashed(reason.CrashHeld)
+			return entry, g.crashed(call)
 		}
 	}
 	return crashguard.Entry{}, nil
 }
 
-func (g *Gateway) crashed(why *reason.Reason) *result {
-	r := refused(why)
+// HeldRequestError reports a request that is not sent because targets that ran it crashed.
+type HeldRequestError struct {
+	Fingerprint crashguard.Fingerprint
+	Crashes     int
+}
+
+func (e *HeldRequestError) Error() string {
+	return fmt.Sprintf("request %s crashed %d targets", e.Fingerprint, e.Crashes)
+}
+
+// crashed refuses a request that crashed targets.
+func (g *Gateway) crashed(call *call) *result {
+	r := refused(reason.CrashHeld)
+	r.cause = &HeldRequestError{call.fingerprint(), g.crashes.Crashes(call.fingerprint())}
 	r.retryAfter = crashedRetryAfter
 	return r
 }
@@ -98,18 +117,21 @@
 	switch r.why {
 	case reason.AnswerLost, reason.AnswerTruncated:
 		g.crashes.Lost(g.Now(), call.fingerprint(), target, target)
+		message := "A target lost the answer to a request."
 		if g.refusesConnections(ctx, address) {
 			g.crashes.Refused(g.Now(), target)
-			g.Log.Warn("A target ended while it ran a request.", "request", call.id, "target", target, "route", call.route.Name,
-				"fingerprint", call.fingerprint().String())
+			message = "A target ended while it ran a request."
 		}
+		g.Log.Warn(message, "request", call.id, "target", target, "route", call.route.Name, "reason", r.why.Name,
+			"fingerprint", call.fingerprint().String(), "crashes", g.crashes.Crashes(call.fingerprint()))
 	case reason.ConnectionRefused:
 		if g.crashes.Watching() {
 			g.crashes.Refused(g.Now(), target)
 		}
 	default:
-		if r.answer != nil && r.answer.Whole() && g.crashes.Watching() {
-			g.crashes.Answered(g.Now(), call.fingerprint())
+		if r.answer != nil && r.answer.Whole() && g.crashes.Watching() && g.crashes.Answered(g.Now(), call.fingerprint()) {
+			g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", target,
+				"status", r.answer.Response.StatusCode(), "fingerprint", call.fingerprint().String())
 		}
 	}
 }
