--- /dev/null
+++ b/internal/ingress/crash_kinds_test.go
@@ -0,0 +1,134 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/standin/rawtarget"
+)
+
+// maxCrashRuns is how often a request that crashes targets may reach one: until the third crash, and in three retries after it.
+const maxCrashRuns = 6
+
+// ending starts targets on which each run of a request with the body "poison" is ended by a function, and counts the runs. Other
+// requests are answered.
+func ending(t *testing.T, count int, end func(target *rawtarget.Target, conn net.Conn, r *http.Request, run int64) bool) ([]*rawtarget.Target, *atomic.Int64) {
+	t.Helper()
+	targets := make([]*rawtarget.Target, count)
+	runs := &atomic.Int64{}
+	for i := range targets {
+		targets[i] = rawtarget.Start(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+			if strings.HasPrefix(r.Header.Get(rawtarget.BodyHeader), "poison") {
+				return end(targets[i], conn, r, runs.Add(1))
+			}
+			_, err := io.WriteString(conn, answer(200, r, "", "fine"))
+			return err == nil
+		})
+	}
+	return targets, runs
+}
+
+// sendAgain sends a request to a gateway a number of times, each beside another request of the same caller that must not be held.
+func sendAgain(t *testing.T, b *bed, times int) {
+	t.Helper()
+	for i := range times {
+		b.call(t).exchange("POST", "/safe/", fmt.Sprintf("p%d", i), "poison")
+		if _, body := b.call(t).exchange("POST", "/safe/", fmt.Sprintf("h%d", i), "harmless"); strings.HasPrefix(body, reason.CrashHeld.Name) {
+			t.Errorf("another request of the caller: %q", body)
+		}
+	}
+}
+
+// Guards against a request that reaches target after target because their listeners close a little after the connection broke, so
+// that the first look takes them for living ones.
+func TestRequestWhoseTargetsEndLate(t *testing.T) {
+	const after = 150 * time.Millisecond
+	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
+		time.AfterFunc(after, target.Stop)
+		return false
+	})
+	b := newBed(t, targets...)
+	for range 8 {
+		sendAgain(t, b, 1)
+		time.Sleep(after)
+	}
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// Guards against a request that ends targets for ever because something accepts connections at their address again at once.
+func TestRequestWhoseTargetsReturnAtOnce(t *testing.T) {
+	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
+		target.Restart()
+		return false
+	})
+	b := newBed(t, targets...)
+	sendAgain(t, b, 10)
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// Guards against a request that goes on ending targets because some of its runs are answered: a failure of the target's own proves
+// nothing, and a success does not undo the ends before it.
+func TestRequestThatIsAnsweredBetweenCrashes(t *testing.T) {
+	for _, status := range []int{500, 200} {
+		targets, runs := ending(t, 20, func(target *rawtarget.Target, conn net.Conn, r *http.Request, run int64) bool {
+			if run%2 == 0 {
+				_, err := io.WriteString(conn, answer(status, r, "", ""))
+				return err == nil
+			}
+			target.Stop()
+			return false
+		})
+		sendAgain(t, newBed(t, targets...), 16)
+		// Every second run ends a target, so that the third end is the fifth run.
+		if n := runs.Load(); n > 5+3 {
+			t.Errorf("status %d: the request ran %d times", status, n)
+		}
+	}
+}
+
+// Guards against a request that is taken for another one because its route leads to another service now.
+func TestRequestOfARouteThatMoved(t *testing.T) {
+	targets, ended := crashing(t, 16)
+	b := newBed(t, targets...)
+	sendAgain(t, b, 2)
+	view := *b.view.Load()
+	view.Pools["moved"] = view.Pools["s"]
+	view.Table = tableTo(t, "moved")
+	b.view.Store(&view)
+	sendAgain(t, b, 6)
+	if n := ended.Load(); n > 3 {
+		t.Errorf("%d targets ended", n)
+	}
+}
+
+// Guards against copies of a request that passed the guard before its crashes were known, waited for a target, and are sent after them.
+func TestRequestThatWaitedWhenItsCrashesBecameKnown(t *testing.T) {
+	targets, ended := crashing(t, 8)
+	b, other := newBed(t, targets[:4]...), newBed(t, targets[4:]...)
+	other.gateway.CrashMarks = meeting{b.gateway}
+	held := make(chan struct{})
+	b.gateway.beforeSend = func() { <-held }
+	waiting := b.call(t)
+	waiting.send("POST", "/safe/", "waits", "poison")
+	time.Sleep(50 * time.Millisecond)
+	other.call(t).exchange("POST", "/safe/", "p0", "poison")
+	before := ended.Load()
+	close(held)
+	if got, _, err := waiting.receive(); err != nil || got.StatusCode != 503 {
+		t.Errorf("status %d, error %v", got.StatusCode, err)
+	}
+	if n := ended.Load(); n != before {
+		t.Errorf("%d targets ended before the copy was sent, %d after", before, n)
+	}
+}
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -90,29 +90,36 @@
 }
 
 func newView(t testing.TB, now func() time.Duration, targets []*rawtarget.Target) *View {
+	t.Helper()
+	table := tableTo(t, "s")
+	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", now, rand.New(rand.NewPCG(1, 2)))
+	var registered []registry.Target
+	for i, target := range targets {
+		registered = append(registered, registry.Target{Entry: registry.Entry{
+			ID: fmt.Sprintf("t%d", i), Address: target.Address(), Zone: "a", Service: "s", Slots: 4,
+		}})
+	}
+	pool.SetTargets(registered, 1, time.Now())
+	return &View{Table: table, Pools: map[string]*dispatch.Pool{"s": pool}, Instances: 1}
+}
+
+// tableTo returns a table whose routes lead to a service.
+func tableTo(t testing.TB, service string) *routes.Table {
 	t.Helper()
 	route := func(name string, idempotent bool) routes.Route {
 		return routes.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Idempotent: idempotent, Timeout: 900 * time.Millisecond,
-			LatencyObjective: 400 * time.Millisecond, MaxAttempts: 2, Split: []routes.Share{{Service: "s", Weight: 1}},
+			LatencyObjective: 400 * time.Millisecond, MaxAttempts: 2, Split: []routes.Share{{Service: service, Weight: 1}},
 		}
 	}
 	table, err := routes.Build(&routes.Config{
-		Version: 1, Services: []routes.Service{{Name: "s", MaxConnections: 100}},
+		Version: 1, Services: []routes.Service{{Name: service, MaxConnections: 100}},
 		Routes: []routes.Route{route("safe", true), route("once", false)},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", now, rand.New(rand.NewPCG(1, 2)))
-	var registered []registry.Target
-	for i, target := range targets {
-		registered = append(registered, registry.Target{Entry: registry.Entry{
-			ID: fmt.Sprintf("t%d", i), Address: target.Address(), Zone: "a", Service: "s", Slots: 4,
-		}})
-	}
-	pool.SetTargets(registered, 1, time.Now())
-	return &View{Table: table, Pools: map[string]*dispatch.Pool{"s": pool}, Instances: 1}
+	return table
 }
 
 // caller is one connection of a caller.
