Know a request again when its route leads to another service

Callers saw targets of a second service end under a request that the first service had been spared: the fingerprint held the service, so that a route that moved or splits its requests gave the same request another one, with no crashes. It holds the host now, which the caller chooses, beside caller, method, path and body.

--- a/internal/crashguard/fingerprint.go
+++ b/internal/crashguard/fingerprint.go
@@ -18,9 +18,10 @@
 // requests of another by a collision.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request. The URI is the path and query.
-func FingerprintOf(service, method, uri string, body []byte) Fingerprint {
-	sum := digest.Request(service, method, uri, body)
+// FingerprintOf returns the fingerprint of a request. The scope says among which requests the content identifies it, and
+// the URI is the path and query.
+func FingerprintOf(scope, method, uri string, body []byte) Fingerprint {
+	sum := digest.Request(scope, method, uri, body)
 	return Fingerprint(sum[:len(Fingerprint{})])
 }
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -63,11 +64,13 @@
 	}
 }
 
-// fingerprint identifies requests of one caller with the same content.
+// fingerprint identifies requests of one caller with the same content. The service is not a part of it, because a route may
+// lead to another one when the request comes again.
 func (call *call) fingerprint() crashguard.Fingerprint {
 	if !call.known {
 		h := &call.request.Header
-		call.print = crashguard.FingerprintOf(call.service+" "+call.caller, string(h.Method()), call.uri, call.request.Body())
+		scope := strings.ToLower(string(h.Host())) + " " + call.caller
+		call.print = crashguard.FingerprintOf(scope, string(h.Method()), call.uri, call.request.Body())
 		call.known = true
 	}
 	return call.print
