Do not clear a request that crashes targets by answers between its crashes

Callers saw target after target end under a request some of whose runs were answered: any complete answer cleared its mark, also the target's own 500, which only shows that this run did not end the target.

A failure of the target clears nothing now. A success still clears, but the crashes before it are remembered, by the instances that hear of the mark too: from the third crash on, one that is not answered refuses the request, unless most of its runs are answered. A request that is explained by another one keeps no such memory, so that innocent ones beside the cause stay free.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -12,8 +12,8 @@
 type Guard struct {
 	// spread passes a mark on to peers. It must not block.
 	spread func(Fingerprint, []byte)
-	// watched is the number of marks with a crash and of losses without a verdict. While it is 0, requests need no
-	// fingerprint.
+	// watched is the number of marks with a crash, also an answered one, and of losses without a verdict. While it is 0,
+	// requests need no fingerprint.
 	watched atomic.Int64
 
 	mu    sync.Mutex
@@ -108,8 +108,8 @@
 	}
 }
 
-// Answered records a complete answer, which clears the mark and open losses of the request. It reports whether there was a
-// mark.
+// Answered records a complete answer that is no failure of the target. It clears the mark and open losses of the request,
+// and reports whether there was a mark. A failure proves nothing: a request may crash one target and fail on the next.
 func (g *Guard) Answered(now time.Duration, f Fingerprint) (cleared bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -117,25 +117,33 @@
 	if g.watched.Load() == 0 {
 		return false
 	}
-	open := g.lossCount
 	for target := range g.losses {
 		g.forgive(target, f)
 	}
-	m := g.marks[f]
-	if m != nil && m.suspect() {
-		m.generation++
-		m.crashes = nil
-		m.last = now
-		cleared = true
-		g.stats.Cleared++
-		g.spread(f, m.encode(now))
-	} else if g.lossCount == open {
-		return false
+	if m := g.marks[f]; m != nil {
+		m.answers++
+		cleared = m.suspect()
+		if cleared {
+			m.clear(g.explained(m))
+			m.last = now
+			g.stats.Cleared++
+			g.spread(f, m.encode(now))
+		}
 	}
 	g.watch()
 	return cleared
 }
 
+// explained reports whether another request with enough crashes was in flight at each crash of a mark.
+func (g *Guard) explained(m *mark) bool {
+	for _, o := range g.marks {
+		if o != m && o.enough() && o.explains(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // forgive forgets the open losses of a request on a target.
 func (g *Guard) forgive(target string, f Fingerprint) {
 	before := g.losses[target]
@@ -210,7 +218,7 @@
 	g.summed = false
 	watched := int64(g.lossCount)
 	for _, m := range g.marks {
-		if m.suspect() {
+		if m.suspect() || m.past > 0 {
 			watched++
 		}
 	}
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -15,6 +15,11 @@
 	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
 	// without a complete answer in between are not.
 	refuseAfter = 2
+	// refuseInAll is the number of crashes, answered ones included, from which on a single further crash refuses a request
+	// that is not answered most of the time: one that ends every second target that runs it.
+	refuseInAll = 3
+	// mostly is how many complete answers to each crash show that a request is answered most of the time.
+	mostly = 3
 	// holdTime is how long requests wait before a new mark with enough crashes refuses them: the mark of the
 	// cause, which explains the crashes of an innocent request, may still be on its way from another instance. It
 	// exceeds the spread of a rumor over 20 instances of 1.4 s.
@@ -52,9 +57,12 @@
 	generation uint32
 	// crashes holds the distinct crashes since the last complete answer, at most maxCrashes.
 	crashes []crash
+	// past is the number of crashes before the last complete answer that no other request explains, and answers the
+	// number of complete answers since the first crash that this instance saw.
+	past, answers int
 	// last is when the last crash or complete answer was known first.
 	last time.Duration
-	// enoughSince is when the mark had refuseAfter crashes first.
+	// enoughSince is when the mark had enough crashes first.
 	enoughSince time.Duration
 	// trial is open while a suspect request of this fingerprint runs.
 	trial chan struct{}
@@ -62,7 +70,12 @@
 
 func (m *mark) suspect() bool { return len(m.crashes) > 0 }
 
-func (m *mark) enough() bool { return len(m.crashes) >= refuseAfter }
+
+// enough reports whether the crashes are enough to refuse the request.
+func (m *mark) enough() bool {
+	inAll := m.past + len(m.crashes)
+	return len(m.crashes) >= refuseAfter || m.suspect() && inAll >= refuseInAll && m.answers < mostly*inAll
+}
 
 // explains reports whether the request of m was in flight at every crash of other.
 func (m *mark) explains(other *mark) bool {
@@ -74,19 +87,30 @@
 	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.same) {
 		return false
 	}
+	before := m.enough()
 	m.crashes = append(m.crashes, c)
-	if len(m.crashes) == refuseAfter {
+	if !before && m.enough() {
 		m.enoughSince = now
 	}
 	return true
 }
 
+// clear notes a complete answer. Explained is true when another request was in flight at each of the crashes.
+func (m *mark) clear(explained bool) {
+	m.generation++
+	if !explained {
+		m.past += len(m.crashes)
+	}
+	m.crashes = nil
+}
+
 // merge takes over what a peer knows and reports whether it is news. The order of merges does not matter, except
 // for which crashes beyond maxCrashes are named.
 func (m *mark) merge(now time.Duration, remote *mark) bool {
 	if remote.generation < m.generation {
 		return false
 	}
+	m.past = max(m.past, remote.past)
 	news := remote.generation > m.generation
 	if news {
 		m.generation = remote.generation
@@ -101,9 +125,12 @@
 	return news
 }
 
-// encode returns the mark for a rumor: generation, age in milliseconds and crashes.
+// pastShift is where the past crashes begin in the number that holds the generation. Earlier versions read the lower 32 bits.
+const pastShift = 32
+
+// encode returns the mark for a rumor: generation and past crashes, age in milliseconds and crashes.
 func (m *mark) encode(now time.Duration) []byte {
-	data := binary.AppendUvarint(nil, uint64(m.generation))
+	data := binary.AppendUvarint(nil, uint64(m.generation)|uint64(m.past)<<pastShift)
 	data = binary.AppendUvarint(data, uint64((now - m.last).Milliseconds()))
 	for _, c := range m.crashes {
 		data = binary.BigEndian.AppendUint32(data, c.target)
@@ -122,7 +149,7 @@
 	if n <= 0 || len(data[n:])%8 != 0 || len(data[n:]) > 8*maxCrashes || age > uint64(markLifetime.Milliseconds()) {
 		return nil, &FormatError{Text: string(data)}
 	}
-	m := &mark{generation: uint32(generation), last: now - time.Duration(age)*time.Millisecond}
+	m := &mark{generation: uint32(generation), past: int(generation >> pastShift), last: now - time.Duration(age)*time.Millisecond}
 	for data = data[n:]; len(data) > 0; data = data[8:] {
 		m.add(now, crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:])})
 	}
--- /dev/null
+++ b/internal/crashguard/mark_test.go
@@ -0,0 +1,60 @@
+package crashguard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// crashed lets a request crash a target.
+func crashed(g *Guard, now time.Duration, f Fingerprint, target string) {
+	g.Lost(now, f, target, target)
+	g.Refused(now, target)
+}
+
+// refuses reports whether a guard refuses a request after the hold.
+func refuses(g *Guard, now time.Duration, f Fingerprint) bool {
+	entry, _, refused := g.Enter(now+holdTime, f)
+	entry.Leave()
+	return refused
+}
+
+// Guards against a request that crashes target after target because a run between the crashes is answered.
+func TestAnswersBetweenCrashes(t *testing.T) {
+	g, peer := New(nil), New(nil)
+	f := FingerprintOf("s", "POST", "/", nil)
+	g.spread = func(f Fingerprint, data []byte) {
+		if _, err := peer.Receive(0, f, data); err != nil {
+			t.Error(err)
+		}
+	}
+	for i := range refuseInAll {
+		if refuses(g, 0, f) {
+			t.Fatalf("refused after %d crashes", i)
+		}
+		crashed(g, 0, f, fmt.Sprint("t", i))
+		if i < refuseInAll-1 {
+			g.Answered(0, f)
+		}
+	}
+	for name, guard := range map[string]*Guard{"instance": g, "peer": peer} {
+		if !refuses(guard, 0, f) {
+			t.Errorf("the %s admits the request", name)
+		}
+	}
+}
+
+// Guards against a request that is refused though it is answered most of the time and was only in flight on targets that ended.
+func TestRequestThatIsMostlyAnsweredIsNotRefused(t *testing.T) {
+	g := New(nil)
+	f := FingerprintOf("s", "GET", "/", nil)
+	for i := range 2 * refuseInAll {
+		crashed(g, 0, f, fmt.Sprint("t", i))
+		if refuses(g, 0, f) {
+			t.Fatalf("refused after %d crashes", i+1)
+		}
+		for range 2 * mostly {
+			g.Answered(0, f)
+		}
+	}
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -155,6 +156,9 @@
 // judgeAnswer clears a request whose answer is complete, for a stream at its end.
 func (g *Gateway) judgeAnswer(ctx context.Context, call *call, address string, r *result) {
 	if r.answer.Whole() {
+		if r.answer.Response.StatusCode() >= http.StatusInternalServerError {
+			return
+		}
 		if g.guard.Watching() || !call.once && len(call.request.Body()) <= historyBodyBytes {
 			g.guard.Answered(g.now(), call.identify())
 		}
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -132,13 +133,18 @@
 			g.crashes.Refused(g.Now(), target)
 		}
 	default:
-		if r.answer != nil && r.answer.Whole() && g.crashes.Watching() && g.crashes.Answered(g.Now(), call.fingerprint()) {
+		if g.crashes.Watching() && answersWell(r) && g.crashes.Answered(g.Now(), call.fingerprint()) {
 			g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", target,
 				"status", r.answer.Response.StatusCode(), "fingerprint", call.fingerprint().String())
 		}
 	}
 }
 
+// answersWell reports whether a target answered completely, with something else than a failure of its own.
+func answersWell(r *result) bool {
+	return r.answer != nil && r.answer.Whole() && r.answer.Response.StatusCode() < http.StatusInternalServerError
+}
+
 // refusesConnections reports whether nothing listens at the address of a target any more. The look comes before a further
 // send, so that this already runs as one of a suspect.
 func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
