Ask the crash guard again just before a request is sent

A copy of a request that passed the guard before its crashes were known, and waited for a target, for a connection or as a suspect, was sent after them and ended a further target. The look that already withdraws decisions for targets that left, just before the write, now asks the guard too; the request enters again, and waits or is refused.

The guard of the own interface (internal/gateway) still asks before it picks a target only.

--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -40,6 +40,21 @@
 	return Entry{guard: g, mark: m}, nil, false
 }
 
+// Admits reports whether a request that was admitted earlier may still be sent. Crashes that became known meanwhile make it
+// a suspect, which has to enter again, or refuse it.
+func (g *Guard) Admits(now time.Duration, f Fingerprint, entry *Entry) bool {
+	if !g.Watching() {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.marks[f]
+	if m == nil || !m.suspect() {
+		return true
+	}
+	return entry.mark == m && entry.Suspect() && !g.unexplained(now, f, m)
+}
+
 // neverClosed makes held requests wait for their poll.
 var neverClosed = make(chan struct{})
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -108,10 +108,14 @@
 	return fmt.Sprintf("request %s crashed %d targets", e.Fingerprint, e.Crashes)
 }
 
+func (g *Gateway) held(call *call) *HeldRequestError {
+	return &HeldRequestError{call.fingerprint(), g.crashes.Crashes(call.fingerprint())}
+}
+
 // crashed refuses a request that crashed targets.
 func (g *Gateway) crashed(call *call) *result {
 	r := refused(reason.CrashHeld)
-	r.cause = &HeldRequestError{call.fingerprint(), g.crashes.Crashes(call.fingerprint())}
+	r.cause = g.held(call)
 	r.retryAfter = crashedRetryAfter
 	return r
 }
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/transport"
@@ -46,7 +47,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		outcome, again := g.tryOnce(ctx, call)
+		outcome, again := g.tryOnce(ctx, call, &entry)
 		entry.Leave()
 		if !again {
 			return outcome
@@ -55,7 +56,7 @@
 }
 
 // tryOnce sends the request to one target. It reports whether a further one may receive it.
-func (g *Gateway) tryOnce(ctx context.Context, call *call) (outcome *result, again bool) {
+func (g *Gateway) tryOnce(ctx context.Context, call *call, entry *crashguard.Entry) (outcome *result, again bool) {
 	decision := call.pool.Acquire(ctx, &call.ask)
 	call.last = decision
 	call.waited = decision.Inputs.Waited
@@ -66,7 +67,7 @@
 		return g.unassigned(ctx, call, decision), false
 	}
 	call.attempts++
-	outcome = g.attempt(ctx, call, decision)
+	outcome = g.attempt(ctx, call, decision, entry)
 	if outcome.expired && ctx.Err() == nil {
 		call.attempts--
 		return nil, true
@@ -130,11 +131,12 @@
 func withdraws(err error) bool {
 	var expired *ExpiredDecisionError
 	var departed *DepartedTargetError
-	return errors.As(err, &expired) || errors.As(err, &departed)
+	var held *HeldRequestError
+	return errors.As(err, &expired) || errors.As(err, &departed) || errors.As(err, &held)
 }
 
 // prepare completes a request just before it is sent, by what is known now.
-func (g *Gateway) prepare(call *call, d dispatch.Decision) transport.Prepare {
+func (g *Gateway) prepare(call *call, d dispatch.Decision, entry *crashguard.Entry) transport.Prepare {
 	return func(request *protocol.Request, remaining time.Duration) error {
 		now, _ := g.Check()
 		if age := now - d.At(); age > decisionLifetime {
@@ -143,13 +145,16 @@
 		if !call.pool.Registered(d.Target) {
 			return &DepartedTargetError{d.Target.ID}
 		}
+		if g.crashes.Watching() && !g.crashes.Admits(now, call.fingerprint(), entry) {
+			return g.held(call)
+		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
 		return nil
 	}
 }
 
 // attempt sends the request to one target.
-func (g *Gateway) attempt(ctx context.Context, call *call, d dispatch.Decision) *result {
+func (g *Gateway) attempt(ctx context.Context, call *call, d dispatch.Decision, entry *crashguard.Entry) *result {
 	request := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(request)
 	g.buildRequest(request, call, d.Target.ID)
@@ -160,7 +165,7 @@
 	if g.beforeSend != nil {
 		g.beforeSend()
 	}
-	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.prepare(call, d))
+	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.prepare(call, d, entry))
 	if withdraws(err) {
 		g.Log.Warn("Deciding again.", "request", call.id, "target", d.Target.ID, "error", err)
 		call.pool.Release(&call.ask, d, dispatch.Report{End: dispatch.Withdrawn})
