Tell the end of a target by connections that break with its process

Callers saw target after target end under a request that nothing held: one connection attempt right after the lost answer decided whether the target had ended, and one that closes its listener a little later, or whose address accepts connections again at once, passed as living for good.

The end of a process breaks all its connections. A lost answer is a crash if the idle connections that are as old as the run broke too. A request that lost an answer before takes a witness along: a connection that is opened before the run and carries nothing. Without one, a connection that was opened after the loss is watched for the listener's end.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -19,8 +19,10 @@
 	mu    sync.Mutex
 	marks map[Fingerprint]*mark
 	// losses holds, by target, requests that lost their answer while it is open whether the target crashed.
-	losses     map[string][]loss
-	lossCount  int
+	losses    map[string][]loss
+	lossCount int
+	// lossesOf counts the open losses of a request.
+	lossesOf   map[Fingerprint]int
 	suspectsOn map[string]struct{}
 	// sum is the digest of the marks while summed is true.
 	sum    uint64
@@ -32,11 +34,19 @@
 	stats   Stats
 }
 
-// loss is a request whose answer was lost on one incarnation of a target.
+// Run is one run of a request on a target.
+type Run struct {
+	// Target is where the request was sent, and Incarnation the process that ran it, empty if that is not known.
+	Target, Incarnation string
+}
+
+// loss is a run whose answer was lost.
 type loss struct {
 	fingerprint Fingerprint
 	incarnation string
 	at          time.Duration
+	// verdictBy is until when a look is under way whether the target ended.
+	verdictBy time.Duration
 }
 
 // New returns a guard. Spread is called with the lock held and must not block; nil disables it.
@@ -48,6 +58,7 @@
 		spread:     spread,
 		marks:      map[Fingerprint]*mark{},
 		losses:     map[string][]loss{},
+		lossesOf:   map[Fingerprint]int{},
 		suspectsOn: map[string]struct{}{},
 		vacated:    make(chan struct{}),
 	}
@@ -57,22 +68,33 @@
 func (g *Guard) Watching() bool { return g.watched.Load() > 0 }
 
 // Lost records that a request lost its answer on a target. The crash is counted when the target refuses a new
-// connection or answers as another incarnation.
-func (g *Guard) Lost(now time.Duration, f Fingerprint, target, incarnation string) {
+// connection or answers as another incarnation. Look is how long the caller looks whether the target ended.
+func (g *Guard) Lost(now time.Duration, f Fingerprint, run Run, look time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.expire(now)
 	if g.lossCount >= maxMarks {
 		return
 	}
-	g.losses[target] = append(g.losses[target], loss{fingerprint: f, incarnation: incarnation, at: now})
+	lost := loss{fingerprint: f, incarnation: run.Incarnation, at: now, verdictBy: now + look}
+	g.losses[run.Target] = append(g.losses[run.Target], lost)
 	g.lossCount++
+	g.lossesOf[f]++
 	g.stats.Losses++
 	g.watch()
 }
 
-// Refused records that a target refused a new connection: the requests that it lost count as crashes.
-func (g *Guard) Refused(now time.Duration, target string) {
+// Lives records that a target outlived the runs of a request that lost their answers there.
+func (g *Guard) Lives(f Fingerprint, target string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forgive(target, f)
+	g.watch()
+}
+
+// Ended records that the process of a target ended, for example because it refuses connections: the requests that it lost
+// count as crashes.
+func (g *Guard) Ended(now time.Duration, target string) {
 	g.resolve(now, target, func(loss) bool { return true })
 }
 
@@ -90,8 +112,8 @@
 		return
 	}
 	delete(g.losses, target)
-	g.lossCount -= len(list)
 	for _, l := range list {
+		g.close(l)
 		if crashed(l) {
 			g.count(now, l.fingerprint, crashOf(target, l.incarnation))
 		}
@@ -99,6 +121,14 @@
 	g.watch()
 }
 
+// close counts a loss that is no longer open.
+func (g *Guard) close(l loss) {
+	g.lossCount--
+	if g.lossesOf[l.fingerprint]--; g.lossesOf[l.fingerprint] <= 0 {
+		delete(g.lossesOf, l.fingerprint)
+	}
+}
+
 func (g *Guard) count(now time.Duration, f Fingerprint, c crash) {
 	m := g.mark(now, f)
 	if m.add(now, c) {
@@ -146,9 +176,20 @@
 
 // forgive forgets the open losses of a request on a target.
 func (g *Guard) forgive(target string, f Fingerprint) {
-	before := g.losses[target]
-	kept := slices.DeleteFunc(before, func(l loss) bool { return l.fingerprint == f })
-	g.lossCount -= len(before) - len(kept)
+	if g.lossesOf[f] > 0 {
+		g.dropLosses(target, func(l loss) bool { return l.fingerprint == f })
+	}
+}
+
+// dropLosses forgets open losses on a target.
+func (g *Guard) dropLosses(target string, drop func(loss) bool) {
+	kept := slices.DeleteFunc(g.losses[target], func(l loss) bool {
+		dropped := drop(l)
+		if dropped {
+			g.close(l)
+		}
+		return dropped
+	})
 	g.losses[target] = kept
 	if len(kept) == 0 {
 		delete(g.losses, target)
@@ -204,13 +245,9 @@
 // expire forgets marks and open losses whose lifetime has passed.
 func (g *Guard) expire(now time.Duration) {
 	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return now-m.last >= markLifetime && m.trial == nil })
-	maps.DeleteFunc(g.losses, func(_ string, list []loss) bool {
-		old := now-list[len(list)-1].at >= markLifetime
-		if old {
-			g.lossCount -= len(list)
-		}
-		return old
-	})
+	for target := range g.losses {
+		g.dropLosses(target, func(l loss) bool { return now-l.at >= markLifetime })
+	}
 }
 
 // watch counts what is watched after a change.
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -24,6 +24,9 @@
 		g.watch()
 		m = nil
 	}
+	if g.underLook(now, f) >= refuseAfter {
+		return Entry{}, neverClosed, false
+	}
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
@@ -40,6 +43,33 @@
 	return Entry{guard: g, mark: m}, nil, false
 }
 
+// underLook counts the lost runs of a request for which it is being found out whether they ended their target.
+func (g *Guard) underLook(now time.Duration, f Fingerprint) int {
+	if g.lossesOf[f] < refuseAfter {
+		return 0
+	}
+	count := 0
+	for _, list := range g.losses {
+		for _, l := range list {
+			if l.fingerprint == f && now < l.verdictBy {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Suspects reports whether a request lost an answer or crashed a target lately.
+func (g *Guard) Suspects(f Fingerprint) bool {
+	if !g.Watching() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.marks[f]
+	return g.lossesOf[f] > 0 || m != nil && m.suspect()
+}
+
 // Admits reports whether a request that was admitted earlier may still be sent. Crashes that became known meanwhile make it
 // a suspect, which has to enter again, or refuse it.
 func (g *Guard) Admits(now time.Duration, f Fingerprint, entry *Entry) bool {
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -16,13 +14,9 @@
 	"github.com/basillink/basillink/internal/reason"
 )
 
-const (
-	// crashCheckTimeout bounds the look whether a target that lost an answer still accepts connections.
-	crashCheckTimeout = 100 * time.Millisecond
-	// crashedRetryAfter is when a caller may come back with a request that crashed targets. It is held for longer; the time
-	// keeps callers from asking all the time.
-	crashedRetryAfter = 30 * time.Second
-)
+// crashedRetryAfter is when a caller may come back with a request that crashed targets. It is held for longer; the time
+// keeps callers from asking all the time.
+const crashedRetryAfter = 30 * time.Second
 
 // CrashMarks passes crash marks between instances.
 type CrashMarks interface {
@@ -120,45 +114,26 @@
 	return r
 }
 
-// judge tells the crash guard how an exchange with a target ended.
-func (g *Gateway) judge(ctx context.Context, call *call, target, address string, r *result) {
+// judge tells the crash guard how a run on a target ended.
+func (g *Gateway) judge(ctx context.Context, call *call, run *run, r *result) {
 	switch r.why {
 	case reason.AnswerLost, reason.AnswerTruncated:
-		g.crashes.Lost(g.Now(), call.fingerprint(), target, target)
-		message := "A target lost the answer to a request."
-		if g.refusesConnections(ctx, address) {
-			g.crashes.Refused(g.Now(), target)
-			message = "A target ended while it ran a request."
-		}
-		g.Log.Warn(message, "request", call.id, "target", target, "route", call.route.Name, "reason", r.why.Name,
-			"fingerprint", call.fingerprint().String(), "crashes", g.crashes.Crashes(call.fingerprint()))
+		g.judgeLoss(ctx, call, run, r.why)
+		return
 	case reason.ConnectionRefused:
 		if g.crashes.Watching() {
-			g.crashes.Refused(g.Now(), target)
+			g.crashes.Ended(g.Now(), run.target.ID)
 		}
 	default:
 		if g.crashes.Watching() && answersWell(r) && g.crashes.Answered(g.Now(), call.fingerprint()) {
-			g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", target,
+			g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", run.target.ID,
 				"status", r.answer.Response.StatusCode(), "fingerprint", call.fingerprint().String())
 		}
 	}
+	run.witness.close()
 }
 
 // answersWell reports whether a target answered completely, with something else than a failure of its own.
 func answersWell(r *result) bool {
 	return r.answer != nil && r.answer.Whole() && r.answer.Response.StatusCode() < http.StatusInternalServerError
 }
-
-// refusesConnections reports whether nothing listens at the address of a target any more. The look comes before a further
-// send, so that this already runs as one of a suspect.
-func (g *Gateway) refusesConnections(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -67,12 +67,14 @@
 		return g.unassigned(ctx, call, decision), false
 	}
 	call.attempts++
-	outcome = g.attempt(ctx, call, decision, entry)
+	run := g.newRun(ctx, call, decision)
+	outcome = g.attempt(ctx, call, decision, run, entry)
 	if outcome.expired && ctx.Err() == nil {
+		run.witness.close()
 		call.attempts--
 		return nil, true
 	}
-	g.judge(ctx, call, decision.Target.ID, decision.Target.Address, outcome)
+	g.judge(ctx, call, run, outcome)
 	if !outcome.retryable || ctx.Err() != nil {
 		return outcome, false
 	}
@@ -154,7 +156,7 @@
 }
 
 // attempt sends the request to one target.
-func (g *Gateway) attempt(ctx context.Context, call *call, d dispatch.Decision, entry *crashguard.Entry) *result {
+func (g *Gateway) attempt(ctx context.Context, call *call, d dispatch.Decision, run *run, entry *crashguard.Entry) *result {
 	request := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(request)
 	g.buildRequest(request, call, d.Target.ID)
@@ -165,7 +167,7 @@
 	if g.beforeSend != nil {
 		g.beforeSend()
 	}
-	answer, err := g.origin(call.service, d.Target).pool.Start(ctx, request, limits, g.prepare(call, d, entry))
+	answer, err := run.pool.Start(ctx, request, limits, g.prepare(call, d, entry))
 	if withdraws(err) {
 		g.Log.Warn("Deciding again.", "request", call.id, "target", d.Target.ID, "error", err)
 		call.pool.Release(&call.ask, d, dispatch.Report{End: dispatch.Withdrawn})
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -91,6 +91,8 @@
 	served      atomic.Uint64
 	guard       rescue.Guard
 	crashes     *crashguard.Guard
+	// looks counts the looks at targets that lost answers.
+	looks atomic.Int64
 	// beforeSend is called between the decision and the sending of a request. Tests set it.
 	beforeSend func()
 	sample     atomic.Int64
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -203,3 +203,19 @@
 		p.refill.Stop()
 	}
 }
+
+// Survey counts the idle connections that were opened before a time: those that are open, and those that the peer has closed.
+func (p *Pool) Survey(before time.Time) (open, closed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		switch {
+		case !conn.opened.Before(before):
+		case conn.readable():
+			closed++
+		default:
+			open++
+		}
+	}
+	return open, closed
+}
