Take the records of the store, a 421 and silence as evidence of an end

Callers saw target after target fall silent under a request that nothing held: an answer that did not come in time was no loss, and what proves the end of a target later was not asked.

A run without an answer until the deadline, or whose caller left, is an open loss now. The node tells the gateway of each incarnation that is gone, by its entry, a lapse that was not made good, or a new start under the same id, unless the target said that it drains; a 421 tells it too. An open loss is a crash then, unless the target gave a sign of life half a second after the loss: readings of its load show that, so that callers who left a target that ended by another cause are not blamed. Open losses are kept for 30 s, not for 10 minutes; those without a broken connection take half of the room at most.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -22,7 +22,7 @@
 	losses    map[string][]loss
 	lossCount int
 	// lossesOf counts the open losses of a request.
-	lossesOf   map[Fingerprint]int
+	lossesOf   map[Fingerprint]lossCounts
 	suspectsOn map[string]struct{}
 	// sum is the digest of the marks while summed is true.
 	sum    uint64
@@ -38,17 +38,22 @@
 type Run struct {
 	// Target is where the request was sent, and Incarnation the process that ran it, empty if that is not known.
 	Target, Incarnation string
+	// Began is when the request was sent, 0 if that is not known.
+	Began time.Duration
 }
 
 // loss is a run whose answer was lost.
 type loss struct {
+	Run
 	fingerprint Fingerprint
-	incarnation string
 	at          time.Duration
-	// verdictBy is until when a look is under way whether the target ended.
+	// verdictBy is until when a look is under way whether the target ended. It is 0 without one.
 	verdictBy time.Duration
 }
 
+// lossCounts counts the open losses of a request, and those of them that a look follows.
+type lossCounts struct{ open, looked int }
+
 // New returns a guard. Spread is called with the lock held and must not block; nil disables it.
 func New(spread func(Fingerprint, []byte)) *Guard {
 	if spread == nil {
@@ -58,7 +63,7 @@
 		spread:     spread,
 		marks:      map[Fingerprint]*mark{},
 		losses:     map[string][]loss{},
-		lossesOf:   map[Fingerprint]int{},
+		lossesOf:   map[Fingerprint]lossCounts{},
 		suspectsOn: map[string]struct{}{},
 		vacated:    make(chan struct{}),
 	}
@@ -67,23 +72,46 @@
 // Watching reports whether any request is suspect. While it is false, Enter admits everything.
 func (g *Guard) Watching() bool { return g.watched.Load() > 0 }
 
-// Lost records that a request lost its answer on a target. The crash is counted when the target refuses a new
-// connection or answers as another incarnation. Look is how long the caller looks whether the target ended.
+// Lost records that a request lost its answer on a target because the connection broke. The crash is counted when the target
+// is known to have ended, or answers as another incarnation. Look is how long the caller looks for that.
 func (g *Guard) Lost(now time.Duration, f Fingerprint, run Run, look time.Duration) {
+	g.lose(loss{run, f, now, now + look}, maxMarks)
+}
+
+// Unanswered records that a request got no answer from a target in its time, or that its caller left. Such losses are many
+// under load, and take half of the room at most.
+func (g *Guard) Unanswered(now time.Duration, f Fingerprint, run Run) {
+	g.lose(loss{run, f, now, 0}, maxMarks/2)
+}
+
+func (g *Guard) lose(l loss, room int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.expire(now)
-	if g.lossCount >= maxMarks {
+	g.expire(l.at)
+	if g.lossCount >= room {
 		return
 	}
-	lost := loss{fingerprint: f, incarnation: run.Incarnation, at: now, verdictBy: now + look}
-	g.losses[run.Target] = append(g.losses[run.Target], lost)
+	g.losses[l.Target] = append(g.losses[l.Target], l)
 	g.lossCount++
-	g.lossesOf[f]++
+	g.countLoss(l, 1)
 	g.stats.Losses++
 	g.watch()
 }
 
+// countLoss counts an open loss of a request, by 1 or -1.
+func (g *Guard) countLoss(l loss, by int) {
+	counts := g.lossesOf[l.fingerprint]
+	counts.open += by
+	if l.verdictBy > 0 {
+		counts.looked += by
+	}
+	if counts.open == 0 {
+		delete(g.lossesOf, l.fingerprint)
+		return
+	}
+	g.lossesOf[l.fingerprint] = counts
+}
+
 // Lives records that a target outlived the runs of a request that lost their answers there.
 func (g *Guard) Lives(f Fingerprint, target string) {
 	g.mu.Lock()
@@ -92,16 +120,20 @@
 	g.watch()
 }
 
+// lateEnd is how much later than the loss of an answer a target may end by the run that lost it.
+const lateEnd = 500 * time.Millisecond
+
 // Ended records that the process of a target ended, for example because it refuses connections: the requests that it lost
-// count as crashes.
-func (g *Guard) Ended(now time.Duration, target string) {
-	g.resolve(now, target, func(loss) bool { return true })
+// count as crashes. AliveAt is when it last gave a sign of life, 0 if that is not known; what it lost well before that did not
+// end it.
+func (g *Guard) Ended(now time.Duration, target string, aliveAt time.Duration) {
+	g.resolve(now, target, func(l loss) bool { return aliveAt <= l.at+lateEnd })
 }
 
 // Seen records that a target answered as an incarnation. Requests that another incarnation lost count as crashes; those
 // of the same incarnation do not.
 func (g *Guard) Seen(now time.Duration, target, incarnation string) {
-	g.resolve(now, target, func(l loss) bool { return l.incarnation != "" && l.incarnation != incarnation })
+	g.resolve(now, target, func(l loss) bool { return l.Incarnation != "" && l.Incarnation != incarnation })
 }
 
 func (g *Guard) resolve(now time.Duration, target string, crashed func(loss) bool) {
@@ -115,7 +147,7 @@
 	for _, l := range list {
 		g.close(l)
 		if crashed(l) {
-			g.count(now, l.fingerprint, crashOf(target, l.incarnation))
+			g.count(now, l)
 		}
 	}
 	g.watch()
@@ -124,17 +156,15 @@
 // close counts a loss that is no longer open.
 func (g *Guard) close(l loss) {
 	g.lossCount--
-	if g.lossesOf[l.fingerprint]--; g.lossesOf[l.fingerprint] <= 0 {
-		delete(g.lossesOf, l.fingerprint)
-	}
+	g.countLoss(l, -1)
 }
 
-func (g *Guard) count(now time.Duration, f Fingerprint, c crash) {
-	m := g.mark(now, f)
-	if m.add(now, c) {
+func (g *Guard) count(now time.Duration, l loss) {
+	m := g.mark(now, l.fingerprint)
+	if m.add(now, m.crashOf(l.Run)) {
 		g.stats.Crashes++
 		m.last = now
-		g.spread(f, m.encode(now))
+		g.spread(l.fingerprint, m.encode(now))
 	}
 }
 
@@ -176,7 +206,7 @@
 
 // forgive forgets the open losses of a request on a target.
 func (g *Guard) forgive(target string, f Fingerprint) {
-	if g.lossesOf[f] > 0 {
+	if g.lossesOf[f].open > 0 {
 		g.dropLosses(target, func(l loss) bool { return l.fingerprint == f })
 	}
 }
@@ -246,7 +276,7 @@
 func (g *Guard) expire(now time.Duration) {
 	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return now-m.last >= markLifetime && m.trial == nil })
 	for target := range g.losses {
-		g.dropLosses(target, func(l loss) bool { return now-l.at >= markLifetime })
+		g.dropLosses(target, func(l loss) bool { return now-l.at >= lossLifetime })
 	}
 }
 
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -64,9 +64,9 @@
 		s.entries[word[0]+argument[0]].Leave()
 	case "lost":
 		target, incarnation, _ := strings.Cut(argument[1], "/")
-		g.Lost(s.now, f, Run{target, incarnation}, 0)
+		g.Lost(s.now, f, Run{Target: target, Incarnation: incarnation}, 0)
 	case "refused":
-		g.Ended(s.now, argument[0])
+		g.Ended(s.now, argument[0], 0)
 	case "seen":
 		g.Seen(s.now, argument[0], argument[1])
 	case "answered":
@@ -121,9 +121,9 @@
 	g := New(nil)
 	for i := range 2 * maxMarks {
 		f := FingerprintOf("s", "GET", fmt.Sprint(i), nil)
-		g.Lost(time.Duration(i), f, Run{fmt.Sprint(i), "x"}, 0)
+		g.Lost(time.Duration(i), f, Run{Target: fmt.Sprint(i), Incarnation: "x"}, 0)
 		if i < maxMarks {
-			g.Ended(time.Duration(i), fmt.Sprint(i))
+			g.Ended(time.Duration(i), fmt.Sprint(i), 0)
 		}
 	}
 	if len(g.marks) > maxMarks || g.lossCount > maxMarks {
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -12,6 +12,9 @@
 	maxMarks = 4096
 	// markLifetime is how long a mark is kept after its last crash.
 	markLifetime = 10 * time.Minute
+	// lossLifetime is how long it may take until it is known that a target ended: several heartbeats of a silent target have
+	// to be missing, and the store may be away meanwhile.
+	lossLifetime = 30 * time.Second
 	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
 	// without a complete answer in between are not.
 	refuseAfter = 2
@@ -31,13 +34,19 @@
 
 // crash identifies one crash: the end of one incarnation of a target. Several instances see the same crash, and
 // it counts once, also when one of them has not seen the target's incarnation, which is 0 then.
-type crash struct{ target, incarnation uint32 }
+type crash struct {
+	target, incarnation uint32
+	// at is when this instance learnt of the crash.
+	at time.Duration
+}
 
-func crashOf(target, incarnation string) crash {
-	c := crash{target: hash(target)}
-	if incarnation != "" {
-		c.incarnation = hash(incarnation)
+// crashOf returns the crash that a run caused.
+func (m *mark) crashOf(run Run) crash {
+	c := crash{target: hash(run.Target)}
+	if run.Incarnation == "" {
+		return c
 	}
+	c.incarnation = hash(run.Incarnation)
 	return c
 }
 
@@ -70,7 +79,6 @@
 
 func (m *mark) suspect() bool { return len(m.crashes) > 0 }
 
-
 // enough reports whether the crashes are enough to refuse the request.
 func (m *mark) enough() bool {
 	inAll := m.past + len(m.crashes)
@@ -88,6 +96,7 @@
 		return false
 	}
 	before := m.enough()
+	c.at = now
 	m.crashes = append(m.crashes, c)
 	if !before && m.enough() {
 		m.enoughSince = now
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -8,8 +8,8 @@
 
 // crashed lets a request crash a target.
 func crashed(g *Guard, now time.Duration, f Fingerprint, target string) {
-	g.Lost(now, f, Run{target, target}, 0)
-	g.Ended(now, target)
+	g.Lost(now, f, Run{Target: target, Incarnation: target, Began: now}, 0)
+	g.Ended(now, target, 0)
 }
 
 // refuses reports whether a guard refuses a request after the hold.
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -45,7 +45,7 @@
 
 // underLook counts the lost runs of a request for which it is being found out whether they ended their target.
 func (g *Guard) underLook(now time.Duration, f Fingerprint) int {
-	if g.lossesOf[f] < refuseAfter {
+	if g.lossesOf[f].looked < refuseAfter {
 		return 0
 	}
 	count := 0
@@ -59,7 +59,7 @@
 	return count
 }
 
-// Suspects reports whether a request lost an answer or crashed a target lately.
+// Suspects reports whether a request lost an answer by a broken connection or crashed a target lately.
 func (g *Guard) Suspects(f Fingerprint) bool {
 	if !g.Watching() {
 		return false
@@ -67,7 +67,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.marks[f]
-	return g.lossesOf[f] > 0 || m != nil && m.suspect()
+	return g.lossesOf[f].looked > 0 || m != nil && m.suspect()
 }
 
 // Admits reports whether a request that was admitted earlier may still be sent. Crashes that became known meanwhile make it
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -133,7 +133,7 @@
 	p.targets = p.targets[:0]
 	for _, r := range targets {
 		t := p.byID[r.ID]
-		if t == nil || t.Address != r.Address {
+		if t == nil || !t.is(r) {
 			t = newTarget(r, p.zone, 0)
 		}
 		t.slots, t.warm = max(r.Slots, 1), 0
@@ -167,7 +167,7 @@
 	Reading
 }
 
-// Target returns a registered target, or nil. It stays the same as long as the target is registered at its address.
+// Target returns a registered target, or nil. It stays the same as long as the incarnation is registered at its address.
 func (p *Pool) Target(id string) *Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -181,6 +181,16 @@
 	return p.byID[t.ID] == t
 }
 
+// AliveAt returns when a target last told its load, 0 if it did not.
+func (p *Pool) AliveAt(t *Target) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t == nil || !t.read {
+		return 0
+	}
+	return t.reading.At
+}
+
 // Observe takes over readings of load. Waiting requests are decided again.
 func (p *Pool) Observe(readings []Observation) {
 	p.mu.Lock()
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -39,6 +40,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Born is the start of the incarnation as Unix time in ms, 0 if that is not known.
+	Born    int64
 	local   bool
 	slots   int
 	warm    time.Duration
@@ -100,7 +103,15 @@
 }
 
 func newTarget(r registry.Target, zone string, warm time.Duration) *Target {
-	return &Target{ID: r.ID, Address: r.Address, local: r.Zone == zone, slots: max(r.Slots, 1), warm: warm}
+	return &Target{ID: r.ID, Address: r.Address, Born: r.Born, local: r.Zone == zone, slots: max(r.Slots, 1), warm: warm}
+}
+
+// Incarnation names the process of the target.
+func (t *Target) Incarnation() string { return fmt.Sprintf("%s/%d", t.ID, t.Born) }
+
+// is reports whether a registered target is this one, and not a later incarnation or one at another address.
+func (t *Target) is(r registry.Target) bool {
+	return t.Address == r.Address && (t.Born == r.Born || t.Born == 0 || r.Born == 0)
 }
 
 // occupied estimates the requests that the target runs or holds. Without a usable reading the other instances are
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,10 +48,11 @@
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Bootstrap: s.Peer.Bootstrap, Policy: e.policy(), Prober: platform.Prober{},
 		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.Heartbeat(), Now: clk.Now, Check: clk.Check,
-		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Log:       telemetry.Component(log, "fleet"),
-		Changed:   func(registered func(string) bool) { e.gateway.Forget(registered) },
-		CrashMark: func(key string, data []byte) bool { return e.gateway.TakeCrashMark(key, data) },
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:         telemetry.Component(log, "fleet"),
+		Changed:     func(registered func(string) bool) { e.gateway.Forget(registered) },
+		TargetEnded: func(id string, aliveAt time.Duration) { e.gateway.TargetEnded(id, aliveAt) },
+		CrashMark:   func(key string, data []byte) bool { return e.gateway.TakeCrashMark(key, data) },
 	})
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -59,6 +59,9 @@
 	// CrashMark takes over a mark of a request that crashes targets and reports whether it is news. It must not block, and may
 	// be nil.
 	CrashMark func(key string, data []byte) bool
+	// TargetEnded is called by the control loop when an incarnation of a target is gone that did not say that it leaves. AliveAt is
+	// when it last told its load, as time since the start. It must not block, and may be nil.
+	TargetEnded func(id string, aliveAt time.Duration)
 	// Changed is called by the control loop after the set of registered targets changed. It must not block.
 	Changed func(registered func(id string) bool)
 }
@@ -141,6 +144,8 @@
 	toldReaders []string
 	// noted is when the zone was last told how far the store was read, and councilAt when it was told its council.
 	noted, councilAt time.Time
+	// inUse are the targets of the current view.
+	inUse map[string]registry.Target
 	// marks are the crash marks that were learnt lately.
 	marks []recentMark
 	// pending are readings that were not sent to other zones yet.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,16 +15,17 @@
 		return
 	}
 	byService := map[string][]registry.Target{}
-	ids := map[string]bool{}
+	inUse := map[string]registry.Target{}
 	n.zoneTargets, n.zoneServices, n.sampling = nil, map[string]bool{}, false
 	for _, t := range n.registry.Usable() {
 		byService[t.Service] = append(byService[t.Service], t)
-		ids[t.ID] = true
+		inUse[t.ID] = t
 		if _, served := n.table.Services[t.Service]; served && t.Zone == n.Self.Zone {
 			n.zoneTargets = append(n.zoneTargets, t)
 			n.zoneServices[t.Service] = true
 		}
 	}
+	n.noteEnded(inUse)
 	view := &ingress.View{Table: n.table, Pools: map[string]*dispatch.Pool{}, Instances: n.instances}
 	for name := range n.table.Services {
 		pool := n.pools[name]
@@ -43,10 +44,30 @@
 	n.view.Store(view)
 	n.refreshClaims()
 	if !n.ready.Swap(true) {
-		n.Log.Info("Serving.", "version", n.table.Version, "targets", len(ids), "after_ms", now.Sub(n.started).Milliseconds())
+		n.Log.Info("Serving.", "version", n.table.Version, "targets", len(inUse), "after_ms", now.Sub(n.started).Milliseconds())
 	}
 	if n.Changed != nil {
-		n.Changed(func(id string) bool { return ids[id] })
+		n.Changed(func(id string) bool { _, used := inUse[id]; return used })
+	}
+}
+
+// noteEnded tells which incarnations are gone without having said that they leave, before the pools forget them.
+func (n *Node) noteEnded(inUse map[string]registry.Target) {
+	before := n.inUse
+	n.inUse = inUse
+	if n.TargetEnded == nil {
+		return
+	}
+	for id, old := range before {
+		current, used := inUse[id]
+		if used && (current.Born == old.Born || current.Born == 0 || old.Born == 0) || !used && n.registry.Drains(id) {
+			continue
+		}
+		aliveAt := time.Duration(0)
+		if pool := n.pools[old.Service]; pool != nil {
+			aliveAt = pool.AliveAt(pool.Target(id))
+		}
+		n.TargetEnded(id, aliveAt)
 	}
 }
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -142,7 +142,7 @@
 		g.judgeAnswer(ctx, call, address, r)
 	case r.why == reason.ConnectionRefused && errors.Is(r.cause, syscall.ECONNREFUSED):
 		if g.guard.Watching() {
-			g.guard.Ended(g.now(), address)
+			g.guard.Ended(g.now(), address, 0)
 		}
 	case lostAnswer(r.why):
 		g.judgeLoss(ctx, call, address)
@@ -180,7 +180,7 @@
 	known, _ := incarnation.(string)
 	g.guard.Lost(g.now(), call.identify(), crashguard.Run{Target: address, Incarnation: known}, 0)
 	if refusesConnections(ctx, address) {
-		g.guard.Ended(g.now(), address)
+		g.guard.Ended(g.now(), address, 0)
 	}
 }
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -120,20 +120,30 @@
 	case reason.AnswerLost, reason.AnswerTruncated:
 		g.judgeLoss(ctx, call, run, r.why)
 		return
+	case reason.AnswerTimeout, reason.ConnectionSilent, reason.CallerLeft:
+		g.crashes.Unanswered(g.Now(), call.fingerprint(), run.guarded())
 	case reason.ConnectionRefused:
-		if g.crashes.Watching() {
-			g.crashes.Ended(g.Now(), run.target.ID)
-		}
+		g.noteEnd(run)
 	default:
-		if g.crashes.Watching() && answersWell(r) && g.crashes.Answered(g.Now(), call.fingerprint()) {
-			g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", run.target.ID,
-				"status", r.answer.Response.StatusCode(), "fingerprint", call.fingerprint().String())
+		if r.answer != nil && r.answer.Whole() {
+			g.judgeAnswer(call, run, r.answer.Response.StatusCode())
 		}
 	}
 	run.witness.close()
 }
 
-// answersWell reports whether a target answered completely, with something else than a failure of its own.
-func answersWell(r *result) bool {
-	return r.answer != nil && r.answer.Whole() && r.answer.Response.StatusCode() < http.StatusInternalServerError
+// judgeAnswer tells the crash guard of a whole answer. A failure of the target proves nothing.
+func (g *Gateway) judgeAnswer(call *call, run *run, status int) {
+	if status >= http.StatusInternalServerError || !g.crashes.Watching() || !g.crashes.Answered(g.Now(), call.fingerprint()) {
+		return
+	}
+	g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", run.target.ID, "status", status,
+		"fingerprint", call.fingerprint().String())
+}
+
+// TargetEnded notes that an incarnation of a target is gone, by the records of the store. AliveAt is when it last told its load.
+func (g *Gateway) TargetEnded(target string, aliveAt time.Duration) {
+	if g.crashes.Watching() {
+		g.crashes.Ended(g.Now(), target, aliveAt)
+	}
 }
--- a/internal/ingress/crash_kinds_test.go
+++ b/internal/ingress/crash_kinds_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -132,3 +133,81 @@
 		t.Errorf("%d targets ended before the copy was sent, %d after", before, n)
 	}
 }
+
+// idAt returns the id of the target at an address.
+func idAt(targets []*rawtarget.Target, address string) string {
+	return fmt.Sprintf("t%d", slices.IndexFunc(targets, func(t *rawtarget.Target) bool { return t.Address() == address }))
+}
+
+// Guards against a request that ends targets without a sign on their connections: they fall silent, and only the records of the
+// store tell that they are gone.
+func TestRequestWhoseTargetsFallSilent(t *testing.T) {
+	const lapse = 100 * time.Millisecond
+	silent, ran := make(chan struct{}), make(chan string, 20)
+	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
+		ran <- target.Address()
+		<-silent
+		return false
+	})
+	t.Cleanup(func() { close(silent) })
+	b := newBed(t, targets...)
+	for i := range 8 {
+		b.call(t).exchange("POST", "/once/", fmt.Sprintf("p%d", i), "poison")
+		time.Sleep(lapse)
+		for len(ran) > 0 {
+			b.gateway.TargetEnded(idAt(targets, <-ran), 0)
+		}
+	}
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// Guards against a request that ends targets after its caller left, so that nobody waits for the answer.
+func TestRequestWhoseCallerLeavesBeforeTargetsEnd(t *testing.T) {
+	const stays, ends = 30 * time.Millisecond, 100 * time.Millisecond
+	ended := make(chan string, 20)
+	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
+		time.Sleep(ends)
+		target.Stop()
+		ended <- target.Address()
+		return false
+	})
+	b := newBed(t, targets...)
+	for i := range 12 {
+		caller := b.call(t)
+		caller.send("POST", "/once/", fmt.Sprintf("p%d", i), "poison")
+		time.Sleep(stays)
+		_ = caller.conn.Close()
+		time.Sleep(ends + departureInterval)
+		for len(ended) > 0 {
+			b.gateway.TargetEnded(idAt(targets, <-ended), 0)
+		}
+	}
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// Guards against callers who left, or whose deadline passed, on a target that ended much later by another cause: their requests did
+// not end it.
+func TestLeavingCallersAreNotBlamed(t *testing.T) {
+	targets, _ := ending(t, 4, func(*rawtarget.Target, net.Conn, *http.Request, int64) bool {
+		time.Sleep(100 * time.Millisecond)
+		return false
+	})
+	b := newBed(t, targets...)
+	for i := range 4 {
+		caller := b.call(t)
+		caller.send("POST", "/once/", fmt.Sprintf("p%d", i), "poison")
+		time.Sleep(20 * time.Millisecond)
+		_ = caller.conn.Close()
+	}
+	time.Sleep(time.Second)
+	for id := range targets {
+		b.gateway.TargetEnded(fmt.Sprintf("t%d", id), b.gateway.Now())
+	}
+	if n := b.gateway.CrashStats().Crashes; n > 0 {
+		t.Errorf("%d crashes are counted", n)
+	}
+}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -184,7 +184,7 @@
 		report.Load = &load
 	}
 	// Classify may drop the answer, so that the report is taken before.
-	outcome := g.classify(call, d, answer)
+	outcome := g.classify(call, run, answer)
 	report.End = endOf(outcome)
 	call.pool.Release(&call.ask, d, report)
 	return outcome
@@ -214,12 +214,13 @@
 }
 
 // classify decides whether an answer of a target is passed on.
-func (g *Gateway) classify(call *call, d dispatch.Decision, answer *transport.Answer) *result {
+func (g *Gateway) classify(call *call, run *run, answer *transport.Answer) *result {
 	status := answer.Response.StatusCode()
 	notRun := len(answer.Response.Header.Peek(g.Headers.NotExecuted)) > 0 || status == http.StatusMisdirectedRequest
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		g.Misdirected(d.Target.ID)
+		g.Misdirected(run.target.ID)
+		g.noteEnd(run)
 		return g.replace(answer, reason.TargetShed, reason.RetryTargetShed, true)
 	case notRun && isPromise(status):
 		return g.replace(answer, reason.TargetShed, reason.RetryTargetShed, true)
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -26,15 +26,19 @@
 // run is the sending of a request to one target.
 type run struct {
 	target *dispatch.Target
-	pool   *transport.Pool
-	began  time.Time
+	// targets is the pool of which the target was chosen, and pool holds the connections to it.
+	targets *dispatch.Pool
+	pool    *transport.Pool
+	began   time.Time
+	// sentAt is when the run began as time since the start.
+	sentAt time.Duration
 	// witness was opened before a suspect was sent. It is nil for other requests.
 	witness *witness
 }
 
 // newRun prepares the sending of a request. A suspect gets a witness.
 func (g *Gateway) newRun(ctx context.Context, call *call, d dispatch.Decision) *run {
-	r := &run{target: d.Target, pool: g.origin(call.service, d.Target).pool, began: time.Now()}
+	r := &run{target: d.Target, targets: call.pool, pool: g.origin(call.service, d.Target).pool, began: time.Now(), sentAt: g.Now()}
 	if g.crashes.Watching() && g.crashes.Suspects(call.fingerprint()) {
 		r.witness, _ = openWitness(ctx, d.Target.Address, connectTimeout)
 		r.began = time.Now()
@@ -42,6 +46,11 @@
 	return r
 }
 
+// guarded describes the run to the crash guard.
+func (r *run) guarded() crashguard.Run {
+	return crashguard.Run{Target: r.target.ID, Incarnation: r.target.Incarnation(), Began: r.sentAt}
+}
+
 // endedTarget reports whether the target's process ended: its connections that are as old as the run are broken.
 func (r *run) endedTarget() bool {
 	if r.witness != nil {
@@ -69,11 +78,18 @@
 	fingerprint crashguard.Fingerprint
 }
 
+// noteEnd notes that the target of a run ended.
+func (g *Gateway) noteEnd(r *run) {
+	if g.crashes.Watching() {
+		g.crashes.Ended(g.Now(), r.target.ID, r.targets.AliveAt(r.target))
+	}
+}
+
 // judgeLoss finds out whether a target ended that lost an answer. The first look comes before a further send, so that this
 // already runs as one of a suspect.
 func (g *Gateway) judgeLoss(ctx context.Context, call *call, r *run, why *reason.Reason) {
 	l := &lostRun{r, why, call.id, call.route.Name, call.fingerprint()}
-	g.crashes.Lost(g.Now(), l.fingerprint, crashguard.Run{Target: r.target.ID, Incarnation: r.target.ID}, verdictTime)
+	g.crashes.Lost(g.Now(), l.fingerprint, r.guarded(), verdictTime)
 	late, refused := openWitness(ctx, r.target.Address, lookTimeout)
 	ended := refused || r.endedTarget()
 	g.noteLoss(l, ended)
@@ -125,7 +141,7 @@
 func (g *Gateway) noteLoss(l *lostRun, ended bool) {
 	message := "A target lost the answer to a request."
 	if ended {
-		g.crashes.Ended(g.Now(), l.target.ID)
+		g.noteEnd(l.run)
 		message = "A target ended while it ran a request."
 	}
 	g.Log.Warn(message, "request", l.request, "target", l.target.ID, "route", l.route, "reason", l.why.Name,
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -302,6 +302,12 @@
 	return true
 }
 
+// Drains reports whether a target said that it is leaving before it left.
+func (r *Registry) Drains(id string) bool {
+	known := r.records[id]
+	return known != nil && known.target.Draining
+}
+
 // Usable returns the targets that may receive requests, ordered by id.
 func (r *Registry) Usable() []Target {
 	var targets []Target
