Count the end of a target in the middle of a long answer

An answer of more than 256 KB is passed on while it is read. When its target ended meanwhile, the crash guard heard nothing of it, and the request reached target after target. The end of such an answer is judged like that of any other now.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -128,5 +128,9 @@
 	if outcome.answer == nil {
 		return g.writeRefusal(c, call, outcome)
 	}
-	return g.writeAnswer(c, call, outcome)
+	err := g.writeAnswer(c, call, outcome)
+	if outcome.streamed != nil {
+		g.judgeStream(ctx, call, outcome.streamed, outcome.answer.Response.StatusCode(), err)
+	}
+	return err
 }
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
 )
 
 // crashedRetryAfter is when a caller may come back with a request that crashed targets. It is held for longer; the time
@@ -125,7 +127,11 @@
 	case reason.ConnectionRefused:
 		g.noteEnd(run)
 	default:
-		if r.answer != nil && r.answer.Whole() {
+		if r.answer != nil && !r.answer.Whole() {
+			r.streamed = run
+			return
+		}
+		if r.answer != nil {
 			g.judgeAnswer(call, run, r.answer.Response.StatusCode())
 		}
 	}
@@ -141,6 +147,19 @@
 		"fingerprint", call.fingerprint().String())
 }
 
+// judgeStream tells the crash guard how an answer ended that was passed on while it was read.
+func (g *Gateway) judgeStream(ctx context.Context, call *call, run *run, status int, err error) {
+	var failure *transport.ExchangeError
+	switch {
+	case err == nil:
+		g.judgeAnswer(call, run, status)
+	case errors.As(err, &failure) && (failure.Reason == reason.AnswerLost || failure.Reason == reason.AnswerTruncated):
+		g.judgeLoss(ctx, call, run, failure.Reason)
+		return
+	}
+	run.witness.close()
+}
+
 // TargetEnded notes that an incarnation of a target is gone, by the records of the store. AliveAt is when it last told its load.
 func (g *Gateway) TargetEnded(target string, aliveAt time.Duration) {
 	if g.crashes.Watching() {
--- a/internal/ingress/crash_kinds_test.go
+++ b/internal/ingress/crash_kinds_test.go
@@ -189,6 +189,28 @@
 	}
 }
 
+// Guards against a request that ends targets in the middle of a long answer, which is passed on while it is read.
+func TestRequestThatEndsTargetsInALongAnswer(t *testing.T) {
+	targets, runs := ending(t, 20, func(target *rawtarget.Target, conn net.Conn, r *http.Request, _ int64) bool {
+		const whole = 2 * wholeAnswerBytes
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Id"), whole)
+		_, _ = io.WriteString(conn, head+strings.Repeat("x", whole-1))
+		target.Stop()
+		return false
+	})
+	b := newBed(t, targets...)
+	for i := range 10 {
+		caller := b.call(t)
+		caller.send("POST", "/safe/", fmt.Sprintf("p%d", i), "poison")
+		if got, _, err := caller.receive(); err == nil && got.StatusCode == 200 {
+			t.Error("a broken answer looks whole")
+		}
+	}
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
 // Guards against callers who left, or whose deadline passed, on a target that ended much later by another cause: their requests did
 // not end it.
 func TestLeavingCallersAreNotBlamed(t *testing.T) {
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -29,6 +29,8 @@
 	retry *reason.Reason
 	// expired is true when nothing was sent because the decision did not hold any more.
 	expired bool
+	// streamed is the run whose answer is read while it is passed on.
+	streamed *run
 }
 
 func refused(why *reason.Reason) *result { return &result{why: why, cause: why} }
@@ -83,6 +85,9 @@
 	}
 	g.noteRetry(call, outcome)
 	call.ask.Tried = append(call.ask.Tried, decision.Target)
+	if outcome.streamed != nil {
+		outcome.streamed.witness.close()
+	}
 	outcome.release()
 	return nil, true
 }
