Count each end of a target that keeps its name

Two crashes of one target under the same id counted as one, so that a request which ended the same target again and again was never refused. A run that began after a crash of its incarnation was known counts as one on the next start under that name, also before the store tells of it. Copies in flight at the same crash began before it and count once, as before.

--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -40,16 +41,27 @@
 	at time.Duration
 }
 
-// crashOf returns the crash that a run caused.
+// crashOf returns the crash that a run caused. A run that began after a crash of the same incarnation was known ran on one that
+// started again under the same name.
 func (m *mark) crashOf(run Run) crash {
 	c := crash{target: hash(run.Target)}
 	if run.Incarnation == "" {
 		return c
 	}
 	c.incarnation = hash(run.Incarnation)
+	for again := 1; m.knewBefore(c, run.Began); again++ {
+		c.incarnation = hash(fmt.Sprintf("%s again %d", run.Incarnation, again))
+	}
 	return c
 }
 
+// knewBefore reports whether a crash was known before a time.
+func (m *mark) knewBefore(c crash, at time.Duration) bool {
+	return slices.ContainsFunc(m.crashes, func(known crash) bool {
+		return known.target == c.target && known.incarnation == c.incarnation && known.at < at
+	})
+}
+
 func hash(text string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(text))
--- a/internal/ingress/crash_kinds_test.go
+++ b/internal/ingress/crash_kinds_test.go
@@ -211,6 +211,21 @@
 	}
 }
 
+// Guards against a request that ends the same target again and again: it comes back under its name each time.
+func TestRequestWhoseTargetKeepsItsName(t *testing.T) {
+	targets, runs := ending(t, 1, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
+		target.Restart()
+		return false
+	})
+	b := newBed(t, targets...)
+	for i := range 12 {
+		b.call(t).exchange("POST", "/safe/", fmt.Sprintf("p%d", i), "poison")
+	}
+	if n := runs.Load(); n > maxCrashRuns {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
 // Guards against callers who left, or whose deadline passed, on a target that ended much later by another cause: their requests did
 // not end it.
 func TestLeavingCallersAreNotBlamed(t *testing.T) {
