Refuse a request for its third crash whatever else ran there

From the third crash on no other request explains a mark.

TestNoRequestExplainsManyCrashes: the request was tried again before.

--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -19,6 +19,9 @@
 	// refuseAfter is the number of crashes after which a request is refused. One crash may be a coincidence; two
 	// without a complete answer in between are not.
 	refuseAfter = 2
+	// refuseAlways is the number of crashes that no other request explains. Suspects never share a target, so that an innocent
+	// request is hardly beside the cause at a third crash.
+	refuseAlways = 3
 	// refuseInAll is the number of crashes, answered ones included, from which on a single further crash refuses a request
 	// that is not answered most of the time: one that ends every second target that runs it.
 	refuseInAll = 3
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -58,3 +58,18 @@
 		}
 	}
 }
+
+// Guards against a request that is tried for ever because another one was in flight at each of its crashes: a mark holds few
+// crashes, so that those which would tell the two apart are not remembered.
+func TestNoRequestExplainsManyCrashes(t *testing.T) {
+	g := New(nil)
+	cause, beside := FingerprintOf("s", "POST", "/cause", nil), FingerprintOf("s", "POST", "/beside", nil)
+	for i := range maxCrashes {
+		target := fmt.Sprint("t", i)
+		g.Lost(0, beside, Run{Target: target, Incarnation: target}, 0)
+		crashed(g, 0, cause, target)
+	}
+	if !refuses(g, 0, cause) {
+		t.Error("the request is tried again")
+	}
+}
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -99,6 +99,9 @@
 	if !m.enough() {
 		return false
 	}
+	if len(m.crashes) >= refuseAlways {
+		return true
+	}
 	for other, o := range g.marks {
 		if o == m || !o.enough() || !o.explains(m) {
 			continue
