Fetch the crash marks that an instance missed

A mark was told by datagrams for 1.5 s. An instance that started later, or was cut off or frozen for longer, never learnt of it and sent the request to two targets of its own; stabilityWindowS later it is in touch.

Each datagram carries a digest of the sender's marks where there are any. An instance that hears another one from a peer for 300 ms fetches that peer's marks, once a second at most, and the reader of a zone passes on what is news. The state that an instance fetches at its start holds them too. Nothing is added to datagrams while no request crashed a target.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -31,7 +31,9 @@
 	answered history
 	// vacated is closed and replaced when a suspect leaves a target.
 	vacated chan struct{}
-	stats   Stats
+	// never is not closed. It makes held requests wait for their poll.
+	never chan struct{}
+	stats Stats
 }
 
 // Run is one run of a request on a target.
@@ -66,6 +68,7 @@
 		lossesOf:   map[Fingerprint]lossCounts{},
 		suspectsOn: map[string]struct{}{},
 		vacated:    make(chan struct{}),
+		never:      make(chan struct{}),
 	}
 }
 
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -25,14 +25,14 @@
 		m = nil
 	}
 	if g.underLook(now, f) >= refuseAfter {
-		return Entry{}, neverClosed, false
+		return Entry{}, g.never, false
 	}
 	switch {
 	case m == nil || !m.suspect():
 		return Entry{}, nil, false
 	case !g.unexplained(now, f, m):
 	case now-m.enoughSince < holdTime:
-		return Entry{}, neverClosed, false
+		return Entry{}, g.never, false
 	default:
 		return Entry{}, nil, true
 	}
@@ -85,9 +85,6 @@
 	return entry.mark == m && entry.Suspect() && !g.unexplained(now, f, m)
 }
 
-// neverClosed makes held requests wait for their poll.
-var neverClosed = make(chan struct{})
-
 // unexplained reports whether a request has enough crashes to be refused. A request is tried once more if another one
 // was in flight at each of its crashes: instances that do not know of each other's suspects may run an innocent request
 // beside the cause twice. A further crash beside no such request refuses it.
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -7,6 +7,22 @@
 	"github.com/basillink/basillink/internal/telemetry"
 )
 
+// crashMarks are the marks of the gateway, which is created after the node.
+type crashMarks struct{ edge *Edge }
+
+// TakeCrashMark implements fleet.CrashMarks.
+func (m crashMarks) TakeCrashMark(key string, data []byte) bool {
+	return m.edge.gateway.TakeCrashMark(key, data)
+}
+
+// CrashDigest implements fleet.CrashMarks.
+func (m crashMarks) CrashDigest() uint64 { return m.edge.gateway.CrashDigest() }
+
+// EachCrashMark implements fleet.CrashMarks.
+func (m crashMarks) EachCrashMark(add func(key string, data []byte)) {
+	m.edge.gateway.EachCrashMark(add)
+}
+
 // observeCrashes exports what happened to requests that lost their answer and to the marks of those that crashed targets.
 func observeCrashes(m *telemetry.Metrics, read func() crashguard.Stats) error {
 	return m.ObserveCounter("basillink.crash_marks",
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,7 +52,7 @@
 		Log:         telemetry.Component(log, "fleet"),
 		Changed:     func(registered func(string) bool) { e.gateway.Forget(registered) },
 		TargetEnded: func(id string, aliveAt time.Duration) { e.gateway.TargetEnded(id, aliveAt) },
-		CrashMark:   func(key string, data []byte) bool { return e.gateway.TakeCrashMark(key, data) },
+		CrashMarks:  crashMarks{e},
 	})
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -74,7 +74,7 @@
 }
 
 func (n *Node) base(now time.Time) *datagram {
-	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: n.liveInZone(now)}
+	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Reader: n.reader, Live: n.liveInZone(now), MarksDigest: n.marksDigest()}
 	if n.targets.failing(now) {
 		d.Failing = 1
 	}
@@ -138,6 +138,7 @@
 		n.answerGreeting(d, p, now)
 	}
 	n.takeMarks(d.Marks, p, now)
+	n.compareMarks(ctx, d.MarksDigest, p, now)
 	n.takeNews(ctx, d, p, now)
 }
 
--- a/internal/fleet/departures_test.go
+++ b/internal/fleet/departures_test.go
@@ -162,6 +162,12 @@
 	begin    time.Time
 	absent   map[int]bool
 	failures []failure
+	// configure changes the configuration of a node that starts, started and ended are called when it has started and before it ends,
+	// and begun when all have started. All may be nil.
+	configure func(i int, c *Config)
+	started   func(i int, n *Node)
+	ended     func(i int)
+	begun     func()
 }
 
 // failure is a broken bound, with the times from and to which it was seen.
@@ -183,7 +189,14 @@
 		log = slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{ReplaceAttr: p.traceTime})).With("instance", self.ID)
 	}
 	seeds := []string{"10.0.0.1", "10.0.1.2", "10.0.2.3"}
-	p.nodes[i], p.stops[i] = startVirtual(p.net, p.store, self, seeds, log)
+	var configure func(*Config)
+	if p.configure != nil {
+		configure = func(c *Config) { p.configure(i, c) }
+	}
+	p.nodes[i], p.stops[i] = startVirtual(p.net, p.store, self, seeds, log, configure)
+	if p.started != nil {
+		p.started(i, p.nodes[i])
+	}
 }
 
 func (p *play) traceTime(_ []string, a slog.Attr) slog.Attr {
@@ -290,6 +303,9 @@
 		p.start(i)
 	}
 	p.arrange(random)
+	if p.begun != nil {
+		p.begun()
+	}
 	end := settling + scheduleSpan + 10*time.Second
 	for p.now() < end {
 		time.Sleep(checkStep)
@@ -297,9 +313,13 @@
 		p.check()
 	}
 	for i := range count {
-		if p.stops[i] != nil {
-			p.stops[i]()
+		if p.stops[i] == nil {
+			continue
+		}
+		if p.ended != nil {
+			p.ended(i)
 		}
+		p.stops[i]()
 	}
 	// Calls that are under way end by themselves.
 	time.Sleep(time.Minute)
@@ -314,6 +334,9 @@
 		})
 		switch {
 		case stopped && p.stops[i] != nil:
+			if p.ended != nil {
+				p.ended(i)
+			}
 			p.stops[i]()
 			p.stops[i] = nil
 		case !stopped && p.stops[i] == nil:
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -50,6 +50,13 @@
 	err   error
 }
 
+// marksFetched is the answer of a peer to a request for its crash marks.
+type marksFetched struct {
+	marks []crashMark
+	from  string
+	err   error
+}
+
 // stateAsked is a request of a peer for the state.
 type stateAsked struct {
 	request StateRequest
@@ -75,6 +82,8 @@
 		n.handleMembers(e, now)
 	case stateFetched:
 		n.handleState(e, now)
+	case marksFetched:
+		n.handleMarks(e, now)
 	case stateAsked:
 		e.reply <- n.state(e.request, now)
 	case roundRead:
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -17,6 +17,8 @@
 	send(b []byte, addresses []*net.UDPAddr)
 	// fetch asks the instance at an address for its state.
 	fetch(ctx context.Context, address string, request StateRequest) (*State, error)
+	// fetchMarks asks the instance at an address for its crash marks.
+	fetchMarks(ctx context.Context, address string) ([]crashMark, error)
 	close()
 }
 
--- a/internal/fleet/marks.go
+++ b/internal/fleet/marks.go
@@ -1,6 +1,26 @@
 package fleet
 
-import "time"
+import (
+	"context"
+	"time"
+)
+
+// CrashMarks holds what an instance knows of requests that crash targets. It is safe for concurrent use and does not block.
+type CrashMarks interface {
+	// TakeCrashMark takes over a mark of another instance and reports whether it is news.
+	TakeCrashMark(key string, data []byte) bool
+	// CrashDigest identifies the marks, 0 for none.
+	CrashDigest() uint64
+	// EachCrashMark calls add for each mark.
+	EachCrashMark(add func(key string, data []byte))
+}
+
+const (
+	// marksSettle is how long the marks of a peer may differ before they are fetched. News are on their way for less.
+	marksSettle = 300 * time.Millisecond
+	// marksInterval is the pause between two fetches of marks.
+	marksInterval = time.Second
+)
 
 // recentMark is a mark with the time at which this instance learnt it.
 type recentMark struct {
@@ -49,11 +69,11 @@
 // takeMarks hands marks of a peer on. What is news, the reader of the zone tells its zone, and the other zones if it came
 // from its own.
 func (n *Node) takeMarks(marks []crashMark, p *peerState, now time.Time) {
-	if n.CrashMark == nil {
+	if n.CrashMarks == nil {
 		return
 	}
 	for _, mark := range marks {
-		if !n.CrashMark(mark.Key, mark.Data) || !n.reader {
+		if !n.CrashMarks.TakeCrashMark(mark.Key, mark.Data) || !n.reader {
 			continue
 		}
 		n.keepMark(mark, now)
@@ -65,3 +85,66 @@
 		}
 	}
 }
+
+// takeStateMarks takes over marks that came with the state of a peer, which others know already.
+func (n *Node) takeStateMarks(marks []crashMark) {
+	if n.CrashMarks == nil {
+		return
+	}
+	for _, mark := range marks {
+		n.CrashMarks.TakeCrashMark(mark.Key, mark.Data)
+	}
+}
+
+// marksDigest identifies the marks of this instance, 0 for none.
+func (n *Node) marksDigest() uint64 {
+	if n.CrashMarks == nil {
+		return 0
+	}
+	return n.CrashMarks.CrashDigest()
+}
+
+// allMarks returns the marks of this instance.
+func (n *Node) allMarks() []crashMark {
+	var marks []crashMark
+	if n.CrashMarks != nil {
+		n.CrashMarks.EachCrashMark(func(key string, data []byte) { marks = append(marks, crashMark{key, data}) })
+	}
+	return marks
+}
+
+// compareMarks fetches the marks of a peer that has had others for a while: this instance was down, paused or cut off when they
+// were told. The peer fetches those that it lacks itself.
+func (n *Node) compareMarks(ctx context.Context, digest uint64, p *peerState, now time.Time) {
+	if digest == 0 || digest == n.marksDigest() {
+		p.marksDiffer = time.Time{}
+		return
+	}
+	if p.marksDiffer.IsZero() {
+		p.marksDiffer = now
+	}
+	if now.Sub(p.marksDiffer) < marksSettle || n.fetchingMarks || now.Before(n.marksAt) {
+		return
+	}
+	n.fetchingMarks, n.marksAt = true, now.Add(marksInterval)
+	pause := n.fetchPause()
+	address, from := p.Address, p.ID
+	go func() {
+		time.Sleep(pause)
+		marks, err := n.link.fetchMarks(ctx, address)
+		n.deliver(ctx, marksFetched{marks, from, err})
+	}()
+}
+
+// handleMarks takes over the marks of a peer.
+func (n *Node) handleMarks(e marksFetched, now time.Time) {
+	n.fetchingMarks = false
+	if e.err != nil {
+		n.Log.Info("Could not fetch the crash marks of a peer.", "peer", e.from, "error", e.err)
+		return
+	}
+	if p := n.members.peers[e.from]; p != nil {
+		n.Log.Info("Fetched the crash marks of a peer.", "peer", e.from, "marks", len(e.marks))
+		n.takeMarks(e.marks, p, now)
+	}
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -50,6 +50,8 @@
 	// greeted is when it was last sent a greeting, and greetings how many it was sent without an answer.
 	greeted   time.Time
 	greetings int
+	// marksDiffer is since when it has crash marks that this instance lacks, zero if it has none.
+	marksDiffer time.Time
 }
 
 // isLive reports whether a peer was heard lately.
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -53,6 +53,8 @@
 	FailingAll int `cbor:"24,keyasint,omitempty"`
 	// Marks tell of requests that crash targets.
 	Marks []crashMark `cbor:"22,keyasint,omitempty"`
+	// MarksDigest identifies all crash marks of the sender, 0 for none.
+	MarksDigest uint64 `cbor:"25,keyasint,omitempty"`
 	// Leaving is true when the sender stops.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Claim and Denial stand alone in a datagram. Key 10 was used before.
@@ -107,6 +109,8 @@
 	TargetsListed bool
 	// ConfigListed is true when the configuration was read, though there may be none yet.
 	ConfigListed bool
+	// Marks tell of requests that crash targets, in answers to instances that lack some.
+	Marks []crashMark
 }
 
 // StateRequest asks for the state of another instance.
@@ -117,6 +121,8 @@
 	// TargetsNext is the offset up to which the caller knows the records of targets, 0 if it knows none. Earlier ones are left
 	// out of the answer.
 	TargetsNext int64
+	// MarksDigest identifies the crash marks of the caller. The same marks are left out of the answer.
+	MarksDigest uint64
 }
 
 func encode(d *datagram) ([]byte, error) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -56,9 +56,8 @@
 	Check  func() (now, suspended time.Duration)
 	Random *rand.Rand
 	Log    *slog.Logger
-	// CrashMark takes over a mark of a request that crashes targets and reports whether it is news. It must not block, and may
-	// be nil.
-	CrashMark func(key string, data []byte) bool
+	// CrashMarks holds what this instance knows of requests that crash targets. It may be nil.
+	CrashMarks CrashMarks
 	// TargetEnded is called by the control loop when an incarnation of a target is gone that did not say that it leaves. AliveAt is
 	// when it last told its load, as time since the start. It must not block, and may be nil.
 	TargetEnded func(id string, aliveAt time.Duration)
@@ -148,6 +147,9 @@
 	inUse map[string]registry.Target
 	// marks are the crash marks that were learnt lately.
 	marks []recentMark
+	// fetchingMarks is true while those of a peer are fetched, and marksAt when that may be done again.
+	fetchingMarks bool
+	marksAt       time.Time
 	// pending are readings that were not sent to other zones yet.
 	pending map[uint32]loadSample
 }
@@ -261,7 +263,7 @@
 // in the node's own steps ends the process, which starts again with nothing of its state.
 func (n *Node) handleSafely(ctx context.Context, e event, now time.Time) {
 	switch e.(type) {
-	case received, stateAsked, stateFetched:
+	case received, stateAsked, stateFetched, marksFetched:
 		n.guard.Run(n.Log, "message", func() { n.handle(ctx, e, now) })
 	case configsRead, targetsRead, membersRead:
 		if !n.guard.Run(n.Log, "store", func() { n.handle(ctx, e, now) }) {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -190,11 +190,10 @@
 		f.began = start
 	}
 	d := &door{store: f.store}
-	mark := func(key string, _ []byte) bool { return f.crashMark != nil && f.crashMark(id, key) }
 	n := New(Config{
-		CrashMark: mark,
-		Self:      discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: f.capacity},
-		Store:     d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Seeds: seeds, Bootstrap: f.bootstrap,
+		CrashMarks: fakeMarks(func(key string) bool { return f.crashMark != nil && f.crashMark(id, key) }),
+		Self:       discovery.Member{ID: id, Zone: zone, Address: address, Started: start.UnixNano(), Capacity: f.capacity},
+		Store:      d, Policy: dispatch.DefaultPolicy(), Prober: noProber{}, ProbeInterval: 25 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Seeds: seeds, Bootstrap: f.bootstrap,
 		Now:    func() time.Duration { return time.Since(start) },
 		Random: rand.New(rand.NewPCG(uint64(len(f.nodes)), 1)), Log: slog.New(slog.DiscardHandler),
 	})
@@ -208,6 +207,13 @@
 	f.nodes, f.doors, f.stops = append(f.nodes, n), append(f.doors, d), append(f.stops, cancel)
 }
 
+// fakeMarks reports whether a crash mark is news.
+type fakeMarks func(key string) bool
+
+func (f fakeMarks) TakeCrashMark(key string, _ []byte) bool { return f(key) }
+func (fakeMarks) CrashDigest() uint64                       { return 0 }
+func (fakeMarks) EachCrashMark(func(string, []byte))        {}
+
 // await waits until all nodes fulfil a condition.
 func (f *testFleet) await(t *testing.T, what string, holds func(*Node) bool) {
 	t.Helper()
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// MarksRequest asks for the crash marks of another instance.
+type MarksRequest struct{}
+
+// MarksReply holds the crash marks of an instance.
+type MarksReply struct{ Marks []crashMark }
+
+// Marks returns the crash marks of the called instance.
+func (f *Fleet) Marks(_ MarksRequest, reply *MarksReply) error {
+	reply.Marks = f.node.allMarks()
+	return nil
+}
+
 func newStateServer(n *Node, address string) *stateServer {
 	s := &stateServer{node: n, address: address, server: rpc.NewServer()}
 	if err := s.server.Register(&Fleet{n}); err != nil {
@@ -93,26 +105,45 @@
 
 // fetch asks a peer for its state.
 func (s *sockets) fetch(ctx context.Context, address string, request StateRequest) (*State, error) {
+	var state State
+	if err := call(ctx, address, "Fleet.State", request, &state); err != nil {
+		return nil, err
+	}
+	return &state, nil
+}
+
+// fetchMarks asks a peer for its crash marks.
+func (s *sockets) fetchMarks(ctx context.Context, address string) ([]crashMark, error) {
+	var reply MarksReply
+	if err := call(ctx, address, "Fleet.Marks", MarksRequest{}, &reply); err != nil {
+		return nil, err
+	}
+	return reply.Marks, nil
+}
+
+// call calls a peer on a connection of its own.
+func call(ctx context.Context, address, method string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := conn.SetDeadline(deadline); err != nil {
 			_ = conn.Close()
-			return nil, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 	}
 	client := rpc.NewClient(conn)
 	defer func() { _ = client.Close() }()
-	var state State
-	if err := client.Call("Fleet.State", request, &state); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return &state, nil
+	return trace.Wrap(client.Call(method, request, reply))
+}
+
+// fetchPause spreads the requests of a zone to one peer.
+func (n *Node) fetchPause() time.Duration {
+	return time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zoneSize())*fetchSpread) + 1))
 }
 
 // fetchState asks a peer for what this instance lacks.
@@ -121,8 +152,8 @@
 		return
 	}
 	n.fetching = true
-	pause := time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zoneSize())*fetchSpread) + 1))
-	request := StateRequest{}
+	pause := n.fetchPause()
+	request := StateRequest{MarksDigest: n.marksDigest()}
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
 	}
@@ -149,6 +180,9 @@
 	if n.targets.known {
 		s.Targets, s.TargetsFrom = n.registry.Changes(request.TargetsNext, now)
 	}
+	if digest := n.marksDigest(); digest != 0 && digest != request.MarksDigest {
+		s.Marks = n.allMarks()
+	}
 	return s
 }
 
@@ -163,6 +197,7 @@
 	}
 	s := e.state
 	n.meet(s.Members, now)
+	n.takeStateMarks(s.Marks)
 	changed := n.takeTargetState(s, now)
 	if s.Config != nil || s.ConfigListed && !n.configs.known {
 		n.configs.next, n.configs.known, n.configs.behind = max(n.configs.next, s.ConfigNext), true, false
--- a/internal/fleet/virtual_test.go
+++ b/internal/fleet/virtual_test.go
@@ -108,6 +108,19 @@
 	return &state, nil
 }
 
+func (l *virtualLink) fetchMarks(ctx context.Context, address string) ([]crashMark, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	time.Sleep(l.net.delay())
+	peer := l.net.reach(l.node.Self.Address, address)
+	if peer == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(l.net.delay())
+	return peer.allMarks(), nil
+}
+
 func (l *virtualLink) close() {
 	l.net.mu.Lock()
 	defer l.net.mu.Unlock()
@@ -255,17 +268,21 @@
 	return nil
 }
 
-// startVirtual runs a node until the returned function is called.
-func startVirtual(v *virtualNet, s *virtualStore, self discovery.Member, seeds []string, log *slog.Logger) (*Node, func()) {
+// startVirtual runs a node until the returned function is called. Configure changes its configuration, and may be nil.
+func startVirtual(v *virtualNet, s *virtualStore, self discovery.Member, seeds []string, log *slog.Logger, configure func(*Config)) (*Node, func()) {
 	start := time.Now()
 	self.Started = start.UnixNano()
 	v.mu.Lock()
 	random := rand.New(rand.NewPCG(v.random.Uint64(), 1))
 	v.mu.Unlock()
-	n := New(Config{
+	c := Config{
 		Self: self, Store: virtualDoor{s, self.ID}, Seeds: seeds, Policy: dispatch.DefaultPolicy(), Prober: noProber{},
 		ProbeInterval: 50 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Now: func() time.Duration { return time.Since(start) }, Random: random, Log: log,
-	})
+	}
+	if configure != nil {
+		configure(&c)
+	}
+	n := New(c)
 	v.connect(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -51,6 +51,14 @@
 	return news
 }
 
+// CrashDigest identifies the crash marks of this instance, 0 for none.
+func (g *Gateway) CrashDigest() uint64 { return g.crashes.Digest(g.Now()) }
+
+// EachCrashMark calls add for each crash mark of this instance.
+func (g *Gateway) EachCrashMark(add func(key string, data []byte)) {
+	g.crashes.List(g.Now(), func(f crashguard.Fingerprint, data []byte) { add(f.String(), data) })
+}
+
 // CrashStats counts what happened to the marks of requests that crash targets.
 func (g *Gateway) CrashStats() crashguard.Stats { return g.crashes.Stats() }
 
