Keep crashes that are proved after an answer

A target that falls silent is known to have ended seconds later. A success of another run meanwhile had removed the open loss, so that a request whose runs end silently or are answered in turn was never refused. A success marks the open losses and crashes of the request as answered now, and these are kept: three of them refuse it, unless most of its runs are answered. Peers take them over by flags beside the generation, which earlier versions ignore.

Copies that were lost together count as one crash: targets may end together by another cause, and an innocent request with a copy on each was refused.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -51,6 +51,8 @@
 	at          time.Duration
 	// verdictBy is until when a look is under way whether the target ended. It is 0 without one.
 	verdictBy time.Duration
+	// answered is true when the request had a complete answer since.
+	answered bool
 }
 
 // lossCounts counts the open losses of a request, and those of them that a look follows.
@@ -78,13 +80,13 @@
 // Lost records that a request lost its answer on a target because the connection broke. The crash is counted when the target
 // is known to have ended, or answers as another incarnation. Look is how long the caller looks for that.
 func (g *Guard) Lost(now time.Duration, f Fingerprint, run Run, look time.Duration) {
-	g.lose(loss{run, f, now, now + look}, maxMarks)
+	g.lose(loss{Run: run, fingerprint: f, at: now, verdictBy: now + look}, maxMarks)
 }
 
 // Unanswered records that a request got no answer from a target in its time, or that its caller left. Such losses are many
 // under load, and take half of the room at most.
 func (g *Guard) Unanswered(now time.Duration, f Fingerprint, run Run) {
-	g.lose(loss{run, f, now, 0}, maxMarks/2)
+	g.lose(loss{Run: run, fingerprint: f, at: now}, maxMarks/2)
 }
 
 func (g *Guard) lose(l loss, room int) {
@@ -164,15 +166,15 @@
 
 func (g *Guard) count(now time.Duration, l loss) {
 	m := g.mark(now, l.fingerprint)
-	if m.add(now, m.crashOf(l.Run)) {
+	if m.add(now, m.crashOf(l)) {
 		g.stats.Crashes++
 		m.last = now
 		g.spread(l.fingerprint, m.encode(now))
 	}
 }
 
-// Answered records a complete answer that is no failure of the target. It clears the mark and open losses of the request,
-// and reports whether there was a mark. A failure proves nothing: a request may crash one target and fail on the next.
+// Answered records a complete answer that is no failure of the target. It clears the mark of the request, and reports whether
+// there was one. A failure proves nothing: a request may crash one target and fail on the next.
 func (g *Guard) Answered(now time.Duration, f Fingerprint) (cleared bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -180,9 +182,7 @@
 	if g.watched.Load() == 0 {
 		return false
 	}
-	for target := range g.losses {
-		g.forgive(target, f)
-	}
+	g.answerLosses(f)
 	if m := g.marks[f]; m != nil {
 		m.answers++
 		cleared = m.suspect()
@@ -197,6 +197,18 @@
 	return cleared
 }
 
+// answerLosses notes for the open losses of a request that it was answered since.
+func (g *Guard) answerLosses(f Fingerprint) {
+	if g.lossesOf[f].open == 0 {
+		return
+	}
+	for _, list := range g.losses {
+		for i := range list {
+			list[i].answered = list[i].answered || list[i].fingerprint == f
+		}
+	}
+}
+
 // explained reports whether another request with enough crashes was in flight at each crash of a mark.
 func (g *Guard) explained(m *mark) bool {
 	for _, o := range g.marks {
@@ -288,7 +300,7 @@
 	g.summed = false
 	watched := int64(g.lossCount)
 	for _, m := range g.marks {
-		if m.suspect() || m.past > 0 {
+		if len(m.crashes) > 0 {
 			watched++
 		}
 	}
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -22,8 +22,8 @@
 	// refuseAlways is the number of crashes that no other request explains. Suspects never share a target, so that an innocent
 	// request is hardly beside the cause at a third crash.
 	refuseAlways = 3
-	// refuseInAll is the number of crashes, answered ones included, from which on a single further crash refuses a request
-	// that is not answered most of the time: one that ends every second target that runs it.
+	// refuseInAll is the number of crashes, answered ones included, from which on a request is refused that is not answered
+	// most of the time: one that ends every second target that runs it.
 	refuseInAll = 3
 	// mostly is how many complete answers to each crash show that a request is answered most of the time.
 	mostly = 3
@@ -40,14 +40,19 @@
 // it counts once, also when one of them has not seen the target's incarnation, which is 0 then.
 type crash struct {
 	target, incarnation uint32
+	// answered is true when the request had a complete answer later.
+	answered bool
 	// at is when this instance learnt of the crash.
 	at time.Duration
+	// began and lost bound the run that this instance lost, and are 0 for a crash that another instance saw.
+	began, lost time.Duration
 }
 
 // crashOf returns the crash that a run caused. A run that began after a crash of the same incarnation was known ran on one that
 // started again under the same name.
-func (m *mark) crashOf(run Run) crash {
-	c := crash{target: hash(run.Target)}
+func (m *mark) crashOf(l loss) crash {
+	run := l.Run
+	c := crash{target: hash(run.Target), answered: l.answered, began: run.Began, lost: l.at}
 	if run.Incarnation == "" {
 		return c
 	}
@@ -75,15 +80,20 @@
 	return c.target == other.target && (c.incarnation == other.incarnation || c.incarnation == 0 || other.incarnation == 0)
 }
 
+// overlaps reports whether two runs of this instance were under way at the same time. Copies of a request that are lost together
+// say no more than one of them: targets may end together by another cause.
+func (c crash) overlaps(other crash) bool {
+	return c.began > 0 && other.began > 0 && c.began < other.lost && other.began < c.lost
+}
+
 // mark is what is known about one fingerprint.
 type mark struct {
 	// generation counts the complete answers that cleared the mark. A higher generation overrides a lower one.
 	generation uint32
-	// crashes holds the distinct crashes since the last complete answer, at most maxCrashes.
+	// crashes holds the distinct crashes, at most maxCrashes.
 	crashes []crash
-	// past is the number of crashes before the last complete answer that no other request explains, and answers the
-	// number of complete answers since the first crash that this instance saw.
-	past, answers int
+	// answers is the number of complete answers since the first crash that this instance saw.
+	answers int
 	// last is when the last crash or complete answer was known first.
 	last time.Duration
 	// enoughSince is when the mark had enough crashes first.
@@ -92,22 +102,35 @@
 	trial chan struct{}
 }
 
-func (m *mark) suspect() bool { return len(m.crashes) > 0 }
+// unanswered is the number of crashes since the last complete answer.
+func (m *mark) unanswered() int {
+	count := 0
+	for _, c := range m.crashes {
+		if !c.answered {
+			count++
+		}
+	}
+	return count
+}
 
-// enough reports whether the crashes are enough to refuse the request.
-func (m *mark) enough() bool {
-	inAll := m.past + len(m.crashes)
-	return len(m.crashes) >= refuseAfter || m.suspect() && inAll >= refuseInAll && m.answers < mostly*inAll
+func (m *mark) suspect() bool { return m.unanswered() > 0 }
+
+// often reports whether the request crashed many targets and is not answered most of the time.
+func (m *mark) often() bool {
+	return len(m.crashes) >= refuseInAll && m.answers < mostly*len(m.crashes)
 }
 
-// explains reports whether the request of m was in flight at every crash of other.
+// enough reports whether the crashes are enough to refuse the request.
+func (m *mark) enough() bool { return m.unanswered() >= refuseAfter || m.often() }
+
+// explains reports whether the request of m was in flight at every crash of other since its last complete answer.
 func (m *mark) explains(other *mark) bool {
-	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !slices.ContainsFunc(m.crashes, c.same) })
+	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !c.answered && !slices.ContainsFunc(m.crashes, c.same) })
 }
 
 // add adds a crash and reports whether it is news.
 func (m *mark) add(now time.Duration, c crash) bool {
-	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.same) {
+	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.same) || slices.ContainsFunc(m.crashes, c.overlaps) {
 		return false
 	}
 	before := m.enough()
@@ -119,29 +142,35 @@
 	return true
 }
 
-// clear notes a complete answer. Explained is true when another request was in flight at each of the crashes.
+// clear notes a complete answer. Explained is true when another request was in flight at each of the crashes, so that they need
+// not be remembered.
 func (m *mark) clear(explained bool) {
 	m.generation++
-	if !explained {
-		m.past += len(m.crashes)
+	if explained {
+		m.dropUnanswered()
+		return
+	}
+	for i := range m.crashes {
+		m.crashes[i].answered = true
 	}
-	m.crashes = nil
+}
+
+func (m *mark) dropUnanswered() {
+	m.crashes = slices.DeleteFunc(m.crashes, func(c crash) bool { return !c.answered })
 }
 
 // merge takes over what a peer knows and reports whether it is news. The order of merges does not matter, except
 // for which crashes beyond maxCrashes are named.
 func (m *mark) merge(now time.Duration, remote *mark) bool {
-	if remote.generation < m.generation {
-		return false
-	}
-	m.past = max(m.past, remote.past)
 	news := remote.generation > m.generation
 	if news {
 		m.generation = remote.generation
-		m.crashes = nil
+		m.dropUnanswered()
 	}
 	for _, c := range remote.crashes {
-		news = m.add(now, c) || news
+		if c.answered || remote.generation == m.generation {
+			news = m.take(now, c) || news
+		}
 	}
 	if news {
 		m.last = max(m.last, remote.last)
@@ -149,12 +178,32 @@
 	return news
 }
 
-// pastShift is where the past crashes begin in the number that holds the generation. Earlier versions read the lower 32 bits.
-const pastShift = 32
+// take adds a crash that a peer told, or notes that one was answered. It reports whether that is news.
+func (m *mark) take(now time.Duration, c crash) bool {
+	if m.add(now, c) {
+		return true
+	}
+	i := slices.IndexFunc(m.crashes, c.same)
+	if i < 0 || !c.answered || m.crashes[i].answered {
+		return false
+	}
+	m.crashes[i].answered = true
+	return true
+}
+
+// answeredShift is where the bits of the answered crashes begin in the number that holds the generation. Earlier versions read
+// its lower 32 bits only.
+const answeredShift = 32
 
-// encode returns the mark for a rumor: generation and past crashes, age in milliseconds and crashes.
+// encode returns the mark for a rumor: generation and answered crashes, age in milliseconds and crashes.
 func (m *mark) encode(now time.Duration) []byte {
-	data := binary.AppendUvarint(nil, uint64(m.generation)|uint64(m.past)<<pastShift)
+	first := uint64(m.generation)
+	for i, c := range m.crashes {
+		if c.answered {
+			first |= 1 << (answeredShift + i)
+		}
+	}
+	data := binary.AppendUvarint(nil, first)
 	data = binary.AppendUvarint(data, uint64((now - m.last).Milliseconds()))
 	for _, c := range m.crashes {
 		data = binary.BigEndian.AppendUint32(data, c.target)
@@ -164,7 +213,7 @@
 }
 
 func decodeMark(now time.Duration, data []byte) (*mark, error) {
-	generation, n := binary.Uvarint(data)
+	first, n := binary.Uvarint(data)
 	if n <= 0 {
 		return nil, &FormatError{Text: string(data)}
 	}
@@ -173,9 +222,12 @@
 	if n <= 0 || len(data[n:])%8 != 0 || len(data[n:]) > 8*maxCrashes || age > uint64(markLifetime.Milliseconds()) {
 		return nil, &FormatError{Text: string(data)}
 	}
-	m := &mark{generation: uint32(generation), past: int(generation >> pastShift), last: now - time.Duration(age)*time.Millisecond}
+	m := &mark{generation: uint32(first), last: now - time.Duration(age)*time.Millisecond}
+	answered := first >> answeredShift
 	for data = data[n:]; len(data) > 0; data = data[8:] {
-		m.add(now, crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:])})
+		c := crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:]), answered: answered&1 != 0}
+		answered >>= 1
+		m.add(now, c)
 	}
 	return m, nil
 }
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -73,3 +73,39 @@
 		t.Error("the request is tried again")
 	}
 }
+
+// Guards against a request whose end of a target is proved late, by the records of the store, when another run was answered
+// meanwhile.
+func TestCrashThatIsProvedAfterAnAnswer(t *testing.T) {
+	g := New(nil)
+	f := FingerprintOf("s", "POST", "/", nil)
+	at := time.Second
+	for i := range refuseInAll {
+		if refuses(g, at, f) {
+			t.Fatalf("refused after %d crashes", i)
+		}
+		target := fmt.Sprint("t", i)
+		g.Unanswered(at+time.Second, f, Run{Target: target, Incarnation: target, Began: at})
+		g.Answered(at+2*time.Second, f)
+		at += 3 * time.Second
+		g.Ended(at, target, 0)
+	}
+	if !refuses(g, at, f) {
+		t.Error("the request is admitted")
+	}
+}
+
+// Guards against a request that is refused because several targets ended at the same moment by another cause while copies of it ran
+// there.
+func TestCopiesThatAreLostTogetherCountOnce(t *testing.T) {
+	g := New(nil)
+	f := FingerprintOf("s", "GET", "/", nil)
+	for i := range 4 {
+		target := fmt.Sprint("t", i)
+		g.Lost(2*time.Second, f, Run{Target: target, Incarnation: target, Began: time.Second}, 0)
+		g.Ended(2*time.Second, target, 0)
+	}
+	if refuses(g, 2*time.Second, f) {
+		t.Error("the request is refused")
+	}
+}
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -28,7 +28,7 @@
 		return Entry{}, g.never, false
 	}
 	switch {
-	case m == nil || !m.suspect():
+	case m == nil || !m.suspect() && !m.enough():
 		return Entry{}, nil, false
 	case !g.unexplained(now, f, m):
 	case now-m.enoughSince < holdTime:
@@ -79,7 +79,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.marks[f]
-	if m == nil || !m.suspect() {
+	if m == nil || !m.suspect() && !m.enough() {
 		return true
 	}
 	return entry.mark == m && entry.Suspect() && !g.unexplained(now, f, m)
@@ -96,7 +96,7 @@
 	if !m.enough() {
 		return false
 	}
-	if len(m.crashes) >= refuseAlways {
+	if m.unanswered() >= refuseAlways || m.often() {
 		return true
 	}
 	for other, o := range g.marks {
