Do not take a connection that is not opened in time for an end

A connection that could not be opened for any reason counted as the end of the target. Behind a cut link requests lose their answers and connections time out, so that innocent requests were held as if they had crashed targets. Only a refusal proves the end now; one that stays silent is told by the store.

TestConnectionTimeoutIsNoEnd: the time-out counted as a crash before.

--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -133,7 +134,10 @@
 	case reason.AnswerTimeout, reason.ConnectionSilent, reason.CallerLeft:
 		g.crashes.Unanswered(g.Now(), call.fingerprint(), run.guarded())
 	case reason.ConnectionRefused:
-		g.noteEnd(run)
+		// A connection that is not opened in time has this reason too, and proves nothing.
+		if errors.Is(r.cause, syscall.ECONNREFUSED) {
+			g.noteEnd(run)
+		}
 	default:
 		if r.answer != nil && !r.answer.Whole() {
 			r.streamed = run
--- a/internal/ingress/crash_kinds_test.go
+++ b/internal/ingress/crash_kinds_test.go
@@ -8,11 +8,16 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
+	"github.com/basillink/basillink/internal/transport"
 )
 
 // maxCrashRuns is how often a request that crashes targets may reach one: until the third crash, and in three retries after it.
@@ -248,3 +253,20 @@
 		t.Errorf("%d crashes are counted", n)
 	}
 }
+
+// Guards against requests that are blamed for the end of a target that only cannot be reached: its answers were lost with a cut link, and
+// no connection is opened in time.
+func TestConnectionTimeoutIsNoEnd(t *testing.T) {
+	targets, _ := ending(t, 1, func(*rawtarget.Target, net.Conn, *http.Request, int64) bool { return false })
+	b := newBed(t, targets...)
+	view := b.view.Load()
+	call := &call{request: protocol.AcquireRequest(), pool: view.Pools["s"], route: view.Table.Match("h", "/safe/")}
+	run := b.gateway.newRun(t.Context(), call, dispatch.Decision{Target: call.pool.Target("t0")})
+	b.gateway.crashes.Lost(b.gateway.Now(), call.fingerprint(), run.guarded(), 0)
+	for i, cause := range []error{&transport.ConnectTimeoutError{}, syscall.ECONNREFUSED} {
+		b.gateway.judge(t.Context(), call, run, &result{why: reason.ConnectionRefused, cause: cause})
+		if n := b.gateway.CrashStats().Crashes; n != int64(i) {
+			t.Errorf("%v: %d crashes", cause, n)
+		}
+	}
+}
