Keep crash marks in the store for a restart of all

After a restart of all instances nobody knew which requests crash targets, and each of them ended two more targets. One instance, the reader of the first zone, keeps the marks that refuse their request in a keyed topic, and drops them when they have aged out or were answered. Readers of zones read them after a start, unless a peer tells with its state that it has, or the whole system starts for the first time; the others hear of them by the digest. No call is made while no request is refused, and no clock is compared: a mark has its age of the time when it was written.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -82,7 +82,7 @@
 	news := 0
 	for name, g := range s.guards {
 		if pull {
-			g.List(s.now, func(f Fingerprint, data []byte) { s.rumors = append(s.rumors, rumor{name, f, data}) })
+			g.List(s.now, func(f Fingerprint, data []byte, _ bool) { s.rumors = append(s.rumors, rumor{name, f, data}) })
 		}
 	}
 	for _, r := range s.rumors {
--- a/internal/crashguard/list.go
+++ b/internal/crashguard/list.go
@@ -50,13 +50,14 @@
 	return slices.Compact(targets)
 }
 
-// List calls add for each mark in the order of fingerprints, cleared ones included.
-func (g *Guard) List(now time.Duration, add func(Fingerprint, []byte)) {
+// List calls add for each mark in the order of fingerprints, cleared ones included. Refused is true when the mark has enough
+// crashes to refuse its request.
+func (g *Guard) List(now time.Duration, add func(f Fingerprint, data []byte, refused bool)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.expire(now)
 	order := slices.SortedFunc(maps.Keys(g.marks), func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
 	for _, f := range order {
-		add(f, g.marks[f].encode(now))
+		add(f, g.marks[f].encode(now), g.marks[f].enough())
 	}
 }
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -25,6 +25,16 @@
 	Members(ctx context.Context) ([]Member, error)
 	// Announce keeps a member in the store under its id.
 	Announce(ctx context.Context, m Member) error
+	// CrashMarks returns the kept marks of requests that crash targets.
+	CrashMarks(ctx context.Context) ([]CrashMark, error)
+	// KeepCrashMark keeps a mark under its key, or drops it if it has no data.
+	KeepCrashMark(ctx context.Context, mark CrashMark) error
+}
+
+// CrashMark is what is known of a request that crashes targets. The ingress writes and reads it.
+type CrashMark struct {
+	Key  string `cbor:"1,keyasint"`
+	Data []byte `cbor:"2,keyasint"`
 }
 
 // Member is an announced instance.
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -19,7 +19,7 @@
 func (m crashMarks) CrashDigest() uint64 { return m.edge.gateway.CrashDigest() }
 
 // EachCrashMark implements fleet.CrashMarks.
-func (m crashMarks) EachCrashMark(add func(key string, data []byte)) {
+func (m crashMarks) EachCrashMark(add func(key string, data []byte, refused bool)) {
 	m.edge.gateway.EachCrashMark(add)
 }
 
--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -92,8 +92,8 @@
 
 func (g *modelGateway) CrashDigest() uint64 { return g.guard.Digest(g.now()) }
 
-func (g *modelGateway) EachCrashMark(add func(key string, data []byte)) {
-	g.guard.List(g.now(), func(f crashguard.Fingerprint, data []byte) { add(f.String(), data) })
+func (g *modelGateway) EachCrashMark(add func(key string, data []byte, refused bool)) {
+	g.guard.List(g.now(), func(f crashguard.Fingerprint, data []byte, refused bool) { add(f.String(), data, refused) })
 }
 
 // modelProber reads the load of the targets that live.
@@ -508,3 +508,24 @@
 		return s
 	})
 }
+
+// Guards against a request that is tried anew after a restart of all instances at once, when nobody in the fleet knows its crashes, also
+// twice and while the store is slow or away at first.
+func TestCrashesEndAfterRestartsOfAll(t *testing.T) {
+	playRestarts(t, 8, func(r *rand.Rand) schedule {
+		s := schedule{perZone: 3}
+		all := make([]int, 3*zonesOfSchedule)
+		for i := range all {
+			all[i] = i
+		}
+		at := settling + 3*time.Second
+		for range 2 {
+			s.restarts = append(s.restarts, restart{span: span{at, at + 500*time.Millisecond}, instances: all})
+			if r.IntN(2) == 0 {
+				s.outages = append(s.outages, outage{span: span{at, at + 2*time.Second}, how: refuses, share: 1})
+			}
+			at += 9 * time.Second
+		}
+		return s
+	})
+}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -52,7 +52,7 @@
 
 // marksFetched is the answer of a peer to a request for its crash marks.
 type marksFetched struct {
-	marks []crashMark
+	marks []discovery.CrashMark
 	from  string
 	err   error
 }
@@ -82,6 +82,10 @@
 		n.handleMembers(e, now)
 	case stateFetched:
 		n.handleState(e, now)
+	case keptMarksRead:
+		n.handleKeptMarks(e, now)
+	case markKept:
+		n.handleMarkKept(e, now)
 	case marksFetched:
 		n.handleMarks(e, now)
 	case stateAsked:
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/basillink/basillink/internal/discovery"
 	"net"
 	"time"
 
@@ -18,7 +19,7 @@
 	// fetch asks the instance at an address for its state.
 	fetch(ctx context.Context, address string, request StateRequest) (*State, error)
 	// fetchMarks asks the instance at an address for its crash marks.
-	fetchMarks(ctx context.Context, address string) ([]crashMark, error)
+	fetchMarks(ctx context.Context, address string) ([]discovery.CrashMark, error)
 	close()
 }
 
--- a/internal/fleet/marks.go
+++ b/internal/fleet/marks.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
 )
 
 // CrashMarks holds what an instance knows of requests that crash targets. It is safe for concurrent use and does not block.
@@ -11,8 +13,8 @@
 	TakeCrashMark(key string, data []byte) bool
 	// CrashDigest identifies the marks, 0 for none.
 	CrashDigest() uint64
-	// EachCrashMark calls add for each mark.
-	EachCrashMark(add func(key string, data []byte))
+	// EachCrashMark calls add for each mark. Refused is true when its request is not sent any more.
+	EachCrashMark(add func(key string, data []byte, refused bool))
 }
 
 const (
@@ -24,7 +26,7 @@
 
 // recentMark is a mark with the time at which this instance learnt it.
 type recentMark struct {
-	mark crashMark
+	mark discovery.CrashMark
 	at   time.Time
 }
 
@@ -32,22 +34,24 @@
 const maxRecentMarks = 16
 
 // markSpread is a crash mark of this instance that the others are to be told of.
-type markSpread struct{ mark crashMark }
+type markSpread struct{ mark discovery.CrashMark }
 
 // SpreadCrashMark tells the other instances of a request that crashes targets. It does not block.
-func (n *Node) SpreadCrashMark(key string, data []byte) { n.post(markSpread{crashMark{key, data}}) }
+func (n *Node) SpreadCrashMark(key string, data []byte) {
+	n.post(markSpread{discovery.CrashMark{Key: key, Data: data}})
+}
 
 // tellMark tells this zone and the readers of the others of a mark.
-func (n *Node) tellMark(mark crashMark, now time.Time) {
+func (n *Node) tellMark(mark discovery.CrashMark, now time.Time) {
 	n.keepMark(mark, now)
 	d := n.base(now)
-	d.Marks = []crashMark{mark}
+	d.Marks = []discovery.CrashMark{mark}
 	n.tellZone(d, now)
 	n.tellZones(d, now)
 }
 
 // keepMark keeps a mark for the next announcements of a reader.
-func (n *Node) keepMark(mark crashMark, now time.Time) {
+func (n *Node) keepMark(mark discovery.CrashMark, now time.Time) {
 	if len(n.marks) >= maxRecentMarks {
 		n.marks = n.marks[1:]
 	}
@@ -55,11 +59,11 @@
 }
 
 // recentMarks returns the marks that were learnt lately.
-func (n *Node) recentMarks(now time.Time) []crashMark {
+func (n *Node) recentMarks(now time.Time) []discovery.CrashMark {
 	for len(n.marks) > 0 && now.Sub(n.marks[0].at) > recentFor {
 		n.marks = n.marks[1:]
 	}
-	marks := make([]crashMark, 0, len(n.marks))
+	marks := make([]discovery.CrashMark, 0, len(n.marks))
 	for _, m := range n.marks {
 		marks = append(marks, m.mark)
 	}
@@ -68,7 +72,7 @@
 
 // takeMarks hands marks of a peer on. What is news, the reader of the zone tells its zone, and the other zones if it came
 // from its own.
-func (n *Node) takeMarks(marks []crashMark, p *peerState, now time.Time) {
+func (n *Node) takeMarks(marks []discovery.CrashMark, p *peerState, now time.Time) {
 	if n.CrashMarks == nil {
 		return
 	}
@@ -78,7 +82,7 @@
 		}
 		n.keepMark(mark, now)
 		d := n.base(now)
-		d.Marks = []crashMark{mark}
+		d.Marks = []discovery.CrashMark{mark}
 		n.tellZone(d, now)
 		if p.Zone == n.Self.Zone {
 			n.tellZones(d, now)
@@ -87,7 +91,7 @@
 }
 
 // takeStateMarks takes over marks that came with the state of a peer, which others know already.
-func (n *Node) takeStateMarks(marks []crashMark) {
+func (n *Node) takeStateMarks(marks []discovery.CrashMark) {
 	if n.CrashMarks == nil {
 		return
 	}
@@ -105,10 +109,12 @@
 }
 
 // allMarks returns the marks of this instance.
-func (n *Node) allMarks() []crashMark {
-	var marks []crashMark
+func (n *Node) allMarks() []discovery.CrashMark {
+	var marks []discovery.CrashMark
 	if n.CrashMarks != nil {
-		n.CrashMarks.EachCrashMark(func(key string, data []byte) { marks = append(marks, crashMark{key, data}) })
+		n.CrashMarks.EachCrashMark(func(key string, data []byte, _ bool) {
+			marks = append(marks, discovery.CrashMark{Key: key, Data: data})
+		})
 	}
 	return marks
 }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -52,7 +52,7 @@
 	Failing    int `cbor:"23,keyasint,omitempty"`
 	FailingAll int `cbor:"24,keyasint,omitempty"`
 	// Marks tell of requests that crash targets.
-	Marks []crashMark `cbor:"22,keyasint,omitempty"`
+	Marks []discovery.CrashMark `cbor:"22,keyasint,omitempty"`
 	// MarksDigest identifies all crash marks of the sender, 0 for none.
 	MarksDigest uint64 `cbor:"25,keyasint,omitempty"`
 	// Leaving is true when the sender stops.
@@ -62,12 +62,6 @@
 	Denial *denialNote `cbor:"17,keyasint,omitempty"`
 }
 
-// crashMark is what is known of a request that crashes targets. The ingress writes and reads it.
-type crashMark struct {
-	Key  string `cbor:"1,keyasint"`
-	Data []byte `cbor:"2,keyasint"`
-}
-
 // loadNote is one reading of a target. Targets are named by a hash of their id.
 type loadNote struct {
 	_       struct{} `cbor:",toarray"`
@@ -110,7 +104,9 @@
 	// ConfigListed is true when the configuration was read, though there may be none yet.
 	ConfigListed bool
 	// Marks tell of requests that crash targets, in answers to instances that lack some.
-	Marks []crashMark
+	Marks []discovery.CrashMark
+	// MarksRead is true when the marks hold those that are kept in the store.
+	MarksRead bool
 }
 
 // StateRequest asks for the state of another instance.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -150,6 +150,8 @@
 	// fetchingMarks is true while those of a peer are fetched, and marksAt when that may be done again.
 	fetchingMarks bool
 	marksAt       time.Time
+	// kept is what this instance knows of the marks in the store.
+	kept keptMarks
 	// pending are readings that were not sent to other zones yet.
 	pending map[uint32]loadSample
 }
@@ -191,6 +193,7 @@
 		recentBase: -1, instances: 1, live: 1,
 		targets: topicReads{interval: targetsInterval}, configs: topicReads{interval: configsInterval},
 	}
+	n.kept = keptMarks{inStore: map[string]bool{}, read: c.Bootstrap}
 	n.sampler = newSampler(c.Prober, c.Now)
 	return n
 }
@@ -265,7 +268,7 @@
 	switch e.(type) {
 	case received, stateAsked, stateFetched, marksFetched:
 		n.guard.Run(n.Log, "message", func() { n.handle(ctx, e, now) })
-	case configsRead, targetsRead, membersRead:
+	case configsRead, targetsRead, membersRead, keptMarksRead, markKept:
 		if !n.guard.Run(n.Log, "store", func() { n.handle(ctx, e, now) }) {
 			n.releaseReads(now)
 		}
@@ -276,7 +279,7 @@
 
 // releaseReads lets topics be read again after an answer of the store that could not be handled.
 func (n *Node) releaseReads(now time.Time) {
-	n.joining = false
+	n.joining, n.kept.calling = false, false
 	for _, topic := range []*topicReads{&n.targets, &n.configs} {
 		if topic.reading > 0 {
 			topic.failed(now, n.Random.Float64(), n.failing)
@@ -302,6 +305,7 @@
 	n.announceReader(now)
 	n.sendHeartbeat(now)
 	n.sendAcross(now)
+	n.keepMarks(ctx, now)
 	n.noteInstances(now)
 }
 
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -101,6 +101,22 @@
 	return nil
 }
 
+func (d *door) CrashMarks(context.Context) ([]discovery.CrashMark, error) {
+	if err := d.enter(); err != nil {
+		return nil, err
+	}
+	defer d.store.mu.Unlock()
+	return nil, nil
+}
+
+func (d *door) KeepCrashMark(context.Context, discovery.CrashMark) error {
+	if err := d.enter(); err != nil {
+		return err
+	}
+	defer d.store.mu.Unlock()
+	return nil
+}
+
 func (s *fakeStore) publish(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,7 +228,7 @@
 
 func (f fakeMarks) TakeCrashMark(key string, _ []byte) bool { return f(key) }
 func (fakeMarks) CrashDigest() uint64                       { return 0 }
-func (fakeMarks) EachCrashMark(func(string, []byte))        {}
+func (fakeMarks) EachCrashMark(func(string, []byte, bool))  {}
 
 // await waits until all nodes fulfil a condition.
 func (f *testFleet) await(t *testing.T, what string, holds func(*Node) bool) {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/basillink/basillink/internal/discovery"
 	"net"
 	"net/rpc"
 	"sync"
@@ -46,7 +47,7 @@
 type MarksRequest struct{}
 
 // MarksReply holds the crash marks of an instance.
-type MarksReply struct{ Marks []crashMark }
+type MarksReply struct{ Marks []discovery.CrashMark }
 
 // Marks returns the crash marks of the called instance.
 func (f *Fleet) Marks(_ MarksRequest, reply *MarksReply) error {
@@ -113,7 +114,7 @@
 }
 
 // fetchMarks asks a peer for its crash marks.
-func (s *sockets) fetchMarks(ctx context.Context, address string) ([]crashMark, error) {
+func (s *sockets) fetchMarks(ctx context.Context, address string) ([]discovery.CrashMark, error) {
 	var reply MarksReply
 	if err := call(ctx, address, "Fleet.Marks", MarksRequest{}, &reply); err != nil {
 		return nil, err
@@ -173,6 +174,7 @@
 		ConfigNext: n.configs.next, ConfigAge: now.Sub(n.configs.asOf),
 		TargetsNext: n.targets.next, TargetsAge: now.Sub(n.targets.asOf),
 		Members: n.members.introductions(n.Self.Zone, true), TargetsListed: n.targets.known, ConfigListed: n.configs.known,
+		MarksRead: n.kept.read,
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
@@ -198,6 +200,7 @@
 	s := e.state
 	n.meet(s.Members, now)
 	n.takeStateMarks(s.Marks)
+	n.kept.read = n.kept.read || s.MarksRead
 	changed := n.takeTargetState(s, now)
 	if s.Config != nil || s.ConfigListed && !n.configs.known {
 		n.configs.next, n.configs.known, n.configs.behind = max(n.configs.next, s.ConfigNext), true, false
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -71,10 +71,12 @@
 	CallTargets
 	CallMembers
 	CallAnnounce
+	CallCrashMarks
+	CallKeepCrashMark
 	storeCalls
 )
 
-var storeCallNames = [storeCalls]string{"configs", "targets", "members", "announce"}
+var storeCallNames = [storeCalls]string{"configs", "targets", "members", "announce", "crash_marks", "keep_crash_mark"}
 
 func (c StoreCall) String() string { return storeCallNames[c] }
 
--- a/internal/fleet/virtual_test.go
+++ b/internal/fleet/virtual_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -108,7 +109,7 @@
 	return &state, nil
 }
 
-func (l *virtualLink) fetchMarks(ctx context.Context, address string) ([]crashMark, error) {
+func (l *virtualLink) fetchMarks(ctx context.Context, address string) ([]discovery.CrashMark, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	time.Sleep(l.net.delay())
@@ -154,6 +155,7 @@
 	// first is the offset of the first record that is kept.
 	first   int64
 	members []discovery.Member
+	marks   map[string]discovery.CrashMark
 	all     refusal
 	slow    bool
 	// some holds how the store treats single instances, by id.
@@ -268,6 +270,29 @@
 	return nil
 }
 
+func (d virtualDoor) CrashMarks(context.Context) ([]discovery.CrashMark, error) {
+	if err := d.enter(); err != nil {
+		return nil, err
+	}
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.marks)), nil
+}
+
+func (d virtualDoor) KeepCrashMark(_ context.Context, mark discovery.CrashMark) error {
+	if err := d.enter(); err != nil {
+		return err
+	}
+	defer d.mu.Unlock()
+	if d.marks == nil {
+		d.marks = map[string]discovery.CrashMark{}
+	}
+	d.marks[mark.Key] = mark
+	if mark.Data == nil {
+		delete(d.marks, mark.Key)
+	}
+	return nil
+}
+
 // startVirtual runs a node until the returned function is called. Configure changes its configuration, and may be nil.
 func startVirtual(v *virtualNet, s *virtualStore, self discovery.Member, seeds []string, log *slog.Logger, configure func(*Config)) (*Node, func()) {
 	start := time.Now()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -53,7 +53,7 @@
 
 // CrashMarks calls add for each crash mark.
 func (g *Gateway) CrashMarks(add func(key string, payload []byte)) {
-	g.guard.List(g.now(), func(f crashguard.Fingerprint, data []byte) { add(f.String(), data) })
+	g.guard.List(g.now(), func(f crashguard.Fingerprint, data []byte, _ bool) { add(f.String(), data) })
 }
 
 // enterGuard admits a request that is not suspect, or waits for its turn as a suspect.
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -55,9 +55,9 @@
 // CrashDigest identifies the crash marks of this instance, 0 for none.
 func (g *Gateway) CrashDigest() uint64 { return g.crashes.Digest(g.Now()) }
 
-// EachCrashMark calls add for each crash mark of this instance.
-func (g *Gateway) EachCrashMark(add func(key string, data []byte)) {
-	g.crashes.List(g.Now(), func(f crashguard.Fingerprint, data []byte) { add(f.String(), data) })
+// EachCrashMark calls add for each crash mark of this instance. Refused is true when its request is not sent any more.
+func (g *Gateway) EachCrashMark(add func(key string, data []byte, refused bool)) {
+	g.crashes.List(g.Now(), func(f crashguard.Fingerprint, data []byte, refused bool) { add(f.String(), data, refused) })
 }
 
 // CrashStats counts what happened to the marks of requests that crash targets.
