Send a request that crashes servers in the soak

Counted are sends by instances that were not disturbed for the window; outages of the store excuse none of them, which is stricter than the users' rule.

--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -47,6 +47,22 @@
 	ended   chan struct{}
 	// incarnation counts the starts.
 	incarnation int
+	// disturbedAt is when the instance was last stopped, started, frozen or continued.
+	disturbedAt time.Time
+}
+
+// noteDisturbance notes that the instance is disturbed now.
+func (i *instance) noteDisturbance() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.disturbedAt = time.Now()
+}
+
+// calmFor reports whether the instance was not disturbed for a time.
+func (i *instance) calmFor(d time.Duration) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return time.Since(i.disturbedAt) > d
 }
 
 const (
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,6 +91,8 @@
 
 // disturb sends a signal to an instance and undoes it after a time.
 func (w *world) disturb(ctx context.Context, i *instance, down, up syscall.Signal, length time.Duration) {
+	i.noteDisturbance()
+	defer i.noteDisturbance()
 	if up != 0 {
 		i.signal(down)
 		pause(ctx, length)
@@ -188,6 +190,7 @@
 	for _, i := range w.instances {
 		group.Go(func() { w.watch(ctx, i) })
 	}
+	group.Go(func() { w.sendCrashing(ctx, rand.New(rand.NewPCG(*seed, 4))) })
 	pause(ctx, settle)
 	w.disrupt(faulty, rand.New(rand.NewPCG(*seed, 2)))
 	w.store.SetFaults(platformtest.Faults{})
@@ -196,6 +199,7 @@
 	cancel()
 	group.Wait()
 	w.check()
+	w.checkCrashes()
 	broken := 0
 	w.faults.Range(func(what, at any) bool {
 		broken++
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -45,6 +45,7 @@
 	faults   sync.Map
 	served   atomic.Int64
 	started  time.Time
+	crashes  crashLog
 }
 
 // fail notes a broken rule once for each kind and detail.
@@ -109,7 +110,8 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	target, err := platformtest.NewTarget(fmt.Sprintf("t%d", w.next), service, address, slots, work, w.runs)
+	id := fmt.Sprintf("t%d", w.next)
+	target, err := platformtest.NewTarget(id, service, address, slots, work, w.runs, func() { go w.replaceCrashed(id) })
 	if err != nil {
 		w.t.Logf("A server could not start: %v", err)
 		return
@@ -148,9 +150,14 @@
 	status     int
 }
 
-// send sends one request and checks its answer. It returns the body of a success.
+// send sends one request and checks its answer. It returns the service that answered with success.
 func (w *world) send(ctx context.Context, client *http.Client, i *instance, path string, idempotent bool) string {
-	r := &request{id: fmt.Sprintf("r%d", w.count.Add(1)), path: path, idempotent: idempotent}
+	return w.sendAs(ctx, client, i, fmt.Sprintf("r%d", w.count.Add(1)), path, idempotent)
+}
+
+// sendAs sends one request under an id.
+func (w *world) sendAs(ctx context.Context, client *http.Client, i *instance, id, path string, idempotent bool) string {
+	r := &request{id: id, path: path, idempotent: idempotent}
 	w.requests.Store(r.id, r)
 	method := http.MethodGet
 	if !idempotent {
