Guard against answers that break off in their head

An operator's report: clients got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head. It cannot happen here: a head is read to its empty line before anything is used. The test cuts heads of three framings after each byte, and passes on the code as it was.

--- a/internal/ingress/faults_test.go
+++ b/internal/ingress/faults_test.go
@@ -401,3 +401,22 @@
 		t.Error("the request reached the target that had left")
 	}
 }
+
+// Guards against an answer that ends in the middle of its head and reaches the caller as a whole one with an empty or short body.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 12", "Transfer-Encoding: chunked", "Connection: close"} {
+		cut := make(chan int, 1)
+		target := scripted(t, func(r *http.Request, _ int64) (string, bool) {
+			whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Sig: s\r\n%s\r\nX-Last: 1\r\n\r\n", r.Header.Get("X-Id"), framing)
+			return whole[:<-cut], false
+		})
+		b := newBed(t, target)
+		length := len("HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Sig: s\r\n" + framing + "\r\nX-Last: 1\r\n\r\n")
+		for at := range length {
+			cut <- at
+			if got, body, err := b.call(t).receiveFor("POST", fmt.Sprintf("/once/%d", at), "id"); err == nil && got.StatusCode < 500 {
+				t.Errorf("%s, %d of %d bytes of the head: status %d, body %q", framing, at, length, got.StatusCode, body)
+			}
+		}
+	}
+}
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -164,6 +164,13 @@
 	return exchanged{answer.StatusCode, answer.Header, answer.Close}, string(body), err
 }
 
+// receiveFor sends a request and returns its answer.
+func (c *caller) receiveFor(method, path, id string) (exchanged, string, error) {
+	c.t.Helper()
+	c.send(method, path, id, "")
+	return c.receive()
+}
+
 // exchanged is a whole answer.
 type exchanged struct {
 	StatusCode int
