Heed what targets ask in their answers: to leave, and to be left alone

Two new rules of the users. A target that is leaving says so in all its answers (Server-Leaving: 1), and a target that turns a request away with 503 may add Retry-After: it wants nothing from this instance for so long. Neither header was read.

The pool of a service notes both for the incarnation, also while its entry is missing for a while: no request is chosen for it, one that was decided or waits is decided again just before it is sent, and readings of its load stop too, as they are requests. They are taken from answers to readings as well. Only the value 1 says that a target leaves, and only a 503 asks for a pause; the answer of another target at the address (421) says neither. A service whose targets are all paused refuses at once, with the end of the shortest pause up to 2 s as Retry-After.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -13,7 +13,7 @@
 	var unreachable estimate
 	p.cheapest = [2]estimate{}
 	for _, t := range p.candidates() {
-		if slices.Contains(a.Tried, t) {
+		if t.forbids(now) || slices.Contains(a.Tried, t) {
 			continue
 		}
 		inputs.Candidates++
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -107,6 +107,8 @@
 	random       *rand.Rand
 	// blindUntil is until when targets without a reading receive no requests.
 	blindUntil time.Duration
+	// restrictions are what incarnations of targets asked of this instance.
+	restrictions map[string]restriction
 	// serving is true while a look at the waiting requests is scheduled.
 	serving bool
 	// awaitingSight is true once a look at the end of the blind time is scheduled.
@@ -118,7 +120,7 @@
 	return &Pool{
 		blindUntil: now() + blindTime,
 		policy:     policy, zone: zone, now: now, random: random, sharers: 1, sharersKnown: true, meanPace: usualPace,
-		byID: map[string]*Target{}, work: map[string]*workEstimate{},
+		byID: map[string]*Target{}, work: map[string]*workEstimate{}, restrictions: map[string]restriction{},
 	}
 }
 
@@ -135,6 +137,7 @@
 		t := p.byID[r.ID]
 		if t == nil || !t.is(r) {
 			t = newTarget(r, p.zone, 0)
+			p.recall(t)
 		}
 		t.slots, t.warm = max(r.Slots, 1), 0
 		if r.WarmUntil.After(wall) {
@@ -149,6 +152,9 @@
 		p.locals += 1 - zoneOrder(t)
 	}
 	p.byID = byID
+	if len(p.restrictions) > 0 {
+		p.forgetRestrictions(now)
+	}
 	p.used = slices.DeleteFunc(p.used, func(t *Target) bool { return byID[t.ID] != t })
 	p.serveWaiting(now)
 }
@@ -174,13 +180,6 @@
 	return p.byID[id]
 }
 
-// Registered reports whether a target that was chosen may still receive requests.
-func (p *Pool) Registered(t *Target) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.byID[t.ID] == t
-}
-
 // AliveAt returns when a target last told its load, 0 if it did not.
 func (p *Pool) AliveAt(t *Target) time.Duration {
 	p.mu.Lock()
@@ -269,6 +268,9 @@
 	if throughput := p.throughput(now, work); throughput > 0 {
 		after += time.Duration(float64(len(p.waiting)) / throughput)
 	}
+	if pause := p.shortestPause(now); why == reason.NoTarget && pause > 0 {
+		after = pause
+	}
 	// The spread keeps refused callers from coming back together.
 	after += time.Duration(p.random.Int64N(int64(after)))
 	return Decision{
@@ -288,7 +290,7 @@
 func (p *Pool) throughput(now time.Duration, work time.Duration) float64 {
 	total := 0.0
 	for _, t := range p.targets {
-		if now >= t.unreachableUntil {
+		if now >= t.unreachableUntil && !t.forbids(now) {
 			total += float64(t.usable(&p.policy)) / (float64(work) * t.pace(now, work, p.meanPace, &p.policy))
 		}
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -34,6 +34,9 @@
 	Pace float64
 	// At is when the reading arrived.
 	At time.Duration
+	// Leaving and Pause are what the target asked of the instance that read it: to send nothing more, or nothing for a time.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Target is one target as the dispatcher sees it. The lock of its Pool guards it.
@@ -60,6 +63,7 @@
 	// unreachableUntil leaves the target out after a failed connection.
 	unreachableUntil time.Duration
 	unreachableFor   time.Duration
+	restriction
 	// usedAt is when a request of this instance last ended well on the target, 0 if none did.
 	usedAt time.Duration
 }
--- a/internal/fleet/rounds.go
+++ b/internal/fleet/rounds.go
@@ -76,7 +76,34 @@
 		}
 	}
 	if len(due) > 0 {
-		n.sampler.round(func(service string) bool { return due[service] }, func(samples []sample) { n.post(roundRead{samples}) })
+		dueTarget := func(id, service string) bool { return due[service] && n.mayRead(id, service) }
+		n.sampler.round(dueTarget, func(samples []sample) { n.post(roundRead{samples}) })
+	}
+}
+
+// mayRead reports whether a target takes readings: they count as requests for one that asked for a pause.
+func (n *Node) mayRead(id, service string) bool {
+	pool := n.pools[service]
+	return pool == nil || pool.Accepts(pool.Target(id))
+}
+
+// heedSamples notes what targets ask of this instance with their answers to readings.
+func (n *Node) heedSamples(samples []sample) {
+	for _, s := range samples {
+		pool := n.pools[s.service]
+		if pool == nil || !s.reading.Leaving && s.reading.Pause <= 0 {
+			continue
+		}
+		t := pool.Target(s.id)
+		if t == nil {
+			continue
+		}
+		if s.reading.Leaving && pool.Leave(t) {
+			n.Log.Info("A target says that it is leaving.", "target", s.id)
+		}
+		if s.reading.Pause > 0 && pool.Pause(t, s.reading.Pause) {
+			n.Log.Info("A target asks for a pause.", "target", s.id, "pause_ms", s.reading.Pause.Milliseconds())
+		}
 	}
 }
 
@@ -160,6 +187,7 @@
 		return
 	}
 	n.traffic.readings.Add(int64(len(e.samples)))
+	n.heedSamples(e.samples)
 	d := n.base(now)
 	n.noteOccupancy(e.samples, now)
 	d.Loads = n.loadNotes(e.samples)
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -135,8 +135,8 @@
 	return probe.Read(ctx)
 }
 
-// round triggers a reading of each target of the services that are due, and passes those that come in time on.
-func (s *sampler) round(due func(service string) bool, done func([]sample)) {
+// round triggers a reading of each target that is due, and passes those that come in time on.
+func (s *sampler) round(due func(id, service string) bool, done func([]sample)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rounding {
@@ -144,8 +144,8 @@
 	}
 	s.rounding = true
 	triggered := 0
-	for _, w := range s.workers {
-		if !due(w.service) {
+	for id, w := range s.workers {
+		if !due(id, w.service) {
 			continue
 		}
 		select {
--- a/internal/fleet/sampler_test.go
+++ b/internal/fleet/sampler_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
 )
 
 // scriptedProber answers by target id.
@@ -37,7 +38,7 @@
 	last := map[string]sample{}
 	for range 3 {
 		done := make(chan []sample, 1)
-		s.round(func(string) bool { return true }, func(samples []sample) { done <- samples })
+		s.round(func(string, string) bool { return true }, func(samples []sample) { done <- samples })
 		for _, one := range <-done {
 			last[one.id] = one
 		}
@@ -53,3 +54,27 @@
 		t.Errorf("silent: %+v", one)
 	}
 }
+
+// Guards against readings that reach a target which asked for a pause, or said that it leaves, in the answer to a reading: they count
+// like requests.
+func TestReadingsHeedWhatTargetsAsk(t *testing.T) {
+	n := quietNode(t, member("a1", "a"))
+	n.applyConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, "store", begin)
+	var listing []registry.Change
+	for i, id := range []string{"paused", "leaving", "usual"} {
+		listing = append(listing, registry.Change{ID: id, Offset: int64(i + 1), Entry: &registry.Entry{
+			ID: id, Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4,
+		}})
+	}
+	n.handleTargets(targetsRead{began: begin, changes: listing, listed: true, next: 4}, begin)
+	n.heedSamples([]sample{
+		{id: "paused", service: "s", unread: true, reading: dispatch.Reading{Pause: time.Hour}},
+		{id: "leaving", service: "s", reading: dispatch.Reading{Leaving: true}}, {id: "usual", service: "s"},
+		{id: "unknown", service: "s", reading: dispatch.Reading{Leaving: true}},
+	})
+	for id, want := range map[string]bool{"paused": false, "leaving": false, "usual": true} {
+		if got := n.mayRead(id, "s"); got != want {
+			t.Errorf("%s: may be read %v", id, got)
+		}
+	}
+}
--- a/internal/ingress/crash_kinds_test.go
+++ b/internal/ingress/crash_kinds_test.go
@@ -55,6 +55,7 @@
 // Guards against a request that reaches target after target because their listeners close a little after the connection broke, so
 // that the first look takes them for living ones.
 func TestRequestWhoseTargetsEndLate(t *testing.T) {
+	t.Parallel()
 	const after = 150 * time.Millisecond
 	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
 		time.AfterFunc(after, target.Stop)
@@ -72,6 +73,7 @@
 
 // Guards against a request that ends targets for ever because something accepts connections at their address again at once.
 func TestRequestWhoseTargetsReturnAtOnce(t *testing.T) {
+	t.Parallel()
 	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
 		target.Restart()
 		return false
@@ -86,6 +88,7 @@
 // Guards against a request that goes on ending targets because some of its runs are answered: a failure of the target's own proves
 // nothing, and a success does not undo the ends before it.
 func TestRequestThatIsAnsweredBetweenCrashes(t *testing.T) {
+	t.Parallel()
 	for _, status := range []int{500, 200} {
 		targets, runs := ending(t, 20, func(target *rawtarget.Target, conn net.Conn, r *http.Request, run int64) bool {
 			if run%2 == 0 {
@@ -105,6 +108,7 @@
 
 // Guards against a request that is taken for another one because its route leads to another service now.
 func TestRequestOfARouteThatMoved(t *testing.T) {
+	t.Parallel()
 	targets, ended := crashing(t, 16)
 	b := newBed(t, targets...)
 	sendAgain(t, b, 2)
@@ -120,6 +124,7 @@
 
 // Guards against copies of a request that passed the guard before its crashes were known, waited for a target, and are sent after them.
 func TestRequestThatWaitedWhenItsCrashesBecameKnown(t *testing.T) {
+	t.Parallel()
 	targets, ended := crashing(t, 8)
 	b, other := newBed(t, targets[:4]...), newBed(t, targets[4:]...)
 	other.gateway.CrashMarks = meeting{b.gateway}
@@ -147,6 +152,7 @@
 // Guards against a request that ends targets without a sign on their connections: they fall silent, and only the records of the
 // store tell that they are gone.
 func TestRequestWhoseTargetsFallSilent(t *testing.T) {
+	t.Parallel()
 	const lapse = 100 * time.Millisecond
 	silent, ran := make(chan struct{}), make(chan string, 20)
 	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
@@ -170,6 +176,7 @@
 
 // Guards against a request that ends targets after its caller left, so that nobody waits for the answer.
 func TestRequestWhoseCallerLeavesBeforeTargetsEnd(t *testing.T) {
+	t.Parallel()
 	const stays, ends = 30 * time.Millisecond, 100 * time.Millisecond
 	ended := make(chan string, 20)
 	targets, runs := ending(t, 20, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
@@ -196,6 +203,7 @@
 
 // Guards against a request that ends targets in the middle of a long answer, which is passed on while it is read.
 func TestRequestThatEndsTargetsInALongAnswer(t *testing.T) {
+	t.Parallel()
 	targets, runs := ending(t, 20, func(target *rawtarget.Target, conn net.Conn, r *http.Request, _ int64) bool {
 		const whole = 2 * wholeAnswerBytes
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Id"), whole)
@@ -218,6 +226,7 @@
 
 // Guards against a request that ends the same target again and again: it comes back under its name each time.
 func TestRequestWhoseTargetKeepsItsName(t *testing.T) {
+	t.Parallel()
 	targets, runs := ending(t, 1, func(target *rawtarget.Target, _ net.Conn, _ *http.Request, _ int64) bool {
 		target.Restart()
 		return false
@@ -234,6 +243,7 @@
 // Guards against callers who left, or whose deadline passed, on a target that ended much later by another cause: their requests did
 // not end it.
 func TestLeavingCallersAreNotBlamed(t *testing.T) {
+	t.Parallel()
 	targets, _ := ending(t, 4, func(*rawtarget.Target, net.Conn, *http.Request, int64) bool {
 		time.Sleep(100 * time.Millisecond)
 		return false
@@ -257,6 +267,7 @@
 // Guards against requests that are blamed for the end of a target that only cannot be reached: its answers were lost with a cut link, and
 // no connection is opened in time.
 func TestConnectionTimeoutIsNoEnd(t *testing.T) {
+	t.Parallel()
 	targets, _ := ending(t, 1, func(*rawtarget.Target, net.Conn, *http.Request, int64) bool { return false })
 	b := newBed(t, targets...)
 	view := b.view.Load()
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -12,6 +12,7 @@
 
 	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/header"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/transport"
 )
@@ -127,11 +128,11 @@
 	return fmt.Sprintf("the decision for the target is %s old", e.Age.Round(time.Millisecond))
 }
 
-// DepartedTargetError reports a decision for a target that left before the request was sent.
+// DepartedTargetError reports a decision for a target that left, or asked for a pause, before the request was sent.
 type DepartedTargetError struct{ Target string }
 
 func (e *DepartedTargetError) Error() string {
-	return "the target " + e.Target + " has left since the decision"
+	return "the target " + e.Target + " takes no requests since the decision"
 }
 
 // withdraws reports whether an error says that a decision was not carried out.
@@ -149,7 +150,7 @@
 		if age := now - d.At(); age > decisionLifetime {
 			return &ExpiredDecisionError{age}
 		}
-		if !call.pool.Registered(d.Target) {
+		if !call.pool.Accepts(d.Target) {
 			return &DepartedTargetError{d.Target.ID}
 		}
 		if g.crashes.Watching() && !g.crashes.Admits(now, call.fingerprint(), entry) {
@@ -183,6 +184,7 @@
 		call.pool.Release(&call.ask, d, dispatch.Report{End: endOf(outcome)})
 		return outcome
 	}
+	g.heed(call, run, answer)
 	report := dispatch.Report{AnswerBytes: max(answer.Length(), 0)}
 	if load, ok := g.ParseLoad(answer.Response.Header.Peek(g.Headers.Load)); ok {
 		load.At = g.Now()
@@ -195,6 +197,27 @@
 	return outcome
 }
 
+// leaves is the value by which a target says that it is leaving.
+const leaves = "1"
+
+// heed notes what a target asks of this instance with its answer: to send nothing more, or nothing for a time. An answer of another
+// target at the address says nothing of this one.
+func (g *Gateway) heed(call *call, run *run, answer *transport.Answer) {
+	h := &answer.Response.Header
+	if h.StatusCode() == http.StatusMisdirectedRequest {
+		return
+	}
+	if string(h.Peek(g.Headers.Leaving)) == leaves && call.pool.Leave(run.target) {
+		g.Log.Info("A target says that it is leaving.", "request", call.id, "target", run.target.ID)
+	}
+	if h.StatusCode() != http.StatusServiceUnavailable {
+		return
+	}
+	if pause := header.RetryAfter(h); pause > 0 && call.pool.Pause(run.target, pause) {
+		g.Log.Info("A target asks for a pause.", "request", call.id, "target", run.target.ID, "pause_ms", pause.Milliseconds())
+	}
+}
+
 // belongs reports whether an answer is one to the request. Refusals of a target need not echo the id. On a connection that
 // was used before, such a refusal may be a late copy of one to an earlier request, and would say that this one did not run.
 func (g *Gateway) belongs(h *protocol.ResponseHeader, id string, fresh bool) bool {
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -36,6 +36,8 @@
 	NotExecuted string
 	// Load is the load of the target.
 	Load string
+	// Leaving marks answers of targets that are leaving.
+	Leaving string
 }
 
 // View is what the gateway knows of the fleet. It is immutable.
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -25,7 +25,7 @@
 
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", ExpectedInstance: "X-Expected", InstanceID: "X-Instance",
-	NotExecuted: "X-Not-Run", Load: "X-Load",
+	NotExecuted: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving",
 }
 
 func TestMain(m *testing.M) {
