Read kept crash marks again soon after a failed read

After a restart of all in an outage of the store the marks were read 2 s after a failed read, and calls to a silent store take 0.9 s, so that they could be known again later than the 3 s after which instances count as undisturbed. The pause is 0.5 s now, for the one instance that keeps the marks.

--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -8,7 +8,10 @@
 )
 
 const (
-	// keepRetry is the pause after a call for a kept mark that failed.
+	// readKeptRetry is the pause after a read of the kept marks that failed. After a restart of all they have to be known again
+	// within the 3 s after which instances count as undisturbed.
+	readKeptRetry = 500 * time.Millisecond
+	// keepRetry is the pause after a mark could not be kept.
 	keepRetry = 2 * time.Second
 	// keepInterval is how often marks are looked at that have to be kept, or dropped.
 	keepInterval = 500 * time.Millisecond
@@ -104,7 +107,7 @@
 func (n *Node) handleKeptMarks(e keptMarksRead, now time.Time) {
 	n.kept.calling = false
 	if e.err != nil {
-		n.kept.nextAt = now.Add(keepRetry)
+		n.kept.nextAt = now.Add(readKeptRetry)
 		n.Log.Info("Could not read the kept crash marks.", "error", e.err)
 		return
 	}
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -74,6 +74,9 @@
 	w.crashes.mu.Lock()
 	defer w.crashes.mu.Unlock()
 	w.t.Logf("a request that crashes servers ended %d", len(w.crashes.crashes))
+	for _, at := range w.crashes.crashes {
+		w.t.Logf("%6.2f s it ended one", at.Sub(w.started).Seconds())
+	}
 	if len(w.crashes.crashes) < crashesOfRule {
 		return
 	}
