Spread the waits for the seeds after a restart of all

An instance waits a random part of its start patience (50 ms of a whole core, longer for weaker ones) beyond that now, so that most hear a seed or a reader first. A single restart with living seeds is as fast as before.

The one instance that keeps the crash marks reads them when it has read its zone for 100 ms: just after a start several take themselves for that.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -50,12 +50,13 @@
 }
 
 // seedPatience is how long this instance waits after its start for an answer of the seeds. When the whole system starts for
-// the first time, nobody is announced, and the seeds start as well.
+// the first time, nobody is announced, and the seeds start as well. After a restart of all they start as well too; the waits are
+// spread then, so that few ask before the first ones are heard.
 func (n *Node) seedPatience() time.Duration {
 	if n.Bootstrap {
 		return max(seedWait, n.startPatience())
 	}
-	return seedWait
+	return seedWait + time.Duration(n.patience*float64(n.startPatience()))
 }
 
 // announcementIsOld reports whether this instance is not announced, or with a number of instances that is far off.
--- a/internal/fleet/kept.go
+++ b/internal/fleet/kept.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// keepAfter is how long an instance reads its zone before it keeps the marks.
+	keepAfter = 100 * time.Millisecond
 	// readKeptRetry is the pause after a read of the kept marks that failed. After a restart of all they have to be known again
 	// within the 3 s after which instances count as undisturbed.
 	readKeptRetry = 500 * time.Millisecond
@@ -44,9 +46,10 @@
 	err  error
 }
 
-// keepsMarks reports whether this instance keeps the marks for all: it reads the load of the first zone that has a reader.
-func (n *Node) keepsMarks() bool {
-	if !n.reader {
+// keepsMarks reports whether this instance keeps the marks for all: it reads the load of the first zone that has a reader. Just
+// after a start several take themselves for that.
+func (n *Node) keepsMarks(now time.Time) bool {
+	if !n.reader || now.Sub(n.readerSince) < keepAfter {
 		return false
 	}
 	for zone := range n.readers {
@@ -59,7 +62,7 @@
 
 // keepMarks reads the marks in the store after a start, and brings them in line with those of this instance.
 func (n *Node) keepMarks(ctx context.Context, now time.Time) {
-	if n.CrashMarks == nil || n.kept.calling || now.Before(n.kept.nextAt) || !n.targets.known || !n.keepsMarks() {
+	if n.CrashMarks == nil || n.kept.calling || now.Before(n.kept.nextAt) || !n.targets.known || !n.keepsMarks(now) {
 		return
 	}
 	n.kept.nextAt = now.Add(keepInterval)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -104,6 +104,8 @@
 	// announced is how this instance stands in the store, nil while that is not known.
 	announced *discovery.Member
 	joining   bool
+	// patience is the part of its start patience that this instance waits for the seeds.
+	patience  float64
 	joinAt    time.Time
 	joinPause time.Duration
 	seedsAt   time.Time
@@ -194,6 +196,7 @@
 		recentBase: -1, instances: 1, live: 1,
 		targets: topicReads{interval: targetsInterval}, configs: topicReads{interval: configsInterval},
 	}
+	n.patience = c.Random.Float64()
 	n.kept = keptMarks{inStore: map[string]bool{}, read: c.Bootstrap}
 	n.sampler = newSampler(c.Prober, c.Now)
 	return n
