--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -20,6 +20,7 @@
 
 var (
 	crashSchedules = flag.Int("fleet.crashes", 24, "number of random schedules of a request that crashes targets")
+	crashPerZone   = flag.Int("fleet.crashzone", 0, "number of instances a zone in the schedules of crashes, 0 for a drawn one")
 	crashSeed      = flag.Uint64("fleet.crashseed", 1, "seed of the first schedule of a request that crashes targets")
 )
 
@@ -456,6 +457,9 @@
 func drawCrashes(r *rand.Rand) (schedule, []crashKind) {
 	s := drawSchedule(r)
 	s.departures = nil
+	if *crashPerZone > 0 {
+		s.perZone = *crashPerZone
+	}
 	for i := range s.outages {
 		s.outages[i].lapse = false
 	}
