Route the log of the HTTP library before the first server of the session test

RouteServerLogs asks to be called before the first server; TestMain of internal/e2e does so now, as the other packages do.

--- a/internal/e2e/main_test.go
+++ b/internal/e2e/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"github.com/basillink/basillink/internal/daemoncli"
 	"github.com/basillink/basillink/internal/logservice"
 	"github.com/basillink/basillink/internal/standin"
+	"github.com/basillink/basillink/internal/telemetry"
 	"github.com/basillink/basillink/internal/testprocess"
 )
 
@@ -27,6 +29,8 @@
 	}
 	switch role, argument, _ := strings.Cut(os.Getenv(roleVariable), " "); role {
 	case "":
+		// Before the first server: a server that runs reads the library's logger without a lock.
+		telemetry.RouteServerLogs(slog.New(slog.DiscardHandler))
 		os.Exit(m.Run())
 	case "daemon":
 		runDaemon(ctx, argument)
