--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -23,6 +23,7 @@
 	"added":  addedRoute,
 	"expect": expectAfterIdle,
 	"hang":   hangAfterKill,
+	"leaver": frozenReader,
 	"memory": largeBodies,
 }
 
--- a/review/_lab/server.go
+++ b/review/_lab/server.go
@@ -26,8 +26,14 @@
 	waiting            atomic.Int64
 	// tellsLoad is true if the server adds X-Server-Load to its answers.
 	tellsLoad bool
-	sequence  int64
-	log       *runLog
+	// leftAt is when the entry of the server was removed.
+	leftAt time.Time
+
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	exited   bool
+	sequence int64
+	log      *runLog
 }
 
 // runLog records the requests that servers ran.
@@ -38,6 +44,7 @@
 
 // run is one run of a request.
 type run struct {
+	id        string
 	server    string
 	at        time.Time
 	bodyBytes int64
@@ -48,7 +55,7 @@
 func (l *runLog) add(id, server string, bodyBytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[id] = append(l.runs[id], run{server, time.Now(), bodyBytes})
+	l.runs[id] = append(l.runs[id], run{id, server, time.Now(), bodyBytes})
 }
 
 // of returns the runs of a request.
@@ -58,6 +65,21 @@
 	return append([]run(nil), l.runs[id]...)
 }
 
+// onServer returns the runs on a server.
+func (l *runLog) onServer(server string) []run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []run
+	for _, runs := range l.runs {
+		for _, r := range runs {
+			if r.server == server {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
 const (
 	maxQueued       = 8
 	serverIdleClose = 10 * time.Second
@@ -68,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), listener: listener, log: log}
+	s := &server{id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), conns: map[net.Conn]struct{}{}, listener: listener, log: log}
 	return s, nil
 }
 
@@ -82,6 +104,29 @@
 	}
 }
 
+// track remembers a connection, so that exit closes it. It closes the connection and returns false after exit.
+func (s *server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.exited {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+// exit ends the server as the end of its process does.
+func (s *server) exit() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exited = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 // entry returns the entry of the server in the store.
 func (s *server) entry(state string) map[string]any {
 	s.sequence++
@@ -103,6 +148,9 @@
 const healthPath = "/health"
 
 func (s *server) serve(conn net.Conn) {
+	if !s.track(conn) {
+		return
+	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -125,9 +173,10 @@
 // handle answers one request. It reports whether the connection stays open.
 func (s *server) handle(conn net.Conn, reader *bufio.Reader, request *http.Request, bodyBytes int64) bool {
 	id := request.Header.Get("X-Request-Id")
-	if request.URL.Path == healthPath {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, s.loadHeader())
-		return err == nil
+	// The health path of a server that tells its load answers at once. That of others waits for a slot like any request.
+	isHealth := request.URL.Path == healthPath
+	if isHealth && s.tellsLoad {
+		return s.answerHealth(conn)
 	}
 	if expected := request.Header.Get("X-Expected-Instance"); expected != "" && expected != s.id {
 		return s.reject(conn, id, "421 Misdirected Request")
@@ -148,6 +197,9 @@
 		return s.reject(conn, id, "503 Service Unavailable")
 	}
 	defer func() { <-s.slots }()
+	if isHealth {
+		return s.answerHealth(conn)
+	}
 	s.log.add(id, s.id, bodyBytes)
 	work := s.readWork
 	if strings.HasPrefix(request.URL.Path, unsafePath) {
@@ -163,6 +215,11 @@
 	return err == nil
 }
 
+func (s *server) answerHealth(conn net.Conn) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", s.id, s.loadHeader())
+	return err == nil
+}
+
 // stillOpen waits for the time that the work takes. It returns false as soon as the peer closes the connection.
 func stillOpen(conn net.Conn, reader *bufio.Reader, work time.Duration) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(work))
--- a/review/_lab/world.go
+++ b/review/_lab/world.go
@@ -12,12 +12,14 @@
 type world struct {
 	store   *store
 	servers []*server
-	edges   []*edge
-	runs    *runLog
-	trouble bool
-	dir     string
-	zones   []string
-	started time.Time
+	// serverCount is the number of servers that were started.
+	serverCount int
+	edges       []*edge
+	runs        *runLog
+	trouble     bool
+	dir         string
+	zones       []string
+	started     time.Time
 
 	mu     sync.Mutex
 	record *os.File
@@ -71,8 +73,9 @@
 const firstServerID = 0x7f3a9100
 
 func (w *world) addServer(service string, tellsLoad bool, readWork, bookWork time.Duration) error {
-	id := fmt.Sprintf("i-%08x", firstServerID+len(w.servers))
-	s, err := newServer(id, service, w.zones[len(w.servers)%len(w.zones)], slots, w.runs)
+	w.serverCount++
+	id := fmt.Sprintf("i-%08x", firstServerID+w.serverCount)
+	s, err := newServer(id, service, w.zones[w.serverCount%len(w.zones)], slots, w.runs)
 	if err != nil {
 		return err
 	}
