--- a/review/_lab/added.go
+++ b/review/_lab/added.go
@@ -94,7 +94,7 @@
 	for n := 0; time.Now().Before(end); n++ {
 		next := time.Now().Add(addedPeriod)
 		id := fmt.Sprintf("%s%s-%03d", e.id, path[:5], n)
-		c = w.ask(c, e, http.MethodGet, path+"2f", id, func(r reply, _ time.Duration) { report(r) })
+		c = w.ask(c, e, http.MethodGet, path+"2f", id, func(r reply, _ time.Duration, _ bool) { report(r) })
 		time.Sleep(time.Until(next))
 	}
 	if c != nil {
--- a/review/_lab/leaver.go
+++ b/review/_lab/leaver.go
@@ -86,7 +86,7 @@
 			return
 		default:
 		}
-		c = w.ask(c, e, http.MethodPost, unsafePath+"2f", fmt.Sprintf("book%02d-%04d", number, n), func(reply, time.Duration) {})
+		c = w.ask(c, e, http.MethodPost, unsafePath+"2f", fmt.Sprintf("book%02d-%04d", number, n), func(reply, time.Duration, bool) {})
 	}
 }
 
