--- a/review/_lab/edge.go
+++ b/review/_lab/edge.go
@@ -26,20 +26,51 @@
 // edgePorts are the ports of an instance. They are the same on all machines.
 type edgePorts struct{ front, readiness, peer int }
 
-// freePorts returns three ports that are free on the loopback addresses.
-func freePorts() (edgePorts, error) {
+// freePorts returns three ports that are free on the loopback addresses of a number of machines.
+func freePorts(machines int) (edgePorts, error) {
 	var ports [3]int
 	for i := range ports {
-		listener, err := net.Listen("tcp", "0.0.0.0:0")
+		port, listeners, err := freePort(machines)
+		// The listeners stay open until all ports are chosen, so that no port is chosen twice.
+		defer closeAll(listeners)
 		if err != nil {
 			return edgePorts{}, err
 		}
-		defer func() { _ = listener.Close() }()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
+		ports[i] = port
 	}
 	return edgePorts{ports[0], ports[1], ports[2]}, nil
 }
 
+// maxPortTries bounds the search for a port that is free on all machines.
+const maxPortTries = 20
+
+// freePort returns a port that is free on the address of each machine, and the listeners that hold it there.
+func freePort(machines int) (port int, listeners []net.Listener, err error) {
+	for range maxPortTries {
+		port = 0
+		for number := 1; number <= machines; number++ {
+			var listener net.Listener
+			if listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", edgeIP(number), port)); err != nil {
+				break
+			}
+			listeners = append(listeners, listener)
+			port = listener.Addr().(*net.TCPAddr).Port
+		}
+		if err == nil {
+			return port, listeners, nil
+		}
+		closeAll(listeners)
+		listeners = nil
+	}
+	return 0, nil, err
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
 // newEdge writes the settings file that the platform would fill in from the template.
 func newEdge(number int, zone string, ports edgePorts, storeAddress string, seeds []string, directory string) (*edge, error) {
 	e := &edge{id: fmt.Sprintf("edge-%s-%d", zone, number), zone: zone, ip: edgeIP(number), ports: ports}
--- a/review/_lab/memory.go
+++ b/review/_lab/memory.go
@@ -16,7 +16,7 @@
 	// uploads is the number of clients that send a long body at the same time, uploadBytes its length (maxBodyBytes is 67108864), and
 	// smallUploadBytes the length without the trouble.
 	uploads          = 8
-	uploadBytes      = 32 << 20
+	uploadBytes      = 48 << 20
 	smallUploadBytes = 4 << 10
 	// linkBytesPerS is the bandwidth of a machine's link, 1,000 Mbit/s. The uploads share it.
 	linkBytesPerS  = 125_000_000
@@ -33,7 +33,7 @@
 )
 
 // largeBodies lets clients read on kept connections while others send bodies within the limits of the configuration. The trouble is
-// the length of these bodies: eight of 32 MiB instead of 4 KiB.
+// the length of these bodies: eight of 48 MiB instead of 4 KiB.
 func largeBodies(w *world) (bool, error) {
 	if err := w.startServers(8, readerWork, readerWork); err != nil {
 		return false, err
--- a/review/_lab/world.go
+++ b/review/_lab/world.go
@@ -133,7 +133,7 @@
 
 // startEdges starts the instances and waits until all are ready.
 func (w *world) startEdges(count int) error {
-	ports, err := freePorts()
+	ports, err := freePorts(count)
 	if err != nil {
 		return err
 	}
