--- a/review/_lab2/lab.go
+++ b/review/_lab2/lab.go
@@ -79,6 +79,8 @@
 	stopping atomic.Bool
 	// ownEnds counts how often the process ended by itself.
 	ownEnds atomic.Int64
+	// peakMemory is the most resident memory that was seen, in bytes.
+	peakMemory atomic.Int64
 }
 
 const (
@@ -242,6 +244,13 @@
 
 func (n *node) front() string { return net.JoinHostPort(n.host, fmt.Sprint(frontPort)) }
 
+// killOnce kills the process, which is started again like one that ended by itself.
+func (n *node) killOnce() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.command.Process.Kill()
+}
+
 // kill ends the process and waits for its end.
 func (n *node) kill() {
 	n.stopping.Store(true)
--- a/review/_lab2/server.go
+++ b/review/_lab2/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -69,6 +70,7 @@
 		s.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body)
 	if s.waiting.Add(1) > maxQueue {
 		s.waiting.Add(-1)
 		s.reject(w, http.StatusServiceUnavailable)
