Review: show that a late heartbeat brings a departed server back (case 8)

Cause: the registry compares the sequence of an older entry only for targets that were draining, not for those that are gone.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lab2 ] && [ -x target/basillinkd ] || exit 2
-exec target/lab2 status review/8
+exec target/lab2 late review/8
