--- a/review/_lab2/chunk.go
+++ b/review/_lab2/chunk.go
@@ -56,7 +56,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go l.heartbeats(servers, stop)
+	l.register(servers)
 	route := func(name string) routes.Route {
 		return routes.Route{
 			Name: name, Host: host, PathPrefix: "/" + name + "/", Timeout: 9 * time.Second, LatencyObjective: time.Second,
--- a/review/_lab2/garble.go
+++ b/review/_lab2/garble.go
@@ -83,9 +83,7 @@
 		s.handler.Store(&handler)
 		servers = append(servers, s)
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go l.heartbeats(servers, stop)
+	l.register(servers)
 	l.store.PutConfig(&routes.Config{
 		Version:  1,
 		Services: []routes.Service{{Name: "desk", HealthPath: "/health", MaxConnections: 250}},
--- a/review/_lab2/late.go
+++ b/review/_lab2/late.go
@@ -22,7 +22,10 @@
 	expiry    = 3 * heartbeatInterval
 	// stability is stabilityWindowS.
 	stability  = 3 * time.Second
-	lateLength = 22 * time.Second
+	lateLength = 20 * time.Second
+	// coldTime is how long a server is slow after its start, and startAfter when the server that leaves starts.
+	coldTime   = 3 * time.Second
+	startAfter = 5 * time.Second
 )
 
 // runLate lets a server leave after one of its heartbeats got no answer. The store executes that heartbeat after the server's
@@ -40,11 +43,8 @@
 		s.handler.Store(&handler)
 		servers = append(servers, s)
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go l.heartbeats(servers[1:], stop)
+	l.register(servers[1:])
 	leaver := servers[0]
-	leaver.heartbeat(l.store, 1)
 	l.store.PutConfig(&routes.Config{
 		Version: 1, Services: []routes.Service{{Name: "desk", HealthPath: "/health", MaxConnections: 250}},
 		Routes: []routes.Route{{
@@ -77,37 +77,33 @@
 	return l.judgeDrain(&all, arrived, leaver, goneAt, lateAt)
 }
 
-// leave sends the heartbeats of a server until it leaves, and does what the store does. It returns when the removal of the server's
-// entry was acknowledged, and when the late heartbeat was executed.
+// leave starts a server, sends its heartbeats until it leaves, and does what the store does. The heartbeats up to the third change
+// the rest of the time for which the server is slow, and so the entry; the store records no others. It returns when the removal of
+// the entry was acknowledged, and when the late heartbeat was executed.
 func (l *lab) leave(s *server) (goneAt, lateAt time.Duration) {
-	sequence := int64(1)
-	beat := func() {
-		time.Sleep(heartbeatInterval)
-		sequence++
-		s.heartbeat(l.store, sequence)
-	}
-	for range 4 {
-		beat()
-	}
+	time.Sleep(startAfter)
+	s.born = time.Now().UnixMilli()
+	s.heartbeat(l.store, 1, coldTime)
+	l.logf("%s starts: heartbeat 1, slow for another %s", s.id, coldTime)
 	time.Sleep(heartbeatInterval)
-	sequence++
-	lost, lostAt := sequence, time.Now()
+	lostAt := time.Now()
 	if l.trouble {
-		l.logf("%s sends heartbeat %d; the store does not answer and has not executed it yet", s.id, lost)
+		l.logf("%s sends heartbeat 2; the store does not answer and has not executed it yet", s.id)
 	} else {
-		s.heartbeat(l.store, lost)
+		s.heartbeat(l.store, 2, coldTime-heartbeatInterval)
 	}
-	beat()
-	beat()
+	time.Sleep(heartbeatInterval)
+	s.heartbeat(l.store, 3, 0)
+	l.logf("the store executes and answers heartbeat 3 of %s; heartbeat 4 changes only the sequence", s.id)
 	time.Sleep(leaveAfter - time.Since(lostAt))
 	l.store.DropTarget(s.id)
 	goneAt = time.Since(l.started)
-	l.logf("%s leaves: the removal of its entry is acknowledged, after heartbeat %d; it goes on to serve", s.id, sequence)
+	l.logf("%s leaves: the removal of its entry is acknowledged; it goes on to serve", s.id)
 	time.Sleep(lateAfter - time.Since(lostAt))
 	lateAt = time.Since(l.started)
 	if l.trouble {
-		s.heartbeat(l.store, lost)
-		l.logf("the store executes heartbeat %d of %s, %s after it was sent", lost, s.id, lateAfter)
+		s.heartbeat(l.store, 2, coldTime-heartbeatInterval)
+		l.logf("the store executes heartbeat 2 of %s, %s after it was sent", s.id, lateAfter)
 	}
 	time.Sleep(expiry)
 	l.store.DropTarget(s.id)
--- a/review/_lab2/server.go
+++ b/review/_lab2/server.go
@@ -49,10 +49,10 @@
 	return s, nil
 }
 
-// heartbeat writes the server's entry to the store.
-func (s *server) heartbeat(store *platformtest.Store, sequence int64) {
+// heartbeat writes the server's entry to the store. warmup is how much longer the server stays slow after its start.
+func (s *server) heartbeat(store *platformtest.Store, sequence int64, warmup time.Duration) {
 	store.PutTarget(&registry.Entry{
-		ID: s.id, Address: s.address, Service: s.service, Zone: s.zone, Slots: cap(s.slots), Born: s.born,
+		ID: s.id, Address: s.address, Service: s.service, Zone: s.zone, Slots: cap(s.slots), Born: s.born, WarmupLeft: warmup,
 	}, sequence)
 }
 
@@ -93,16 +93,10 @@
 	w.WriteHeader(status)
 }
 
-// heartbeats renews the entries of servers in the store every 1.5 s until stop is closed.
-func (l *lab) heartbeats(servers []*server, stop <-chan struct{}) {
-	for sequence := int64(1); ; sequence++ {
-		for _, s := range servers {
-			s.heartbeat(l.store, sequence)
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(1500 * time.Millisecond):
-		}
+// register writes the entries of servers to the store. Their later heartbeats change nothing but the sequence, so that the store
+// keeps the entries as they are.
+func (l *lab) register(servers []*server) {
+	for _, s := range servers {
+		s.heartbeat(l.store, 1, 0)
 	}
 }
