Refuse messages whose Trailer list has an empty element

A caller that sent "Trailer: ," itself got no answer, and each such request logged an error with a stack of 4 KB.

Cause: the HTTP library indexes the first byte of each name in the list of the Trailer header (protocol.IsBadTrailer), so that a list with an empty element ("Trailer: ,") panics while the head is decoded, in answers with a length, in chunked and in interim ones, and in requests. In the goroutine of a load probe nothing recovers from it. Ruled out: memory, a refused transition, a fatal line of the library's logger; the stack of each end is the same.

Change: framing.Check, which every head of a request and of an answer passes before the library decodes it, returns a typed error for an empty element. Callers get 400 bad_framing; an answer is malformed: 502, of unknown outcome, and repeated for idempotent routes only. Trailers are never forwarded, so nothing is lost by it.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -217,6 +217,25 @@
 // meanSlowdownGain is the weight of one load report in the mean slowdown. A service yields some hundred reports a second.
 const meanSlowdownGain = 0.001
 
+// Usage counts what the requests of this instance hold in a Pool. All counts are 0 while no request is being served.
+type Usage struct {
+	// InFlight counts the slots of registered targets, PendingClaims the claims that may still be denied, and Waiting the
+	// requests in the queue.
+	InFlight, PendingClaims, Waiting int
+}
+
+// Usage returns the current usage.
+func (p *Pool) Usage() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := Usage{Waiting: len(p.waiting)}
+	for _, t := range p.targets {
+		u.InFlight += t.ownInFlight
+		u.PendingClaims += len(t.pendingClaims)
+	}
+	return u
+}
+
 // MarkUnreachable records that the health path of a target does not answer, so that the target is skipped for a time.
 func (p *Pool) MarkUnreachable(id string) {
 	p.mu.Lock()
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -40,8 +40,9 @@
 	encodingCount int
 }
 
-// Check returns an *Error if a header line is malformed or folded, or if the length of the body is ambiguous. The lines
-// start after the first line of the message and end with an empty line.
+// Check returns an *Error if a header line is malformed or folded, if the length of the body is ambiguous, or if the list
+// of a Trailer header has an empty element, for which the codec panics. The lines start after the first line of the
+// message and end with an empty line.
 func Check(lines []byte) error {
 	var h bodyHeaders
 	for len(lines) > 0 {
@@ -79,6 +80,21 @@
 		if !equalFold(value, "chunked") {
 			return &Error{"Transfer-Encoding is not chunked: " + strconv.Quote(string(value))}
 		}
+	case equalFold(name, "trailer"):
+		return checkTrailerNames(value)
+	}
+	return nil
+}
+
+// checkTrailerNames returns an *Error if a non-empty list of names has an empty element. No sender may generate one
+// (RFC 9110, section 5.6.1.1).
+func checkTrailerNames(list []byte) error {
+	for len(list) > 0 {
+		name, rest, more := bytes.Cut(list, []byte{','})
+		if len(bytes.Trim(name, " \t")) == 0 || more && len(rest) == 0 {
+			return &Error{"the list of the Trailer header has an empty element"}
+		}
+		list = rest
 	}
 	return nil
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -42,9 +42,26 @@
 	"X: a\r\n Content-Length: 3\r\n\r\n",
 	"X: a\rContent-Length: 3\r\n\r\n",
 	"Connection: close, X-A\r\nX-A: b\r\n\r\n",
+	"Trailer: X-A, X-B\r\n\r\n",
+	"Trailer: ,\r\n\r\n",
+	"trailer: a,\t,b\r\n\r\n",
+	"Trailer:\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"\r\n",
 }
 
+// Guards against a Trailer header with an empty list element, for which the codec panics, and against the refusal of other
+// Trailer headers.
+func TestEmptyTrailerElements(t *testing.T) {
+	for list, valid := range map[string]bool{
+		"": true, "X-Sum": true, "X-A, X-B": true, "X-A ,\tX-B": true,
+		",": false, ",,": false, ", ,a": false, "a,,b": false, "a, \t,b": false, "a,": false, ",a": false, "a, ": false,
+	} {
+		if err := Check([]byte("Trailer: " + list + "\r\n\r\n")); (err == nil) != valid {
+			t.Errorf("list %q: error %v, want valid %v", list, err, valid)
+		}
+	}
+}
+
 // Guards against request heads for which the codec and net/http read bodies of different length. They must agree on every
 // head that Check accepts.
 func FuzzCheck(f *testing.F) {
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -91,6 +91,39 @@
 	return b
 }
 
+// checkIdle fails the test if a request still holds anything a short time after the last one was answered: a slot of a target, a
+// claim, a place in the queue, a connection or a part of the memory budget.
+func (b *testbed) checkIdle(t *testing.T) {
+	t.Helper()
+	var held heldResources
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if held = b.held(); held == (heldResources{}) {
+			return
+		}
+	}
+	t.Errorf("resources that are still held: %+v", held)
+}
+
+// heldResources counts what the requests of a gateway hold.
+type heldResources struct {
+	dispatch.Usage
+	requests, memory int64
+	connections      int
+}
+
+func (b *testbed) held() heldResources {
+	held := heldResources{requests: b.gateway.InFlight(), memory: b.gateway.Memory.Used()}
+	for _, pool := range b.view.Load().Pools {
+		held.Usage = pool.Usage()
+	}
+	b.gateway.mu.Lock()
+	defer b.gateway.mu.Unlock()
+	for _, conns := range b.gateway.targetConns {
+		held.connections += conns.pool.InUse()
+	}
+	return held
+}
+
 func newView(t testing.TB, now func() time.Duration, targets []*rawtarget.Target) *View {
 	t.Helper()
 	table := buildTable(t, "s")
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -212,6 +212,14 @@
 	}
 }
 
+// InUse returns the number of connections that are not idle: those of exchanges and checks, and those that are being
+// opened.
+func (p *Pool) InUse() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.numOpen - len(p.idle)
+}
+
 // CountIdle returns how many of the idle connections that were opened before the given time are open, and how many the
 // peer has closed.
 func (p *Pool) CountIdle(openedBefore time.Time) (open, closed int) {
