Return panics of the message decoder as typed errors

The codec of the HTTP library is the decoder of the answers of targets, of the store and of other instances, also in goroutines and timers that no guard covers (load probes, reads of the store, checks of connections), and of callers' requests, where the guard of the connection closed it without an answer.

Change: panicguard.Catch runs the codec and returns a panic as a *panicguard.Error with the function and line that panicked; it counts them. Such a request is refused with 400 bad_framing, such an answer is malformed, on the same way as all other malformed messages, so that connection, slot and memory are given back. It is the second line behind framing.Check: no message is known that reaches it. inbound returns a Refusal with its cause, so that the log line of a refused request names what was wrong (dropped before); what it quotes of a header has at most 64 bytes.

The fuzz targets fail on a panic of the decoder also where it is caught.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -15,6 +15,17 @@
 
 func (e *Error) Error() string { return e.Detail }
 
+// maxQuotedBytes bounds the part of a header that an Error quotes, because callers choose it and errors are logged.
+const maxQuotedBytes = 64
+
+// quote quotes the beginning of a name or value.
+func quote(b []byte) string {
+	if len(b) <= maxQuotedBytes {
+		return strconv.Quote(string(b))
+	}
+	return strconv.Quote(string(b[:maxQuotedBytes])) + "..."
+}
+
 // HeadEnd returns the length of the head in b including its empty line, or 0 if the head is incomplete.
 func HeadEnd(b []byte) int {
 	for offset := 0; ; {
@@ -66,11 +77,11 @@
 func (h *bodyHeaders) add(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !IsToken(name) {
-		return &Error{"malformed header name: " + strconv.Quote(string(name))}
+		return &Error{"malformed header name: " + quote(name)}
 	}
 	value = bytes.Trim(value, " \t")
 	if !isFieldValue(value) {
-		return &Error{"value of header " + string(name) + " contains a control character"}
+		return &Error{"value of header " + quote(name) + " contains a control character"}
 	}
 	switch {
 	case equalFold(name, "content-length"):
@@ -78,7 +89,7 @@
 	case equalFold(name, "transfer-encoding"):
 		h.encodingCount++
 		if !equalFold(value, "chunked") {
-			return &Error{"Transfer-Encoding is not chunked: " + strconv.Quote(string(value))}
+			return &Error{"Transfer-Encoding is not chunked: " + quote(value)}
 		}
 	case equalFold(name, "trailer"):
 		return checkTrailerNames(value)
@@ -102,11 +113,11 @@
 // addLength records a Content-Length header. It accepts up to 18 digits, which always fit into an int64.
 func (h *bodyHeaders) addLength(value []byte) error {
 	if len(value) == 0 || len(value) > 18 {
-		return &Error{"malformed Content-Length: " + strconv.Quote(string(value))}
+		return &Error{"malformed Content-Length: " + quote(value)}
 	}
 	for _, digit := range value {
 		if digit < '0' || digit > '9' {
-			return &Error{"malformed Content-Length: " + strconv.Quote(string(value))}
+			return &Error{"malformed Content-Length: " + quote(value)}
 		}
 	}
 	h.lengthCount++
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cloudwego/hertz/pkg/network"
@@ -62,6 +64,16 @@
 	}
 }
 
+// Guards against errors, which are logged, that are as long as a caller makes its headers.
+func TestErrorsAreShort(t *testing.T) {
+	long := strings.Repeat("\x01", 16<<10)
+	for _, lines := range []string{long, long + ": a", strings.Repeat("a", 16<<10) + ": " + long, "Content-Length: " + long, "Transfer-Encoding: " + strings.Repeat("z", 16<<10)} {
+		if err := Check([]byte(lines + "\r\n\r\n")); err == nil || len(err.Error()) > 512 {
+			t.Errorf("an error of %d bytes, want at most 512", len(fmt.Sprint(err)))
+		}
+	}
+}
+
 // Guards against request heads for which the codec and net/http read bodies of different length. They must agree on every
 // head that Check accepts.
 func FuzzCheck(f *testing.F) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,7 +75,7 @@
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
 	if refusal := g.inbound.ReadRequest(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
-		_ = g.writeResult(ctx, c, &call{request: &c.Request}, g.withoutUnprovenNotRun(c, newRefusal(refusal)))
+		_ = g.writeResult(ctx, c, &call{request: &c.Request}, g.withoutUnprovenNotRun(c, &result{failureReason: refusal.Reason, cause: refusal.Cause}))
 		inbound.Linger(ctx)
 		return false
 	}
--- a/internal/inbound/fuzz_test.go
+++ b/internal/inbound/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -71,7 +73,7 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	var refusal *reason.Reason
+	var refusal *Refusal
 	c := app.NewContext(0)
 	replay := startReplay(func(conn network.Conn) {
 		c.Reset()
@@ -80,8 +82,12 @@
 	})
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		replay(raw)
-		if refusal != nil && refusal.Outcome != reason.NotRun {
-			t.Errorf("refused as %s, which does not say that the request was not run", refusal.Name)
+		var panicked *panicguard.Error
+		if refusal != nil && errors.As(refusal.Cause, &panicked) {
+			t.Errorf("the decoder panicked: %v", panicked)
+		}
+		if refusal != nil && refusal.Reason.Outcome != reason.NotRun {
+			t.Errorf("refused as %s, which does not say that the request was not run", refusal.Reason.Name)
 		}
 		if body := c.Request.Body(); refusal == nil && len(body) > fuzzLimits.MaxBodyBytes {
 			t.Errorf("a body of %d bytes was accepted, the limit is %d", len(body), fuzzLimits.MaxBodyBytes)
--- a/internal/inbound/longbody.go
+++ b/internal/inbound/longbody.go
@@ -16,10 +16,10 @@
 
 // readLongBody reads a body of known length into one buffer. The HTTP library would hold it in the buffer of the connection and
 // copy it.
-func readLongBody(c *app.RequestContext, conn network.Conn, length int) *reason.Reason {
+func readLongBody(c *app.RequestContext, conn network.Conn, length int) *Refusal {
 	body := make([]byte, length)
 	if _, err := io.ReadFull(conn, body); err != nil {
-		return readErrorReason(err, reason.BodyTruncated)
+		return refuseReadError(err, reason.BodyTruncated)
 	}
 	c.Request.SetBodyRaw(body)
 	return nil
--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -13,6 +13,7 @@
 
 	"github.com/basillink/basillink/internal/framing"
 	"github.com/basillink/basillink/internal/membudget"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -32,9 +33,24 @@
 	Memory *membudget.Grant
 }
 
-// ReadRequest reads one request into c. It returns nil, or the reason of a refusal. After a refusal the position in the input is
-// undefined, so the connection must be closed.
-func (l Limits) ReadRequest(c *app.RequestContext) *reason.Reason {
+// Refusal is the result for a request that was not read completely.
+type Refusal struct {
+	Reason *reason.Reason
+	// Cause is the error behind the reason. It is only logged.
+	Cause error
+}
+
+// refuse returns a refusal whose reason says all that is known.
+func refuse(r *reason.Reason) *Refusal { return &Refusal{Reason: r, Cause: r} }
+
+// MissingHostError reports an HTTP/1.1 request without a Host header.
+type MissingHostError struct{}
+
+func (*MissingHostError) Error() string { return "the request has no Host header" }
+
+// ReadRequest reads one request into c. It returns nil, or a refusal. After a refusal the position in the input is undefined, so
+// the connection must be closed.
+func (l Limits) ReadRequest(c *app.RequestContext) *Refusal {
 	if refusal := l.ReadHead(c); refusal != nil {
 		return refusal
 	}
@@ -42,10 +58,10 @@
 }
 
 // ReadHead is like ReadRequest, but leaves the body unread.
-func (l Limits) ReadHead(c *app.RequestContext) *reason.Reason {
+func (l Limits) ReadHead(c *app.RequestContext) *Refusal {
 	conn := c.GetConn()
 	if err := conn.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
-		return reason.BadFraming
+		return &Refusal{reason.BadFraming, err}
 	}
 	head, refusal := l.peekHead(conn)
 	if refusal != nil {
@@ -54,34 +70,34 @@
 	if refusal := checkHead(head); refusal != nil {
 		return refusal
 	}
-	if err := req.ReadHeader(&c.Request.Header, conn); err != nil {
-		return reason.BadFraming
+	if err := panicguard.Catch(func() error { return req.ReadHeader(&c.Request.Header, conn) }); err != nil {
+		return &Refusal{reason.BadFraming, err}
 	}
 	if c.Request.Header.IsHTTP11() && len(c.Request.Header.Host()) == 0 {
-		return reason.BadFraming
+		return &Refusal{reason.BadFraming, &MissingHostError{}}
 	}
 	return nil
 }
 
 // peekHead waits for a complete head and returns it without consuming it.
-func (l Limits) peekHead(conn network.Conn) ([]byte, *reason.Reason) {
+func (l Limits) peekHead(conn network.Conn) ([]byte, *Refusal) {
 	for needed := 1; ; {
 		if _, err := conn.Peek(needed); err != nil {
-			return nil, readErrorReason(err, reason.BadFraming)
+			return nil, refuseReadError(err, reason.BadFraming)
 		}
 		available, err := conn.Peek(conn.Len())
 		if err != nil {
-			return nil, reason.BadFraming
+			return nil, &Refusal{reason.BadFraming, err}
 		}
 		end := framing.HeadEnd(available)
 		if end > l.MaxHeaderBytes || end == 0 && len(available) > l.MaxHeaderBytes {
-			return nil, reason.HeaderTooLarge
+			return nil, refuse(reason.HeaderTooLarge)
 		}
 		if end > 0 {
 			return available[:end], nil
 		}
 		if malformedStart(available) {
-			return nil, reason.BadRequestLine
+			return nil, refuse(reason.BadRequestLine)
 		}
 		needed = len(available) + 1
 	}
@@ -95,58 +111,72 @@
 }
 
 // checkHead validates the request line and the framing headers.
-func checkHead(head []byte) *reason.Reason {
+func checkHead(head []byte) *Refusal {
 	line, rest, _ := bytes.Cut(head, []byte{'\n'})
 	if !ValidRequestLine(bytes.TrimSuffix(line, []byte{'\r'})) {
-		return reason.BadRequestLine
+		return refuse(reason.BadRequestLine)
 	}
-	if framing.Check(rest) != nil {
-		return reason.BadFraming
+	if err := framing.Check(rest); err != nil {
+		return &Refusal{reason.BadFraming, err}
 	}
 	return nil
 }
 
 // readBody reads the body. It sends the interim answer first if the caller expects one.
-func (l Limits) readBody(c *app.RequestContext, conn network.Conn) *reason.Reason {
+func (l Limits) readBody(c *app.RequestContext, conn network.Conn) *Refusal {
 	length := c.Request.Header.ContentLength()
 	if length > l.MaxBodyBytes {
-		return reason.BodyTooLarge
+		return refuse(reason.BodyTooLarge)
 	}
 	if length > longBodyBytes && !l.Memory.Grow(length, membudget.ForBody) {
-		return reason.MemoryFull
+		return refuse(reason.MemoryFull)
 	}
 	if c.Request.MayContinue() {
-		if _, err := conn.WriteBinary(continueResponse); err != nil {
-			return reason.BodyTruncated
-		}
-		if err := conn.Flush(); err != nil {
-			return reason.BodyTruncated
+		if err := sendContinue(conn); err != nil {
+			return &Refusal{reason.BodyTruncated, err}
 		}
 	}
 	if err := conn.SetReadDeadline(time.Now().Add(l.BodyTimeout)); err != nil {
-		return reason.BodyTruncated
+		return &Refusal{reason.BodyTruncated, err}
 	}
 	if length > longBodyBytes {
 		return readLongBody(c, conn, length)
 	}
 	reader := &grantReader{Reader: conn, memory: l.Memory}
-	err := req.ContinueReadBody(&c.Request, reader, l.MaxBodyBytes, false)
+	err := panicguard.Catch(func() error { return req.ContinueReadBody(&c.Request, reader, l.MaxBodyBytes, false) })
+	if err != nil {
+		return refuseBodyError(err)
+	}
+	return nil
+}
+
+// sendContinue sends the interim answer.
+func sendContinue(conn network.Conn) error {
+	if _, err := conn.WriteBinary(continueResponse); err != nil {
+		return err
+	}
+	return conn.Flush()
+}
+
+// refuseBodyError returns the refusal of a request whose body could not be read.
+func refuseBodyError(err error) *Refusal {
+	var panicked *panicguard.Error
 	switch {
-	case err == nil:
-		return nil
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
-		return reason.BodyTooLarge
+		return refuse(reason.BodyTooLarge)
 	case errors.Is(err, reason.MemoryFull):
-		return reason.MemoryFull
+		return refuse(reason.MemoryFull)
+	case errors.As(err, &panicked):
+		return &Refusal{reason.BadFraming, err}
 	}
-	return readErrorReason(err, reason.BodyTruncated)
+	return refuseReadError(err, reason.BodyTruncated)
 }
 
-// readErrorReason returns RequestTimeout for a timeout and fallback for any other read error.
-func readErrorReason(err error, fallback *reason.Reason) *reason.Reason {
+// refuseReadError returns the refusal for a read error: RequestTimeout for a timeout, and fallback for any other one.
+func refuseReadError(err error, fallback *reason.Reason) *Refusal {
 	var timeout net.Error
 	if errors.Is(err, hertzerrors.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
-		return reason.RequestTimeout
+		return &Refusal{reason.RequestTimeout, err}
 	}
-	return fallback
+	return &Refusal{fallback, err}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -102,8 +102,7 @@
 	defer memory.Close()
 	if refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
-		r := newRefusal(refusal)
-		r.retryAfter = notReadyRetryAfter
+		r := &result{failure: refusal.Reason, cause: refusal.Cause, retryAfter: notReadyRetryAfter}
 		_ = g.writeRefusal(c, &call{id: string(c.Request.Header.Peek(g.Headers.RequestID)), arrivedAt: arrivedAt}, r)
 		inbound.Linger(ctx)
 		return false
@@ -120,13 +119,13 @@
 
 // readRequest reads a request. It returns what the request holds of the memory budget. Without memory for a request, only its
 // head is read.
-func (g *Gateway) readRequest(c *app.RequestContext, limits inbound.Limits) (*membudget.Grant, *reason.Reason) {
+func (g *Gateway) readRequest(c *app.RequestContext, limits inbound.Limits) (*membudget.Grant, *inbound.Refusal) {
 	memory, ok := g.Memory.Open(requestBytes)
 	if !ok {
 		if refusal := limits.ReadHead(c); refusal != nil {
 			return memory, refusal
 		}
-		return memory, reason.MemoryFull
+		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
 	}
 	limits.Memory = memory
 	return memory, limits.ReadRequest(c)
--- a/internal/transport/fuzz_test.go
+++ b/internal/transport/fuzz_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 // replayConn delivers the bytes of its reader and discards what is written.
@@ -76,5 +79,9 @@
 		if len(body) > fuzzLimits.MaxBodyBytes {
 			t.Errorf("a body of %d bytes was accepted, the limit is %d", len(body), fuzzLimits.MaxBodyBytes)
 		}
+		var panicked *panicguard.Error
+		if errors.As(err, &panicked) {
+			t.Errorf("the decoder panicked: %v", panicked)
+		}
 	})
 }
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/basillink/basillink/internal/framing"
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 // maxInterimAnswers bounds the answers that are read to find the final one. Interim (1xx) answers may precede it.
@@ -25,7 +26,7 @@
 		if err := c.checkHead(answer); err != nil {
 			return err
 		}
-		if err := resp.ReadHeader(&response.Header, c); err != nil {
+		if err := panicguard.Catch(func() error { return resp.ReadHeader(&response.Header, c) }); err != nil {
 			return err
 		}
 		if response.StatusCode() == http.StatusSwitchingProtocols || response.StatusCode() < http.StatusContinue {
