Recover from panics in the goroutines that decode what others send

A panic there ended the process, and as all instances read the same bytes, the fleet.

The control loop itself kept what a message had half applied. A read of targets that panicked counted as read, so that the departures in it were lost for good: the topic is listed again now, once. A view that was not published because of a panic is published within a second.

--- a/internal/fleet/crash_marks.go
+++ b/internal/fleet/crash_marks.go
@@ -140,8 +140,12 @@
 	address, from := p.Address, p.ID
 	go func() {
 		time.Sleep(jitter)
-		marks, err := n.link.fetchMarks(ctx, address)
-		n.deliver(ctx, marksFetched{marks, from, err})
+		e := marksFetched{peerID: from}
+		e.err = n.guardCall(peerPart, func() (err error) {
+			e.marks, err = n.link.fetchMarks(ctx, address)
+			return err
+		})
+		n.deliver(ctx, e)
 	}()
 }
 
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -117,20 +117,30 @@
 	next, known := n.configsTopic.next, n.configsTopic.known
 	go func() {
 		r := configsRead{startedAt: now}
-		if known {
-			r.configs, r.next, r.err = n.Store.ConfigsSince(ctx, next)
-		}
-		if !known || isTrimmed(r.err) {
-			var newest *routes.Config
-			newest, r.next, r.err = n.Store.NewestConfig(ctx)
-			if newest != nil {
-				r.configs = []*routes.Config{newest}
-			}
-		}
+		r.err = n.guardCall(storePart, func() (err error) {
+			r.configs, r.next, err = n.fetchConfigs(ctx, next, known)
+			return err
+		})
 		n.deliver(ctx, r)
 	}()
 }
 
+// fetchConfigs reads the configurations from an offset on, or the newest one if none is known or the offset is no longer
+// available.
+func (n *Node) fetchConfigs(ctx context.Context, from int64, known bool) (configs []*routes.Config, next int64, err error) {
+	if known {
+		configs, next, err = n.Store.ConfigsSince(ctx, from)
+		if !isTrimmed(err) {
+			return configs, next, err
+		}
+	}
+	newest, next, err := n.Store.NewestConfig(ctx)
+	if newest != nil {
+		configs = []*routes.Config{newest}
+	}
+	return configs, next, err
+}
+
 // readPriority returns the priority of this instance for reads of the store.
 func (n *Node) readPriority(now time.Time, rank int) readPriority {
 	return readPriority{rank: rank, isLeader: n.isLeader, firstRead: n.firstReadTime(now, rank), failing: n.failingInFleet, storeAnsweredAt: n.storeAnsweredAt}
@@ -231,20 +241,30 @@
 	n.targetsTopic.readStarted(now)
 	n.logRead("targets", &n.targetsTopic, rank, now)
 	n.traffic.storeCalls[CallTargets].Add(1)
-	next, known := n.targetsTopic.next, n.targetsTopic.known
+	next, known := n.targetsTopic.next, n.targetsTopic.known && !n.targetsTopic.relist
 	go func() {
 		r := targetsRead{startedAt: now}
-		if known {
-			r.changes, r.next, r.err = n.Store.TargetsSince(ctx, next)
-		}
-		if !known || isTrimmed(r.err) {
-			r.complete = true
-			r.changes, r.next, r.err = n.Store.NewestTargets(ctx)
-		}
+		r.err = n.guardCall(storePart, func() (err error) {
+			r.changes, r.next, r.complete, err = n.fetchTargets(ctx, next, known)
+			return err
+		})
 		n.deliver(ctx, r)
 	}()
 }
 
+// fetchTargets reads the records of targets from an offset on, or the newest record of each target if none are known or the
+// offset is no longer available. The result is complete in the latter case.
+func (n *Node) fetchTargets(ctx context.Context, from int64, known bool) (changes []registry.Change, next int64, complete bool, err error) {
+	if known {
+		changes, next, err = n.Store.TargetsSince(ctx, from)
+		if !isTrimmed(err) {
+			return changes, next, false, err
+		}
+	}
+	changes, next, err = n.Store.NewestTargets(ctx)
+	return changes, next, true, err
+}
+
 func (n *Node) handleTargetsRead(e targetsRead, now time.Time) {
 	e.startedAt = n.startOfCall(e.startedAt)
 	if e.err != nil && e.startedAt.Before(n.storeAnsweredAt) {
@@ -270,6 +290,7 @@
 	changed := false
 	if e.complete {
 		changed = n.replaceTargets(e.changes, e.next, "store", now)
+		n.targetsTopic.relist = false
 	} else {
 		changed = n.applyChanges(n.classifyRemovals(e.changes, now), now)
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -42,10 +42,13 @@
 	go func() {
 		var r membersRead
 		n.traffic.storeCalls[CallMembers].Add(1)
-		r.members, r.err = n.Store.Members(ctx)
-		if r.err == nil && shouldAnnounce {
-			r = n.announce(ctx, self, r.members)
-		}
+		err := n.guardCall(storePart, func() error {
+			if r.members, r.err = n.Store.Members(ctx); r.err == nil && shouldAnnounce {
+				r = n.announce(ctx, self, r.members)
+			}
+			return r.err
+		})
+		r.err = err
 		n.deliver(ctx, r)
 	}()
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -169,6 +169,8 @@
 	nextMarksFetch     time.Time
 	// storedMarks is the state of the crash marks in the store.
 	storedMarks storedMarks
+	// republishAt is when the view is published again after a panic, zero if nothing is due.
+	republishAt time.Time
 	// pendingForOtherZones are load reports that were not sent to other zones yet.
 	pendingForOtherZones map[uint32]timedLoadReport
 }
@@ -212,7 +214,7 @@
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
-	n.sampler = newSampler(c.Prober, c.Now)
+	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
 }
 
@@ -277,38 +279,10 @@
 // Traffic returns the counters of the datagrams, load probes and calls to the store.
 func (n *Node) Traffic() *Traffic { return &n.traffic }
 
-// Panics returns the number of messages whose handling panicked.
-func (n *Node) Panics() int64 { return n.guard.Panics() }
-
-// handleGuarded handles an event. An event from outside whose handling panics is dropped: the same message reaches
-// every instance, so a crash would take down the whole fleet. The control state stays usable, because updates are
-// repeated in full. A panic in the handling of the node's own events ends the process, which restarts with empty state.
-func (n *Node) handleGuarded(ctx context.Context, e event, now time.Time) {
-	switch e.(type) {
-	case datagramReceived, stateRequested, stateFetched, marksFetched:
-		n.guard.Run(n.Log, "message", func() { n.handle(ctx, e, now) })
-	case configsRead, targetsRead, membersRead, storedMarksRead, markStored:
-		if !n.guard.Run(n.Log, "store", func() { n.handle(ctx, e, now) }) {
-			n.resetReads(now)
-		}
-	default:
-		n.handle(ctx, e, now)
-	}
-}
-
-// resetReads makes topics readable again after the handling of an answer of the store panicked.
-func (n *Node) resetReads(now time.Time) {
-	n.joinInFlight, n.storedMarks.callInFlight = false, false
-	for _, topic := range []*topicState{&n.targetsTopic, &n.configsTopic} {
-		if topic.readsInFlight > 0 {
-			topic.readFailed(now, n.Random.Float64(), n.failingInFleet)
-		}
-	}
-}
-
 // tick runs everything that is due.
 func (n *Node) tick(ctx context.Context, now time.Time) {
 	n.detectPause(now)
+	n.republishView(now)
 	n.join(ctx, now)
 	n.updateStoreAvailability(now)
 	if expired := n.registry.EvictExpired(now); len(expired) > 0 {
--- a/internal/fleet/pause_test.go
+++ b/internal/fleet/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 )
 
@@ -161,7 +163,7 @@
 		}
 	}
 	for name, err := range map[string]error{"timed out": context.DeadlineExceeded, "answered": nil} {
-		s := newSampler(scriptedProber{"t": read(err)}, func() time.Duration { return time.Duration(clock.Load()) })
+		s := newSampler(scriptedProber{"t": read(err)}, func() time.Duration { return time.Duration(clock.Load()) }, &panicguard.Guard{}, slog.New(slog.DiscardHandler))
 		s.sync([]registry.Target{{Entry: registry.Entry{ID: "t", Address: "t"}}}, func(string) string { return "/" })
 		results := make(chan []probeResult, 8)
 		for range 2 * unreachableFailures {
--- a/internal/fleet/read_schedule.go
+++ b/internal/fleet/read_schedule.go
@@ -66,6 +66,8 @@
 	// peer's state failed.
 	behind      bool
 	peersFailed bool
+	// relist is true when records before next may be missing, so that the topic has to be listed.
+	relist bool
 	// readsInFlight is the number of reads in flight, and lastReadAt is the start of the latest one.
 	readsInFlight int
 	lastReadAt    time.Time
@@ -105,7 +107,7 @@
 	if t.readsInFlight > 0 || now.Before(t.retryAt) {
 		return false
 	}
-	if (priority.isLeader || t.peersFailed) && (!t.known || t.behind) {
+	if t.relist || (priority.isLeader || t.peersFailed) && (!t.known || t.behind) {
 		return true
 	}
 	if !t.known {
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 )
 
@@ -52,8 +54,11 @@
 
 // sampler probes a set of targets in rounds. It is used by the control loop only.
 type sampler struct {
-	prober  Prober
-	now     func() time.Duration
+	prober Prober
+	now    func() time.Duration
+	// guard recovers from panics in probes.
+	guard   *panicguard.Guard
+	log     *slog.Logger
 	workers map[string]*probeWorker
 	results chan probeResult
 
@@ -69,8 +74,8 @@
 	cancel  context.CancelFunc
 }
 
-func newSampler(prober Prober, now func() time.Duration) *sampler {
-	return &sampler{prober: prober, now: now, workers: map[string]*probeWorker{}, results: make(chan probeResult, 1024)}
+func newSampler(prober Prober, now func() time.Duration, guard *panicguard.Guard, log *slog.Logger) *sampler {
+	return &sampler{prober: prober, now: now, guard: guard, log: log, workers: map[string]*probeWorker{}, results: make(chan probeResult, 1024)}
 }
 
 // sync starts and stops workers so that there is one for each target.
@@ -137,10 +142,15 @@
 	}
 }
 
-func (s *sampler) probe(ctx context.Context, probe Probe) (dispatch.LoadReport, error) {
+// probe reads the load once. A panic counts as a failed probe.
+func (s *sampler) probe(ctx context.Context, probe Probe) (report dispatch.LoadReport, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return probe.Read(ctx)
+	err = s.guard.Call(s.log, "probe", func() (err error) {
+		report, err = probe.Read(ctx)
+		return err
+	})
+	return report, err
 }
 
 // startRound triggers a probe of each target that is due, and calls done with the results that arrive in time. It does
--- a/internal/fleet/sampler_test.go
+++ b/internal/fleet/sampler_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
 )
@@ -28,7 +30,7 @@
 		"good":   func() (dispatch.LoadReport, error) { return dispatch.LoadReport{Slots: 4, Slowdown: 1}, nil },
 		"noload": func() (dispatch.LoadReport, error) { return dispatch.LoadReport{}, &NoLoadReportError{"noload"} },
 		"silent": func() (dispatch.LoadReport, error) { return dispatch.LoadReport{}, errors.New("no answer") },
-	}, func() time.Duration { return time.Second })
+	}, func() time.Duration { return time.Second }, &panicguard.Guard{}, slog.New(slog.DiscardHandler))
 	defer s.stop()
 	var targets []registry.Target
 	for _, id := range []string{"good", "noload", "silent"} {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -51,8 +51,10 @@
 
 // Marks returns the crash marks of the called instance.
 func (f *Fleet) Marks(_ MarksRequest, reply *MarksReply) error {
-	reply.Marks = f.node.allMarks()
-	return nil
+	return f.node.guardCall(peerPart, func() error {
+		reply.Marks = f.node.allMarks()
+		return nil
+	})
 }
 
 func newStateServer(n *Node, address string) *stateServer {
@@ -92,10 +94,16 @@
 			_ = conn.Close()
 			continue
 		}
-		go s.server.ServeConn(conn)
+		go s.serve(conn)
 	}
 }
 
+// serve serves the calls of a connection until the peer closes it.
+func (s *stateServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	s.node.guard.Run(s.node.Log, peerPart, func() { s.server.ServeCodec(newGobCodec(conn)) })
+}
+
 func (s *stateServer) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,7 +145,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClientWithCodec(newGobCodec(conn))
 	defer func() { _ = client.Close() }()
 	return trace.Wrap(client.Call(method, request, reply))
 }
@@ -163,9 +171,12 @@
 	}
 	go func() {
 		time.Sleep(jitter)
-		requestedAt := time.Now()
-		state, err := n.link.fetch(ctx, address, request)
-		n.deliver(ctx, stateFetched{state: state, requestedAt: requestedAt, err: err})
+		e := stateFetched{requestedAt: time.Now()}
+		e.err = n.guardCall(peerPart, func() (err error) {
+			e.state, err = n.link.fetch(ctx, address, request)
+			return err
+		})
+		n.deliver(ctx, e)
 	}()
 }
 
--- a/internal/fleet/stored_crash_marks.go
+++ b/internal/fleet/stored_crash_marks.go
@@ -72,8 +72,12 @@
 		n.storedMarks.callInFlight = true
 		n.traffic.storeCalls[CallCrashMarks].Add(1)
 		go func() {
-			marks, err := n.Store.CrashMarks(ctx)
-			n.deliver(ctx, storedMarksRead{marks, err})
+			var e storedMarksRead
+			e.err = n.guardCall(storePart, func() (err error) {
+				e.marks, err = n.Store.CrashMarks(ctx)
+				return err
+			})
+			n.deliver(ctx, e)
 		}()
 		return
 	}
@@ -83,7 +87,10 @@
 	}
 	n.storedMarks.callInFlight = true
 	n.traffic.storeCalls[CallPutCrashMark].Add(1)
-	go func() { n.deliver(ctx, markStored{mark, n.Store.PutCrashMark(ctx, mark)}) }()
+	go func() {
+		err := n.guardCall(storePart, func() error { return n.Store.PutCrashMark(ctx, mark) })
+		n.deliver(ctx, markStored{mark, err})
+	}()
 }
 
 // nextMarkToPut returns a mark that is not stored yet, or one without data that has to be deleted from the store.
--- a/internal/panicguard/catch.go
+++ b/internal/panicguard/catch.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 )
 
-// Error reports a panic that Catch recovered from.
+// Error reports a panic that Catch or Guard.Call recovered from.
 type Error struct {
 	// Value is the argument of the panic.
 	Value any
