Keep the own interface running after a message that panics

Change: DecodeRecord returns a *RecordError for it.

Weighed: ending the process, as before. The control state is then fresh, but the same record ends it again, on all instances at once.

FuzzExchange fails on a caught panic too.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -14,6 +14,7 @@
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/peer"
 )
 
@@ -31,6 +32,7 @@
 	zone    string
 	builder balancer.Builder
 	log     *slog.Logger
+	guard   panicguard.Guard
 	start   time.Time
 
 	calls         chan func()
@@ -91,7 +93,7 @@
 		case call := <-l.calls:
 			call()
 		case event := <-l.events:
-			l.applyEvent(event)
+			l.guard.Run(l.log, "event", func() { l.applyEvent(event) })
 		case <-ticker.C:
 			l.expireDepartures()
 			l.updateInstances()
@@ -100,13 +102,18 @@
 	}
 }
 
+// Panics returns the number of calls and events whose handling panicked.
+func (l *Loop) Panics() int64 { return l.guard.Panics() }
+
 // Do runs f on the control goroutine and waits until it returned. f must not block or call Do. Do returns an error if
-// ctx is done before f was started.
+// ctx is done before f was started, and a *panicguard.Error if f panicked: f handles what peers, the platform and targets sent
+// to all instances, so that the fleet would end with it.
 func (l *Loop) Do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
+	var panicked error
 	call := func() {
 		defer close(done)
-		f()
+		panicked = l.guard.Call(l.log, "call", func() error { f(); return nil })
 	}
 	select {
 	case l.calls <- call:
@@ -115,19 +122,20 @@
 	}
 	// f was started and does not block. Waiting without ctx ensures that its results are complete.
 	<-done
-	return nil
+	return panicked
 }
 
 // Deliver applies a page of the log on the control goroutine and returns the offset of the next read. If the page does
-// not continue the applied records, it returns an error; the caller should retry from the returned offset after a
-// backoff.
+// not continue the applied records or cannot be applied, it returns an error; the caller should retry from the returned
+// offset after a backoff.
 func (l *Loop) Deliver(ctx context.Context, page logservice.Page) (next logservice.Offset, err error) {
 	callErr := l.Do(ctx, func() {
+		next = l.fold.Next()
 		err = l.applyPage(page)
 		next = l.fold.Next()
 	})
 	if callErr != nil {
-		return 0, callErr
+		return next, callErr
 	}
 	return next, err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/gateway"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/peer"
 	"github.com/basillink/basillink/internal/prober"
 	"github.com/basillink/basillink/internal/settings"
@@ -83,7 +84,7 @@
 func (d *Daemon) observables() telemetry.Observables {
 	return telemetry.Observables{
 		InFlight:      d.gateway.InFlight,
-		Panics:        d.gateway.Panics,
+		Panics:        func() int64 { return d.gateway.Panics() + d.loop.Panics() + panicguard.Caught() },
 		Ready:         d.ready,
 		DroppedEvents: func() int64 { return int64(d.loop.DroppedEvents() + d.node.DroppedRumors()) },
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/basillink/basillink/internal/fleet"
 	"github.com/basillink/basillink/internal/ingress"
 	"github.com/basillink/basillink/internal/membudget"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
 	"github.com/basillink/basillink/platform"
@@ -68,7 +69,7 @@
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
-		Panics:       func() int64 { return e.gateway.Panics() + e.node.Panics() },
+		Panics:       func() int64 { return e.gateway.Panics() + e.node.Panics() + panicguard.Caught() },
 		RequestBytes: e.gateway.Memory.Used,
 	}
 	if err := metrics.RegisterObservables(gauges); err != nil {
--- a/internal/intent/fuzz_test.go
+++ b/internal/intent/fuzz_test.go
@@ -66,6 +66,7 @@
 	f.Add(payload)
 	f.Add([]byte(`{"kind":"checkpoint","checkpoint":{"state":{"services":{"a":null},"removed":{}},"digest":""}}`))
 	f.Add([]byte(`{"kind":"change"}`))
+	f.Add([]byte(`{"kind":"change","format":2} x`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		first, second := NewState(), NewState()
 		record := logservice.Record{Offset: 1, Payload: data}
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/BurntSushi/toml"
 
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/operator"
 )
 
@@ -78,6 +80,19 @@
 // reads only the kind, the format and the name of the service, and a *RecordError for a malformed record. The specs of
 // changes and the digests of checkpoints are not checked.
 func DecodeRecord(payload []byte) (*Record, error) {
+	var record *Record
+	err := panicguard.Catch(func() (err error) {
+		record, err = decodeRecord(payload)
+		return err
+	})
+	var panicked *panicguard.Error
+	if errors.As(err, &panicked) {
+		return nil, &RecordError{Detail: err.Error()}
+	}
+	return record, err
+}
+
+func decodeRecord(payload []byte) (*Record, error) {
 	var r Record
 	decoder := json.NewDecoder(bytes.NewReader(payload))
 	decoder.DisallowUnknownFields()
@@ -86,7 +101,7 @@
 	}
 	switch {
 	case r.Format > MaxRecordFormat:
-		return nil, classifyDecodeError(payload, nil)
+		return nil, classifyDecodeError(payload, &FormatError{Kind: r.Kind, Format: r.Format})
 	case r.Format < 0:
 		return nil, &RecordError{Detail: fmt.Sprintf("format %d is negative", r.Format)}
 	case r.Kind == KindChange && r.Change != nil:
@@ -105,7 +120,10 @@
 		Format int             `json:"format"`
 		Change json.RawMessage `json:"change"`
 	}
-	if json.Unmarshal(payload, &header) != nil || header.Format <= MaxRecordFormat {
+	if err := json.Unmarshal(payload, &header); err != nil {
+		return &RecordError{Detail: err.Error()}
+	}
+	if header.Format <= MaxRecordFormat {
 		return &RecordError{Detail: cause.Error()}
 	}
 	var change struct {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,6 +9,8 @@
 	"net/rpc"
 	"reflect"
 	"time"
+
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 // MaxMessageBytes is the maximum size of one framed message in bytes, without the frame header.
@@ -51,14 +53,20 @@
 			return err
 		}
 	}
-	return c.decoder.Decode(r)
+	return c.read(r)
 }
 
-func (c *codec) ReadResponseHeader(r *rpc.Response) error { return c.decoder.Decode(r) }
-func (c *codec) ReadRequestBody(body any) error           { return c.decoder.Decode(body) }
-func (c *codec) ReadResponseBody(body any) error          { return c.decoder.Decode(body) }
+func (c *codec) ReadResponseHeader(r *rpc.Response) error { return c.read(r) }
+func (c *codec) ReadRequestBody(body any) error           { return c.read(body) }
+func (c *codec) ReadResponseBody(body any) error          { return c.read(body) }
 func (c *codec) Close() error                             { return c.conn.Close() }
 
+// read decodes the next value. It returns a panic of the decoder as an error, because net/rpc decodes in goroutines of its
+// own, where nobody could recover from it.
+func (c *codec) read(value any) error {
+	return panicguard.Catch(func() error { return c.decoder.Decode(value) })
+}
+
 // write sends header and body as one frame. It closes the connection after an error, because the peer can no longer
 // decode the gob stream.
 func (c *codec) write(header, body any) error {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"errors"
 	"net"
 	"net/rpc"
 	"testing"
+
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 // replayConn is a connection that only delivers the bytes of its reader.
@@ -42,11 +45,19 @@
 		for {
 			var header rpc.Request
 			var message Exchange
-			if c.ReadRequestHeader(&header) != nil || c.ReadRequestBody(&message) != nil {
+			err := c.ReadRequestHeader(&header)
+			if err == nil {
+				err = c.ReadRequestBody(&message)
+			}
+			var panicked *panicguard.Error
+			if errors.As(err, &panicked) {
+				t.Fatalf("the decoder panicked: %v", err)
+			}
+			if err != nil {
 				return
 			}
 			var response bytes.Buffer
-			err := gob.NewEncoder(&response).Encode(g.HandleRequest(0, message))
+			err = gob.NewEncoder(&response).Encode(g.HandleRequest(0, message))
 			if err != nil || response.Len() > MaxMessageBytes {
 				t.Fatalf("response of %d bytes, error %v", response.Len(), err)
 			}
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -7,6 +7,7 @@
 
 	"github.com/basillink/basillink/internal/intent"
 	"github.com/basillink/basillink/internal/logservice"
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 const (
@@ -119,7 +120,11 @@
 
 // mergeSnapshot decodes a delta and merges it on the control goroutine.
 func (n *Node) mergeSnapshot(ctx context.Context, data []byte) error {
-	delta, err := intent.DecodeDelta(data)
+	var delta *intent.Delta
+	err := panicguard.Catch(func() (err error) {
+		delta, err = intent.DecodeDelta(data)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/prober/pool.go
+++ b/internal/prober/pool.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/panicguard"
 )
 
 // idleTimeout is how long an unused connection is kept open. It is the same as in the connection pools for requests.
@@ -103,7 +105,11 @@
 		}
 		c.conn = conn
 	}
-	report, err := exchange(c.conn, address)
+	var report loadReport
+	err := panicguard.Catch(func() (err error) {
+		report, err = exchange(c.conn, address)
+		return err
+	})
 	if err != nil {
 		c.close()
 	}
