Read requests to the readiness and admin addresses strictly

On the readiness address its goroutines have no recovery: one request with the field "Trailer: ," ended the edge process. On the admin address the library's goroutine pool recovered; the request got no answer and an unstructured stack went to standard error.

Change: inbound.HandlerFactory makes the library serve connections with inbound.ReadRequest, as on the callers' listeners, and passes requests to the registered handlers. A malformed request gets 400 with its reason, a handler that panics 500; both are counted, and logged through slog. The admin listener uses the standard transport like the others. Waiting for a request stands once (inbound.AwaitRequest) instead of twice.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -11,9 +12,12 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/control"
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/logservice"
 )
 
@@ -61,16 +65,20 @@
 
 // Server serves the admin listener.
 type Server struct {
-	address string
-	source  Source
-	server  *server.Hertz
+	address  string
+	source   Source
+	requests *inbound.HandlerFactory
+	server   *server.Hertz
 }
 
 // New returns a server for address. It does not open the listener; call Listen and then Run.
-func New(address string, source Source) *Server {
-	return &Server{address: address, source: source}
+func New(address string, source Source, log *slog.Logger) *Server {
+	return &Server{address: address, source: source, requests: &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log}}
 }
 
+// Panics returns the number of requests whose handling panicked.
+func (s *Server) Panics() int64 { return s.requests.Panics() }
+
 // Listen opens the listener and registers the handlers.
 func (s *Server) Listen() error {
 	listener, err := net.Listen("tcp", s.address)
@@ -79,9 +87,12 @@
 	}
 	s.server = server.New(
 		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(inbound.ContextWithSocket),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(shutdownTimeout),
 	)
+	s.server.AddProtocol(suite.HTTP1, s.requests)
 	s.server.GET("/livez", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "live\n") })
 	s.server.GET("/readyz", s.handleReady)
 	s.server.GET("/status", s.handleStatus)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,14 +77,14 @@
 		Configuration: d.loop.State,
 		Ready:         d.ready,
 		Metrics:       metrics.Handler(),
-	})
+	}, telemetry.Component(log, "admin"))
 	return d, nil
 }
 
 func (d *Daemon) observables() telemetry.Observables {
 	return telemetry.Observables{
 		InFlight:      d.gateway.InFlight,
-		Panics:        func() int64 { return d.gateway.Panics() + d.loop.Panics() + panicguard.Caught() },
+		Panics:        func() int64 { return d.gateway.Panics() + d.loop.Panics() + d.admin.Panics() + panicguard.Caught() },
 		Ready:         d.ready,
 		DroppedEvents: func() int64 { return int64(d.loop.DroppedEvents() + d.node.DroppedRumors()) },
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,7 +69,9 @@
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
-		Panics:       func() int64 { return e.gateway.Panics() + e.node.Panics() + panicguard.Caught() },
+		Panics: func() int64 {
+			return e.gateway.Panics() + e.node.Panics() + e.readiness.requests.Panics() + panicguard.Caught()
+		},
 		RequestBytes: e.gateway.Memory.Used,
 	}
 	if err := metrics.RegisterObservables(gauges); err != nil {
@@ -81,7 +83,7 @@
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	e.readiness = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler())
+	e.readiness = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler(), e.log)
 	return e, nil
 }
 
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -11,7 +12,9 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/platform"
 )
 
@@ -28,11 +31,13 @@
 	metrics http.Handler
 	// draining makes the readiness check fail.
 	draining atomic.Bool
+	requests *inbound.HandlerFactory
 	server   *server.Hertz
 }
 
-func newReadiness(address string, isReady func() bool, metrics http.Handler) *readiness {
-	return &readiness{address: address, isReady: isReady, metrics: metrics}
+func newReadiness(address string, isReady func() bool, metrics http.Handler, log *slog.Logger) *readiness {
+	requests := &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log}
+	return &readiness{address: address, isReady: isReady, metrics: metrics, requests: requests}
 }
 
 // open starts to listen.
@@ -44,9 +49,11 @@
 	r.server = server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(inbound.ContextWithSocket),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(shutdownTimeout),
 	)
+	r.server.AddProtocol(suite.HTTP1, r.requests)
 	r.server.GET(platform.ReadinessPath, r.answerCheck)
 	r.server.GET(MetricsPath, adaptor.HertzHandler(r.metrics))
 	return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -64,11 +64,7 @@
 	if s.gateway.inFlight.draining.Load() && conn.Len() == 0 && !entry.HasInput() {
 		return false
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(callerIdleTimeout)); err != nil {
-		return false
-	}
-	_, err := conn.Peek(1)
-	return err == nil
+	return inbound.AwaitRequest(conn, callerIdleTimeout)
 }
 
 // serveOne receives and serves one request. It reports whether the connection can be reused for another one.
--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -48,6 +48,15 @@
 
 func (*MissingHostError) Error() string { return "the request has no Host header" }
 
+// AwaitRequest waits for the first byte of a request. It returns false if the connection fails or is idle for too long.
+func AwaitRequest(conn network.Conn, idleTimeout time.Duration) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return false
+	}
+	_, err := conn.Peek(1)
+	return err == nil
+}
+
 // ReadRequest reads one request into c. It returns nil, or a refusal. After a refusal the position in the input is undefined, so
 // the connection must be closed.
 func (l Limits) ReadRequest(c *app.RequestContext) *Refusal {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -57,7 +57,7 @@
 		c.Reset()
 		s.core.GetCtxPool().Put(c)
 	}()
-	for g.awaitRequest(conn) {
+	for inbound.AwaitRequest(conn, g.limits().IdleTimeout+idleGrace) {
 		g.connections.SetBusy(tracked, true)
 		keepAlive := false
 		// A panic closes only the connection of this request.
@@ -79,15 +79,6 @@
 	return defaultLimits
 }
 
-// awaitRequest waits for the first byte of a request. It returns false if the connection fails or is idle for too long.
-func (g *Gateway) awaitRequest(conn network.Conn) bool {
-	if err := conn.SetReadDeadline(time.Now().Add(g.limits().IdleTimeout + idleGrace)); err != nil {
-		return false
-	}
-	_, err := conn.Peek(1)
-	return err == nil
-}
-
 // serveOne reads and serves one request. It reports whether the connection may be used for another one.
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
 	g.inFlight.Add(1)
