Give back what a request holds when its handling panics

A panic in the sending of a claim kept the claim; one in a decision kept the lock of the service's dispatcher, so that nothing was served any more.

Change, ingress, dispatch and transport: the slot, the admission of the crash guard, the sentinel, the answer and the connection are released by deferred functions. Requests are decided one by one under a guard: a request whose decision panics is refused as not run (no_decision, new), and neither hangs the others nor fails the one whose goroutine decided it. A caller whose answer had not begun gets 500 internal_error (new), which leaves open whether the request ran. Own interface: the same for admission, policy, connection; an operation of a ticket is recorded as unknown, because repeated requests wait for its outcome.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,6 +33,8 @@
 	Target *Target
 	// Refusal is the reason why no target was chosen.
 	Refusal *reason.Reason
+	// Cause is the error behind the refusal, nil if the reason says all that is known.
+	Cause error
 	// RetryAfter is the time after which a refused caller should retry.
 	RetryAfter time.Duration
 	// Inputs explain the decision in the log.
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -78,29 +79,32 @@
 	for denied := 0; ; denied++ {
 		d := p.acquire(ctx, r)
 		d.Inputs.DeniedClaims = denied
-		if d.claim == nil {
+		if d.claim == nil || p.confirmClaim(r, d) {
 			return d
 		}
-		if p.SendClaim(d.Target.ID, d.claim.number, d.claim.expected) {
-			time.Sleep(d.claim.timeout())
-		}
-		if p.confirm(d.claim) {
-			return d
+	}
+}
+
+// confirmClaim sends the claim of a decision and waits for a denial. It reports whether the request may be sent. If it panics,
+// it gives the claim and the slot back.
+func (p *Pool) confirmClaim(r *Request, d Decision) (confirmed bool) {
+	returned := false
+	defer func() {
+		if !returned && p.confirm(d.claim) {
+			p.Release(r, d, DoneInfo{Result: Cancelled})
 		}
+	}()
+	if p.SendClaim(d.Target.ID, d.claim.number, d.claim.expected) {
+		time.Sleep(d.claim.timeout())
 	}
+	returned = true
+	return p.confirm(d.claim)
 }
 
 // acquire queues the request and waits for a decision. It neither sends nor confirms the claim of the decision.
 func (p *Pool) acquire(ctx context.Context, r *Request) Decision {
-	p.mu.Lock()
-	now := p.now()
 	w := &waiter{request: r, decision: make(chan Decision, 1)}
-	p.enqueue(w)
-	p.dispatchWaiting(now)
-	p.scheduleFirstReportDeadline(now)
-	p.scheduleLeaseEnd(now)
-	wait := max(p.waitLimit(r)-now, 0)
-	p.mu.Unlock()
+	wait := p.startWaiting(w)
 	select {
 	case d := <-w.decision:
 		return d
@@ -112,26 +116,57 @@
 	case d := <-w.decision:
 		return d
 	case <-timer.C:
-		return p.decideAtWaitLimit(w)
+		if d, decided := p.decideAtWaitLimit(w); decided {
+			return d
+		}
+		return p.abandon(w, reason.Overloaded)
 	case <-ctx.Done():
 		return p.abandon(w, reason.CallerLeftEarly)
 	}
 }
 
-// decideAtWaitLimit decides a request that has reached its wait limit. It removes the request from the queue, because a
-// request that stayed would be decided again, and nobody would send or release it.
-func (p *Pool) decideAtWaitLimit(w *waiter) Decision {
+// startWaiting adds a request to the queue, decides the waiting requests and returns how long this one may wait.
+func (p *Pool) startWaiting(w *waiter) time.Duration {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.now()
-	if i := slices.Index(p.waiting, w); i >= 0 {
-		if d, decided := p.decide(w.request, now, i); decided {
-			p.waiting = slices.Delete(p.waiting, i, i+1)
-			p.mu.Unlock()
-			return d
-		}
+	wait := max(p.waitLimit(w.request)-now, 0)
+	p.enqueue(w)
+	p.dispatchWaiting(now)
+	p.scheduleFirstReportDeadline(now)
+	p.scheduleLeaseEnd(now)
+	return wait
+}
+
+// decideAtWaitLimit decides a request that has reached its wait limit. It removes the request from the queue, because a
+// request that stayed would be decided again, and nobody would send or release it. It reports false if the request cannot be
+// decided or was decided before.
+func (p *Pool) decideAtWaitLimit(w *waiter) (Decision, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.waiting, w)
+	if i < 0 {
+		return Decision{}, false
+	}
+	d, decided := p.decideGuarded(w.request, p.now(), i)
+	if decided {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+	return d, decided
+}
+
+// decideGuarded is like decide, but refuses a request whose decision panics. The decisions of all waiting requests are made in
+// one go, by the goroutine of any of them or of the control loop, which must not fail because of another request. The caller
+// holds p.mu.
+func (p *Pool) decideGuarded(r *Request, now time.Duration, ahead int) (d Decision, decided bool) {
+	err := panicguard.Catch(func() error {
+		d, decided = p.decide(r, now, ahead)
+		return nil
+	})
+	if err != nil {
+		return Decision{Refusal: reason.NoDecision, Cause: err, RetryAfter: minRetryAfter, Inputs: Inputs{ReportAge: -1}}, true
 	}
-	p.mu.Unlock()
-	return p.abandon(w, reason.Overloaded)
+	return d, decided
 }
 
 // abandon removes a waiting request from the queue and refuses it, unless it has been decided meanwhile.
@@ -165,7 +200,7 @@
 func (p *Pool) dispatchWaiting(now time.Duration) {
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
-		d, decided := p.decide(w.request, now, len(kept))
+		d, decided := p.decideGuarded(w.request, now, len(kept))
 		if !decided {
 			kept = append(kept, w)
 			continue
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -38,7 +38,7 @@
 	g.setAnswerHead(c, r)
 	if r.answer.FullyBuffered() {
 		c.Response.SetBodyRaw(r.answer.Response.Body())
-		return g.write(c)
+		return g.write(c, call)
 	}
 	return g.stream(c, call, r)
 }
@@ -89,7 +89,8 @@
 }
 
 // write sends c.Response to the caller and flushes the connection.
-func (g *Gateway) write(c *app.RequestContext) error {
+func (g *Gateway) write(c *app.RequestContext, call *call) error {
+	call.answering = true
 	conn := c.GetConn()
 	if err := resp.Write(&c.Response, conn); err != nil {
 		return err
@@ -97,10 +98,19 @@
 	return conn.Flush()
 }
 
-// writeRefusal writes an answer that carries a reason instead of a target's answer.
+// writeRefusal counts a refusal and writes an answer that carries its reason instead of a target's answer.
 func (g *Gateway) writeRefusal(c *app.RequestContext, call *call, r *result) error {
+	g.recordRefusal(call, r)
+	return g.sendRefusal(c, call, r)
+}
+
+func (g *Gateway) recordRefusal(call *call, r *result) {
 	g.counter.Refused(call.serviceName, r.failureReason)
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.failureReason.Name, "error", r.cause)
+}
+
+// sendRefusal writes the answer of writeRefusal.
+func (g *Gateway) sendRefusal(c *app.RequestContext, call *call, r *result) error {
 	h := &c.Response.Header
 	h.SetStatusCode(r.failureReason.Status)
 	setTargetAnswerHeaders(h, r.answerHead)
@@ -114,5 +124,5 @@
 		c.Response.SkipBody = true
 		h.SetContentLengthBytes([]byte(strconv.Itoa(len(body))))
 	}
-	return g.write(c)
+	return g.write(c, call)
 }
--- a/internal/gateway/atmostonce.go
+++ b/internal/gateway/atmostonce.go
@@ -24,15 +24,24 @@
 func (g *Gateway) runOnce(ctx context.Context, c *app.RequestContext, call *call, operation *ticket.Operation) error {
 	ctx, cancel := g.detach(ctx, call)
 	defer cancel()
+	recorded := false
+	defer func() {
+		if !recorded {
+			// A panic passes through. Repeated requests wait until the outcome is recorded.
+			operation.Unknown(g.now(), reason.InternalError)
+		}
+	}()
 	r, release := g.admitAndExecute(ctx, call)
 	defer release()
 	if r.failureReason == nil && !r.answer.FullyBuffered() {
 		answerHead := answerHeadOf(r.answer)
 		err := g.writeResult(ctx, c, call, r)
 		g.recordStreamOutcome(operation, c, answerHead, err)
+		recorded = true
 		return err
 	}
 	g.recordOutcome(operation, r)
+	recorded = true
 	return g.writeResult(ctx, c, call, r)
 }
 
@@ -140,5 +149,5 @@
 	h.Set(header.Outcome, string(reason.Done))
 	h.Set(header.Instance, g.instance)
 	c.Response.SetBodyRaw(stored.Body)
-	return g.write(c)
+	return g.write(c, call)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,15 @@
 
 	started := g.now()
 	policy.Started(index, started)
+	var answer *transport.Answer
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic passes through. The target must not seem to run the request for ever.
+			policy.Finished(index, balancer.Result{Now: g.now(), Elapsed: g.now() - started, Kind: balancer.Cancelled, Load: balancer.NoLoadReport})
+			closeAnswer(answer)
+		}
+	}()
 	limits := g.answerLimits()
 	limits.Accept = func(h *protocol.ResponseHeader, _ bool) bool { return matchesRunID(h, runID) }
 	if call.atMostOnce {
@@ -46,6 +55,7 @@
 	answered := g.now()
 	call.exchangeTime += answered - started
 	if err != nil {
+		returned = true
 		policy.Finished(index, failedPolicyResult(started, answered, err))
 		return resultOfError(err)
 	}
@@ -53,6 +63,7 @@
 	g.checkDraining(target, answer.Response)
 	policyResult := answeredPolicyResult(started, answered, answer.Response)
 	r := resultOfAnswer(answer)
+	returned = true
 	r.onFinish = func(err error) {
 		call.exchangeTime += g.now() - answered
 		if err != nil {
@@ -66,6 +77,13 @@
 	return r
 }
 
+// closeAnswer closes an answer, if there is one.
+func closeAnswer(answer *transport.Answer) {
+	if answer != nil {
+		answer.Close()
+	}
+}
+
 // matchesRunID reports whether an answer may belong to the request with a run id. If the target echoes the run id, a
 // late duplicate of an earlier answer on the same connection is recognized. Answers without a run id are accepted.
 func matchesRunID(h *protocol.ResponseHeader, runID string) bool {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,32 +50,34 @@
 	fingerprint *crashguard.Fingerprint
 	// exchangeTime is the total time spent in exchanges with targets or other instances.
 	exchangeTime time.Duration
+	// answering is true once the answer to the caller may have begun.
+	answering bool
 	// lastResult is the result of the last attempt for admission control.
 	lastResult admission.Result
 }
 
-// parse reads the routing headers of a request. The returned call is never nil. Its service name is set only if the
-// active configuration contains the service.
-func (g *Gateway) parse(c *app.RequestContext) (*call, *reason.Reason) {
-	parsed := &call{request: &c.Request, caller: callerName(c), lastResult: admission.Other}
+// parse reads the routing headers of a request. The service name of the call is set only if the active configuration contains
+// the service.
+func (g *Gateway) parse(c *app.RequestContext, parsed *call) *reason.Reason {
+	parsed.caller = callerName(c)
 	var name string
 	name, parsed.uri = splitService(string(c.GetHeader(header.Service)), inbound.OriginForm(string(c.Request.RequestURI())))
 	snapshot := g.snapshot()
 	if snapshot == nil {
-		return parsed, reason.NotReady
+		return reason.NotReady
 	}
 	parsed.service = snapshot.Services[name]
 	if parsed.service == nil {
-		return parsed, reason.UnknownService
+		return reason.UnknownService
 	}
 	parsed.serviceName = name
 	if refusal := parsed.readHeaders(c); refusal != nil {
-		return parsed, refusal
+		return refusal
 	}
 	if g.inFlight.draining.Load() && (!parsed.atMostOnce || len(c.GetHeader(header.Ticket)) == 0) {
-		return parsed, reason.NotReady
+		return reason.NotReady
 	}
-	return parsed, nil
+	return nil
 }
 
 // readHeaders selects the request class and reads the timeout and the number of attempts.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -24,19 +24,11 @@
 	var attempted []int
 	var failure *reason.Reason
 	for {
-		admission, refusal := g.awaitCrashAdmission(ctx, call)
+		index, r, refusal := g.executeAttempt(ctx, call, attempted)
 		if refusal != nil {
-			return newRefusal(refusal)
-		}
-		index, refusal := g.pick(ctx, call, &admission, attempted)
-		if refusal != nil {
-			admission.Release()
 			return newRefusal(moreSpecific(failure, refusal))
 		}
 		attempted = append(attempted, index)
-		r := g.attempt(ctx, call, index)
-		g.reportAttempt(ctx, call, call.service.Targets[index].Address, r)
-		admission.Release()
 		call.maybeRan = call.maybeRan || r.outcome() != reason.NotRun
 		call.attemptsLeft--
 		call.recordResult(r.failureReason)
@@ -51,6 +43,29 @@
 	}
 }
 
+// executeAttempt sends the request to one target once the crash guard admits it. It returns the index of the target and the
+// result, or the reason why the request was not sent.
+func (g *Gateway) executeAttempt(ctx context.Context, call *call, attempted []int) (index int, r *result, refusal *reason.Reason) {
+	admission, refusal := g.awaitCrashAdmission(ctx, call)
+	if refusal != nil {
+		return 0, nil, refusal
+	}
+	defer admission.Release()
+	if index, refusal = g.pick(ctx, call, &admission, attempted); refusal != nil {
+		return 0, nil, refusal
+	}
+	r = g.attempt(ctx, call, index)
+	returned := false
+	defer func() {
+		if !returned {
+			r.release()
+		}
+	}()
+	g.reportAttempt(ctx, call, call.service.Targets[index].Address, r)
+	returned = true
+	return index, r, nil
+}
+
 // moreSpecific returns the failure of the last attempt if the refusal only says that no further target is left.
 func moreSpecific(failure, refusal *reason.Reason) *reason.Reason {
 	if failure != nil && refusal == reason.NoTarget {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,12 +10,12 @@
 
 // serve parses, admits, executes and answers one request. It returns an error if the answer could not be written
 // completely; the connection must then be closed.
-func (g *Gateway) serve(ctx context.Context, c *app.RequestContext) error {
+func (g *Gateway) serve(ctx context.Context, c *app.RequestContext, call *call) error {
 	if inbound.OriginForm(string(c.Request.RequestURI())) == ticketPath {
-		return g.serveTicket(ctx, c)
+		return g.serveTicket(ctx, c, call)
 	}
 	start := g.now()
-	call, refusal := g.parse(c)
+	refusal := g.parse(c, call)
 	defer func() { g.counter.AddedLatency(g.now() - start - call.exchangeTime) }()
 	if refusal != nil {
 		return g.writeResult(ctx, c, call, g.withoutUnprovenNotRun(c, newRefusal(refusal)))
@@ -39,7 +39,14 @@
 	if refusal != nil {
 		return newRefusal(applyDrainLimit(ctx, refusal)), func() {}
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			release()
+		}
+	}()
 	r := g.execute(ctx, call)
 	r.failureReason = applyDrainLimit(ctx, r.failureReason)
+	returned = true
 	return r, release
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,13 +4,15 @@
 	"context"
 	"time"
 
-	"github.com/basillink/basillink/internal/inbound"
-
 	"github.com/cloudwego/hertz/pkg/app"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
+
+	"github.com/basillink/basillink/internal/admission"
+	"github.com/basillink/basillink/internal/inbound"
+	"github.com/basillink/basillink/internal/reason"
 )
 
 const (
@@ -47,9 +49,7 @@
 	}()
 	for s.awaitRequest(conn, entry) {
 		s.gateway.connections.SetBusy(entry, true)
-		keepAlive := false
-		// A panic terminates only this request and its connection.
-		if !s.gateway.panics.Run(s.gateway.log, "request", func() { keepAlive = s.gateway.serveOne(ctx, c) }) || !keepAlive {
+		if !s.gateway.serveGuarded(ctx, c) {
 			break
 		}
 		_ = conn.Release()
@@ -67,11 +67,40 @@
 	return inbound.AwaitRequest(conn, callerIdleTimeout)
 }
 
+// serveGuarded receives and serves one request. A panic ends only this request and its connection. It reports whether the
+// connection can be reused for another one.
+func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext) (keepAlive bool) {
+	call := &call{request: &c.Request, lastResult: admission.Other}
+	err := g.panics.Call(g.log, "request", func() error {
+		keepAlive = g.serveOne(ctx, c, call)
+		return nil
+	})
+	if err != nil {
+		g.answerPanic(c, call, err)
+		return false
+	}
+	return keepAlive
+}
+
+// answerPanic answers a request whose handling panicked, unless its answer had begun.
+func (g *Gateway) answerPanic(c *app.RequestContext, call *call, err error) {
+	if call.answering {
+		return
+	}
+	r := &result{failureReason: reason.InternalError, cause: err}
+	g.panics.Run(g.log, "request", func() { g.recordRefusal(call, r) })
+	g.panics.Run(g.log, "request", func() {
+		c.Response.Reset()
+		c.Response.Header.SetConnectionClose(true)
+		_ = g.sendRefusal(c, call, r)
+	})
+}
+
 // serveOne receives and serves one request. It reports whether the connection can be reused for another one.
-func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
+func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext, call *call) bool {
 	if refusal := g.inbound.ReadRequest(c); refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
-		_ = g.writeResult(ctx, c, &call{request: &c.Request}, g.withoutUnprovenNotRun(c, &result{failureReason: refusal.Reason, cause: refusal.Cause}))
+		_ = g.writeResult(ctx, c, call, g.withoutUnprovenNotRun(c, &result{failureReason: refusal.Reason, cause: refusal.Cause}))
 		inbound.Linger(ctx)
 		return false
 	}
@@ -80,6 +109,6 @@
 	if g.inFlight.draining.Load() || c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
 	}
-	err := g.serve(ctx, c)
+	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,7 @@
 	conn := c.GetConn()
 	length := r.answer.Length()
 	c.Response.Header.SetContentLength(max(length, -1))
+	call.answering = true
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
--- a/internal/gateway/ticket.go
+++ b/internal/gateway/ticket.go
@@ -50,10 +50,10 @@
 }
 
 // serveTicket answers a request to ticketPath.
-func (g *Gateway) serveTicket(ctx context.Context, c *app.RequestContext) error {
+func (g *Gateway) serveTicket(ctx context.Context, c *app.RequestContext, call *call) error {
 	text := g.tickets.Issue(g.now())
 	if text == "" {
-		return g.writeResult(ctx, c, &call{request: &c.Request}, newRefusal(reason.NotReady))
+		return g.writeResult(ctx, c, call, newRefusal(reason.NotReady))
 	}
 	if err := setWriteDeadline(ctx, c); err != nil {
 		return err
@@ -65,7 +65,7 @@
 	h.Set(header.Instance, g.instance)
 	h.Set(header.NextTicket, text)
 	c.Response.SetBodyString(text + "\n")
-	return g.write(c)
+	return g.write(c, call)
 }
 
 // withoutUnprovenNotRun changes the outcome of a refusal from not run to unknown if the request carries a ticket and this
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -38,6 +38,8 @@
 	// sentinel is opened before a request is sent that has crash evidence: it lost an answer recently or crashed a target. It
 	// is nil for other requests, and if it could not be opened.
 	sentinel *sentinelConn
+	// watched is true once watchForTermination closes the sentinel.
+	watched bool
 }
 
 // newAttempt prepares the transmission of a request. For a request with crash evidence it opens a sentinel connection first.
@@ -50,6 +52,13 @@
 	return a
 }
 
+// closeSentinel closes the sentinel connection, if there is one and nobody watches it. A second call has no effect.
+func (a *attempt) closeSentinel() {
+	if a != nil && !a.watched {
+		a.sentinel.close()
+	}
+}
+
 // crashAttempt describes the attempt to the crash guard.
 func (a *attempt) crashAttempt() crashguard.Attempt {
 	return crashguard.Attempt{Target: a.target.ID, Incarnation: a.target.Incarnation(), SentAt: a.sentAt}
@@ -106,7 +115,8 @@
 		a.sentinel.close()
 		return
 	}
-	go g.watchForTermination(l, postLoss)
+	a.watched = true
+	go g.panicGuard.Run(g.Log, "loss probe", func() { g.watchForTermination(l, postLoss) })
 }
 
 // reserveLossProbe reserves one of the maxLossProbes places for watchForTermination. It returns false if none is free.
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -47,6 +47,8 @@
 	callerIP     string
 	// memory is what the request may hold in memory.
 	memory *membudget.Grant
+	// answering is true once the answer to the caller may have begun.
+	answering bool
 	// cachedFingerprint is valid if hasFingerprint is set.
 	cachedFingerprint crashguard.Fingerprint
 	hasFingerprint    bool
@@ -54,32 +56,31 @@
 
 // parse selects the route, service and target pool of a request. All of them come from one view, so that a configuration
 // change does not affect a request that is already being served.
-func (g *Gateway) parse(c *app.RequestContext, arrivedAt time.Duration, memory *membudget.Grant) (*call, *reason.Reason) {
-	call := &call{request: &c.Request, arrivedAt: arrivedAt, memory: memory, id: string(c.Request.Header.Peek(g.Headers.RequestID))}
+func (g *Gateway) parse(c *app.RequestContext, call *call) *reason.Reason {
 	view := g.awaitView()
 	if view == nil {
-		return call, reason.NotReady
+		return reason.NotReady
 	}
 	call.configVersion = view.Table.Version
 	call.uri = inbound.OriginForm(string(c.Request.RequestURI()))
 	call.route = view.Table.Match(string(c.Request.Header.Host()), pathOf(call.uri))
 	if call.route == nil {
-		return call, reason.UnknownRoute
+		return reason.UnknownRoute
 	}
 	call.service = call.route.NextService()
 	call.pool = view.Pools[call.service]
-	call.deadline = arrivedAt + call.route.Timeout - answerMargin
+	call.deadline = call.arrivedAt + call.route.Timeout - answerMargin
 	if timeout, ok := g.callerTimeout(c); ok {
-		call.deadline = min(call.deadline, arrivedAt+timeout-answerMargin)
+		call.deadline = min(call.deadline, call.arrivedAt+timeout-answerMargin)
 	}
 	call.dispatchRequest = dispatch.Request{
 		Route: call.route.Name, Priority: call.route.Priority, Objective: call.route.LatencyObjective,
-		Arrived: arrivedAt, Deadline: call.deadline, RequestBytes: len(c.Request.Body()),
+		Arrived: call.arrivedAt, Deadline: call.deadline, RequestBytes: len(c.Request.Body()),
 	}
 	if call.pool == nil {
-		return call, reason.NoTarget
+		return reason.NoTarget
 	}
-	return call, nil
+	return nil
 }
 
 const (
@@ -123,8 +124,8 @@
 
 // serve routes one request, forwards it and writes the answer or refusal. It returns an error if the answer was not written
 // completely.
-func (g *Gateway) serve(ctx context.Context, c *app.RequestContext, arrivedAt time.Duration, memory *membudget.Grant) error {
-	call, refusal := g.parse(c, arrivedAt, memory)
+func (g *Gateway) serve(ctx context.Context, c *app.RequestContext, call *call) error {
+	refusal := g.parse(c, call)
 	if c.Request.Header.ConnectionClose() {
 		c.Response.Header.SetConnectionClose(true)
 	}
@@ -139,6 +140,7 @@
 	defer cancel()
 	res := g.execute(ctx, call)
 	defer res.release()
+	defer res.streaming.closeSentinel()
 	if res.answer == nil {
 		return g.writeRefusal(c, call, res)
 	}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -37,9 +37,9 @@
 
 func newRefusal(refusal *reason.Reason) *result { return &result{failure: refusal, cause: refusal} }
 
-// release closes the answer, if there is one.
+// release closes the answer, if there is one. A second call has no effect.
 func (r *result) release() {
-	if r.answer != nil {
+	if r != nil && r.answer != nil {
 		r.answer.Close()
 		r.answer = nil
 	}
@@ -49,18 +49,39 @@
 // must be released.
 func (g *Gateway) execute(ctx context.Context, call *call) *result {
 	for {
-		admission, refusal := g.awaitCrashAdmission(ctx, call)
-		if refusal != nil {
-			return refusal
-		}
-		res, retry := g.tryTarget(ctx, call, &admission)
-		admission.Release()
-		if !retry {
+		if res, retry := g.executeOnce(ctx, call); !retry {
 			return res
 		}
 	}
 }
 
+// executeOnce sends the request to one target once the crash guard admits it. It reports whether the request is to be tried
+// again, in which case there is no result.
+func (g *Gateway) executeOnce(ctx context.Context, call *call) (res *result, retry bool) {
+	admission, refusal := g.awaitCrashAdmission(ctx, call)
+	if refusal != nil {
+		return refusal, false
+	}
+	defer admission.Release()
+	return g.tryTarget(ctx, call, &admission)
+}
+
+// slot is the slot of a target that a decision has reserved for a request.
+type slot struct {
+	call     *call
+	decision dispatch.Decision
+	released bool
+}
+
+// release reports the result of the request to the dispatcher, which frees the slot. Further calls have no effect.
+func (s *slot) release(done dispatch.DoneInfo) {
+	if s.released || s.decision.Target == nil {
+		return
+	}
+	s.released = true
+	s.call.pool.Release(&s.call.dispatchRequest, s.decision, done)
+}
+
 // tryTarget sends the request to one target. It reports whether the request is to be tried again, in which case there is no
 // result.
 func (g *Gateway) tryTarget(ctx context.Context, call *call, admission *crashguard.Admission) (res *result, retry bool) {
@@ -68,6 +89,9 @@
 		return newDrainRefusal(err), false
 	}
 	decision := call.pool.Acquire(ctx, &call.dispatchRequest)
+	slot := &slot{call: call, decision: decision}
+	// send releases the slot unless it panics.
+	defer slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled})
 	call.lastDecision = decision
 	call.waited = decision.Inputs.Waited
 	if decision.Inputs.DeniedClaims > 0 {
@@ -78,26 +102,42 @@
 	}
 	call.attempts++
 	attempt := g.newAttempt(ctx, call, decision)
-	res = g.send(ctx, call, decision, attempt, admission)
+	returned := false
+	defer func() {
+		if !returned {
+			attempt.closeSentinel()
+			res.release()
+		}
+	}()
+	res = g.send(ctx, call, slot, attempt, admission)
+	retry = g.finishAttempt(ctx, call, attempt, res)
+	returned = true
+	if retry {
+		return nil, true
+	}
+	return res, false
+}
+
+// finishAttempt reports the result of an attempt to the crash guard and decides whether the request is tried again. If so, it
+// releases the result.
+func (g *Gateway) finishAttempt(ctx context.Context, call *call, attempt *attempt, res *result) (retry bool) {
 	if res.notSent && ctx.Err() == nil {
-		attempt.sentinel.close()
+		attempt.closeSentinel()
 		call.attempts--
-		return nil, true
+		return true
 	}
 	g.reportAttempt(ctx, call, attempt, res)
 	if !res.retryable || ctx.Err() != nil {
-		return res, false
+		return false
 	}
 	if call.attempts >= max(call.route.MaxAttempts, 1) || g.checkTimeLeft(call, g.Now()) != nil || !call.pool.MayRetry() {
-		return res, false
+		return false
 	}
 	g.recordRetry(call, res)
-	call.dispatchRequest.Excluded = append(call.dispatchRequest.Excluded, decision.Target)
-	if res.streaming != nil {
-		res.streaming.sentinel.close()
-	}
+	call.dispatchRequest.Excluded = append(call.dispatchRequest.Excluded, attempt.target)
+	res.streaming.closeSentinel()
 	res.release()
-	return nil, true
+	return true
 }
 
 // newDrainRefusal returns the refusal of a request that would not end before the process does.
@@ -115,6 +155,9 @@
 		refusal = reason.Overloaded
 	}
 	r := newRefusal(refusal)
+	if d.Cause != nil {
+		r.cause = d.Cause
+	}
 	r.retryAfter = d.RetryAfter
 	return r
 }
@@ -181,7 +224,8 @@
 
 // send transmits the request to the chosen target, reports the result to the dispatcher, which frees the slot of the target, and
 // returns the result.
-func (g *Gateway) send(ctx context.Context, call *call, d dispatch.Decision, attempt *attempt, admission *crashguard.Admission) *result {
+func (g *Gateway) send(ctx context.Context, call *call, slot *slot, attempt *attempt, admission *crashguard.Admission) *result {
+	d := slot.decision
 	request := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(request)
 	g.buildRequest(request, call, d.Target.ID)
@@ -196,14 +240,20 @@
 	answer, err := attempt.connPool.RoundTrip(ctx, request, limits, g.prepareSend(call, d, admission))
 	if invalidatesDecision(err) {
 		g.Log.Warn("Choosing a target again.", "request", call.id, "target", d.Target.ID, "error", err)
-		call.pool.Release(&call.dispatchRequest, d, dispatch.DoneInfo{Result: dispatch.Cancelled})
+		slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled})
 		return &result{failure: reason.ConnectionLost, cause: err, notSent: true}
 	}
 	if err != nil {
 		res := g.failedExchange(ctx, call, err)
-		call.pool.Release(&call.dispatchRequest, d, dispatch.DoneInfo{Result: dispatchResult(res)})
+		slot.release(dispatch.DoneInfo{Result: dispatchResult(res)})
 		return res
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			answer.Close()
+		}
+	}()
 	g.applyBackpressureHints(call, attempt, answer)
 	report := dispatch.DoneInfo{AnswerBytes: max(answer.Length(), 0)}
 	if load, ok := g.ParseLoad(answer.Response.Header.Peek(g.Headers.Load)); ok {
@@ -213,7 +263,8 @@
 	// classify may close the answer, so its size and load are read before.
 	res := g.classify(call, attempt, answer)
 	report.Result = dispatchResult(res)
-	call.pool.Release(&call.dispatchRequest, d, report)
+	slot.release(report)
+	returned = true
 	return res
 }
 
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -91,6 +91,7 @@
 	}
 	g.announceClose(c)
 	g.recordAnswer(call, r)
+	call.answering = true
 	if answer.FullyBuffered() {
 		c.Response.SetBodyRaw(source.Body())
 		return writeResponse(c)
@@ -157,10 +158,15 @@
 	return conn.Flush()
 }
 
-// writeRefusal answers a request that got no answer of a target that could be forwarded. It writes nothing and returns the reason
-// as error if the caller has left.
+// writeRefusal records a request that got no answer of a target that could be forwarded, and answers it. It writes nothing and
+// returns the reason as error if the caller has left.
 func (g *Gateway) writeRefusal(c *app.RequestContext, call *call, r *result) error {
 	g.recordRefusal(call, r)
+	return g.sendRefusal(c, call, r)
+}
+
+// sendRefusal writes the answer of writeRefusal.
+func (g *Gateway) sendRefusal(c *app.RequestContext, call *call, r *result) error {
 	if r.failure == reason.CallerLeftRunning || r.failure == reason.CallerLeftEarly {
 		return r.failure
 	}
@@ -185,6 +191,7 @@
 		c.Response.SkipBody = true
 		h.SetContentLengthBytes([]byte(strconv.Itoa(len(body))))
 	}
+	call.answering = true
 	return writeResponse(c)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -59,9 +59,7 @@
 	}()
 	for inbound.AwaitRequest(conn, g.limits().IdleTimeout+idleGrace) {
 		g.connections.SetBusy(tracked, true)
-		keepAlive := false
-		// A panic closes only the connection of this request.
-		if !g.panicGuard.Run(g.Log, "request", func() { keepAlive = g.serveOne(ctx, c) }) || !keepAlive {
+		if !g.serveGuarded(ctx, c) {
 			break
 		}
 		_ = conn.Release()
@@ -79,11 +77,40 @@
 	return defaultLimits
 }
 
+// serveGuarded serves one request. A panic ends only this request and its connection. It reports whether the connection may be
+// used for another one.
+func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext) (keepAlive bool) {
+	call := &call{request: &c.Request}
+	err := g.panicGuard.Call(g.Log, "request", func() error {
+		keepAlive = g.serveOne(ctx, c, call)
+		return nil
+	})
+	if err != nil {
+		g.answerPanic(c, call, err)
+		return false
+	}
+	return keepAlive
+}
+
+// answerPanic answers a request whose handling panicked, unless its answer had begun.
+func (g *Gateway) answerPanic(c *app.RequestContext, call *call, err error) {
+	if call.answering {
+		return
+	}
+	r := &result{failure: reason.InternalError, cause: err}
+	g.panicGuard.Run(g.Log, "request", func() { g.recordRefusal(call, r) })
+	g.panicGuard.Run(g.Log, "request", func() {
+		c.Response.Reset()
+		c.Response.Header.SetConnectionClose(true)
+		_ = g.sendRefusal(c, call, r)
+	})
+}
+
 // serveOne reads and serves one request. It reports whether the connection may be used for another one.
-func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext) bool {
+func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext, call *call) bool {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	arrivedAt := g.Now()
+	call.arrivedAt = g.Now()
 	limits := g.limits()
 	requestLimits := inbound.Limits{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
@@ -91,16 +118,17 @@
 	}
 	memory, refusal := g.readRequest(c, requestLimits)
 	defer memory.Close()
+	call.memory, call.id = memory, string(c.Request.Header.Peek(g.Headers.RequestID))
 	if refusal != nil {
 		c.Response.Header.SetConnectionClose(true)
 		r := &result{failure: refusal.Reason, cause: refusal.Cause, retryAfter: notReadyRetryAfter}
-		_ = g.writeRefusal(c, &call{id: string(c.Request.Header.Peek(g.Headers.RequestID)), arrivedAt: arrivedAt}, r)
+		_ = g.writeRefusal(c, call, r)
 		inbound.Linger(ctx)
 		return false
 	}
 	ctx, stop := inbound.WatchDisconnect(ctx, disconnectPollInterval)
 	defer stop()
-	err := g.serve(ctx, c, arrivedAt, memory)
+	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
 
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -56,6 +56,13 @@
 	return nil
 }
 
+// returnUnused returns the connection to the pool before an exchange has begun on it.
+func (a *Answer) returnUnused() {
+	conn := a.conn
+	a.conn = nil
+	a.pool.release(conn)
+}
+
 // FullyBuffered reports whether Response holds the whole body.
 func (a *Answer) FullyBuffered() bool { return a.remainder == nil }
 
@@ -93,9 +100,14 @@
 	return n, a.fail(&TruncatedAnswerError{err})
 }
 
-// Close releases the answer. If the body was not read to its end, the exchange is aborted.
+// Close releases the answer. If the body was not read to its end, the exchange is aborted. Further calls have no effect.
 func (a *Answer) Close() {
-	if a.conn != nil {
+	switch {
+	case a.conn == nil:
+	case a.stopAbort == nil:
+		a.pool.discard(a.conn)
+		a.conn = nil
+	default:
 		a.abort()
 	}
 	if a.Response != nil {
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -49,34 +49,51 @@
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
+	answer := newAnswer(p, conn, limits)
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic passes through. The connection and the memory of the answer must not stay in use.
+			answer.Close()
+		}
+	}()
+	err = p.runExchange(ctx, request, answer, prepare)
+	returned = true
+	if err != nil {
+		answer.Close()
+		return nil, err
+	}
+	return answer, nil
+}
+
+// runExchange sends a request on the connection of the answer, and reads the answer as RoundTrip does. Every error is an
+// *ExchangeError; the connection is then released or closed.
+func (p *Pool) runExchange(ctx context.Context, request *protocol.Request, answer *Answer, prepare PrepareFunc) error {
+	conn := answer.conn
 	remaining, err := remainingTime(ctx)
 	if err != nil {
-		p.release(conn)
-		return nil, p.connectError(ctx, err)
+		answer.returnUnused()
+		return p.connectError(ctx, err)
 	}
 	if prepare != nil {
 		if err := prepare(request, remaining); err != nil {
-			p.release(conn)
-			return nil, &ExchangeError{Reason: reason.ConnectionLost, Address: p.address, Err: err}
+			answer.returnUnused()
+			return &ExchangeError{Reason: reason.ConnectionLost, Address: p.address, Err: err}
 		}
 	}
-	answer := newAnswer(p, conn, limits)
 	if err := answer.begin(ctx, eventBegin); err != nil {
-		answer.Close()
-		return nil, p.exchangeError(ctx, err, conn, false)
+		return p.exchangeError(ctx, err, conn, false)
 	}
 	p.startSilenceTimer(conn)
 	if err := conn.roundTrip(ctx, request, answer); err != nil {
-		failure := answer.fail(err)
-		answer.Close()
-		return nil, failure
+		return answer.fail(err)
 	}
 	if answer.remainder == nil {
 		answer.finish()
 	} else {
 		conn.limitReceiveBuffer()
 	}
-	return answer, nil
+	return nil
 }
 
 // PrepareFunc completes a request just before it is written. remaining is the time left until the deadline, or 0 if there
@@ -140,7 +157,16 @@
 func (c *Conn) roundTripLarge(request *protocol.Request, answer *Answer) error {
 	sendDone := make(chan error, 1)
 	go func() { sendDone <- c.send(request) }()
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic passes through. The request is used again once this function has ended.
+			c.closeSocket()
+			c.noReuse = <-sendDone != nil || c.noReuse
+		}
+	}()
 	err := c.readAnswer(request, answer)
+	returned = true
 	select {
 	case sendErr := <-sendDone:
 		c.noReuse = c.noReuse || sendErr != nil
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/standin/rawtarget"
 )
 
 // Guards against a panic of the decoder that passes through the exchange: it has to be a malformed answer, so that the
@@ -23,3 +30,40 @@
 		t.Errorf("error %v, want a panic that counts as answer_malformed", err)
 	}
 }
+
+// Guards against a connection or memory that stays in use when a callback of an exchange panics, which also holds up all later
+// requests to the address once the limit on connections is reached.
+func TestPanicInAnExchangeReleasesTheConnection(t *testing.T) {
+	target := rawtarget.Start(t, rawtarget.Always(okAnswer))
+	pool := testPool(t, target.Address(), 1)
+	long := strings.Repeat("b", 4*writeBufferBytes)
+	budget := membudget.New(64 << 20)
+	grant, _ := budget.Open(0)
+	accepts := testLimits
+	accepts.Memory = grant
+	accepts.Accept = func(*protocol.ResponseHeader, bool) bool { panic("fault") }
+	for name, exchange := range map[string]func(ctx context.Context){
+		"prepare": func(ctx context.Context) {
+			prepare := func(*protocol.Request, time.Duration) error { panic("fault") }
+			_, _ = pool.RoundTrip(ctx, newRequest("GET", target.Address(), "/", ""), testLimits, prepare)
+		},
+		"accept": func(ctx context.Context) {
+			_, _ = pool.RoundTrip(ctx, newRequest("GET", target.Address(), "/", ""), accepts, nil)
+		},
+		"accept, long request": func(ctx context.Context) {
+			_, _ = pool.RoundTrip(ctx, newRequest("POST", target.Address(), "/", long), accepts, nil)
+		},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		if err := panicguard.Catch(func() error { exchange(ctx); return nil }); err == nil {
+			t.Errorf("%s: no panic", name)
+		}
+		cancel()
+		if inUse := pool.InUse(); inUse != 0 || budget.Used() != 0 {
+			t.Errorf("%s: %d connections and %d bytes are still in use", name, inUse, budget.Used())
+		}
+		if body, err := send(pool, newRequest("GET", target.Address(), "/", "")); err != nil || body != "ok" {
+			t.Errorf("%s: the next exchange got %q, %v", name, body, err)
+		}
+	}
+}
