Bound what panics and values that callers choose write to the log

Cause: each panic logged its stack of about 4 KB, and a caller that knew how to cause one did so with each request. The queue of log lines is bounded by their number (4096), and attributes such as the id of a request are as long as callers make them: 16 KB each, so that the queue alone could hold 64 MB.

Change: of the panics of one origin a guard logs one a second, and tells with the next how many it did not log; the counter counts all. Values of attributes have at most 512 bytes in the log, stacks 8 KB; the entry tells the full length.

Tests, failing before: TestPanicsOfOneOriginAreLoggedOnceASecond (100 entries instead of one), TestLogValuesAreBounded (a line of 131 KB).

--- a/internal/panicguard/panicguard_test.go
+++ b/internal/panicguard/panicguard_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // Guards against a panic that terminates the process, or that is neither counted nor logged.
@@ -24,6 +27,37 @@
 	}
 }
 
+// Guards against a log that a caller can fill: each request that panics would log a stack of some KB.
+func TestPanicsOfOneOriginAreLoggedOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		log := slog.New(slog.NewTextHandler(&output, nil))
+		var g Guard
+		entries := func() int { return strings.Count(output.String(), "Recovered from a panic.") }
+		fault := func() { panic("fault") }
+		for range 100 {
+			g.Run(log, "request", fault)
+		}
+		if entries() != 1 || g.Panics() != 100 {
+			t.Errorf("%d entries for %d panics, want 1 for 100", entries(), g.Panics())
+		}
+		g.Run(log, "request", func() { panic("another fault") })
+		if entries() != 2 {
+			t.Error("a panic of another origin was not logged")
+		}
+		time.Sleep(logInterval)
+		if g.Run(log, "request", fault); entries() != 3 || !strings.Contains(output.String(), "unlogged=99") {
+			t.Errorf("%d entries after another second, want 3, of which the last names 99 panics that were not logged", entries())
+		}
+		for i := range 10 * maxOrigins {
+			g.logDue(fmt.Sprint(i), time.Now())
+		}
+		if len(g.origins) > maxOrigins+1 {
+			t.Errorf("%d origins are remembered, want at most %d", len(g.origins), maxOrigins+1)
+		}
+	})
+}
+
 // Guards against a panic of a decoder that is not returned as an error, or whose error does not tell where it occurred.
 func TestCatchReturnsPanics(t *testing.T) {
 	before := Caught()
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -15,17 +16,36 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
 	}
-	options := &slog.HandlerOptions{Level: l, ReplaceAttr: joinErrorLines}
+	options := &slog.HandlerOptions{Level: l, ReplaceAttr: boundAttribute}
 	if format == "json" {
 		return slog.New(slog.NewJSONHandler(w, options))
 	}
 	return slog.New(slog.NewTextHandler(w, options))
 }
 
-// joinErrorLines replaces the line breaks in the text of wrapped errors with ": ", so that a log entry is one line.
-func joinErrorLines(_ []string, a slog.Attr) slog.Attr {
+const (
+	// maxValueBytes bounds the text of one attribute. Callers choose some of them, such as the ids of their requests, and the
+	// queue of log lines is bounded by their number.
+	maxValueBytes = 512
+	// maxStackBytes bounds the stack of a panic, the attribute stackKey.
+	maxStackBytes = 8 << 10
+	stackKey      = "stack"
+)
+
+// boundAttribute replaces the line breaks in the text of wrapped errors with ": ", so that a log entry is one line, and
+// truncates long texts.
+func boundAttribute(_ []string, a slog.Attr) slog.Attr {
+	text, isText := a.Value.Any().(string)
 	if err, ok := a.Value.Any().(error); ok {
-		a.Value = slog.StringValue(strings.ReplaceAll(err.Error(), "\n\t", ": "))
+		text, isText = strings.ReplaceAll(err.Error(), "\n\t", ": "), true
+		a.Value = slog.StringValue(text)
+	}
+	limit := maxValueBytes
+	if a.Key == stackKey {
+		limit = maxStackBytes
+	}
+	if isText && len(text) > limit {
+		a.Value = slog.StringValue(fmt.Sprintf("%s... (%d bytes)", text[:limit], len(text)))
 	}
 	return a
 }
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// Guards against log lines that are as long as a caller makes the id of its request, and against a stack that is cut to the
+// length of other attributes.
+func TestLogValuesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLogger(&out, "info", "json")
+	long := strings.Repeat("x", 64<<10)
+	log.Info(long[:100], "request", long, "error", errors.New(long), "list", []string{"a"})
+	if out.Len() > 4*maxValueBytes || !strings.Contains(out.String(), "(65536 bytes)") {
+		t.Errorf("a line of %d bytes", out.Len())
+	}
+	out.Reset()
+	log.Error("Recovered from a panic.", "stack", long[:4<<10])
+	if out.Len() < 4<<10 {
+		t.Error("the stack is cut")
+	}
+}
+
 // Guards against lines of the HTTP library that are logged at the wrong level.
 func TestServerLog(t *testing.T) {
 	var out bytes.Buffer
