Refuse answers whose status line is not HTTP/1

Cause: the HTTP library decodes the status as a number of any length and the version as any word, and the gateway states both anew in its own words. readHead refused only what is below 100, and 101. So 2000, 0200, 600 and 999 were passed on, also after an interim answer, and "HTTP/1.7777", "HTTP/1.x" and a NUL in the reason phrase became a plain "HTTP/1.1 200 OK". Ruled out: writeAnswer and classify, which see only the number.

Change: framing.CheckStatusLine checks the line as RFC 9112, section 4, has it, with a status from 100 to 599, before the library decodes it and as soon as the line is complete. All answers pass it: of targets on both interfaces, to load probes, of the store and of other instances. The request may have run: 502 answer_malformed, of unknown outcome; an idempotent one goes to another target.

--- a/internal/ingress/malformed_test.go
+++ b/internal/ingress/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/basillink/basillink/internal/reason"
@@ -14,6 +15,12 @@
 // body, and a codec that is not strict takes them for answers.
 var malformedAnswers = map[string]string{
 	"empty trailer name":         "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTrailer: ,\r\nContent-Length: 0\r\n\r\n",
+	"status of four digits":      "HTTP/1.1 2000 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"status of zeros":            "HTTP/1.1 0200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"status above 599":           "HTTP/1.1 999 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"after an interim answer":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"version":                    "HTTP/1.x 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"reason phrase":              "HTTP/1.1 200 \x00\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
 	"empty trailer name, chunks": "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTrailer: a, ,b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 }
 
@@ -44,6 +51,26 @@
 	}
 }
 
+// Guards against an idempotent request that fails because of one malformed answer, although another target could answer it.
+func TestMalformedAnswerIsRetried(t *testing.T) {
+	for name, raw := range malformedAnswers {
+		t.Run(name, func(t *testing.T) {
+			var answers atomic.Int64
+			script := func(r *http.Request, _ int64) (string, bool) {
+				if answers.Add(1) == 1 {
+					return fmt.Sprintf(raw, r.Header.Get("X-Id")), true
+				}
+				return rawAnswer(200, r, "", "sound"), true
+			}
+			b := newTestbed(t, startScripted(t, script), startScripted(t, script))
+			got, body := b.dial(t).exchange("GET", "/safe/", "id1", "")
+			if got.StatusCode != 200 || body != "sound" || b.counter.retried[reason.RetryAnswerLost.Name] != 1 {
+				t.Errorf("status %d, body %q, retries %v", got.StatusCode, body, b.counter.retried)
+			}
+		})
+	}
+}
+
 // Guards against malformed requests that get no answer, or that reach a target.
 func TestMalformedRequests(t *testing.T) {
 	target := startEcho(t, "")
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -29,7 +29,7 @@
 		if err := panicguard.Catch(func() error { return resp.ReadHeader(&response.Header, c) }); err != nil {
 			return err
 		}
-		if response.StatusCode() == http.StatusSwitchingProtocols || response.StatusCode() < http.StatusContinue {
+		if response.StatusCode() == http.StatusSwitchingProtocols {
 			return &MalformedAnswerError{fmt.Sprintf("unexpected status %d", response.StatusCode())}
 		}
 		if response.StatusCode() >= http.StatusOK {
@@ -39,8 +39,8 @@
 	return &MalformedAnswerError{fmt.Sprintf("%d interim answers without a final one", maxInterimAnswers)}
 }
 
-// checkHead waits for a complete head, validates its framing and sets answer.ConnectionOptions, without consuming the head.
-// This is done before hertz parses the head, because hertz does not keep the information.
+// checkHead waits for a complete head, validates its status line and framing and sets answer.ConnectionOptions, without consuming
+// the head. This is done before hertz parses the head, because hertz accepts more than HTTP/1 and does not keep the information.
 func (c *Conn) checkHead(answer *Answer) error {
 	head, err := c.peekHead()
 	if err != nil {
@@ -54,7 +54,8 @@
 	return nil
 }
 
-// peekHead waits for a complete head and returns it without consuming it. The result is valid until the next read.
+// peekHead waits for a complete head and returns it without consuming it. Its status line is valid. The result is valid until the
+// next read.
 func (c *Conn) peekHead() ([]byte, error) {
 	for needed := 1; ; {
 		if _, err := c.reader.Peek(needed); err != nil {
@@ -64,8 +65,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !maybeStatusLine(available) {
-			return nil, &MalformedAnswerError{"no HTTP/1 status line"}
+		if err := checkStart(available); err != nil {
+			return nil, err
 		}
 		if end := framing.HeadEnd(available); end > 0 {
 			return available[:end], nil
@@ -74,9 +75,19 @@
 	}
 }
 
-// maybeStatusLine reports whether the bytes may be the beginning of a status line. If not, the answer is rejected at once,
-// because the end of the head may never come.
-func maybeStatusLine(available []byte) bool {
+// checkStart returns an error if the bytes cannot be the beginning of a head. The answer is then rejected at once, because the end
+// of the head may never come.
+func checkStart(available []byte) error {
 	n := min(len(available), len(protocolPrefix))
-	return bytes.Equal(available[:n], protocolPrefix[:n])
+	if !bytes.Equal(available[:n], protocolPrefix[:n]) {
+		return &MalformedAnswerError{"no HTTP/1 status line"}
+	}
+	line, _, complete := bytes.Cut(available, []byte{'\n'})
+	if !complete {
+		return nil
+	}
+	if err := framing.CheckStatusLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+		return &MalformedAnswerError{err.Error()}
+	}
+	return nil
 }
