List the stored crash marks again after a write that may be executed late

The store may execute a call that got no answer some seconds later. The instance that writes the crash marks took such a write for not executed, and a retry for the last word: a mark that was cleared meanwhile stayed in the store for good, because the instance only deletes what it believes to be stored, and a deletion that was executed late removed a mark that it believed to be stored. After a restart of all instances, requests would be refused whose marks were cleared, and others would crash targets again. An instance that took over the writing knew none of the stored marks and never deleted those of its predecessor, late or not.

Weighed: appends with the condition "at" keep a late write from being executed after another append, but not a late write from being the last one, which is the case above; the listing is needed either way.

Change: the writer lists the stored marks again 7 s after a write that ended with an error, and 7 s after it took over the writing, if there are any marks at all. The listing replaces what it knows of the store and is not merged into the marks, so that the next calls delete or write what differs. This costs one call for each takeover while marks exist. registry.MaxWriteDelay is now exported; both places use it.

--- a/internal/fleet/stored_crash_marks.go
+++ b/internal/fleet/stored_crash_marks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/registry"
 )
 
 const (
@@ -17,6 +18,9 @@
 	putMarkRetry = 2 * time.Second
 	// putMarkInterval is the time between two checks for marks that have to be written or deleted.
 	putMarkInterval = 500 * time.Millisecond
+	// storedMarksListingDelay is how long after a write that got no answer, or after the last write of the instance that wrote the
+	// marks before, the stored marks are listed. The store may execute such a write until shortly before.
+	storedMarksListingDelay = registry.MaxWriteDelay + time.Second
 	// maxStoredMarks is the largest number of marks in the store.
 	maxStoredMarks = 64
 )
@@ -27,6 +31,10 @@
 type storedMarks struct {
 	// inStore holds the keys of the marks that are known to be in the store.
 	inStore map[string]bool
+	// writing is true while this instance writes the marks for the fleet.
+	writing bool
+	// listingDue is when inStore has to be compared with the store, zero if no write of unknown result is left.
+	listingDue time.Time
 	// loaded is true once the stored marks were read, by this instance or by a peer that sent its state. It is true
 	// from the beginning on the first start of the system, when the store has none.
 	loaded bool
@@ -37,8 +45,9 @@
 
 // storedMarksRead is the result of a read of the stored marks.
 type storedMarksRead struct {
-	marks []discovery.CrashMark
-	err   error
+	marks  []discovery.CrashMark
+	sentAt time.Time
+	err    error
 }
 
 // markStored is the result of a call that writes or deletes a stored mark.
@@ -62,29 +71,51 @@
 }
 
 // syncStoredMarks reads the stored marks after a start, and then writes and deletes them one by one to match the marks
-// of this instance.
+// of this instance. It lists them again when the store may have executed a write of unknown result.
 func (n *Node) syncStoredMarks(ctx context.Context, now time.Time) {
-	if n.CrashMarks == nil || n.storedMarks.callInFlight || now.Before(n.storedMarks.nextCall) || !n.targetsTopic.known || !n.writesStoredMarks(now) {
+	if n.CrashMarks == nil || !n.updateMarksWriter(now) || n.storedMarks.callInFlight || now.Before(n.storedMarks.nextCall) || !n.targetsTopic.known {
 		return
 	}
 	n.storedMarks.nextCall = now.Add(putMarkInterval)
-	if !n.storedMarks.loaded {
-		n.storedMarks.callInFlight = true
-		n.traffic.storeCalls[CallCrashMarks].Add(1)
-		go func() {
-			var e storedMarksRead
-			e.err = n.guardCall(storePart, func() (err error) {
-				e.marks, err = n.Store.CrashMarks(ctx)
-				return err
-			})
-			n.deliver(ctx, e)
-		}()
+	if !n.storedMarks.loaded || n.storedMarksListingDue(now) {
+		n.readStoredMarks(ctx, now)
 		return
 	}
-	mark, found := n.nextMarkToPut()
-	if !found {
-		return
+	if mark, found := n.nextMarkToPut(); found {
+		n.putMark(ctx, mark)
+	}
+}
+
+// updateMarksWriter updates whether this instance writes the stored marks, and reports it.
+func (n *Node) updateMarksWriter(now time.Time) bool {
+	writes := n.writesStoredMarks(now)
+	if writes && !n.storedMarks.writing {
+		n.storedMarks.listingDue = now.Add(storedMarksListingDelay)
 	}
+	n.storedMarks.writing = writes
+	return writes
+}
+
+// storedMarksListingDue reports whether the stored marks have to be listed. Without any mark there was none to write either.
+func (n *Node) storedMarksListingDue(now time.Time) bool {
+	due := n.storedMarks.listingDue
+	return !due.IsZero() && !now.Before(due) && (n.marksDigest() != 0 || len(n.storedMarks.inStore) > 0)
+}
+
+func (n *Node) readStoredMarks(ctx context.Context, now time.Time) {
+	n.storedMarks.callInFlight = true
+	n.traffic.storeCalls[CallCrashMarks].Add(1)
+	go func() {
+		e := storedMarksRead{sentAt: now}
+		e.err = n.guardCall(storePart, func() (err error) {
+			e.marks, err = n.Store.CrashMarks(ctx)
+			return err
+		})
+		n.deliver(ctx, e)
+	}()
+}
+
+func (n *Node) putMark(ctx context.Context, mark discovery.CrashMark) {
 	n.storedMarks.callInFlight = true
 	n.traffic.storeCalls[CallPutCrashMark].Add(1)
 	go func() {
@@ -123,11 +154,17 @@
 		n.Log.Info("Could not read the stored crash marks.", "error", e.err)
 		return
 	}
-	n.storedMarks.loaded = true
 	n.Log.Info("Read the stored crash marks.", "marks", len(e.marks))
+	// The marks of the store are merged only after a start. Later this instance knows the newer state.
+	merge := !n.storedMarks.loaded
+	n.storedMarks.loaded = true
+	if n.storedMarksListingDue(e.sentAt) {
+		n.storedMarks.listingDue = time.Time{}
+	}
+	clear(n.storedMarks.inStore)
 	for _, mark := range e.marks {
 		n.storedMarks.inStore[mark.Key] = true
-		if n.CrashMarks.MergeCrashMark(mark.Key, mark.Data) {
+		if merge && n.CrashMarks.MergeCrashMark(mark.Key, mark.Data) {
 			n.broadcastMark(mark, now)
 		}
 	}
@@ -137,6 +174,7 @@
 	n.storedMarks.callInFlight = false
 	if e.err != nil {
 		n.storedMarks.nextCall = now.Add(putMarkRetry)
+		n.storedMarks.listingDue = now.Add(storedMarksListingDelay)
 		n.Log.Info("Could not store or delete a crash mark.", "fingerprint", e.mark.Key, "error", e.err)
 		return
 	}
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -209,6 +209,8 @@
 	marks       map[string]discovery.CrashMark
 	behavior    storeBehavior
 	slow        bool
+	// markLateness is how long after it was sent a write of a mark is executed. Late writes get no answer. 0 for none.
+	markLateness time.Duration
 	// behaviorByInstance is the behavior toward single instances, by id. An instance gets the later one, in the order of
 	// the constants, of this and behavior.
 	behaviorByInstance map[string]storeBehavior
@@ -334,15 +336,28 @@
 	if err := c.begin(); err != nil {
 		return err
 	}
-	defer c.mu.Unlock()
-	if c.marks == nil {
-		c.marks = map[string]discovery.CrashMark{}
+	lateness := c.markLateness
+	if lateness == 0 {
+		c.putMark(mark)
+	}
+	c.mu.Unlock()
+	if lateness == 0 {
+		return nil
 	}
-	c.marks[mark.Key] = mark
+	time.AfterFunc(lateness, func() { c.update(func() { c.putMark(mark) }) })
+	time.Sleep(storeTimeout)
+	return errRefused
+}
+
+// putMark stores or deletes a mark. The lock must be held.
+func (s *virtualStore) putMark(mark discovery.CrashMark) {
+	if s.marks == nil {
+		s.marks = map[string]discovery.CrashMark{}
+	}
+	s.marks[mark.Key] = mark
 	if mark.Data == nil {
-		delete(c.marks, mark.Key)
+		delete(s.marks, mark.Key)
 	}
-	return nil
 }
 
 // startVirtualNode runs a node and returns it with a function that stops it. configure changes its configuration, and
--- a/internal/registry/order.go
+++ b/internal/registry/order.go
@@ -14,10 +14,10 @@
 // used once the store has kept it for longer than it keeps the entry of a target that sends no heartbeats.
 
 const (
-	// maxWriteDelay bounds how long after it was sent the store executes a write that got no answer.
-	maxWriteDelay = 6 * time.Second
+	// MaxWriteDelay bounds how long after it was sent the store executes a write that got no answer.
+	MaxWriteDelay = 6 * time.Second
 	// maxLateRecordAge bounds how long after it was sent such a write is read. The instances read each record within a second.
-	maxLateRecordAge = maxWriteDelay + time.Second
+	maxLateRecordAge = MaxWriteDelay + time.Second
 	// maxEarlierIncarnations is the number of earlier incarnations of a target that are remembered.
 	maxEarlierIncarnations = 4
 )
@@ -90,7 +90,7 @@
 	if rec.departedAt.IsZero() {
 		return rec.heldSince
 	}
-	return clock.Later(rec.heldSince, rec.departedAt.Add(maxWriteDelay))
+	return clock.Later(rec.heldSince, rec.departedAt.Add(MaxWriteDelay))
 }
 
 // expiryTime is how long the store keeps the entry of a target that sends no heartbeats, with a margin for the time that the store
--- a/internal/registry/order_test.go
+++ b/internal/registry/order_test.go
@@ -103,7 +103,7 @@
 		if effect := r.Merge(Change{ID: "t1", Offset: 4, Entry: c.entry}, at); effect != c.want || usableIDs(r)["t1"] != (c.want == Changed) {
 			t.Errorf("%s: effect %d, used %v", c.name, effect, usableIDs(r)["t1"])
 		}
-		kept := start.Add(maxWriteDelay + r.expiryTime())
+		kept := start.Add(MaxWriteDelay + r.expiryTime())
 		if r.AdmitHeld(kept, kept.Add(-time.Millisecond)); c.want == Held && usableIDs(r)["t1"] {
 			t.Errorf("%s: used before the store has kept the entry for long", c.name)
 		}
@@ -185,7 +185,7 @@
 	if usableIDs(r)["t1"] {
 		t.Error("an entry that a peer holds is in use")
 	}
-	kept := start.Add(maxWriteDelay + peer.expiryTime())
+	kept := start.Add(MaxWriteDelay + peer.expiryTime())
 	for name, each := range map[string]*Registry{"peer": peer, "joined": r} {
 		if each.AdmitHeld(kept, kept); !usableIDs(each)["t1"] {
 			t.Errorf("%s: not in use although the store has kept the entry", name)
