--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -61,6 +61,14 @@
 	return status != nil && status.Version > version
 }
 
+// configStatus returns the version of the configuration in force, 0 for none, or nil while that is unknown.
+func (n *Node) configStatus(now time.Time) *configStatus {
+	if !n.configsTopic.known {
+		return nil
+	}
+	return &configStatus{Version: n.configVersion(), AgeMS: now.Sub(n.configsTopic.asOf).Milliseconds(), Answer: n.configsTopic.answer}
+}
+
 // configVersion returns the version of the configuration in force, 0 for none.
 func (n *Node) configVersion() uint64 {
 	if n.table == nil {
