--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -265,33 +265,6 @@
 	return wasInUse
 }
 
-// retain marks a target as expired and keeps it in use for the grace period after the outage. A draining target, and any
-// target if this instance knows that there was no outage, is marked as gone instead. It reports whether the usable targets
-// changed.
-func (r *Registry) retain(rec *record, c Change, now time.Time) bool {
-	unknown := rec == nil || rec.presence == gone
-	switch {
-	case !r.store.inGrace(now):
-		return markGone(rec, c, now)
-	case unknown && c.Entry == nil:
-		return false
-	case rec != nil && unknown && rec.orderOf(c.Entry, now) != newer:
-		rec.offset, rec.held = c.Offset, nil
-		return false
-	case unknown:
-		if rec == nil {
-			rec = &record{}
-			r.records[c.ID] = rec
-		}
-		rec.use(newTarget(c.Entry, now), now)
-	case rec.target.Draining:
-		return markGone(rec, c, now)
-	}
-	rec.offset, rec.presence, rec.held = c.Offset, expired, nil
-	r.anyExpired = true
-	return unknown
-}
-
 // differs reports whether two entries differ in more than the remaining warm-up time and the sequence number, which change
 // with each heartbeat.
 func differs(a, b Target) bool {
@@ -300,90 +273,6 @@
 	return a.Entry != b.Entry
 }
 
-// mayBeOutageEffect reports whether a removal that is read now and was made before a time may be the effect of an outage.
-func (r *Registry) mayBeOutageEffect(now, removedBefore time.Time) bool {
-	if r.store.silent(now) {
-		return r.canHaveExpired(r.store.until, now)
-	}
-	return now.Sub(r.store.since) < OutageGracePeriod && r.canHaveExpired(r.store.previousUntil, removedBefore)
-}
-
-// canHaveExpired reports whether entries can have expired in an outage between two times. From is zero if it is unknown.
-func (r *Registry) canHaveExpired(from, to time.Time) bool {
-	return !from.IsZero() && to.Sub(from) >= r.expiryDelay
-}
-
-// Replace applies a complete listing of the records before offset next, from the store or from another instance. Targets
-// that are not listed are gone or have expired. It returns the ids of those that are gone, and reports whether anything
-// changed.
-func (r *Registry) Replace(changes []Change, next int64, now time.Time) (departed []string, changed bool) {
-	listed := map[string]bool{}
-	for _, c := range changes {
-		if c.Entry != nil {
-			listed[c.ID] = true
-		}
-		if r.Merge(c, now) == Changed {
-			changed = true
-		}
-	}
-	for id, rec := range r.records {
-		// The removal gets the offset of the last record of the listing, because known records from next on are newer than
-		// the listing.
-		removal := Change{ID: id, Offset: next - 1}
-		// It may be much older than the listing, so that only an outage long enough for entries to expire in it counts.
-		if !listed[id] && rec.presence == present && r.Merge(r.classify(removal, now, r.store.since), now) == Changed {
-			departed = append(departed, id)
-		}
-		if !listed[id] && rec.offset < next {
-			rec.held = nil
-		}
-	}
-	r.recordListing(next)
-	return departed, changed || len(departed) > 0
-}
-
-// recordListing records that the records from readOffset to next are known from a listing only.
-func (r *Registry) recordListing(next int64) {
-	if r.readOffset == 0 {
-		r.completeFrom = next
-	} else {
-		r.completeFrom = max(r.completeFrom, r.gapTo)
-		r.gapFrom, r.gapTo = r.readOffset, next
-	}
-	r.AdvanceReadOffset(next)
-}
-
-// knowsDeparturesFrom reports whether all departures since an offset are known.
-func (r *Registry) knowsDeparturesFrom(from int64) bool {
-	return from >= r.completeFrom && (from <= r.gapFrom || from >= r.gapTo)
-}
-
-// EvictExpired removes the expired targets whose grace period has ended, and returns their ids. It does nothing while the
-// latest known answer of the store is old, because the targets may have registered again since.
-func (r *Registry) EvictExpired(now time.Time) (evicted []string) {
-	if !r.anyExpired || r.store.inGrace(now) {
-		return nil
-	}
-	r.anyExpired = false
-	for id, rec := range r.records {
-		if rec.presence == expired {
-			rec.presence = gone
-			evicted = append(evicted, id)
-		}
-	}
-	return evicted
-}
-
-// Retained reports whether a target is in use although its entry has expired. remaining is the rest of the grace period, or
-// 0 while the latest known answer of the store is old.
-func (r *Registry) Retained(id string, now time.Time) (retained bool, remaining time.Duration) {
-	rec := r.records[id]
-	if rec == nil || rec.presence != expired {
-		return false, 0
-	}
-	return true, r.store.graceLeft(now)
-}
-
 // Drop removes a target that is known to be gone from another source, for example because its address answers for another
 // incarnation. It reports whether that is a change. A later record restores the target.
 func (r *Registry) Drop(id string) bool {
@@ -412,21 +301,3 @@
 	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return targets
 }
-
-// ChangesSince returns the records from an offset on as changes, for an instance that has missed them. completeFrom is the
-// offset from which on they are complete. It is 0, and the changes contain all records, if departures since the requested
-// offset may be unknown.
-func (r *Registry) ChangesSince(from int64, now time.Time) (changes []Change, completeFrom int64) {
-	if !r.knowsDeparturesFrom(from) {
-		from = 0
-	}
-	for id, rec := range r.records {
-		if rec.offset < from {
-			continue
-		}
-		change := r.describe(id, rec, now)
-		change.Lapsed, change.Hold = r.Retained(id, now)
-		changes = append(changes, change)
-	}
-	return changes, from
-}
--- /dev/null
+++ b/internal/registry/retention.go
@@ -0,0 +1,71 @@
+package registry
+
+import "time"
+
+// Entries of running targets expire while the store is away. Their targets stay in use for a grace period after an outage.
+
+// mayBeOutageEffect reports whether a removal that is read now and was made before a time may be the effect of an outage.
+func (r *Registry) mayBeOutageEffect(now, removedBefore time.Time) bool {
+	if r.store.silent(now) {
+		return r.canHaveExpired(r.store.until, now)
+	}
+	return now.Sub(r.store.since) < OutageGracePeriod && r.canHaveExpired(r.store.previousUntil, removedBefore)
+}
+
+// canHaveExpired reports whether entries can have expired in an outage between two times. From is zero if it is unknown.
+func (r *Registry) canHaveExpired(from, to time.Time) bool {
+	return !from.IsZero() && to.Sub(from) >= r.expiryDelay
+}
+
+// retain marks a target as expired and keeps it in use for the grace period after the outage. A draining target, and any
+// target if this instance knows that there was no outage, is marked as gone instead. It reports whether the usable targets
+// changed.
+func (r *Registry) retain(rec *record, c Change, now time.Time) bool {
+	unknown := rec == nil || rec.presence == gone
+	switch {
+	case !r.store.inGrace(now):
+		return markGone(rec, c, now)
+	case unknown && c.Entry == nil:
+		return false
+	case rec != nil && unknown && rec.orderOf(c.Entry, now) != newer:
+		rec.offset, rec.held = c.Offset, nil
+		return false
+	case unknown:
+		if rec == nil {
+			rec = &record{}
+			r.records[c.ID] = rec
+		}
+		rec.use(newTarget(c.Entry, now), now)
+	case rec.target.Draining:
+		return markGone(rec, c, now)
+	}
+	rec.offset, rec.presence, rec.held = c.Offset, expired, nil
+	r.anyExpired = true
+	return unknown
+}
+
+// EvictExpired removes the expired targets whose grace period has ended, and returns their ids. It does nothing while the
+// latest known answer of the store is old, because the targets may have registered again since.
+func (r *Registry) EvictExpired(now time.Time) (evicted []string) {
+	if !r.anyExpired || r.store.inGrace(now) {
+		return nil
+	}
+	r.anyExpired = false
+	for id, rec := range r.records {
+		if rec.presence == expired {
+			rec.presence = gone
+			evicted = append(evicted, id)
+		}
+	}
+	return evicted
+}
+
+// Retained reports whether a target is in use although its entry has expired. remaining is the rest of the grace period, or
+// 0 while the latest known answer of the store is old.
+func (r *Registry) Retained(id string, now time.Time) (retained bool, remaining time.Duration) {
+	rec := r.records[id]
+	if rec == nil || rec.presence != expired {
+		return false, 0
+	}
+	return true, r.store.graceLeft(now)
+}
