Forget targets that departed more than 10 min ago

Cause: the record of a departed target was kept for as long as the process runs, since its offset and now its departure order late entries. Each replaced target stayed in the memory of every instance, and in each state that a peer or a starting instance fetches.

Change: a departed target is forgotten 10 min after it was last in use. No late write (6 s), repeated change (1.5 s) or expired entry is so old.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -94,6 +94,8 @@
 	departedAt time.Time
 	// departedOffset is the offset of the latest removal that this instance knows of, 0 if there was none.
 	departedOffset int64
+	// unusedSince is when ForgetDeparted first found the target gone, zero if it was in use since.
+	unusedSince time.Time
 	// held is an entry that may be older than what is known of the target, nil if there is none. It was first seen at heldSince.
 	held      *Entry
 	heldSince time.Time
@@ -111,7 +113,8 @@
 		rec.earlier = append(rec.earlier, old)
 		rec.earlier = rec.earlier[max(len(rec.earlier)-maxEarlierIncarnations, 0):]
 	}
-	rec.target, rec.presence, rec.departedAt, rec.held = target, present, time.Time{}, nil
+	rec.target, rec.presence, rec.held = target, present, nil
+	rec.departedAt, rec.unusedSince = time.Time{}, time.Time{}
 }
 
 // Registry holds the latest record of each target. It is not safe for concurrent use.
@@ -132,6 +135,8 @@
 	anyExpired bool
 	// anyHeld is true if an entry may be held.
 	anyHeld bool
+	// nextPrune is the time of the next search for departed targets to forget.
+	nextPrune time.Time
 }
 
 // missedHeartbeats is the number of missed heartbeats after which the store removes the entry of a target.
