Use held targets as soon as a probe finds them running

Cause: a running target whose heartbeats were lost departs in the store after three intervals. Its next entry has a higher sequence than any that was read, as a late write of a departed target may have, so that it was held for 5 to 11 s.

What else is known: the health path. PROTOCOL.md: it returns 200 "while the server considers itself healthy and is not leaving, with the server's ID".

Change: the instance that probes the shard of a target also probes it while its entry is held. A 200 with its id, to a probe that was sent after the entry was held, puts the entry into use, and the change that is repeated to the other instances says so (Change.Running). This holds only for an entry of the incarnation that departed: an answer does not tell which incarnation gave it. Targets that do not answer stay held as before.

Ruled out: deciding by the sequence itself, since the time between two heartbeats is known only about; dropping a held entry at a 503, since servers may report bad health while they serve.

--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -41,6 +41,8 @@
 	// the given time.
 	Draining bool
 	Backoff  time.Duration
+	// Healthy is true if the target says that it is healthy and not about to leave.
+	Healthy bool
 }
 
 // Target is the dispatcher's state of one target. It is guarded by the mutex of its Pool.
--- a/internal/fleet/late_writes_test.go
+++ b/internal/fleet/late_writes_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 )
 
@@ -27,6 +29,9 @@
 	// until no late write of before its removal can be left, longer than the store keeps the entry of a target that sends no
 	// heartbeats, and the time to read it.
 	provenAfter = maxLateness + missedHeartbeats*targetHeartbeat + 3500*time.Millisecond
+	// foundAfter is how long the store has to keep the entry of a running target that answers probes until every instance has to use
+	// it, as long as no instance is disturbed.
+	foundAfter = time.Second
 )
 
 // lateSchedule is a schedule of targets whose heartbeats the store may execute late.
@@ -39,6 +44,8 @@
 	cuts []targetSpan
 	// starts are new starts of targets under the same id.
 	starts []targetStart
+	// unprobed is true if the targets do not answer probes.
+	unprobed bool
 }
 
 type targetSpan struct {
@@ -55,7 +62,7 @@
 
 func (s lateSchedule) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s; %.2f of the heartbeats late %v to %v", s.schedule, s.lateShare, s.late.from, s.late.to)
+	fmt.Fprintf(&b, "%s; %.2f of the heartbeats late %v to %v; unprobed %t", s.schedule, s.lateShare, s.late.from, s.late.to, s.unprobed)
 	for _, c := range s.cuts {
 		fmt.Fprintf(&b, "; t%d cut off %v to %v", c.target, c.from, c.to)
 	}
@@ -88,6 +95,7 @@
 	if r.IntN(2) == 0 {
 		s.restarts = append(s.restarts, restartSome(r, s.late.from+within(6*time.Second), s.instancesPerZone))
 	}
+	s.unprobed = r.IntN(2) == 0
 	return s
 }
 
@@ -229,6 +237,29 @@
 	m.scheduleHeartbeat(t, t.incarnation, 0)
 }
 
+// Open implements Prober.
+func (m *lateTargets) Open(_, _, id string) Probe {
+	i := slices.IndexFunc(m.list, func(t *lateTarget) bool { return t.entry.ID == id })
+	return &lateProbe{m, m.list[i]}
+}
+
+// lateProbe probes a target. A departed one still answers, and says that it is not healthy.
+type lateProbe struct {
+	m      *lateTargets
+	target *lateTarget
+}
+
+func (p *lateProbe) Read(context.Context) (dispatch.LoadReport, error) {
+	p.m.mu.Lock()
+	defer p.m.mu.Unlock()
+	if p.m.s.unprobed {
+		return dispatch.LoadReport{}, errSilentTarget
+	}
+	return dispatch.LoadReport{Slots: 4, Slowdown: 1, Healthy: p.target.running}, nil
+}
+
+func (*lateProbe) Close() {}
+
 // check records each departed target that is in use after the bound, and each running one that is not in use although the store
 // has kept its entry for provenAfter.
 func (m *lateTargets) check(keptOut map[string]time.Duration) {
@@ -264,6 +295,7 @@
 		count := sim.instancesPerZone * scheduleZones
 		sim.nodes, sim.stops, sim.startedAt = make([]*Node, count), make([]func(), count), time.Now()
 		m := &lateTargets{sim: sim, s: s, random: rand.New(rand.NewPCG(seed, 25))}
+		sim.onConfigure = func(_ int, c *Config) { c.Prober = m }
 		m.start()
 		for i := range count {
 			sim.startNode(i)
@@ -308,6 +340,24 @@
 	t.Logf("running targets with an entry were not in use for %v in all", keptOut)
 }
 
+// Guards against running targets that are kept out of use for long after their heartbeats did not reach the store for a while.
+func TestAnsweringTargetIsBackSoonAfterLostHeartbeats(t *testing.T) {
+	for seed := range uint64(10) {
+		r := rand.New(rand.NewPCG(seed, 28))
+		s := lateSchedule{schedule: schedule{instancesPerZone: 2}}
+		for target := range 2 {
+			from := settlingTime + time.Duration(r.Int64N(int64(4*time.Second)))
+			lost := missedHeartbeats*targetHeartbeat + time.Duration(r.Int64N(int64(4*time.Second)))
+			s.cuts = append(s.cuts, targetSpan{span{from, from + lost}, target})
+		}
+		failures, out := simulateLateWrites(t, s, seed)
+		limit := time.Duration(len(s.cuts)*s.instancesPerZone*scheduleZones) * foundAfter
+		if len(failures) > 0 || out > limit {
+			t.Errorf("seed %d: %s\n\tnot in use for %v in all, limit %v; failures %v", seed, s, out, limit, failures)
+		}
+	}
+}
+
 // Guards against a departed target that is used again after all instances were restarted: none of them knows of the departure, and
 // the late write looks like the entry of a new target.
 func TestLateWriteAfterRestartOfAll(t *testing.T) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -140,9 +140,11 @@
 	// shardsAssignedAt. The index of an instance is the index of its shard.
 	shardOwners      []string
 	shardsAssignedAt time.Time
-	// zoneTargets are the usable targets of this zone whose services have routes, and zoneServices are those services.
+	// zoneTargets are the targets of this zone to probe, those whose services have routes, and zoneServices are those services.
 	zoneTargets  []registry.Target
 	zoneServices map[string]bool
+	// zoneHeld are the ids of those zoneTargets that are not usable: their held entries are used once a probe finds them running.
+	zoneHeld map[string]bool
 	// samplerSynced is true while the sampler has exactly the targets of shard.
 	samplerSynced bool
 	probeStates   map[string]*probeState
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -88,6 +88,9 @@
 // mayProbe reports whether a target may be probed. Probes count as requests, so a target that drains or requested a
 // backoff is not probed.
 func (n *Node) mayProbe(id, service string) bool {
+	if n.zoneHeld[id] {
+		return true
+	}
 	pool := n.pools[service]
 	return pool == nil || pool.Accepts(pool.Target(id))
 }
@@ -193,6 +196,7 @@
 		return
 	}
 	n.traffic.loadProbes.Add(int64(len(e.results)))
+	e.results = n.useFoundRunning(e.results, now)
 	n.applyBackpressure(e.results)
 	d := n.newDatagram(now)
 	n.updateInFlight(e.results, now)
--- a/internal/fleet/sampler.go
+++ b/internal/fleet/sampler.go
@@ -44,10 +44,12 @@
 
 // probeResult is the result of one load probe.
 type probeResult struct {
-	id       string
-	service  string
-	report   dispatch.LoadReport
-	failures int
+	id      string
+	service string
+	report  dispatch.LoadReport
+	// startedAt is when the probe was sent.
+	startedAt time.Duration
+	failures  int
 	// noLoadReport is true when the target answered without a load report.
 	noLoadReport bool
 }
@@ -135,7 +137,7 @@
 			report.ReceivedAt = s.now()
 		}
 		select {
-		case s.results <- probeResult{id: id, service: w.service, report: report, failures: failures, noLoadReport: noReport}:
+		case s.results <- probeResult{id: id, service: w.service, report: report, startedAt: startedAt, failures: failures, noLoadReport: noReport}:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -29,7 +29,7 @@
 }
 
 // applyChanges applies classified changes of targets and remembers those that others have to apply too, to repeat them for
-// instances that missed them. It reports whether any of them may have changed the usable targets.
+// instances that missed them. It reports whether any of them may have changed the targets that are usable or probed.
 func (n *Node) applyChanges(changes []registry.Change, now time.Time) bool {
 	changed := false
 	for _, c := range changes {
@@ -38,7 +38,7 @@
 		if c.Entry != nil && !c.Lapsed && (effect == registry.Unchanged || effect == registry.Outdated) {
 			continue
 		}
-		changed = changed || effect != registry.Held
+		changed = true
 		n.recentChanges = append(n.recentChanges, recentChange{c, now})
 	}
 	return changed
@@ -76,7 +76,7 @@
 // learnDepartures takes over what a peer knows of recent departures, and repeats it for the others, which may have started at the
 // same time.
 func (n *Node) learnDepartures(departures []registry.Change, now time.Time) {
-	var dropped []string
+	var dropped, running []string
 	for _, c := range departures {
 		switch n.registry.Learn(c, now) {
 		case registry.DepartureLearned:
@@ -84,26 +84,20 @@
 		case registry.LateWriteFound:
 			n.recentChanges = append(n.recentChanges, recentChange{c, now})
 			dropped = append(dropped, c.ID)
+		case registry.FoundRunningByPeer:
+			n.recentChanges = append(n.recentChanges, recentChange{c, now})
+			running = append(running, c.ID)
 		}
 	}
-	if len(dropped) == 0 {
-		return
+	if len(dropped) > 0 {
+		n.Log.Info("Dropped targets that a peer knows to have departed before their entries were written.", "targets", truncateForLog(dropped))
 	}
-	n.Log.Info("Dropped targets that a peer knows to have departed before their entries were written.", "targets", truncateForLog(dropped))
-	n.publishView(now)
-}
-
-// admitHeldTargets puts targets into use whose entries were held and have proved to be newer.
-func (n *Node) admitHeldTargets(now time.Time) {
-	if !n.targetsTopic.known {
-		return
+	if len(running) > 0 {
+		n.Log.Info("A peer found targets running whose entries were held.", "targets", truncateForLog(running))
 	}
-	admitted := n.registry.AdmitHeld(now, n.targetsTopic.asOf)
-	if len(admitted) == 0 {
-		return
+	if len(dropped)+len(running) > 0 {
+		n.publishView(now)
 	}
-	n.Log.Info("Targets whose entries were held are running.", "count", len(admitted), "targets", truncateForLog(admitted))
-	n.publishView(now)
 }
 
 // repeatPeriod is how long changes and crash marks are repeated in datagrams. It covers several lost datagrams in a
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -17,15 +17,12 @@
 	}
 	byService := map[string][]registry.Target{}
 	inUse := map[string]registry.Target{}
-	n.zoneTargets, n.zoneServices, n.samplerSynced = nil, map[string]bool{}, false
-	for _, t := range n.registry.Usable() {
+	usable := n.registry.Usable()
+	for _, t := range usable {
 		byService[t.Service] = append(byService[t.Service], t)
 		inUse[t.ID] = t
-		if _, served := n.table.Services[t.Service]; served && t.Zone == n.Self.Zone {
-			n.zoneTargets = append(n.zoneTargets, t)
-			n.zoneServices[t.Service] = true
-		}
 	}
+	n.setTargetsToProbe(usable)
 	n.reportTerminated(inUse)
 	view := &ingress.View{Table: n.table, Pools: map[string]*dispatch.Pool{}, Instances: n.instances}
 	for name := range n.table.Services {
@@ -52,6 +49,25 @@
 	}
 }
 
+// setTargetsToProbe makes this zone probe its usable targets and those whose entries are held after a departure.
+func (n *Node) setTargetsToProbe(usable []registry.Target) {
+	n.zoneTargets, n.zoneServices, n.zoneHeld, n.samplerSynced = nil, map[string]bool{}, map[string]bool{}, false
+	add := func(t registry.Target) bool {
+		if _, served := n.table.Services[t.Service]; !served || t.Zone != n.Self.Zone {
+			return false
+		}
+		n.zoneTargets = append(n.zoneTargets, t)
+		n.zoneServices[t.Service] = true
+		return true
+	}
+	for _, t := range usable {
+		add(t)
+	}
+	for _, t := range n.registry.HeldAfterDeparture() {
+		n.zoneHeld[t.ID] = add(t)
+	}
+}
+
 // reportTerminated reports the targets whose processes are gone without having announced that they drain. It runs
 // before the pools drop them.
 func (n *Node) reportTerminated(inUse map[string]registry.Target) {
--- a/internal/registry/knowledge.go
+++ b/internal/registry/knowledge.go
@@ -96,14 +96,20 @@
 	DepartureLearned
 	// LateWriteFound means that the departure was not known, and that the target was in use because of a write that may be late.
 	LateWriteFound
+	// FoundRunningByPeer means that the held entry of the target is in use now, because the other instance found the target running.
+	FoundRunningByPeer
 )
 
 // Learn takes over what another instance knows of a departure, whatever part of the topic either of them has read.
 func (r *Registry) Learn(c Change, now time.Time) Lesson {
+	rec := r.records[c.ID]
+	if r.useHeld(rec, c, now) {
+		return FoundRunningByPeer
+	}
 	if c.Known == nil {
 		return NothingNew
 	}
-	known, rec := c.Known.record(c.ID, now), r.records[c.ID]
+	known := c.Known.record(c.ID, now)
 	if rec == nil {
 		known.offset = c.Offset
 		if c.Entry != nil && c.Known.HeldFor > 0 {
--- a/internal/registry/order.go
+++ b/internal/registry/order.go
@@ -11,7 +11,8 @@
 // therefore not newer than what is known of its target because its offset is higher. Incarnation and sequence order the entries
 // of a target, but not against its departure, of which the store tells no sequence; and the store records an entry only when more
 // than its sequence changes, so that a late one may have a higher sequence than any that was read. Such an entry is held: it is
-// used once the store has kept it for longer than it keeps the entry of a target that sends no heartbeats.
+// used once the target was found running, or the store has kept it for longer than it keeps the entry of a target that sends no
+// heartbeats.
 
 const (
 	// MaxWriteDelay bounds how long after it was sent the store executes a write that got no answer.
@@ -117,6 +118,46 @@
 	return admitted
 }
 
+// HeldAfterDeparture returns the targets whose held entries are of the incarnation that departed. Such a target is running, and has
+// not left, if it says so itself.
+func (r *Registry) HeldAfterDeparture() []Target {
+	if !r.anyHeld {
+		return nil
+	}
+	var targets []Target
+	for _, rec := range r.records {
+		if rec.heldAfterDeparture() {
+			targets = append(targets, Target{Entry: *rec.held})
+		}
+	}
+	return targets
+}
+
+func (rec *record) heldAfterDeparture() bool {
+	return rec.held != nil && rec.presence == gone && rec.held.Born == rec.target.Born
+}
+
+// FoundRunning puts the held entry of a target into use that was found running at a time. It returns the change for the other
+// instances, which hold the entry as well, and reports whether there was such an entry.
+func (r *Registry) FoundRunning(id string, at, now time.Time) (c Change, found bool) {
+	rec := r.records[id]
+	if rec == nil || !rec.heldAfterDeparture() || !at.After(rec.heldSince) {
+		return c, false
+	}
+	held := *rec.held
+	rec.use(newTarget(&held, now), now)
+	return Change{ID: id, Offset: rec.offset, Entry: &held, Running: true}, true
+}
+
+// useHeld uses a held entry whose target another instance found running. It reports whether there was one.
+func (r *Registry) useHeld(rec *record, c Change, now time.Time) bool {
+	if !c.Running || rec == nil || rec.held == nil || rec.offset != c.Offset {
+		return false
+	}
+	rec.use(newTarget(rec.held, now), now)
+	return true
+}
+
 // mostlyHeldFactor is the number of held targets for each usable one from which on a service counts as mostly held.
 const mostlyHeldFactor = 2
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,6 +39,8 @@
 	Hold   time.Duration
 	// Malformed marks a record that does not describe a usable target. It says nothing about whether the target runs.
 	Malformed bool `cbor:",omitempty"`
+	// Running is true if the target was found running after its entry was read. A held entry is then used.
+	Running bool `cbor:",omitempty"`
 	// Known is what the sender of the change knows of the target, if it is gone or its entry is held. It is nil if the sender read
 	// the change from the store, and if it is of an earlier version.
 	Known *Known `cbor:",omitempty"`
@@ -214,6 +216,9 @@
 // is older than the known record of the target.
 func (r *Registry) Merge(c Change, now time.Time) Effect {
 	rec := r.records[c.ID]
+	if r.useHeld(rec, c, now) {
+		return Changed
+	}
 	if rec != nil && c.Offset <= rec.offset || rec == nil && c.Offset < r.readOffset {
 		return Unchanged
 	}
@@ -237,10 +242,10 @@
 		r.records[c.ID] = rec
 	}
 	rec.offset = c.Offset
-	switch rec.orderOf(c.Entry, now) {
-	case older:
+	switch order := rec.orderOf(c.Entry, now); {
+	case order == older:
 		return Outdated
-	case unclear:
+	case order == unclear && !c.Running:
 		r.holdEntry(rec, c.Entry, now.Add(-c.heldFor()))
 		return Held
 	}
