Repeat recent departures after a listing of the targets

Cause: an instance that starts learns of recent departures from the answers to its greetings and repeats them for others that started at the same time. If it then listed the targets from the store, the listing cleared all changes that it repeats, these departures among them.

Change: the listing moves the offset from which the repeated changes are complete, and no longer clears them. Receivers use the older ones only to learn of departures.

Measured: TestDepartureIsRepeatedAfterListing fails before and passes now.

--- a/internal/fleet/late_writes_test.go
+++ b/internal/fleet/late_writes_test.go
@@ -358,6 +358,30 @@
 	}
 }
 
+// Guards against an instance that lists the targets right after it learned of a departure, and then does not tell of it an instance
+// that started at the same time.
+func TestDepartureIsRepeatedAfterListing(t *testing.T) {
+	peer := newQuietNode(t, newMember("b1", "b"))
+	entry := targetEntry(0, false)
+	entry.Born, entry.Sequence = 7, 3
+	listing := []registry.Change{{ID: entry.ID, Offset: 1, Entry: entry}}
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 2}, testStart)
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 2}}, next: 3}, testStart)
+
+	n, other := newQuietNode(t, newMember("a1", "a")), newQuietNode(t, newMember("c1", "c"))
+	n.learnDepartures(peer.registry.RecentDepartures(testStart), testStart)
+	for _, started := range []*Node{n, other} {
+		started.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 3}, testStart)
+	}
+	other.mergeTargetsUpdate(n.targetsUpdate(testStart), testStart)
+	late := *entry
+	late.Sequence = 8
+	other.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 3, Entry: &late}}, next: 4}, testStart)
+	if len(other.registry.Usable()) != 0 {
+		t.Error("a departed target is used because of a late write")
+	}
+}
+
 // Guards against a departed target that is used again after all instances were restarted: none of them knows of the departure, and
 // the late write looks like the entry of a new target.
 func TestLateWriteAfterRestartOfAll(t *testing.T) {
--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -14,7 +14,8 @@
 // replaceTargets applies a complete listing of the targets. It reports whether anything changed.
 func (n *Node) replaceTargets(changes []registry.Change, next int64, source string, now time.Time) bool {
 	departed, changed := n.registry.Replace(changes, next, now)
-	n.recentChanges, n.recentChangesBase = nil, next
+	// Recent changes are still repeated, because those that started lately may not know of the departures among them.
+	n.recentChangesBase = next
 	n.Log.Info("Applied a listing of the targets.", "source", source, "records", len(changes), "next", next,
 		"left", len(departed), "targets", truncateForLog(departed))
 	return changed
