Send to a live member of a zone whose leader is not known

Cause, from the trace: two leaders of different zones start at the same time, and the greeting of one to the third instance is lost. Each sends what it knows to the members of other zones that claimed leadership to it, so that neither ever sends the first claim to the other. They stayed unknown to each other as leaders until the members were read from the store again 3 s later.

Change: what a leader reports to other zones goes to their first live member where no leader is known. Such a member passes the datagram on to its leader, as it does for leaders that it is not the peer of. Claims and the choice of who writes crash marks still need a known leader.

TestReceiversOfZonesWithoutKnownLeader covers the choice.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -190,9 +190,9 @@
 	n.sendToOtherZones(d, now)
 }
 
-// sendToOtherZones sends a datagram to the leaders of the other zones.
+// sendToOtherZones sends a datagram to one member of each other zone, its leader if one is known.
 func (n *Node) sendToOtherZones(d *datagram, now time.Time) {
-	n.sendDatagram(d, addressesOf(n.members.remoteLeaders(now))...)
+	n.sendDatagram(d, addressesOf(n.members.remoteReceivers(now))...)
 }
 
 // sendHeartbeat sends the heartbeat of this instance to the leader and the standbys of its zone.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -232,6 +232,22 @@
 	return leaders
 }
 
+// remoteReceivers returns for each other zone the member that receives what this one reports: its leader or, if none has claimed
+// leadership, its first live member. Leaders that start at the same time would otherwise each wait for the claim of the other.
+func (m *members) remoteReceivers(now time.Time) []*peerState {
+	receivers := make([]*peerState, 0, len(m.remotePeers))
+	for _, list := range m.remotePeers {
+		p := latestLeader(list, now, anyAge)
+		if live := livePeers(list, now); p == nil && len(live) > 0 {
+			p = live[0]
+		}
+		if p != nil {
+			receivers = append(receivers, p)
+		}
+	}
+	return receivers
+}
+
 // anyAge makes latestLeader accept claims of any age.
 const anyAge = time.Duration(1<<63 - 1)
 
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -262,3 +262,22 @@
 		t.Errorf("shard owners %v, want one", owners)
 	}
 }
+
+// Guards against two leaders that start at the same time and never hear of each other, because each sends to the leaders that it
+// knows only.
+func TestReceiversOfZonesWithoutKnownLeader(t *testing.T) {
+	all := []discovery.Member{newMember("a1", "a"), newMember("b1", "b"), newMember("b2", "b"), newMember("c1", "c")}
+	now := testStart.Add(time.Minute)
+	m := membersSeenBy("a1", now, all...)
+	m.peers["c1"].lastHeard = now.Add(-time.Minute)
+	if receivers := m.remoteReceivers(now); len(receivers) != 1 || receivers[0].ID != "b1" {
+		t.Errorf("receivers %v, want the first live member", receivers)
+	}
+	m.recordLeaderClaim(m.peers["b2"], now)
+	if receivers := m.remoteReceivers(now); len(receivers) != 1 || receivers[0].ID != "b2" {
+		t.Errorf("receivers %v, want the leader", receivers)
+	}
+	if leaders := m.remoteLeaders(now); len(leaders) != 1 {
+		t.Errorf("leaders %v, want the one that claimed leadership", leaders)
+	}
+}
