Lock the modelled targets while they are set up

The model appended targets to its list without its lock, while timers of the targets before them, which read the list with the lock held, had already fired. The race is in the test, not in the product.

Change: start holds the lock, and the callbacks of departures and new starts capture their target instead of reading the list.

--- a/internal/fleet/late_writes_test.go
+++ b/internal/fleet/late_writes_test.go
@@ -133,27 +133,25 @@
 }
 
 func (m *lateTargets) start() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for i := range scheduleTargets {
 		t := &lateTarget{entry: *targetEntry(i, false), running: true}
 		t.entry.Born = 1_000_000 + int64(i)
 		m.list = append(m.list, t)
-		m.startHeartbeats(t)
+		m.scheduleHeartbeat(t, t.incarnation, 0)
 	}
 	for _, d := range m.s.departures {
-		m.sim.after(d.at, func() { m.depart(m.list[d.target]) })
+		target := m.list[d.target]
+		m.sim.after(d.at, func() { m.depart(target) })
 	}
 	for _, st := range m.s.starts {
-		m.sim.after(st.at, func() { m.startAgain(m.list[st.target], st) })
+		target := m.list[st.target]
+		m.sim.after(st.at, func() { m.startAgain(target, st) })
 	}
 }
 
-// startHeartbeats sends the heartbeats of the current incarnation of a target, with some jitter.
-func (m *lateTargets) startHeartbeats(t *lateTarget) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.scheduleHeartbeat(t, t.incarnation, 0)
-}
-
+// scheduleHeartbeat sends the next heartbeat of an incarnation of a target, and with some jitter those after it.
 func (m *lateTargets) scheduleHeartbeat(t *lateTarget, incarnation int, after time.Duration) {
 	time.AfterFunc(after, func() {
 		m.mu.Lock()
