--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"github.com/basillink/basillink/internal/discovery"
 	"net"
 	"net/rpc"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/discovery"
 )
 
 // fetchTimeout is the timeout of a call to a peer.
