--- a/internal/registry/held_test.go
+++ b/internal/registry/held_test.go
@@ -74,11 +74,11 @@
 		}
 	}
 	peer := holdLateEntry(t)
-	if lesson := peer.Learn(change, now); lesson != FoundRunningByPeer || !usableIDs(peer)["t1"] {
-		t.Errorf("lesson %d, want FoundRunningByPeer", lesson)
+	if result := peer.Learn(change, now); result != FoundRunningByPeer || !usableIDs(peer)["t1"] {
+		t.Errorf("result %d, want FoundRunningByPeer", result)
 	}
-	if lesson := peer.Learn(change, now); lesson != NothingNew {
-		t.Errorf("lesson %d of a repeated change, want NothingNew", lesson)
+	if result := peer.Learn(change, now); result != NothingNew {
+		t.Errorf("result %d of a repeated change, want NothingNew", result)
 	}
 	peer.Apply(Change{ID: "t1", Offset: 4}, now)
 	if peer.Merge(change, now) == Changed || peer.Learn(change, now) != NothingNew || usableIDs(peer)["t1"] {
--- a/internal/registry/knowledge.go
+++ b/internal/registry/knowledge.go
@@ -86,12 +86,12 @@
 	return changes[:min(len(changes), maxRecentDepartures)]
 }
 
-// Lesson is what an instance learned from the knowledge of another one.
-type Lesson int
+// LearnResult is what an instance learned from the knowledge of another one.
+type LearnResult int
 
 const (
 	// NothingNew means that the other instance knows no more.
-	NothingNew Lesson = iota
+	NothingNew LearnResult = iota
 	// DepartureLearned means that the departure was not known.
 	DepartureLearned
 	// LateWriteFound means that the departure was not known, and that the target was in use because of a write that may be late.
@@ -101,7 +101,7 @@
 )
 
 // Learn takes over what another instance knows of a departure, whatever part of the topic either of them has read.
-func (r *Registry) Learn(c Change, now time.Time) Lesson {
+func (r *Registry) Learn(c Change, now time.Time) LearnResult {
 	rec := r.records[c.ID]
 	if r.useHeld(rec, c, now) {
 		return FoundRunningByPeer
--- a/internal/registry/order_test.go
+++ b/internal/registry/order_test.go
@@ -277,8 +277,8 @@
 	at := start.Add(maxLateRecordAge)
 	r.Merge(Change{ID: "t1", Offset: 3, Entry: report(7, 9)}, at)
 	for _, c := range peer.RecentDepartures(at.Add(-time.Millisecond)) {
-		if lesson := r.Learn(c, at); lesson != NothingNew || !usableIDs(r)["t1"] {
-			t.Errorf("lesson %d, in use %v", lesson, usableIDs(r)["t1"])
+		if result := r.Learn(c, at); result != NothingNew || !usableIDs(r)["t1"] {
+			t.Errorf("result %d, in use %v", result, usableIDs(r)["t1"])
 		}
 	}
 	if told := peer.RecentDepartures(at); len(told) != 0 {
