Log the caller and content of lost answers, and count dropped marks and losses

Cause: the lines of a lost answer carry a fingerprint only.

Change: the lines carry the caller's address and a fingerprint without it; basillink_crash_marks_total counts dropped losses, evicted marks, and expired marks that still refused their request.

Measured: the tests of crashguard, ingress and edge pass; no decision changes.

--- a/internal/crashguard/admission.go
+++ b/internal/crashguard/admission.go
@@ -20,7 +20,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.marks[f]
-	if m != nil && now-m.updatedAt >= markLifetime && m.probation == nil {
+	if m != nil && g.expired(now, m) {
 		delete(g.marks, f)
 		g.updateActive()
 		m = nil
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -99,6 +99,7 @@
 	defer g.mu.Unlock()
 	g.expire(l.lostAt)
 	if g.pendingCount >= limit {
+		g.stats.DroppedLosses++
 		return
 	}
 	g.pendingLosses[l.Target] = append(g.pendingLosses[l.Target], l)
@@ -303,11 +304,23 @@
 		}
 	}
 	delete(g.marks, oldest)
+	g.stats.EvictedMarks++
+}
+
+// expired reports whether a mark is to be removed because of its age, and counts it if so.
+func (g *Guard) expired(now time.Duration, m *mark) bool {
+	if now-m.updatedAt < markLifetime || m.probation != nil {
+		return false
+	}
+	if m.refusable() {
+		g.stats.ExpiredMarks++
+	}
+	return true
 }
 
 // expire removes marks and pending losses whose lifetime has passed. Marks with a request on probation stay.
 func (g *Guard) expire(now time.Duration) {
-	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return now-m.updatedAt >= markLifetime && m.probation == nil })
+	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return g.expired(now, m) })
 	for target := range g.pendingLosses {
 		g.dropLosses(target, func(l loss) bool { return now-l.lostAt >= lossLifetime })
 	}
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -85,6 +85,12 @@
 	return call.cachedFingerprint
 }
 
+// contentFingerprint identifies requests with the same content, whoever sends them.
+func (call *call) contentFingerprint() crashguard.Fingerprint {
+	h := &call.request.Header
+	return crashguard.FingerprintOf(strings.ToLower(string(h.Host())), string(h.Method()), call.uri, call.request.Body())
+}
+
 // awaitCrashAdmission waits until the crash guard admits a request. A suspect (a request to which a crash is attributed) waits
 // while another request with the same fingerprint is on probation or its verdict is pending. It returns a refusal if the
 // request is held because of its crashes, or if the context ends while it waits. The admission must be released unless the
