Add a failing test for a crashing request that many callers send

Each connection of the request that crashes targets comes from one of 200 loopback addresses, and the other callers of the soak have addresses of their own too.

--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/basillink/basillink/platform/platformtest"
@@ -35,11 +35,12 @@
 	at time.Time
 }
 
-// sendCrashingRequests repeatedly sends a request that crashes its target, through random instances, until ctx is done.
-func (h *harness) sendCrashingRequests(ctx context.Context, random *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// sendCrashingRequests repeatedly sends a request that crashes its target, through random instances, until ctx is done. Each
+// connection comes from one of the given number of addresses.
+func (h *harness) sendCrashingRequests(ctx context.Context, random *rand.Rand, addresses int) {
 	for ctx.Err() == nil {
 		sleep(ctx, randomMillis(random, 150, 700))
+		client := newClient(callerAddress(1000+random.IntN(addresses)), false)
 		i := h.instances[random.IntN(len(h.instances))]
 		undisturbed, sentAt := i.undisturbedFor(stabilityWindow), time.Now()
 		id := fmt.Sprintf("c%d", h.requestCount.Add(1))
@@ -95,3 +96,30 @@
 		h.recordViolation("BUDGET", "a request that crashes targets ran %d times after the third crash and the stability window; %d targets crashed", runsAfter, len(h.crashLog.crashes))
 	}
 }
+
+// crashCallers is the number of addresses from which a request that crashes targets is sent.
+const crashCallers = 200
+
+// Guards against sending a request that crashes targets on and on because its callers connect from many addresses, so that no
+// instance takes it for the same request.
+func TestCrashingRequestOfManyCallers(t *testing.T) {
+	h := newHarness(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { h.sendHeartbeats(ctx) })
+	h.awaitReady()
+	for n := range callerCount {
+		group.Go(func() { h.runCaller(ctx, rand.New(rand.NewPCG(*seed, uint64(100+n))), callerAddress(n)) })
+	}
+	sleep(ctx, stabilityWindow)
+	for n := range 3 {
+		group.Go(func() { h.sendCrashingRequests(ctx, rand.New(rand.NewPCG(*seed, uint64(200+n))), crashCallers) })
+	}
+	sleep(ctx, 2*stabilityWindow+2*time.Second)
+	cancel()
+	group.Wait()
+	h.checkExecutions()
+	h.checkCrashLimit()
+	h.reportViolations()
+}
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -210,9 +211,22 @@
 	return false
 }
 
-// runCaller sends random requests through random instances until ctx is done.
-func (h *harness) runCaller(ctx context.Context, random *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: random.IntN(2) == 0, DisableCompression: true}}
+// callerAddress returns a loopback address for the connections of a caller. Instances have other addresses.
+func callerAddress(number int) string {
+	return fmt.Sprintf("127.200.%d.%d", number/250%250, 1+number%250)
+}
+
+// newClient returns a client whose connections come from the given address.
+func newClient(address string, keepAlive bool) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, DisableCompression: true,
+	}}
+}
+
+// runCaller sends random requests from an address through random instances until ctx is done.
+func (h *harness) runCaller(ctx context.Context, random *rand.Rand, address string) {
+	client := newClient(address, random.IntN(2) != 0)
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		i := h.instances[random.IntN(len(h.instances))]
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -192,12 +192,12 @@
 	group.Go(func() { h.sendHeartbeats(ctx) })
 	h.awaitReady()
 	for n := range callerCount {
-		group.Go(func() { h.runCaller(ctx, rand.New(rand.NewPCG(*seed, uint64(100+n)))) })
+		group.Go(func() { h.runCaller(ctx, rand.New(rand.NewPCG(*seed, uint64(100+n))), callerAddress(n)) })
 	}
 	for _, i := range h.instances {
 		group.Go(func() { h.watchConfigVersion(ctx, i) })
 	}
-	group.Go(func() { h.sendCrashingRequests(ctx, rand.New(rand.NewPCG(*seed, 4))) })
+	group.Go(func() { h.sendCrashingRequests(ctx, rand.New(rand.NewPCG(*seed, 4)), 1) })
 	sleep(ctx, settleTime)
 	h.injectFaults(faultCtx, rand.New(rand.NewPCG(*seed, 2)))
 	h.store.SetFaults(platformtest.Faults{})
@@ -207,18 +207,23 @@
 	group.Wait()
 	h.checkExecutions()
 	h.checkCrashLimit()
+	h.reportViolations()
+	t.Logf("seed %d: %d requests, %d served, %d calls to the store", *seed, h.requestCount.Load(), h.servedCount.Load(), h.store.Calls())
+	for _, target := range h.targets {
+		t.Logf("target %s of service %s at the end: %s", target.ID, target.Service, target.Load())
+	}
+}
+
+// reportViolations fails the test and saves the logs if a guarantee was violated.
+func (h *harness) reportViolations() {
 	violations := 0
 	h.violations.Range(func(violation, elapsed any) bool {
 		violations++
 		if violations <= 20 {
-			t.Errorf("%v (seed %d, after %s)", violation, *seed, elapsed)
+			h.t.Errorf("%v (seed %d, after %s)", violation, *seed, elapsed)
 		}
 		return true
 	})
-	t.Logf("seed %d: %d requests, %d served, %d calls to the store", *seed, h.requestCount.Load(), h.servedCount.Load(), h.store.Calls())
-	for _, target := range h.targets {
-		t.Logf("target %s of service %s at the end: %s", target.ID, target.Service, target.Load())
-	}
 	if violations > 0 {
 		h.saveLogs()
 	}
