Identify a request that crashes targets without its caller's address

Cause: the fingerprint held the source address of the connection. An address belongs to the connection, not to the request: each of 49 addresses made the request a new one, which every instance sent to two targets.

Ruled out by the logs: no fingerprint had more than two crashes, so that no mark was forgotten or explained away.

Change: the fingerprint is made of host, method, path, query and body.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -93,8 +93,6 @@
 	routeName   string
 	callerIP    string
 	fingerprint crashguard.Fingerprint
-	// content is the fingerprint without the caller.
-	content crashguard.Fingerprint
 }
 
 // reportTargetTerminated reports to the crash guard that the process of an attempt's target terminated.
@@ -108,7 +106,7 @@
 // a crash is already treated as a suspect. If the target still accepts connections, a goroutine continues to watch it. The
 // sentinel of the attempt is closed in either case.
 func (g *Gateway) investigateLoss(ctx context.Context, call *call, a *attempt, loss *reason.Reason) {
-	l := &lostAttempt{a, loss, call.id, call.route.Name, call.callerIP, call.fingerprint(), call.contentFingerprint()}
+	l := &lostAttempt{a, loss, call.id, call.route.Name, call.callerIP, call.fingerprint()}
 	g.crashGuard.ConnectionLost(g.Now(), l.fingerprint, a.crashAttempt(), lossVerdictTimeout)
 	postLoss, refused := dialSentinel(ctx, a.target.Address, lossProbeDialTimeout)
 	terminated := refused || a.targetTerminated()
@@ -168,5 +166,5 @@
 		message = "A target terminated while it ran a request."
 	}
 	g.Log.Warn(message, "request", l.requestID, "target", l.target.ID, "route", l.routeName, "reason", l.failure.Name,
-		"caller", l.callerIP, "content", l.content.String(), "fingerprint", l.fingerprint.String(), "crashes", g.crashGuard.CrashCount(l.fingerprint))
+		"caller", l.callerIP, "fingerprint", l.fingerprint.String(), "crashes", g.crashGuard.CrashCount(l.fingerprint))
 }
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -65,32 +65,25 @@
 // CrashStats returns counters of lost answers, crashes and crash marks.
 func (g *Gateway) CrashStats() crashguard.Stats { return g.crashGuard.Stats() }
 
-// setCallerIP sets the caller's address, which is part of the fingerprint: a request that crashes targets is usually
-// repeated by the same caller.
+// setCallerIP sets the caller's address.
 func (call *call) setCallerIP(c *app.RequestContext) {
 	if conn := c.GetConn(); conn != nil && conn.RemoteAddr() != nil {
 		call.callerIP, _, _ = net.SplitHostPort(conn.RemoteAddr().String())
 	}
 }
 
-// fingerprint identifies requests of one caller with the same content. The service is not part of it, because the route
-// may lead to another service when the request is repeated.
+// fingerprint identifies requests with the same content. The service is not part of it, because the route may lead to another
+// service when the request is repeated. The caller's address is not part of it either: behind a NAT or a balancer one caller
+// has many addresses, and many callers have one.
 func (call *call) fingerprint() crashguard.Fingerprint {
 	if !call.hasFingerprint {
 		h := &call.request.Header
-		scope := strings.ToLower(string(h.Host())) + " " + call.callerIP
-		call.cachedFingerprint = crashguard.FingerprintOf(scope, string(h.Method()), call.uri, call.request.Body())
+		call.cachedFingerprint = crashguard.FingerprintOf(strings.ToLower(string(h.Host())), string(h.Method()), call.uri, call.request.Body())
 		call.hasFingerprint = true
 	}
 	return call.cachedFingerprint
 }
 
-// contentFingerprint identifies requests with the same content, whoever sends them.
-func (call *call) contentFingerprint() crashguard.Fingerprint {
-	h := &call.request.Header
-	return crashguard.FingerprintOf(strings.ToLower(string(h.Host())), string(h.Method()), call.uri, call.request.Body())
-}
-
 // awaitCrashAdmission waits until the crash guard admits a request. A suspect (a request to which a crash is attributed) waits
 // while another request with the same fingerprint is on probation or its verdict is pending. It returns a refusal if the
 // request is held because of its crashes, or if the context ends while it waits. The admission must be released unless the
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,3 +83,16 @@
 		}
 	}
 }
+
+// Guards against taking a request that crashes targets for another one because it comes from another address.
+func TestCrashingRequestFromManyAddressesIsHeld(t *testing.T) {
+	t.Parallel()
+	targets, crashed := startCrashing(t, 16)
+	b := newTestbed(t, targets...)
+	for i := range 12 {
+		b.dialFrom(t, fmt.Sprintf("127.0.1.%d", 1+i)).exchange("POST", "/safe/", fmt.Sprintf("p%d", i), "poison")
+	}
+	if n := crashed.Load(); n > 3 {
+		t.Errorf("%d of 16 targets crashed, want at most 3", n)
+	}
+}
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -166,7 +166,14 @@
 
 func (b *testbed) dial(t *testing.T) *callerConn {
 	t.Helper()
-	conn, err := net.Dial("tcp", b.address)
+	return b.dialFrom(t, "127.0.0.1")
+}
+
+// dialFrom opens a connection from a loopback address.
+func (b *testbed) dialFrom(t *testing.T, address string) *callerConn {
+	t.Helper()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+	conn, err := dialer.Dial("tcp", b.address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -71,7 +71,7 @@
 	TicketOwnerClosed = add("ticket_owner_closed", Refusal, 409, NotRun, "The instance that issued the ticket stopped and its closing record proves that the ticket was not used. Send the request with a new ticket.")
 	TargetShed        = add("target_shed", Refusal, 503, NotRun, "Targets refused the request before running it and no attempt is left.")
 	CrashSuspect      = add("crash_suspect", Refusal, 422, NotRun, "Targets that ran this request crashed. It is not sent to further targets until the mark ages out.")
-	CrashHeld         = add("crash_held", Refusal, 503, NotRun, "Targets that ran this request of this caller crashed. It is not sent to a further target for some minutes.")
+	CrashHeld         = add("crash_held", Refusal, 503, NotRun, "Targets that ran a request with this content crashed. It is not sent to a further target for some minutes.")
 	ConnectionRefused = add("connection_refused", Refusal, 503, NotRun, "No connection to a target could be opened and no attempt is left.")
 	ConnectionLost    = add("connection_lost", Refusal, 503, NotRun, "The connection to the target was closed before a byte of the request was sent, and no attempt is left.")
 	ConnectionsBusy   = add("connections_busy", Refusal, 503, NotRun, "All connections to the target stayed in use until the deadline.")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -197,7 +197,7 @@
 	for _, i := range h.instances {
 		group.Go(func() { h.watchConfigVersion(ctx, i) })
 	}
-	group.Go(func() { h.sendCrashingRequests(ctx, rand.New(rand.NewPCG(*seed, 4)), 1) })
+	group.Go(func() { h.sendCrashingRequests(ctx, rand.New(rand.NewPCG(*seed, 4)), crashCallers) })
 	sleep(ctx, settleTime)
 	h.injectFaults(faultCtx, rand.New(rand.NewPCG(*seed, 2)))
 	h.store.SetFaults(platformtest.Faults{})
