Identify a request that crashes targets by the host of its route

Cause: the fingerprint held the Host header as the caller wrote it, so that the same request with another port in it was a new one. Routes are matched without the port.

--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -72,13 +72,14 @@
 	}
 }
 
-// fingerprint identifies requests with the same content. The service is not part of it, because the route may lead to another
-// service when the request is repeated. The caller's address is not part of it either: behind a NAT or a balancer one caller
-// has many addresses, and many callers have one.
+// fingerprint identifies requests with the same content. The host is that of the route, because callers may write it in several
+// forms. The service is not part of the fingerprint, because the route may lead to another service when the request is
+// repeated. The caller's address is not part of it either: behind a NAT or a balancer one caller has many addresses, and many
+// callers have one.
 func (call *call) fingerprint() crashguard.Fingerprint {
 	if !call.hasFingerprint {
-		h := &call.request.Header
-		call.cachedFingerprint = crashguard.FingerprintOf(strings.ToLower(string(h.Host())), string(h.Method()), call.uri, call.request.Body())
+		method := string(call.request.Header.Method())
+		call.cachedFingerprint = crashguard.FingerprintOf(strings.ToLower(call.route.Host), method, call.uri, call.request.Body())
 		call.hasFingerprint = true
 	}
 	return call.cachedFingerprint
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -96,3 +96,23 @@
 		t.Errorf("%d of 16 targets crashed, want at most 3", n)
 	}
 }
+
+// Guards against taking a request that crashes targets for another one because its Host is written in another way.
+func TestCrashingRequestWithOtherHostFormIsHeld(t *testing.T) {
+	t.Parallel()
+	targets, crashed := startCrashing(t, 16)
+	b := newTestbed(t, targets...)
+	for i, host := range []string{"h", "h:80", "H", "h:8080", "H:80", "h:81"} {
+		caller := b.dial(t)
+		request := fmt.Sprintf("POST /safe/ HTTP/1.1\r\nHost: %s\r\nX-Id: p%d\r\nX-Deadline: 2000\r\nContent-Length: 6\r\n\r\npoison", host, i)
+		if _, err := io.WriteString(caller.conn, request); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := caller.receive(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := crashed.Load(); n > 3 {
+		t.Errorf("%d of 16 targets crashed, want at most 3", n)
+	}
+}
