Weigh the answers of a request against the crashes it was in flight at

Without the caller's address a request that many callers send is one, and in flight whenever a target crashes for another reason.

Cause: two crashes between two answers refused it, and so did three in all unless one instance saw three answers for each of them. Targets that terminate together are several crashes at once, the answers are spread over all instances, and a refused request gets no answers any more.

Change: answers before the first crash count (up to 9), also on routes while no mark exists; marks carry the highest number of answers that an instance saw; a request that was answered lately is refused after three crashes between two answers instead of two; crashes that become known within 100 ms without an answer in between count once in the total. Nothing changes for a request that is never answered.

--- a/internal/crashguard/admission.go
+++ b/internal/crashguard/admission.go
@@ -116,7 +116,7 @@
 
 // probationAllowed reports whether a request may run on probation although the other one has the same crashes.
 func (g *Guard) probationAllowed(now time.Duration, f, other Fingerprint, m *mark) bool {
-	answered, otherAnswered := g.recentlyAnswered.contains(f), g.recentlyAnswered.contains(other)
+	answered, otherAnswered := g.history.count(f) > 0, g.history.count(other) > 0
 	if answered != otherAnswered {
 		return answered
 	}
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -29,8 +29,8 @@
 	// digest is the cached result of Digest. It is valid while digestValid is true.
 	digest      uint64
 	digestValid bool
-	// recentlyAnswered holds requests that recently received a complete answer.
-	recentlyAnswered recentFingerprints
+	// history counts the recent complete answers.
+	history answerHistory
 	// targetReleased is closed and replaced when a target no longer runs a suspect.
 	targetReleased chan struct{}
 	// neverClosed is returned to requests that must wait but have no event to wait for. They wait for PollInterval.
@@ -182,7 +182,9 @@
 // recordCrash adds the crash that a loss turned out to be to the mark of its request, and broadcasts the mark.
 func (g *Guard) recordCrash(now time.Duration, l loss) {
 	m := g.getOrCreateMark(now, l.fingerprint)
-	if m.addCrash(now, m.crashFor(l)) {
+	c := m.crashFor(l)
+	c.simultaneous = m.joinsEarlier(now)
+	if m.addCrash(now, c) {
 		g.stats.Crashes++
 		m.updatedAt = now
 		g.broadcast(l.fingerprint, m.encode(now))
@@ -195,13 +197,13 @@
 func (g *Guard) Answered(now time.Duration, f Fingerprint) (cleared bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.recentlyAnswered.add(f)
+	g.history.add(f)
 	if g.activeCount.Load() == 0 {
 		return false
 	}
 	g.markLossesAnswered(f)
 	if m := g.marks[f]; m != nil {
-		m.answers++
+		m.countAnswer()
 		cleared = m.suspect()
 		if cleared {
 			m.clear(g.explainedByOthers(m))
@@ -289,7 +291,7 @@
 	if len(g.marks) >= maxMarks {
 		g.evictOldestMark()
 	}
-	m := &mark{updatedAt: now}
+	m := &mark{updatedAt: now, answers: g.history.count(f)}
 	g.marks[f] = m
 	return m
 }
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -29,10 +29,18 @@
 	// answersPerCrash is the number of complete answers per crash from which on a request counts as answered most of the
 	// time.
 	answersPerCrash = 3
+	// maxPriorAnswers limits the answers before the first crash that count. They outweigh totalLimit crashes, so that a
+	// request that begins to crash targets now and then is refused after a few more.
+	maxPriorAnswers = answersPerCrash * totalLimit
+	// maxAnswers limits the counted answers to what a mark can need.
+	maxAnswers = answersPerCrash * maxCrashes
 	// refusalDelay is how long requests wait before a new mark with enough crashes refuses them, because the mark of the
 	// cause, which explains the crashes of an innocent request, may still be on its way from another instance. The delay
 	// exceeds the 1.4 s that a rumor takes to reach 20 instances.
 	refusalDelay = 2 * time.Second
+	// simultaneousWithin is the longest time between two crashes that count as simultaneous. Few requests run for less, so
+	// that the second one is not the effect of a retry.
+	simultaneousWithin = 100 * time.Millisecond
 	// maxCrashes limits the number of crashes in one mark. There can be more crashes than the limits above, because
 	// instances that have not received the mark yet add their own.
 	maxCrashes = 8
@@ -45,8 +53,13 @@
 	target, incarnation uint32
 	// answered is true if the request received a complete answer after the crash.
 	answered bool
-	// learnedAt is when this instance learned of the crash.
-	learnedAt time.Duration
+	// simultaneous is true if other targets that ran the request crashed just before, without an answer in between. Targets that
+	// terminate together for another reason count once in the total number of crashes.
+	simultaneous bool
+	// learnedAt is when this instance learned of the crash. Generation and answersHere are those of the mark at that time.
+	learnedAt   time.Duration
+	generation  uint32
+	answersHere int
 	// sentAt and lostAt are the start and end of the attempt that crashed the target. They are 0 if another instance sent
 	// it.
 	sentAt, lostAt time.Duration
@@ -97,8 +110,11 @@
 	generation uint32
 	// crashes holds the distinct crashes, at most maxCrashes.
 	crashes []crash
-	// answers is the number of complete answers since the first crash that this instance saw.
+	// answers is the number of complete answers since the first crash, and up to maxPriorAnswers before it, that one instance
+	// saw. It is the highest number of all instances, at most maxAnswers.
 	answers int
+	// answersHere is the number of complete answers that this instance saw since it created the mark.
+	answersHere int
 	// updatedAt is when an instance first learned of the last crash or of the last complete answer that cleared the mark.
 	updatedAt time.Duration
 	// refusableSince is when the mark first had enough crashes to refuse the request.
@@ -118,16 +134,28 @@
 	return count
 }
 
-// suspect reports whether there was a crash since the last complete answer.
+// suspect reports whether there was a crash since the last complete answer. Copies of a suspect run one at a time.
 func (m *mark) suspect() bool { return m.unansweredCrashes() > 0 }
 
-// crashesOften reports whether the request crashed at least totalLimit targets and is not answered most of the time.
-func (m *mark) crashesOften() bool {
-	return len(m.crashes) >= totalLimit && m.answers < answersPerCrash*len(m.crashes)
-}
+// toleratedCrashes returns the number of crashes since the last complete answer that do not count towards a refusal. A request
+// that was answered lately is probably innocent, and one that many callers send is in flight whenever a target crashes.
+func (m *mark) toleratedCrashes() int { return min(m.answers, 1) }
 
 // refusable reports whether there are enough crashes to refuse the request, unless other requests explain them.
-func (m *mark) refusable() bool { return m.unansweredCrashes() >= unansweredLimit || m.crashesOften() }
+func (m *mark) refusable() bool {
+	return m.unansweredCrashes() >= unansweredLimit+m.toleratedCrashes() || m.crashesOften()
+}
+
+// crashesOften reports whether the request crashed targets at least totalLimit times and is not answered most of the time.
+func (m *mark) crashesOften() bool {
+	count := 0
+	for _, c := range m.crashes {
+		if !c.simultaneous {
+			count++
+		}
+	}
+	return count >= totalLimit && m.answers < answersPerCrash*count
+}
 
 // explains reports whether the request of m was in flight at every crash of other since the last complete answer to other.
 func (m *mark) explains(other *mark) bool {
@@ -141,7 +169,7 @@
 		return false
 	}
 	wasRefusable := m.refusable()
-	c.learnedAt = now
+	c.learnedAt, c.generation, c.answersHere = now, m.generation, m.answersHere
 	m.crashes = append(m.crashes, c)
 	if !wasRefusable && m.refusable() {
 		m.refusableSince = now
@@ -149,6 +177,14 @@
 	return true
 }
 
+// joinsEarlier reports whether a crash that becomes known now belongs to one that became known just before, without an answer in
+// between.
+func (m *mark) joinsEarlier(now time.Duration) bool {
+	return slices.ContainsFunc(m.crashes, func(c crash) bool {
+		return !c.simultaneous && now-c.learnedAt < simultaneousWithin && c.generation == m.generation && c.answersHere == m.answersHere
+	})
+}
+
 // clear records a complete answer. If explained is true, another request was in flight at each of the unanswered crashes,
 // so they are dropped.
 func (m *mark) clear(explained bool) {
@@ -162,6 +198,12 @@
 	}
 }
 
+// countAnswer counts a complete answer.
+func (m *mark) countAnswer() {
+	m.answersHere++
+	m.answers = min(m.answers+1, maxAnswers)
+}
+
 // dropUnanswered removes the crashes since the last complete answer.
 func (m *mark) dropUnanswered() {
 	m.crashes = slices.DeleteFunc(m.crashes, func(c crash) bool { return !c.answered })
@@ -170,22 +212,36 @@
 // merge merges the mark of a peer into m and reports whether that changed m. The order of merges does not matter, except
 // for which crashes are kept when there are more than maxCrashes.
 func (m *mark) merge(now time.Duration, remote *mark) bool {
+	m.answers = max(m.answers, remote.answers)
+	joins := m.joinsEarlier(now)
 	changed := remote.generation > m.generation
 	if changed {
+		// The answered crashes came before the answer that began the new generation.
+		m.mergeCrashes(now, remote, joins, func(c crash) bool { return c.answered })
 		m.generation = remote.generation
 		m.dropUnanswered()
 	}
-	for _, c := range remote.crashes {
-		if c.answered || remote.generation == m.generation {
-			changed = m.mergeCrash(now, c) || changed
-		}
-	}
+	added := m.mergeCrashes(now, remote, joins, func(c crash) bool { return c.answered || remote.generation == m.generation })
+	changed = changed || added
 	if changed {
 		m.updatedAt = max(m.updatedAt, remote.updatedAt)
 	}
 	return changed
 }
 
+// mergeCrashes merges the crashes of a peer's mark for which include returns true, and reports whether m changed. Joins is true
+// if they belong to one that became known just before.
+func (m *mark) mergeCrashes(now time.Duration, remote *mark, joins bool, include func(crash) bool) (changed bool) {
+	for _, c := range remote.crashes {
+		if !include(c) {
+			continue
+		}
+		c.simultaneous = c.simultaneous || joins
+		changed = m.mergeCrash(now, c) || changed
+	}
+	return changed
+}
+
 // mergeCrash adds a crash that a peer reported, or records that a known crash was answered. It reports whether the mark
 // changed.
 func (m *mark) mergeCrash(now time.Duration, c crash) bool {
@@ -200,18 +256,26 @@
 	return true
 }
 
-// answeredShift is the position of the bits for answered crashes in the encoded number whose lower 32 bits are the
-// generation. Earlier versions read the lower 32 bits only.
-const answeredShift = 32
+// Positions in the encoded number whose lower 32 bits are the generation: the bits for answered crashes, the number of answers,
+// and the bits for simultaneous crashes. Earlier versions read the generation, or it and the answered crashes, only.
+const (
+	answeredShift = 32
+	answersShift  = answeredShift + maxCrashes
+	// simultaneousShift is the position of the bits for simultaneous crashes, behind the 8 bits of the answers.
+	simultaneousShift = answersShift + 8
+)
 
-// encode returns the mark for a rumor: the generation and the bits of the answered crashes as one uvarint, the age in
-// milliseconds as a uvarint, and the target and incarnation of each crash as big-endian 32-bit numbers.
+// encode returns the mark for a rumor: the generation, the bits of the answered crashes and the answers as one uvarint, the age
+// in milliseconds as a uvarint, and the target and incarnation of each crash as big-endian 32-bit numbers.
 func (m *mark) encode(now time.Duration) []byte {
-	first := uint64(m.generation)
+	first := uint64(m.generation) | uint64(m.answers)<<answersShift
 	for i, c := range m.crashes {
 		if c.answered {
 			first |= 1 << (answeredShift + i)
 		}
+		if c.simultaneous {
+			first |= 1 << (simultaneousShift + i)
+		}
 	}
 	data := binary.AppendUvarint(nil, first)
 	data = binary.AppendUvarint(data, uint64((now - m.updatedAt).Milliseconds()))
@@ -234,10 +298,12 @@
 		return nil, &FormatError{Text: string(data)}
 	}
 	m := &mark{generation: uint32(first), updatedAt: now - time.Duration(age)*time.Millisecond}
-	answered := first >> answeredShift
+	m.answers = min(int(first>>answersShift&0xff), maxAnswers)
+	answered, simultaneous := first>>answeredShift, first>>simultaneousShift
 	for data = data[n:]; len(data) > 0; data = data[8:] {
 		c := crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:]), answered: answered&1 != 0}
-		answered >>= 1
+		c.simultaneous = simultaneous&1 != 0
+		answered, simultaneous = answered>>1, simultaneous>>1
 		m.addCrash(now, c)
 	}
 	return m, nil
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -123,3 +123,58 @@
 		t.Errorf("%d crashes, want 1", n)
 	}
 }
+
+// Guards against refusing a request that many callers send because targets that ran copies of it for several instances terminated
+// at the same moment for another reason: each instance sees only its own copies and few of the answers.
+func TestSimultaneousCrashesOfManyInstancesCountOnce(t *testing.T) {
+	const instances = 6
+	f := FingerprintOf("s", "GET", "/", nil)
+	guards := make([]*Guard, instances)
+	for i := range guards {
+		guards[i] = New(func(f Fingerprint, data []byte) {
+			for j, other := range guards {
+				if j == i {
+					continue
+				}
+				if _, err := other.Receive(time.Minute, f, data); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	for i, g := range guards {
+		g.Answered(0, f)
+		target := fmt.Sprint("t", i)
+		g.ConnectionLost(time.Minute, f, Attempt{Target: target, Incarnation: target, SentAt: time.Minute - time.Second}, 0)
+		g.Answered(time.Minute, f)
+	}
+	for i, g := range guards {
+		g.TargetTerminated(time.Minute, fmt.Sprint("t", i), 0)
+	}
+	for i, g := range guards {
+		if refuses(g, time.Minute, f) {
+			t.Errorf("instance %d refuses the request", i)
+		}
+	}
+}
+
+// Guards against refusing a request for two crashes although it was answered before: one that many callers send is in flight
+// whenever a target crashes.
+func TestAnsweredRequestIsNotRefusedForTwoCrashes(t *testing.T) {
+	f := FingerprintOf("s", "GET", "/", nil)
+	for answers, want := range []bool{true, false} {
+		g := New(nil)
+		for range answers {
+			g.Answered(0, f)
+		}
+		crashTarget(g, time.Second, f, "t1")
+		crashTarget(g, 2*time.Second, f, "t2")
+		if got := refuses(g, 2*time.Second, f); got != want {
+			t.Errorf("%d answers before: refused %v, want %v", answers, got, want)
+		}
+		crashTarget(g, 3*time.Second, f, "t3")
+		if !refuses(g, 3*time.Second, f) {
+			t.Errorf("%d answers before: not refused after three crashes", answers)
+		}
+	}
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -25,10 +25,6 @@
 	crashCheckBackoff = time.Millisecond
 )
 
-// maxHistoryBodyBytes limits the body size of requests that the crash guard remembers as answered. Hashing a body of
-// 1 MiB takes longer than the rest of a call.
-const maxHistoryBodyBytes = 4 << 10
-
 // OnCrashMark sets the function that sends crash marks to peers. The function must not block. OnCrashMark must be called
 // before Run.
 func (g *Gateway) OnCrashMark(send func(key string, payload []byte)) { g.onCrashMark = send }
@@ -169,7 +165,7 @@
 		if r.answer.Response.StatusCode() >= http.StatusInternalServerError {
 			return
 		}
-		if g.crashGuard.Active() || !call.atMostOnce && len(call.request.Body()) <= maxHistoryBodyBytes {
+		if g.crashGuard.RecordsAnswers(!call.atMostOnce, len(call.request.Body())) {
 			g.crashGuard.Answered(g.now(), call.crashFingerprint())
 		}
 		return
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -160,7 +160,10 @@
 // reportAnswered reports a complete answer to the crash guard. A 5xx answer is not reported, because it does not show that
 // the request is harmless.
 func (g *Gateway) reportAnswered(call *call, attempt *attempt, status int) {
-	if status >= http.StatusInternalServerError || !g.crashGuard.Active() || !g.crashGuard.Answered(g.Now(), call.fingerprint()) {
+	if status >= http.StatusInternalServerError || !g.crashGuard.RecordsAnswers(call.route.Idempotent, len(call.request.Body())) {
+		return
+	}
+	if !g.crashGuard.Answered(g.Now(), call.fingerprint()) {
 		return
 	}
 	g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", attempt.target.ID, "status", status,
