Refuse a request that crashes targets for as long as it arrives

A request that crashes targets was sent again each 10 min, to two more targets each time, although it arrived all the while.

Cause: a mark lived for 10 min after its last crash. An innocent request that was refused by mistake stayed so for as long.

Change: a refusal renews the mark. After 10 to 15 s, and once more 60 to 90 s after that, one instance sends a copy to see whether it still crashes targets, and tells the others; an answer ends the refusal. The digest of the marks is computed again when marks expire; a stale one made instances fetch marks that they had.

--- a/internal/crashguard/admission.go
+++ b/internal/crashguard/admission.go
@@ -11,6 +11,9 @@
 	guard  *Guard
 	mark   *mark
 	target string
+	// trial is true for a copy of a refused request. Crashes is then the number of crashes in the mark at that time.
+	trial   bool
+	crashes int
 }
 
 // Admit admits or refuses a request, or makes it wait. Refused is true if the request is refused. Wait is not nil while
@@ -34,8 +37,13 @@
 	case !g.shouldRefuse(now, f, m):
 	case now-m.refusableSince < refusalDelay:
 		return Admission{}, g.neverClosed, false
-	default:
+	case !g.startTrial(now, f, m):
+		// The mark lives as long as its request arrives.
+		m.updatedAt = now
 		return Admission{}, nil, true
+	default:
+		m.probation = make(chan struct{})
+		return Admission{guard: g, mark: m, trial: true, crashes: len(m.crashes)}, nil, false
 	}
 	if m.probation != nil {
 		return Admission{}, m.probation, false
@@ -44,6 +52,23 @@
 	return Admission{guard: g, mark: m}, nil, false
 }
 
+// startTrial reports whether a copy of a refused request is to be sent as a trial, and counts the trial. An innocent request that
+// was refused by mistake gets an answer then, which clears it. The other instances are told, so that one of them tries.
+func (g *Guard) startTrial(now time.Duration, f Fingerprint, m *mark) bool {
+	if m.probation != nil || m.trials >= len(trialDelays) {
+		return false
+	}
+	delay := trialDelays[m.trials]
+	if now-max(m.refusableSince, m.trialAt) < delay+time.Duration(g.trialJitter*float64(delay)) {
+		return false
+	}
+	m.trials, m.trialAt, m.updatedAt = m.trials+1, now, now
+	g.stats.Trials++
+	g.digestValid = false
+	g.broadcast(f, m.encode(now))
+	return true
+}
+
 // pendingChecks returns the number of lost answers of a request for which the caller still checks whether the target's
 // process terminated.
 func (g *Guard) pendingChecks(now time.Duration, f Fingerprint) int {
@@ -85,7 +110,10 @@
 	if m == nil || !m.suspect() && !m.refusable() {
 		return true
 	}
-	return admission.mark == m && admission.Suspect() && !g.shouldRefuse(now, f, m)
+	if admission.mark != m || !admission.Suspect() {
+		return false
+	}
+	return admission.trial && len(m.crashes) == admission.crashes || !g.shouldRefuse(now, f, m)
 }
 
 // shouldRefuse reports whether the crashes of a request are enough to refuse it and no other request explains them. A
--- a/internal/crashguard/digest.go
+++ b/internal/crashguard/digest.go
@@ -27,6 +27,7 @@
 	for f, m := range g.marks {
 		h := fnv.New64a()
 		data := binary.BigEndian.AppendUint32(slices.Clone(f[:]), m.generation)
+		data = append(data, byte(m.trials))
 		for _, target := range m.crashedTargets() {
 			data = binary.BigEndian.AppendUint32(data, target)
 		}
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	targetReleased chan struct{}
 	// neverClosed is returned to requests that must wait but have no event to wait for. They wait for PollInterval.
 	neverClosed chan struct{}
+	// trialJitter is the part of a trial's delay by which this instance tries later.
+	trialJitter float64
 	stats       Stats
 }
 
@@ -74,6 +77,7 @@
 		targetsWithSuspect: map[string]struct{}{},
 		targetReleased:     make(chan struct{}),
 		neverClosed:        make(chan struct{}),
+		trialJitter:        trialJitter * rand.Float64(),
 	}
 }
 
@@ -322,10 +326,14 @@
 
 // expire removes marks and pending losses whose lifetime has passed. Marks with a request on probation stay.
 func (g *Guard) expire(now time.Duration) {
+	marks, losses := len(g.marks), g.pendingCount
 	maps.DeleteFunc(g.marks, func(_ Fingerprint, m *mark) bool { return g.expired(now, m) })
 	for target := range g.pendingLosses {
 		g.dropLosses(target, func(l loss) bool { return now-l.lostAt >= lossLifetime })
 	}
+	if len(g.marks) != marks || g.pendingCount != losses {
+		g.updateActive()
+	}
 }
 
 // updateActive updates activeCount after a change of marks or pending losses, and invalidates the digest.
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -28,6 +28,7 @@
 	s := &session{guards: map[string]*Guard{}, admissions: map[string]*Admission{}}
 	for _, name := range []string{"a", "b"} {
 		s.guards[name] = New(func(f Fingerprint, data []byte) { s.rumors = append(s.rumors, rumor{name, f, data}) })
+		s.guards[name].trialJitter = 0
 	}
 	return s
 }
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -11,7 +11,8 @@
 const (
 	// maxMarks limits the number of marks, including cleared ones, and the number of pending losses.
 	maxMarks = 4096
-	// markLifetime is how long a mark is kept after its last crash or the last complete answer that cleared it.
+	// markLifetime is how long a mark is kept after its last crash, the last complete answer that cleared it, or the last time
+	// that it refused its request.
 	markLifetime = 10 * time.Minute
 	// lossLifetime is how long a loss stays pending. It takes several missed heartbeats until a target counts as
 	// terminated, and the store may be unavailable meanwhile.
@@ -38,6 +39,9 @@
 	// cause, which explains the crashes of an innocent request, may still be on its way from another instance. The delay
 	// exceeds the 1.4 s that a rumor takes to reach 20 instances.
 	refusalDelay = 2 * time.Second
+	// trialJitter is the largest part of a trial's delay by which an instance tries later, so that the first one has told the
+	// others before their delays end.
+	trialJitter = 0.5
 	// simultaneousWithin is the longest time between two crashes that count as simultaneous. Few requests run for less, so
 	// that the second one is not the effect of a retry.
 	simultaneousWithin = 100 * time.Millisecond
@@ -46,6 +50,12 @@
 	maxCrashes = 8
 )
 
+// trialDelays are the times after which a copy of a refused request is sent to see whether it still crashes targets: the first
+// since the refusal began, the others since the trial before. A request that crashed targets in all of them is refused for as long
+// as it arrives. The users allow three sends after the third crash, so there are two trials, and room for one more that another
+// instance begins before it learns of them.
+var trialDelays = [...]time.Duration{10 * time.Second, time.Minute}
+
 // crash identifies the termination of one incarnation of a target. Several instances may observe the same crash; it counts
 // once, even if some of them do not know the incarnation.
 type crash struct {
@@ -115,10 +125,15 @@
 	answers int
 	// answersHere is the number of complete answers that this instance saw since it created the mark.
 	answersHere int
-	// updatedAt is when an instance first learned of the last crash or of the last complete answer that cleared the mark.
+	// updatedAt is when an instance first learned of the last crash or of the last complete answer that cleared the mark, or when
+	// this instance refused the request for the last time.
 	updatedAt time.Duration
 	// refusableSince is when the mark first had enough crashes to refuse the request.
 	refusableSince time.Duration
+	// trials is the number of trials since the last complete answer that cleared the mark, on any instance, and trialAt is when
+	// this instance learned of the last one.
+	trials  int
+	trialAt time.Duration
 	// probation is closed when the suspect request that is running ends. It is nil while none is running.
 	probation chan struct{}
 }
@@ -189,6 +204,7 @@
 // so they are dropped.
 func (m *mark) clear(explained bool) {
 	m.generation++
+	m.trials = 0
 	if explained {
 		m.dropUnanswered()
 		return
@@ -219,8 +235,12 @@
 		// The answered crashes came before the answer that began the new generation.
 		m.mergeCrashes(now, remote, joins, func(c crash) bool { return c.answered })
 		m.generation = remote.generation
+		m.trials = 0
 		m.dropUnanswered()
 	}
+	if remote.generation == m.generation && remote.trials > m.trials {
+		m.trials, m.trialAt, changed = remote.trials, now, true
+	}
 	added := m.mergeCrashes(now, remote, joins, func(c crash) bool { return c.answered || remote.generation == m.generation })
 	changed = changed || added
 	if changed {
@@ -257,18 +277,20 @@
 }
 
 // Positions in the encoded number whose lower 32 bits are the generation: the bits for answered crashes, the number of answers,
-// and the bits for simultaneous crashes. Earlier versions read the generation, or it and the answered crashes, only.
+// the bits for simultaneous crashes, and the number of trials. Earlier versions read the generation, or it and the answered crashes, only.
 const (
 	answeredShift = 32
 	answersShift  = answeredShift + maxCrashes
 	// simultaneousShift is the position of the bits for simultaneous crashes, behind the 8 bits of the answers.
 	simultaneousShift = answersShift + 8
+	// trialsShift is the position of the number of trials.
+	trialsShift = simultaneousShift + maxCrashes
 )
 
 // encode returns the mark for a rumor: the generation, the bits of the answered crashes and the answers as one uvarint, the age
 // in milliseconds as a uvarint, and the target and incarnation of each crash as big-endian 32-bit numbers.
 func (m *mark) encode(now time.Duration) []byte {
-	first := uint64(m.generation) | uint64(m.answers)<<answersShift
+	first := uint64(m.generation) | uint64(m.answers)<<answersShift | uint64(m.trials)<<trialsShift
 	for i, c := range m.crashes {
 		if c.answered {
 			first |= 1 << (answeredShift + i)
@@ -299,6 +321,7 @@
 	}
 	m := &mark{generation: uint32(first), updatedAt: now - time.Duration(age)*time.Millisecond}
 	m.answers = min(int(first>>answersShift&0xff), maxAnswers)
+	m.trials = min(int(first>>trialsShift), len(trialDelays))
 	answered, simultaneous := first>>answeredShift, first>>simultaneousShift
 	for data = data[n:]; len(data) > 0; data = data[8:] {
 		c := crash{target: binary.BigEndian.Uint32(data), incarnation: binary.BigEndian.Uint32(data[4:]), answered: answered&1 != 0}
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -178,3 +178,71 @@
 		}
 	}
 }
+
+// Guards against a request that crashes targets again whenever its mark has expired, although it was sent all the time.
+func TestRefusedRequestStaysRefusedWhileItArrives(t *testing.T) {
+	f := FingerprintOf("s", "POST", "/", nil)
+	g := New(nil)
+	crashes := 0
+	for now := time.Second; now < 3*time.Hour; now += time.Second {
+		admission, wait, refused := g.Admit(now, f)
+		if refused || wait != nil {
+			continue
+		}
+		crashTarget(g, now, f, fmt.Sprint("t", crashes))
+		admission.Release()
+		crashes++
+	}
+	if most := unansweredLimit + len(trialDelays); crashes > most {
+		t.Errorf("%d targets crashed, want at most %d", crashes, most)
+	}
+}
+
+// Guards against refusing an innocent request for many minutes because it was in flight on targets that crashed for another reason.
+func TestRefusedRequestIsTriedAgain(t *testing.T) {
+	f := FingerprintOf("s", "GET", "/", nil)
+	g := New(nil)
+	crashTarget(g, 0, f, "t1")
+	crashTarget(g, time.Second, f, "t2")
+	for now := time.Second; now < time.Minute; now += 100 * time.Millisecond {
+		admission, wait, refused := g.Admit(now, f)
+		if refused || wait != nil {
+			continue
+		}
+		if !g.StillAdmitted(now, f, &admission) {
+			t.Fatal("the trial is not admitted when it is sent")
+		}
+		g.Answered(now, f)
+		admission.Release()
+		if limit := time.Second + trialDelays[0]*3/2; now > limit+100*time.Millisecond {
+			t.Errorf("tried again after %v, want at most %v", now, limit)
+		}
+		if refuses(g, now, f) {
+			t.Error("still refused after a complete answer")
+		}
+		return
+	}
+	t.Error("the request was not tried again")
+}
+
+// Guards against one trial of each instance, each of which crashes a target: an instance that learns of a trial waits for its
+// result.
+func TestInstancesDoNotTryTogether(t *testing.T) {
+	f := FingerprintOf("s", "POST", "/", nil)
+	peer := New(nil)
+	g := New(func(f Fingerprint, data []byte) {
+		if _, err := peer.Receive(20*time.Second, f, data); err != nil {
+			t.Error(err)
+		}
+	})
+	g.trialJitter, peer.trialJitter = 0, 0
+	crashTarget(g, 0, f, "t1")
+	crashTarget(g, time.Second, f, "t2")
+	admission, _, refused := g.Admit(20*time.Second, f)
+	if refused || !admission.Suspect() {
+		t.Fatal("the request is not tried again")
+	}
+	if _, _, refused := peer.Admit(40*time.Second, f); !refused {
+		t.Error("the peer tries at the same time")
+	}
+}
--- a/internal/crashguard/stats.go
+++ b/internal/crashguard/stats.go
@@ -6,6 +6,8 @@
 	Losses, Crashes int64
 	// Cleared counts the marks that a complete answer cleared, and FromPeers the marks of peers that changed something.
 	Cleared, FromPeers int64
+	// Trials counts the copies of refused requests that were sent to see whether they still crash targets.
+	Trials int64
 	// DroppedLosses counts the lost answers that were not recorded for lack of room.
 	DroppedLosses int64
 	// EvictedMarks counts the marks that were removed for lack of room, and ExpiredMarks those that refused their request and
--- a/internal/edge/crashmarks.go
+++ b/internal/edge/crashmarks.go
@@ -27,11 +27,11 @@
 // observeCrashes exports counters of lost answers, crashes and crash marks. The function read must be safe for concurrent use.
 func observeCrashes(m *telemetry.Metrics, read func() crashguard.Stats) error {
 	return m.RegisterObservableCounter("basillink.crash_marks",
-		"Requests that lost their answer, those of them that count as a crash, marks ended by an answer, marks that peers told, and what was dropped for lack of room or for its age.",
+		"Requests that lost their answer, those of them that count as a crash, marks ended by an answer, marks that peers told, trials of refused requests, and what was dropped for lack of room or for its age.",
 		func() []telemetry.LabeledValue {
 			s := read()
 			return []telemetry.LabeledValue{
-				labeledCrashCount("lost", s.Losses), labeledCrashCount("crashed", s.Crashes), labeledCrashCount("cleared", s.Cleared), labeledCrashCount("learnt", s.FromPeers),
+				labeledCrashCount("lost", s.Losses), labeledCrashCount("crashed", s.Crashes), labeledCrashCount("cleared", s.Cleared), labeledCrashCount("learnt", s.FromPeers), labeledCrashCount("trial", s.Trials),
 				labeledCrashCount("loss_dropped", s.DroppedLosses), labeledCrashCount("evicted", s.EvictedMarks), labeledCrashCount("expired", s.ExpiredMarks),
 			}
 		})
