--- a/internal/crashguard/admission.go
+++ b/internal/crashguard/admission.go
@@ -77,16 +77,16 @@
 	return true
 }
 
-// pendingChecks returns the number of lost answers of a request for which the caller still checks whether the target's
-// process terminated.
+// pendingChecks returns the number of lost answers of a request, without an answer since, for which the caller still checks whether
+// the target's process terminated.
 func (g *Guard) pendingChecks(now time.Duration, f Fingerprint) int {
-	if g.pendingByRequest[f].withCheck < unansweredLimit {
+	if g.pendingByRequest[f].unanswered < unansweredLimit {
 		return 0
 	}
 	count := 0
 	for _, list := range g.pendingLosses {
 		for _, l := range list {
-			if l.fingerprint == f && now < l.checkUntil {
+			if l.fingerprint == f && now < l.checkUntil && !l.answered {
 				count++
 			}
 		}
@@ -94,8 +94,8 @@
 	return count
 }
 
-// HasCrashEvidence reports whether a request recently lost an answer because a connection broke, or crashed a target, even
-// if it has been answered since.
+// HasCrashEvidence reports whether a request recently lost an answer because a connection broke and was not answered since, or
+// crashed a target and is not answered most of the time.
 func (g *Guard) HasCrashEvidence(f Fingerprint) bool {
 	if !g.Active() {
 		return false
@@ -103,7 +103,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.marks[f]
-	return g.pendingByRequest[f].withCheck > 0 || m != nil && len(m.crashes) > 0
+	return g.pendingByRequest[f].unanswered > 0 || m != nil && !m.mostlyAnswered()
 }
 
 // StillAdmitted reports whether a request that was admitted earlier may still be sent. If crashes that became known
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -62,8 +62,8 @@
 	answered bool
 }
 
-// lossCounts counts the pending losses of a request, and those of them with a check of the target.
-type lossCounts struct{ pending, withCheck int }
+// lossCounts counts the pending losses of a request, and those of them with a check of the target and without an answer since.
+type lossCounts struct{ pending, unanswered int }
 
 // New returns a guard. It calls broadcast for each change of a mark that peers should learn of. Broadcast is called with
 // the guard's lock held, so it must not block or call the guard. It may be nil.
@@ -120,8 +120,8 @@
 func (g *Guard) updateLossCounts(l loss, delta int) {
 	counts := g.pendingByRequest[l.fingerprint]
 	counts.pending += delta
-	if l.checkUntil > 0 {
-		counts.withCheck += delta
+	if l.checkUntil > 0 && !l.answered {
+		counts.unanswered += delta
 	}
 	if counts.pending == 0 {
 		delete(g.pendingByRequest, l.fingerprint)
@@ -231,9 +231,12 @@
 
 // markLossesAnswered records for the pending losses of a request that it has been answered since.
 func (g *Guard) markLossesAnswered(f Fingerprint) {
-	if g.pendingByRequest[f].pending == 0 {
+	counts := g.pendingByRequest[f]
+	if counts.pending == 0 {
 		return
 	}
+	counts.unanswered = 0
+	g.pendingByRequest[f] = counts
 	for _, list := range g.pendingLosses {
 		for i := range list {
 			list[i].answered = list[i].answered || list[i].fingerprint == f
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -169,6 +169,11 @@
 	return count >= totalLimit && m.answers.total() < answersPerCrash*count
 }
 
+// mostlyAnswered reports whether the request has enough answers for all its crashes, and was answered last.
+func (m *mark) mostlyAnswered() bool {
+	return !m.suspect() && m.answers.total() >= answersPerCrash*len(m.crashes)
+}
+
 // explains reports whether the request of m was in flight at every crash of other since the last complete answer to other.
 func (m *mark) explains(other *mark) bool {
 	return !slices.ContainsFunc(other.crashes, func(c crash) bool { return !c.answered && !slices.ContainsFunc(m.crashes, c.matches) })
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -293,3 +293,35 @@
 		}
 	}
 }
+
+// Guards against extra connections and waiting for copies of a request that many callers send, because it was once in flight on a
+// target that crashed, or lost some answers that targets did not send although they run.
+func TestMostlyAnsweredRequestNeedsNoCare(t *testing.T) {
+	f := FingerprintOf("s", "GET", "/", nil)
+	g := New(nil)
+	crashTarget(g, time.Second, f, "t1")
+	if !g.HasCrashEvidence(f) {
+		t.Error("no evidence after a crash")
+	}
+	for range answersPerCrash {
+		g.Answered(2*time.Second, f)
+	}
+	if g.HasCrashEvidence(f) {
+		t.Error("evidence although the request is answered most of the time")
+	}
+	now := 3 * time.Second
+	for _, target := range []string{"t2", "t3", "t4"} {
+		g.ConnectionLost(now, f, Attempt{Target: target, Incarnation: target, SentAt: now - time.Second}, time.Second)
+	}
+	if _, wait, _ := g.Admit(now, f); wait == nil {
+		t.Error("no copy waits for the verdict on three losses")
+	}
+	g.Answered(now, f)
+	if _, wait, _ := g.Admit(now, f); wait != nil || g.HasCrashEvidence(f) {
+		t.Errorf("after an answer: waits %v, evidence %v", wait != nil, g.HasCrashEvidence(f))
+	}
+	g.TargetTerminated(now, "t2", 0)
+	if g.CrashCount(f) != 2 {
+		t.Error("a loss that turns out to be a crash after the answer does not count")
+	}
+}
