Remove marks that refuse a request last when there are too many

Cause: a new mark evicted the oldest one, also one that refuses its request. A storm of crashes leaves a mark of each request that ran beside them, so that the request that had crashed the first targets was sent again.

Change: marks that refuse their request are evicted last.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -298,14 +298,14 @@
 	return changed, nil
 }
 
-// getOrCreateMark returns the mark of a fingerprint. A new mark evicts the oldest one if there are maxMarks marks.
+// getOrCreateMark returns the mark of a fingerprint. A new mark evicts another one if there are maxMarks marks.
 func (g *Guard) getOrCreateMark(now time.Duration, f Fingerprint) *mark {
 	if m := g.marks[f]; m != nil {
 		return m
 	}
 	g.expire(now)
 	if len(g.marks) >= maxMarks {
-		g.evictOldestMark()
+		g.evictMark()
 	}
 	m := &mark{updatedAt: now}
 	m.answers.prior = g.history.count(f)
@@ -313,16 +313,16 @@
 	return m
 }
 
-// evictOldestMark removes the mark that was not updated for the longest time.
-func (g *Guard) evictOldestMark() {
-	var oldest Fingerprint
-	var oldestMark *mark
+// evictMark removes the mark that was not updated for the longest time. Marks that refuse their request are removed last.
+func (g *Guard) evictMark() {
+	var evicted Fingerprint
+	var evictedMark *mark
 	for f, m := range g.marks {
-		if oldestMark == nil || m.updatedAt < oldestMark.updatedAt {
-			oldest, oldestMark = f, m
+		if evictedMark == nil || m.lessImportantThan(evictedMark) {
+			evicted, evictedMark = f, m
 		}
 	}
-	delete(g.marks, oldest)
+	delete(g.marks, evicted)
 	g.stats.EvictedMarks++
 }
 
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -169,6 +169,14 @@
 	return count >= totalLimit && m.answers.total() < answersPerCrash*count
 }
 
+// lessImportantThan reports whether a mark is to be removed rather than the other one.
+func (m *mark) lessImportantThan(other *mark) bool {
+	if m.refusable() != other.refusable() {
+		return other.refusable()
+	}
+	return m.updatedAt < other.updatedAt
+}
+
 // mostlyAnswered reports whether the request has enough answers for all its crashes, and was answered last.
 func (m *mark) mostlyAnswered() bool {
 	return !m.suspect() && m.answers.total() >= answersPerCrash*len(m.crashes)
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -325,3 +325,17 @@
 		t.Error("a loss that turns out to be a crash after the answer does not count")
 	}
 }
+
+// Guards against forgetting a request that crashes targets because a storm of crashes leaves marks of other requests.
+func TestRefusedRequestOutlivesOtherMarks(t *testing.T) {
+	g := New(nil)
+	cause := FingerprintOf("s", "POST", "/cause", nil)
+	crashTarget(g, time.Second, cause, "t1")
+	crashTarget(g, 2*time.Second, cause, "t2")
+	for i := range maxMarks {
+		crashTarget(g, 3*time.Second, FingerprintOf("s", "GET", fmt.Sprint("/beside", i), nil), fmt.Sprint("u", i))
+	}
+	if !refuses(g, 3*time.Second, cause) {
+		t.Error("the request is admitted again")
+	}
+}
