Record further crashes of a request whose mark is full

Cause: a mark holds eight crashes, and a further one was not recorded. A request that many callers send collects answered crashes of other causes; if it then began to crash targets it was not refused.

Change: a crash since the last answer replaces the first answered one.

Measured: TestFullMarkTakesFurtherCrashes fails before.

--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -188,9 +188,9 @@
 }
 
 // addCrash adds a crash and reports whether it was added. Known crashes, those that overlap a known one and those beyond
-// maxCrashes are not.
+// maxCrashes are not, unless there is an answered crash that an unanswered one can replace.
 func (m *mark) addCrash(now time.Duration, c crash) bool {
-	if len(m.crashes) >= maxCrashes || slices.ContainsFunc(m.crashes, c.matches) || slices.ContainsFunc(m.crashes, c.overlaps) {
+	if slices.ContainsFunc(m.crashes, c.matches) || slices.ContainsFunc(m.crashes, c.overlaps) || !m.makeRoom(c) {
 		return false
 	}
 	wasRefusable := m.refusable()
@@ -202,6 +202,20 @@
 	return true
 }
 
+// makeRoom reports whether a crash can be added. If there are maxCrashes crashes, it removes the first answered one for a crash that
+// is not answered.
+func (m *mark) makeRoom(c crash) bool {
+	if len(m.crashes) < maxCrashes {
+		return true
+	}
+	i := slices.IndexFunc(m.crashes, func(known crash) bool { return known.answered })
+	if c.answered || i < 0 {
+		return false
+	}
+	m.crashes = slices.Delete(m.crashes, i, i+1)
+	return true
+}
+
 // joinsEarlier reports whether a crash that becomes known now belongs to one that became known just before, without an answer in
 // between.
 func (m *mark) joinsEarlier(now time.Duration) bool {
--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -339,3 +339,27 @@
 		t.Error("the request is admitted again")
 	}
 }
+
+// Guards against admitting a request that begins to crash targets because its mark is full of crashes that came before answers.
+func TestFullMarkTakesFurtherCrashes(t *testing.T) {
+	g := New(nil)
+	f := FingerprintOf("s", "GET", "/", nil)
+	now := time.Duration(0)
+	for i := range maxCrashes {
+		now += time.Second
+		crashTarget(g, now, f, fmt.Sprint("t", i))
+		for range 2 * answersPerCrash {
+			g.Answered(now, f)
+		}
+	}
+	for i := range unansweredHardLimit {
+		if refuses(g, now, f) {
+			t.Fatalf("refused after %d crashes since the last answer", i)
+		}
+		now += time.Second
+		crashTarget(g, now, f, fmt.Sprint("u", i))
+	}
+	if !refuses(g, now, f) {
+		t.Errorf("admitted after %d crashes since the last answer", unansweredHardLimit)
+	}
+}
