Refuse a request that crashes targets for one caller only

Cause: a request is known by its content. If it crashes targets for one caller only, because of a header that is not part of the content, and is answered for others, their answers cleared it each time.

Change: while a content is answered for others, its crashes and lost answers are recorded for the caller's address as well.

--- a/internal/crashguard/admission.go
+++ b/internal/crashguard/admission.go
@@ -124,6 +124,25 @@
 	return admission.trial && len(m.crashes) == admission.crashes || !g.shouldRefuse(now, f, m)
 }
 
+// AnsweredLately reports whether requests with this content were answered lately. If others crash targets all the same, that may
+// depend on their caller.
+func (g *Guard) AnsweredLately(f Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.history.count(f) > 0
+}
+
+// RefusesCaller reports whether the requests of one caller, whose fingerprint is from OfCaller, crashed targets too often.
+func (g *Guard) RefusesCaller(f Fingerprint) bool {
+	if !g.Active() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.marks[f]
+	return m != nil && m.refusable()
+}
+
 // shouldRefuse reports whether the crashes of a request are enough to refuse it and no other request explains them. A
 // request gets another probation if another request was in flight at each of its crashes, because instances that do not
 // know each other's suspects may run an innocent request together with the cause twice. After a further crash without
@@ -140,7 +159,7 @@
 		return true
 	}
 	for other, o := range g.marks {
-		if o == m || !o.refusable() || !o.explains(m) {
+		if o == m || o.ofCaller || !o.refusable() || !o.explains(m) {
 			continue
 		}
 		if !m.explains(o) || g.probationAllowed(now, f, other, m) {
--- a/internal/crashguard/fingerprint.go
+++ b/internal/crashguard/fingerprint.go
@@ -28,9 +28,25 @@
 // and query.
 func FingerprintOf(scope, method, uri string, body []byte) Fingerprint {
 	sum := digest.Request(scope, method, uri, body)
-	return Fingerprint(sum[:len(Fingerprint{})])
+	f := Fingerprint(sum[:len(Fingerprint{})])
+	f[0] &^= callerBit
+	return f
 }
 
+// callerBit is set in the first byte of the fingerprints that OfCaller returns.
+const callerBit = 0x80
+
+// OfCaller returns the fingerprint of the requests with the same content that come from one address. The guard refuses these
+// independently of those of other callers, in addition to Guard.Admit.
+func (f Fingerprint) OfCaller(address string) Fingerprint {
+	sum := digest.Request("caller", address, "", f[:])
+	of := Fingerprint(sum[:len(f)])
+	of[0] |= callerBit
+	return of
+}
+
+func (f Fingerprint) isOfCaller() bool { return f[0]&callerBit != 0 }
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -210,7 +210,9 @@
 func (g *Guard) Answered(now time.Duration, f Fingerprint) (cleared bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.history.add(f)
+	if !f.isOfCaller() {
+		g.history.add(f)
+	}
 	if g.activeCount.Load() == 0 {
 		return false
 	}
@@ -248,7 +250,7 @@
 // crash of a mark.
 func (g *Guard) explainedByOthers(m *mark) bool {
 	for _, o := range g.marks {
-		if o != m && o.refusable() && o.explains(m) {
+		if o != m && !o.ofCaller && o.refusable() && o.explains(m) {
 			return true
 		}
 	}
@@ -307,7 +309,7 @@
 	if len(g.marks) >= maxMarks {
 		g.evictMark()
 	}
-	m := &mark{updatedAt: now}
+	m := &mark{updatedAt: now, ofCaller: f.isOfCaller()}
 	m.answers.prior = g.history.count(f)
 	g.marks[f] = m
 	return m
--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -116,6 +116,9 @@
 
 // mark holds the crashes of one fingerprint. It is guarded by Guard.mu.
 type mark struct {
+	// ofCaller is true for the requests of one caller. They are refused after unansweredHardLimit crashes, and copies of them do
+	// not run one at a time.
+	ofCaller bool
 	// generation counts the complete answers that cleared the mark. A higher generation overrides a lower one.
 	generation uint32
 	// crashes holds the distinct crashes, at most maxCrashes.
@@ -155,6 +158,9 @@
 
 // refusable reports whether there are enough crashes to refuse the request, unless other requests explain them.
 func (m *mark) refusable() bool {
+	if m.ofCaller {
+		return m.unansweredCrashes() >= unansweredHardLimit
+	}
 	return m.unansweredCrashes() >= unansweredLimit+m.toleratedCrashes() || m.crashesOften()
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -93,6 +93,8 @@
 	routeName   string
 	callerIP    string
 	fingerprint crashguard.Fingerprint
+	// recorded are the fingerprints for which the loss is recorded.
+	recorded []crashguard.Fingerprint
 }
 
 // reportTargetTerminated reports to the crash guard that the process of an attempt's target terminated.
@@ -106,8 +108,10 @@
 // a crash is already treated as a suspect. If the target still accepts connections, a goroutine continues to watch it. The
 // sentinel of the attempt is closed in either case.
 func (g *Gateway) investigateLoss(ctx context.Context, call *call, a *attempt, loss *reason.Reason) {
-	l := &lostAttempt{a, loss, call.id, call.route.Name, call.callerIP, call.fingerprint()}
-	g.crashGuard.ConnectionLost(g.Now(), l.fingerprint, a.crashAttempt(), lossVerdictTimeout)
+	l := &lostAttempt{a, loss, call.id, call.route.Name, call.callerIP, call.fingerprint(), g.crashFingerprints(call)}
+	for _, f := range l.recorded {
+		g.crashGuard.ConnectionLost(g.Now(), f, a.crashAttempt(), lossVerdictTimeout)
+	}
 	postLoss, refused := dialSentinel(ctx, a.target.Address, lossProbeDialTimeout)
 	terminated := refused || a.targetTerminated()
 	g.recordLoss(l, terminated)
@@ -146,7 +150,9 @@
 	case terminated:
 		g.recordLoss(l, true)
 	case l.targetSurvived():
-		g.crashGuard.TargetSurvived(l.fingerprint, l.target.ID)
+		for _, f := range l.recorded {
+			g.crashGuard.TargetSurvived(f, l.target.ID)
+		}
 	}
 }
 
--- a/internal/ingress/crash.go
+++ b/internal/ingress/crash.go
@@ -85,12 +85,30 @@
 	return call.cachedFingerprint
 }
 
+// callerFingerprint identifies requests with the same content that come from one address.
+func (call *call) callerFingerprint() crashguard.Fingerprint {
+	return call.fingerprint().OfCaller(call.callerIP)
+}
+
+// crashFingerprints returns the fingerprints for which the crashes and lost answers of a request are recorded. Those of its caller are
+// recorded only if the content is answered for others, because otherwise the content alone tells enough.
+func (g *Gateway) crashFingerprints(call *call) []crashguard.Fingerprint {
+	f := call.fingerprint()
+	if !g.crashGuard.AnsweredLately(f) {
+		return []crashguard.Fingerprint{f}
+	}
+	return []crashguard.Fingerprint{f, call.callerFingerprint()}
+}
+
 // awaitCrashAdmission waits until the crash guard admits a request. A suspect (a request to which a crash is attributed) waits
 // while another request with the same fingerprint is on probation or its verdict is pending. It returns a refusal if the
 // request is held because of its crashes, or if the context ends while it waits. The admission must be released unless the
 // request is refused.
 func (g *Gateway) awaitCrashAdmission(ctx context.Context, call *call) (crashguard.Admission, *result) {
 	for g.crashGuard.Active() {
+		if g.crashGuard.RefusesCaller(call.callerFingerprint()) {
+			return crashguard.Admission{}, g.refuseHeldRequest(call)
+		}
 		admission, wait, refused := g.crashGuard.Admit(g.Now(), call.fingerprint())
 		if refused {
 			return admission, g.refuseHeldRequest(call)
@@ -139,7 +157,9 @@
 		g.investigateLoss(ctx, call, attempt, r.failure)
 		return
 	case reason.AnswerTimeout, reason.ConnectionSilent, reason.CallerLeftRunning:
-		g.crashGuard.Unanswered(g.Now(), call.fingerprint(), attempt.crashAttempt())
+		for _, f := range g.crashFingerprints(call) {
+			g.crashGuard.Unanswered(g.Now(), f, attempt.crashAttempt())
+		}
 	case reason.ConnectionRefused:
 		// A connect timeout has this reason too, but does not prove that the process terminated.
 		if errors.Is(r.cause, syscall.ECONNREFUSED) {
@@ -163,7 +183,11 @@
 	if status >= http.StatusInternalServerError || !g.crashGuard.RecordsAnswers(call.route.Idempotent, len(call.request.Body())) {
 		return
 	}
-	if !g.crashGuard.Answered(g.Now(), call.fingerprint()) {
+	cleared := g.crashGuard.Answered(g.Now(), call.fingerprint())
+	if g.crashGuard.Active() {
+		cleared = g.crashGuard.Answered(g.Now(), call.callerFingerprint()) || cleared
+	}
+	if !cleared {
 		return
 	}
 	g.Log.Info("A request that crashed targets was answered.", "request", call.id, "target", attempt.target.ID, "status", status,
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -116,3 +116,51 @@
 		t.Errorf("%d of 16 targets crashed, want at most 3", n)
 	}
 }
+
+// startCrashingForOneCaller starts targets that answer all requests but those with the header Cookie, for which they terminate. It
+// returns the targets and a counter of those that terminated.
+func startCrashingForOneCaller(t *testing.T, count int) ([]*rawtarget.Target, *atomic.Int64) {
+	targets := make([]*rawtarget.Target, count)
+	crashed := &atomic.Int64{}
+	for i := range targets {
+		targets[i] = rawtarget.Start(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+			if r.Header.Get("Cookie") != "" {
+				crashed.Add(1)
+				targets[i].Stop()
+				return false
+			}
+			_, err := io.WriteString(conn, rawAnswer(200, r, "", "fine"))
+			return err == nil
+		})
+	}
+	return targets, crashed
+}
+
+// Guards against a request that crashes targets for one caller only, and that is sent on and on because the same request of other
+// callers is answered; and against holding back those others.
+func TestCrashingRequestOfOneCallerIsHeld(t *testing.T) {
+	t.Parallel()
+	targets, crashed := startCrashingForOneCaller(t, 16)
+	b := newTestbed(t, targets...)
+	askOthers := func() {
+		for i := range 4 {
+			if got, _ := b.dialFrom(t, fmt.Sprintf("127.0.2.%d", 1+i)).exchange("GET", "/safe/", "id", ""); got.StatusCode != http.StatusOK {
+				t.Errorf("another caller got status %d", got.StatusCode)
+			}
+		}
+	}
+	askOthers()
+	for range 12 {
+		caller := b.dialFrom(t, "127.0.3.1")
+		if _, err := io.WriteString(caller.conn, "GET /safe/ HTTP/1.1\r\nHost: h\r\nCookie: c\r\nX-Id: p\r\nX-Deadline: 2000\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := caller.receive(); err != nil {
+			t.Fatal(err)
+		}
+		askOthers()
+	}
+	if n := crashed.Load(); n > maxCrashRuns {
+		t.Errorf("%d of 16 targets crashed, want at most %d", n, maxCrashRuns)
+	}
+}
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -214,7 +214,7 @@
 		if !call.pool.Accepts(d.Target) {
 			return &TargetUnavailableError{d.Target.ID}
 		}
-		if g.crashGuard.Active() && !g.crashGuard.StillAdmitted(now, call.fingerprint(), admission) {
+		if g.crashGuard.Active() && (!g.crashGuard.StillAdmitted(now, call.fingerprint(), admission) || g.crashGuard.RefusesCaller(call.callerFingerprint())) {
 			return g.newCrashHeldError(call)
 		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
