Test that an answer with status 000 is refused on all paths

Operators of similar systems saw a server in trouble send status 000, which the client got as an answer.

--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -184,6 +184,19 @@
 	}
 }
 
+// Guards against a load report that is read from an answer with status 000, which is none.
+func TestStatus000IsNoLoadReport(t *testing.T) {
+	client, server := net.Pipe()
+	go func() {
+		_, _ = server.Read(make([]byte, 256))
+		_, _ = server.Write([]byte("HTTP/1.1 000 OK\r\nContent-Length: 15\r\n\r\n{\"in_flight\":1}"))
+	}()
+	if report, err := exchange(client, "127.0.0.1:1"); err == nil {
+		t.Errorf("read the load report %+v", report)
+	}
+	_ = client.Close()
+}
+
 // controlService returns a service with one target, built by the control loop of an instance.
 func controlService(t *testing.T, address string, connections, instances int) *control.Service {
 	s := newService(operator.Measuring{ProbesPerSecond: 1e3, BytesPerSecond: 1e6, ProbesPerRequest: 1}, nil).Spec
--- a/internal/transport/fuzz_test.go
+++ b/internal/transport/fuzz_test.go
@@ -59,6 +59,7 @@
 	for _, seed := range []string{
 		okAnswer, head + "\r\nto the end", head + "Trailer: ,\r\nContent-Length: 0\r\n\r\n", head + "Trailer: a, ,b\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nTrailer: ,,\r\n\r\n" + okAnswer, "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
 		head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2;e=1\r\nok\r\n0\r\nX-Sum: 1\r\n: x\r\n\r\n",
 		head + "Set-Cookie: =;\r\nServer:\r\nContent-Type: \r\nConnection: close, ,x\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
 		"HTTP/1.0 204 \r\n\r\n", "HTTP/1.1 200\n\n",
