--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -164,3 +164,24 @@
 		t.Errorf("%d of 16 targets crashed, want at most %d", n, maxCrashRuns)
 	}
 }
+
+// Guards against taking a request that crashes targets for another one because its body comes in chunks.
+func TestCrashingRequestInChunksIsHeld(t *testing.T) {
+	t.Parallel()
+	targets, crashed := startCrashing(t, 16)
+	b := newTestbed(t, targets...)
+	const head = "POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Id: p\r\nX-Deadline: 2000\r\n"
+	for i := range 9 {
+		body := []string{"Content-Length: 6\r\n\r\npoison", "Transfer-Encoding: chunked\r\n\r\n6\r\npoison\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\npo\r\n4\r\nison\r\n0\r\n\r\n"}[i%3]
+		caller := b.dial(t)
+		if _, err := io.WriteString(caller.conn, head+body); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := caller.receive(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := crashed.Load(); n > 3 {
+		t.Errorf("%d of 16 targets crashed, want at most 3", n)
+	}
+}
