--- a/internal/crashguard/answers.go
+++ b/internal/crashguard/answers.go
@@ -1,9 +1,6 @@
 package crashguard
 
-import (
-	"encoding/binary"
-	"slices"
-)
+import "slices"
 
 // maxAnswerSources is the number of other instances whose answers are counted. Few are needed to outweigh the crashes of one mark.
 const maxAnswerSources = 8
@@ -63,15 +60,6 @@
 	return changed
 }
 
-// appendTo appends the sources, including this instance, to an encoded mark.
-func (a *answerCounts) appendTo(data []byte, self uint32) []byte {
-	for _, s := range a.withSelf(self) {
-		data = binary.BigEndian.AppendUint32(data, s.instance)
-		data = binary.BigEndian.AppendUint32(data, s.answers)
-	}
-	return data
-}
-
 // withSelf returns the sources with this instance first, if it saw any answer.
 func (a *answerCounts) withSelf(self uint32) []answerSource {
 	if a.here == 0 {
