Try a refused request again after a minute instead of 10 s

The first trial of a refused request comes 10 to 15 s after the refusal began, so that a third target crashed while its caller was still repeating it.

Change: the trials come after 60 to 90 s and 10 to 15 min more. Callers that repeat a request for some seconds meet two crashes as before.

--- a/internal/crashguard/mark.go
+++ b/internal/crashguard/mark.go
@@ -53,7 +53,7 @@
 // since the refusal began, the others since the trial before. A request that crashed targets in all of them is refused for as long
 // as it arrives. The users allow three sends after the third crash, so there are two trials, and room for one more that another
 // instance begins before it learns of them.
-var trialDelays = [...]time.Duration{10 * time.Second, time.Minute}
+var trialDelays = [...]time.Duration{time.Minute, 10 * time.Minute}
 
 // crash identifies the termination of one incarnation of a target. Several instances may observe the same crash; it counts
 // once, even if some of them do not know the incarnation.
