Share the set-up of linked guards and crashing targets in tests

Cause: two tests of crashguard linked guards in the same way, and ingress had two copies of targets that crash.

Measured: the tests of crashguard and the crash tests of ingress pass; no check changed.

--- a/internal/crashguard/mark_test.go
+++ b/internal/crashguard/mark_test.go
@@ -124,11 +124,8 @@
 	}
 }
 
-// Guards against refusing a request that many callers send because targets that ran copies of it for several instances terminated
-// at the same moment for another reason: each instance sees only its own copies and few of the answers.
-func TestSimultaneousCrashesOfManyInstancesCountOnce(t *testing.T) {
-	const instances = 6
-	f := FingerprintOf("s", "GET", "/", nil)
+// linkedGuards returns the guards of instances that receive each other's marks at once.
+func linkedGuards(t *testing.T, instances int, now *time.Duration) []*Guard {
 	guards := make([]*Guard, instances)
 	for i := range guards {
 		guards[i] = New(func(f Fingerprint, data []byte) {
@@ -136,23 +133,33 @@
 				if j == i {
 					continue
 				}
-				if _, err := other.Receive(time.Minute, f, data); err != nil {
+				if _, err := other.Receive(*now, f, data); err != nil {
 					t.Error(err)
 				}
 			}
 		})
 	}
+	return guards
+}
+
+// Guards against refusing a request that many callers send because targets that ran copies of it for several instances terminated
+// at the same moment for another reason: each instance sees only its own copies and few of the answers.
+func TestSimultaneousCrashesOfManyInstancesCountOnce(t *testing.T) {
+	const instances = 6
+	f := FingerprintOf("s", "GET", "/", nil)
+	now := time.Minute
+	guards := linkedGuards(t, instances, &now)
 	for i, g := range guards {
 		g.Answered(0, f)
 		target := fmt.Sprint("t", i)
-		g.ConnectionLost(time.Minute, f, Attempt{Target: target, Incarnation: target, SentAt: time.Minute - time.Second}, 0)
-		g.Answered(time.Minute, f)
+		g.ConnectionLost(now, f, Attempt{Target: target, Incarnation: target, SentAt: now - time.Second}, 0)
+		g.Answered(now, f)
 	}
 	for i, g := range guards {
-		g.TargetTerminated(time.Minute, fmt.Sprint("t", i), 0)
+		g.TargetTerminated(now, fmt.Sprint("t", i), 0)
 	}
 	for i, g := range guards {
-		if refuses(g, time.Minute, f) {
+		if refuses(g, now, f) {
 			t.Errorf("instance %d refuses the request", i)
 		}
 	}
@@ -253,19 +260,7 @@
 	const instances = 6
 	f := FingerprintOf("s", "GET", "/", nil)
 	now := time.Duration(0)
-	guards := make([]*Guard, instances)
-	for i := range guards {
-		guards[i] = New(func(f Fingerprint, data []byte) {
-			for j, other := range guards {
-				if j == i {
-					continue
-				}
-				if _, err := other.Receive(now, f, data); err != nil {
-					t.Error(err)
-				}
-			}
-		})
-	}
+	guards := linkedGuards(t, instances, &now)
 	for i := range totalLimit {
 		now += 2 * time.Second
 		crashTarget(guards[i], now, f, fmt.Sprint("t", i))
--- a/internal/ingress/crash_test.go
+++ b/internal/ingress/crash_test.go
@@ -16,11 +16,16 @@
 // startCrashing starts targets that terminate when they run a request whose body begins with "poison". It returns the targets
 // and a counter of those that terminated.
 func startCrashing(t *testing.T, count int) ([]*rawtarget.Target, *atomic.Int64) {
+	return startCrashingFor(t, count, func(r *http.Request) bool { return strings.HasPrefix(r.Header.Get(rawtarget.BodyHeader), "poison") })
+}
+
+// startCrashingFor starts targets that terminate when they run a request for which crashes returns true.
+func startCrashingFor(t *testing.T, count int, crashes func(*http.Request) bool) ([]*rawtarget.Target, *atomic.Int64) {
 	targets := make([]*rawtarget.Target, count)
 	crashed := &atomic.Int64{}
 	for i := range targets {
 		targets[i] = rawtarget.Start(t, func(conn net.Conn, r *http.Request, _ int64) bool {
-			if strings.HasPrefix(r.Header.Get(rawtarget.BodyHeader), "poison") {
+			if crashes(r) {
 				crashed.Add(1)
 				targets[i].Stop()
 				return false
@@ -117,30 +122,11 @@
 	}
 }
 
-// startCrashingForOneCaller starts targets that answer all requests but those with the header Cookie, for which they terminate. It
-// returns the targets and a counter of those that terminated.
-func startCrashingForOneCaller(t *testing.T, count int) ([]*rawtarget.Target, *atomic.Int64) {
-	targets := make([]*rawtarget.Target, count)
-	crashed := &atomic.Int64{}
-	for i := range targets {
-		targets[i] = rawtarget.Start(t, func(conn net.Conn, r *http.Request, _ int64) bool {
-			if r.Header.Get("Cookie") != "" {
-				crashed.Add(1)
-				targets[i].Stop()
-				return false
-			}
-			_, err := io.WriteString(conn, rawAnswer(200, r, "", "fine"))
-			return err == nil
-		})
-	}
-	return targets, crashed
-}
-
 // Guards against a request that crashes targets for one caller only, and that is sent on and on because the same request of other
 // callers is answered; and against holding back those others.
 func TestCrashingRequestOfOneCallerIsHeld(t *testing.T) {
 	t.Parallel()
-	targets, crashed := startCrashingForOneCaller(t, 16)
+	targets, crashed := startCrashingFor(t, 16, func(r *http.Request) bool { return r.Header.Get("Cookie") != "" })
 	b := newTestbed(t, targets...)
 	askOthers := func() {
 		for i := range 4 {
