Bring the comments of the crash guard up to date

Cause: they still named the caller's address as a part of the fingerprint, and did not tell of answered requests and trials.

Change: comments only.

--- a/internal/crashguard/fingerprint.go
+++ b/internal/crashguard/fingerprint.go
@@ -1,11 +1,14 @@
 // Package crashguard detects requests that crash the targets that run them, and
 // stops sending them. A request is suspect after one crash. It is refused
 //
-//   - after two crashes without a complete answer in between, unless another
-//     request was in flight at each of them and explains them,
+//   - after two crashes without a complete answer in between, or three if it was
+//     answered lately, unless another request was in flight at each of them and
+//     explains them,
 //   - after three crashes without a complete answer in between, in any case, and
 //   - after three crashes in total, unless it is answered most of the time.
 //
+// It stays refused for as long as it arrives, except for two trials.
+//
 // Suspects with the same content run one at a time, and a target runs at most
 // one suspect at a time. So an innocent request that was in flight together with
 // the cause gets a complete answer, which clears it.
@@ -24,7 +27,7 @@
 type Fingerprint [16]byte
 
 // FingerprintOf returns the fingerprint of a request. Requests are only compared within a scope, such as the name of the
-// service, or the host with the caller's address: those of different scopes have different fingerprints. The URI is the path
+// service, or the host of the route: those of different scopes have different fingerprints. The URI is the path
 // and query.
 func FingerprintOf(scope, method, uri string, body []byte) Fingerprint {
 	sum := digest.Request(scope, method, uri, body)
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -14,7 +14,7 @@
 	// broadcast sends a mark to peers. It must not block.
 	broadcast func(Fingerprint, []byte)
 	// activeCount is the number of marks with at least one crash plus the number of pending losses. While it is 0,
-	// requests need no fingerprint.
+	// requests need no fingerprint before they are answered.
 	activeCount atomic.Int64
 
 	mu    sync.Mutex
