Drop expired targets by a read that shows which are back

Cause: 2.2 s after an outage of the store an instance dropped the expired targets by what it had read up to 1.2 s before, while the entries of running targets may return until 2 s after the outage. Same class: answers of the store that a peer told of counted although the records of those answers were not applied.

Change: expired targets are dropped once the records of a read that began 2 s after the outage or later are applied, and 0.35 s after the grace period in any case, by records that are at most 1.2 s older than its end. While targets are expired such a read is due 40 ms after those 2 s, in order of rank, so that one instance makes one call more an outage. Ruled out: a longer grace period, which keeps departed targets in use for more than 3 s after an outage.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -288,7 +288,7 @@
 	n.join(ctx, now)
 	n.updateStoreAvailability(now)
 	n.registry.ForgetDeparted(now)
-	if expired := n.registry.EvictExpired(now); len(expired) > 0 {
+	if expired := n.registry.EvictExpired(now, n.targetsTopic.asOf); len(expired) > 0 {
 		n.Log.Info("Removed expired targets that did not come back.", "count", len(expired), "targets", truncateForLog(expired))
 		n.publishView(now)
 	}
--- a/internal/fleet/peer_faults_test.go
+++ b/internal/fleet/peer_faults_test.go
@@ -133,11 +133,12 @@
 	}
 	for _, node := range []*Node{peer, n} {
 		node.registry.StoreAnswered(returned, returned.Add(registry.OutageGracePeriod))
-		node.registry.EvictExpired(returned.Add(registry.OutageGracePeriod - time.Millisecond))
+		readAt := returned.Add(registry.OutageGracePeriod)
+		node.registry.EvictExpired(returned.Add(registry.OutageGracePeriod-time.Millisecond), readAt)
 		if len(node.registry.Usable()) != 1 {
 			t.Errorf("%s dropped the target within its grace period", node.Self.ID)
 		}
-		node.registry.EvictExpired(returned.Add(registry.OutageGracePeriod + time.Millisecond))
+		node.registry.EvictExpired(returned.Add(registry.OutageGracePeriod+time.Millisecond), readAt)
 		if len(node.registry.Usable()) != 0 {
 			t.Errorf("%s uses the target after its grace period", node.Self.ID)
 		}
@@ -178,7 +179,7 @@
 	}
 	ended := returned.Add(registry.OutageGracePeriod)
 	n.registry.StoreAnswered(returned, ended)
-	n.registry.EvictExpired(ended)
+	n.registry.EvictExpired(ended, ended)
 	for _, c := range n.targetsUpdate(ended).Changes {
 		if c.Entry != nil {
 			t.Errorf("the given up target is told as registered: %+v", c)
--- a/internal/fleet/read_schedule.go
+++ b/internal/fleet/read_schedule.go
@@ -43,6 +43,9 @@
 	maxOutageReads     = 3
 	// outageAfter is the age of the latest read at which the store counts as down.
 	outageAfter = registry.OutageAfter
+	// expiredReadMargin is how much later than necessary the targets are read to decide which expired ones are back. It
+	// covers the differences between what instances know of the time at which the store returned.
+	expiredReadMargin = 40 * time.Millisecond
 )
 
 // topicState holds how far one topic of the store was read, and schedules the reads: an instance reads when the age of
@@ -96,6 +99,8 @@
 	// that the store answered to this instance.
 	failing         int
 	storeAnsweredAt time.Time
+	// requiredAsOf is a time since which the topic has to be read, whatever its interval, or zero.
+	requiredAsOf time.Time
 }
 
 // due reports whether this instance should read now. Leaders read missing records at once; the others first fetch them
@@ -113,11 +118,11 @@
 	if !t.known {
 		return !now.Before(priority.firstRead)
 	}
-	wait := t.interval + rankDelay(priority.rank)
+	wait := rankDelay(priority.rank)
 	if t.backoff == 0 && now.Sub(priority.storeAnsweredAt) > storeAnswerValidity {
 		wait += failureDelay(priority.failing)
 	}
-	return now.Sub(t.asOf) >= wait
+	return now.Sub(t.asOf) >= t.interval+wait || t.asOf.Before(priority.requiredAsOf) && now.Sub(priority.requiredAsOf) >= wait
 }
 
 // awaitsStoreReturn reports whether the store seems down, so that the instance of rank 0 polls for its return.
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -133,7 +133,11 @@
 
 // readTargets starts a read of the records of targets if this instance is due to read them.
 func (n *Node) readTargets(ctx context.Context, now time.Time, rank int) {
-	if !n.targetsTopic.due(now, n.readPriority(now, rank)) {
+	priority := n.readPriority(now, rank)
+	if at := n.registry.ExpiredDecidedAt(); !at.IsZero() {
+		priority.requiredAsOf = at.Add(expiredReadMargin)
+	}
+	if !n.targetsTopic.due(now, priority) {
 		return
 	}
 	n.targetsTopic.readStarted(now)
--- a/internal/registry/availability.go
+++ b/internal/registry/availability.go
@@ -13,10 +13,15 @@
 	// OutageAfter is the gap between two known answers of the store from which on it counts as an outage. It leaves the
 	// first three instances that try to read time to be refused. Entries of targets expire later.
 	OutageAfter = 1800 * time.Millisecond
-	// evictionReadAge is how much older than the end of the grace period the latest read may be that decides which
-	// targets are not back. The instances together read every 0.5 s, and one that hears of no read reads for itself after
-	// about a second.
+	// EntriesReturnWithin is how long after an outage the entries of all running targets are back in the store.
+	EntriesReturnWithin = 2 * time.Second
+	// evictionReadAge is how much older than the end of the grace period the latest applied read may be that decides which
+	// targets are not back, if no read since all are back becomes known. The instances together read every 0.5 s, and one
+	// that hears of no read reads for itself after about a second.
 	evictionReadAge = 1200 * time.Millisecond
+	// lateReadTime is how long after the end of the grace period an instance waits for such a read. Targets that departed
+	// before the outage must be out of use 3 s after it.
+	lateReadTime = 350 * time.Millisecond
 )
 
 // availability is what an instance knows of the answers of the store to any instance. An answer proves that the store was
@@ -53,13 +58,25 @@
 // silent reports whether the latest known answer is so old that the store may be down.
 func (a *availability) silent(now time.Time) bool { return now.Sub(a.until) > OutageAfter }
 
-// inGrace reports whether targets whose entries expired may still register again: not enough time has passed since the
-// last outage, or the entries that were read last are too old to tell.
+// inGrace reports whether targets whose entries expired may still be in use: not enough time has passed since the last
+// outage, or the entries that were read last are too old to tell.
 func (a *availability) inGrace(now time.Time) bool {
 	end := a.since.Add(OutageGracePeriod)
-	return now.Before(end) || a.until.Before(end.Add(-evictionReadAge)) || a.silent(now)
+	return now.Before(end.Add(lateReadTime)) || a.until.Before(end.Add(-evictionReadAge)) || a.silent(now)
 }
 
+// mayEvict reports whether records that were applied up to a time show which expired targets are not back.
+func (a *availability) mayEvict(now, asOf time.Time) bool {
+	end := a.since.Add(OutageGracePeriod)
+	if now.Before(end) || asOf.Before(end.Add(-evictionReadAge)) || a.silent(now) {
+		return false
+	}
+	return !asOf.Before(a.entriesBackAt()) || !now.Before(end.Add(lateReadTime))
+}
+
+// entriesBackAt returns when the entries of all running targets are back after the last outage.
+func (a *availability) entriesBackAt() time.Time { return a.since.Add(EntriesReturnWithin) }
+
 // graceLeft returns the rest of the grace period, or 0 while the latest known answer is old.
 func (a *availability) graceLeft(now time.Time) time.Duration {
 	if a.silent(now) {
--- a/internal/registry/availability_test.go
+++ b/internal/registry/availability_test.go
@@ -33,7 +33,7 @@
 			if !peerFirst {
 				r.StoreAnswered(c.since, c.until)
 			}
-			r.EvictExpired(woke)
+			r.EvictExpired(woke, woke)
 			if got := usableIDs(r)["t1"]; got != c.want {
 				t.Errorf("%s, peer first %v: usable %v", c.name, peerFirst, got)
 			}
@@ -53,20 +53,34 @@
 	}
 }
 
-// Guards against targets that are dropped although they registered again, because the records that were read last are from
-// before the end of the grace period: the instance was paused in it.
+// Guards against targets that are dropped although they registered again, because the records that were applied last are from
+// before their return: the instance was paused, or a datagram with later records was lost. It also guards against departed
+// targets that stay in use on an instance that learns of no such read.
 func TestEvictionNeedsRecentRead(t *testing.T) {
-	r := New(heartbeat)
-	storeUp := start.Add(5 * time.Second)
-	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, start)
-	recordOutage(r, start, storeUp)
-	r.Apply(Change{ID: "t1", Offset: 2}, storeUp)
-	r.StoreAnswered(storeUp, storeUp.Add(OutageGracePeriod-evictionReadAge-time.Millisecond))
-	if r.EvictExpired(storeUp.Add(OutageGracePeriod)); !usableIDs(r)["t1"] {
-		t.Error("a target was dropped without a read of the records at the end of the grace period")
+	graceEnd, latest := OutageGracePeriod, OutageGracePeriod+lateReadTime
+	cases := []struct {
+		name string
+		// at and asOf are times after the end of the outage: of the decision, and up to which records were applied.
+		at, asOf time.Duration
+		evicted  bool
+	}{
+		{"read before the grace period ended", latest, graceEnd - evictionReadAge - time.Millisecond, false},
+		{"read before all targets are back", graceEnd, EntriesReturnWithin - time.Millisecond, false},
+		{"read before all targets are back, waited for a later one", latest, EntriesReturnWithin - time.Millisecond, true},
+		{"read when all targets are back, in the grace period", graceEnd - time.Millisecond, EntriesReturnWithin, false},
+		{"read when all targets are back", graceEnd, EntriesReturnWithin, true},
 	}
-	r.StoreAnswered(storeUp, storeUp.Add(OutageGracePeriod))
-	if r.EvictExpired(storeUp.Add(OutageGracePeriod)); usableIDs(r)["t1"] {
-		t.Error("a target that did not register again is usable after the grace period")
+	for _, c := range cases {
+		r := New(heartbeat)
+		storeUp := start.Add(5 * time.Second)
+		r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, start)
+		recordOutage(r, start, storeUp)
+		r.Apply(Change{ID: "t1", Offset: 2}, storeUp)
+		// The answers of the store are known from a peer, whose records this instance may lack.
+		r.StoreAnswered(storeUp, storeUp.Add(c.at))
+		r.EvictExpired(storeUp.Add(c.at), storeUp.Add(c.asOf))
+		if evicted := !usableIDs(r)["t1"]; evicted != c.evicted {
+			t.Errorf("%s: evicted %v", c.name, evicted)
+		}
 	}
 }
--- a/internal/registry/order_test.go
+++ b/internal/registry/order_test.go
@@ -26,7 +26,7 @@
 	r.StoreAnswered(up, up)
 	r.Apply(Change{ID: "t1", Offset: 2}, up)
 	r.StoreAnswered(up, up.Add(2*OutageGracePeriod))
-	r.EvictExpired(up.Add(2 * OutageGracePeriod))
+	r.EvictExpired(up.Add(2*OutageGracePeriod), up.Add(2*OutageGracePeriod))
 }
 
 // Guards against a departed target that is used again because the store executed one of its writes late: a heartbeat that was
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -127,7 +127,7 @@
 				r.Apply(Change{ID: "t1", Offset: 3, Entry: entry("t1")}, storeUp.Add(time.Second))
 			}
 			r.StoreAnswered(storeUp, storeUp.Add(c.after))
-			r.EvictExpired(storeUp.Add(c.after))
+			r.EvictExpired(storeUp.Add(c.after), storeUp.Add(c.after))
 			if got := usableIDs(r)["t1"]; got != c.want {
 				t.Errorf("usable: %v", got)
 			}
--- a/internal/registry/retention.go
+++ b/internal/registry/retention.go
@@ -44,10 +44,11 @@
 	return unknown
 }
 
-// EvictExpired removes the expired targets whose grace period has ended, and returns their ids. It does nothing while the
-// latest known answer of the store is old, because the targets may have registered again since.
-func (r *Registry) EvictExpired(now time.Time) (evicted []string) {
-	if !r.anyExpired || r.store.inGrace(now) {
+// EvictExpired removes the expired targets whose grace period has ended, and returns their ids. asOf is the latest time up to
+// which all records were applied. It does nothing while that or the latest known answer of the store is old, because the
+// targets may have registered again since.
+func (r *Registry) EvictExpired(now, asOf time.Time) (evicted []string) {
+	if !r.anyExpired || !r.store.mayEvict(now, asOf) {
 		return nil
 	}
 	r.anyExpired = false
@@ -60,6 +61,14 @@
 	return evicted
 }
 
+// ExpiredDecidedAt returns from when on a read shows which expired targets are back. It is zero if no target is expired.
+func (r *Registry) ExpiredDecidedAt() time.Time {
+	if !r.anyExpired {
+		return time.Time{}
+	}
+	return r.store.entriesBackAt()
+}
+
 // Retained reports whether a target is in use although its entry has expired. remaining is the rest of the grace period, or
 // 0 while the latest known answer of the store is old.
 func (r *Registry) Retained(id string, now time.Time) (retained bool, remaining time.Duration) {
