Give the targets of the outage schedules sequences

Entries have a born time and a sequence on the platform. The schedules that check that running targets stay in use over an outage had no sequences, so that no returned entry was ever held as a write that may be late.

--- a/internal/fleet/pause_schedules_test.go
+++ b/internal/fleet/pause_schedules_test.go
@@ -81,7 +81,7 @@
 			departed := false
 			sim.store.update(func() { departed = sim.departed[i] })
 			if !departed {
-				sim.store.append(id, targetEntry(i, false))
+				sim.store.append(id, sim.entry(i, returnedSequence, false))
 			}
 		})
 	}
@@ -186,10 +186,11 @@
 	return s
 }
 
-// simulateKeepingLapsed simulates schedules of one pattern, and checks also that running targets stay in use all the time.
+// simulateKeepingLapsed simulates schedules of one pattern, and checks also that running targets stay in use all the time. The
+// targets have sequences and answer no probes, so that one which an instance takes for departed is held for long.
 func simulateKeepingLapsed(t *testing.T, count int, draw func(r *rand.Rand) schedule) {
 	t.Helper()
-	simulatePatternWith(t, count, draw, func(sim *simulation) { sim.keepsLapsed = true })
+	simulatePatternWith(t, count, draw, func(sim *simulation) { sim.keepsLapsed, sim.sequenced = true, true })
 }
 
 // Guards against both errors under random combinations of pauses with outages, refused instances, restarts, partitions and
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -26,6 +26,8 @@
 	resumes map[int]func(resumeOrder)
 	// keepsLapsed checks that instances keep all running targets in use, also while they or the store are disturbed.
 	keepsLapsed bool
+	// sequenced gives the entries of targets sequences.
+	sequenced bool
 	// onConfigure changes the configuration of a node before it starts. onStarted is called after a node was started,
 	// onStopping before it stops, and onAllStarted after all were started. All may be nil.
 	onConfigure  func(i int, c *Config)
@@ -77,6 +79,23 @@
 	}
 }
 
+// The sequences of the entries of targets: the first one, one written again after an outage, and one that drains. Later
+// heartbeats do not change the entry.
+const (
+	firstSequence    = 1
+	returnedSequence = 10
+	drainingSequence = 20
+)
+
+// entry returns an entry of a target with a sequence, if the targets of the simulation have one.
+func (sim *simulation) entry(i int, sequence int64, draining bool) *registry.Entry {
+	e := targetEntry(i, draining)
+	if sim.sequenced {
+		e.Sequence = sequence
+	}
+	return e
+}
+
 // after runs a step of the schedule at its time.
 func (sim *simulation) after(at time.Duration, step func()) { time.AfterFunc(at, step) }
 
@@ -106,7 +125,7 @@
 		sim.store.append(id, nil)
 		return
 	}
-	sim.store.append(id, targetEntry(d.target, true))
+	sim.store.append(id, sim.entry(d.target, drainingSequence, true))
 	time.AfterFunc(departureBound+drainTime, func() { sim.store.append(id, nil) })
 }
 
@@ -156,7 +175,7 @@
 			departed := false
 			sim.store.update(func() { departed = sim.departed[i] })
 			if !departed {
-				sim.store.append(targetEntry(i, false).ID, targetEntry(i, false))
+				sim.store.append(targetEntry(i, false).ID, sim.entry(i, returnedSequence, false))
 			}
 		})
 	}
@@ -167,7 +186,7 @@
 	count := sim.instancesPerZone * scheduleZones
 	sim.nodes, sim.stops, sim.startedAt = make([]*Node, count), make([]func(), count), time.Now()
 	for i := range scheduleTargets {
-		sim.store.append(targetEntry(i, false).ID, targetEntry(i, false))
+		sim.store.append(targetEntry(i, false).ID, sim.entry(i, firstSequence, false))
 	}
 	for i := range count {
 		sim.startNode(i)
