Tell an expired target that is back as expired, not departed

Cause: the changes that instances repeat hold the expiry of a target and, behind it, the entry that it wrote again. Once it was back, its expiry was repeated as a departure. An instance that had missed the first datagram took the target for departed, and held the entry as one that may have been written before the departure: until a probe found the target running, for 6 s and more if none did. It told the others of the departure, which dropped the target too.

Change: the expiry of a target that is in use again is repeated as an expiry. Ruled out: leaving the expiry out, because the changes of an update have to be complete.

--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -131,11 +131,14 @@
 }
 
 // currentVerdict returns a change with the current verdict of this instance on it. A target that is not retained any more has
-// departed, or a later change tells that it is back.
+// departed, unless a later change tells that it is back: told as departed it would be held until it is found running.
 func (n *Node) currentVerdict(c registry.Change, now time.Time) registry.Change {
 	if !c.Lapsed {
 		return n.registry.WithKnowledge(c, now)
 	}
+	if n.registry.IsBackSince(c.ID, c.Offset) {
+		return c
+	}
 	if c.Lapsed, c.Hold = n.registry.Retained(c.ID, now); !c.Lapsed {
 		c.Entry = nil
 	}
--- a/internal/registry/retention.go
+++ b/internal/registry/retention.go
@@ -69,6 +69,12 @@
 	return r.store.entriesBackAt()
 }
 
+// IsBackSince reports whether an entry of a target was read behind an offset, and is in use.
+func (r *Registry) IsBackSince(id string, offset int64) bool {
+	rec := r.records[id]
+	return rec != nil && rec.presence == present && rec.offset > offset
+}
+
 // Retained reports whether a target is in use although its entry has expired. remaining is the rest of the grace period, or
 // 0 while the latest known answer of the store is old.
 func (r *Registry) Retained(id string, now time.Time) (retained bool, remaining time.Duration) {
