--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -8,21 +8,27 @@
 
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Store is the platform's store. Implementations are safe for concurrent use, and each call returns within a bounded
-// time even if the context has no deadline. Offsets number the records of a topic.
+// time even if the context has no deadline. A call whose answer is of an earlier era than another answer before it fails with
+// an OutdatedAnswerError.
 type Store interface {
-	// NewestConfig returns the configuration in force, or nil if there is none yet, and the offset to read on from.
-	NewestConfig(ctx context.Context) (*routes.Config, int64, error)
-	// ConfigsSince returns the configurations from an offset on and the offset to read on from. The error wraps a
-	// TrimmedError if records from that offset on are no longer available.
-	ConfigsSince(ctx context.Context, from int64) ([]*routes.Config, int64, error)
-	// NewestTargets returns the newest record of each target and the offset to read on from.
-	NewestTargets(ctx context.Context) ([]registry.Change, int64, error)
-	// TargetsSince returns the records of targets from an offset on and the offset to read on from. The error wraps a
-	// TrimmedError if records from that offset on are no longer available.
-	TargetsSince(ctx context.Context, from int64) ([]registry.Change, int64, error)
+	// Era returns the newest known era, 0 if none is known.
+	Era() int64
+	// LearnEra tells an era that another instance knows of.
+	LearnEra(era int64)
+	// NewestConfig returns the configuration in force, or nil if there is none yet, and the position to read on from.
+	NewestConfig(ctx context.Context) (*routes.Config, topic.Position, error)
+	// ConfigsSince returns the configurations from a position on and the position to read on from. The error wraps a
+	// TrimmedError if records from that position on are not available.
+	ConfigsSince(ctx context.Context, from topic.Position) ([]*routes.Config, topic.Position, error)
+	// NewestTargets returns the newest record of each target and the position to read on from.
+	NewestTargets(ctx context.Context) ([]registry.Change, topic.Position, error)
+	// TargetsSince returns the records of targets from a position on and the position to read on from. The error wraps a
+	// TrimmedError if records from that position on are not available.
+	TargetsSince(ctx context.Context, from topic.Position) ([]registry.Change, topic.Position, error)
 	// Members returns the announced members.
 	Members(ctx context.Context) ([]Member, error)
 	// Announce stores a member under its id.
@@ -54,13 +60,22 @@
 	Started int64 `json:"started"`
 }
 
-// TrimmedError is returned for an offset from which on records are no longer available. The newest records have to be
-// listed instead.
+// TrimmedError is returned for a position from which on the store has no records: they were deleted, or the store was restored
+// from an older copy. The newest records have to be listed instead.
 type TrimmedError struct {
 	Topic string
-	From  int64
+	From  topic.Position
+	// Era is the era of the answer.
+	Era int64
 }
 
 func (e *TrimmedError) Error() string {
-	return fmt.Sprintf("topic %s: records from offset %d on are no longer available", e.Topic, e.From)
+	return fmt.Sprintf("topic %s: era %d has no records from offset %d of era %d on", e.Topic, e.Era, e.From.Offset, e.From.Era)
+}
+
+// OutdatedAnswerError is returned for an answer of an earlier era than one before it.
+type OutdatedAnswerError struct{ Era, Newest int64 }
+
+func (e *OutdatedAnswerError) Error() string {
+	return fmt.Sprintf("the answer is of era %d of the store, before era %d", e.Era, e.Newest)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,7 +77,7 @@
 	if err := metrics.RegisterObservables(gauges); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := observeTraffic(metrics, e.node.Traffic()); err != nil {
+	if err := observeTraffic(metrics, e.node.Traffic(), e.store); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -7,10 +7,12 @@
 
 	"github.com/basillink/basillink/internal/fleet"
 	"github.com/basillink/basillink/internal/telemetry"
+	"github.com/basillink/basillink/platform"
 )
 
-// observeTraffic exports counters of the control traffic of an instance: datagrams between instances, store calls and load probes.
-func observeTraffic(m *telemetry.Metrics, t *fleet.Traffic) error {
+// observeTraffic exports counters of the control traffic of an instance: datagrams between instances, calls to the store and its
+// eras, and load probes.
+func observeTraffic(m *telemetry.Metrics, t *fleet.Traffic, store *platform.Store) error {
 	counters := []struct {
 		name, help string
 		read       func() []telemetry.LabeledValue
@@ -28,6 +30,10 @@
 		{"basillink.stale_datagrams", "Datagrams dropped because they had waited while the process was paused.", func() []telemetry.LabeledValue {
 			return []telemetry.LabeledValue{{Value: t.StaleDatagrams()}}
 		}},
+		{"basillink.store_restores", "Restores of the store from an older copy that this instance noticed.", func() []telemetry.LabeledValue {
+			return []telemetry.LabeledValue{{Value: t.StoreRestores()}}
+		}},
+		{"basillink.store_era_faults", "Answers of the store with a faulty era, by fault.", func() []telemetry.LabeledValue { return labeledEraFaults(store) }},
 	}
 	for _, c := range counters {
 		if err := m.RegisterObservableCounter(c.name, c.help, c.read); err != nil {
@@ -51,6 +57,16 @@
 	return telemetry.LabeledValue{Labels: labels, Value: value}
 }
 
+// labeledEraFaults returns the number of answers of the store with a faulty era, labeled with the fault.
+func labeledEraFaults(store *platform.Store) []telemetry.LabeledValue {
+	var values []telemetry.LabeledValue
+	store.EachEraFault(func(fault platform.EraFault, count int64) {
+		labels := []attribute.KeyValue{attribute.String("fault", fault.String())}
+		values = append(values, telemetry.LabeledValue{Labels: labels, Value: count})
+	})
+	return values
+}
+
 // labeledCalls returns the number of store calls, labeled with the type of call.
 func labeledCalls(t *fleet.Traffic) []telemetry.LabeledValue {
 	var values []telemetry.LabeledValue
--- /dev/null
+++ b/internal/fleet/era_test.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
+)
+
+func listedTarget(id string, p topic.Position) registry.Change {
+	entry := &registry.Entry{ID: id, Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4, Born: 1, Sequence: 1}
+	return registry.Change{ID: id, Offset: p.Offset, Era: p.Era, Entry: entry}
+}
+
+// nodeInEra returns a node that has listed one target in an era of the store.
+func nodeInEra(t *testing.T, id string, era int64) *Node {
+	t.Helper()
+	n := newQuietNode(t, newMember(id, "a"))
+	next := topic.Position{Era: era, Offset: 5}
+	listing := []registry.Change{listedTarget("t1", topic.Position{Era: era, Offset: 4})}
+	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{{Version: 3, Services: []routes.Service{{Name: "s"}}}}, next: next}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: next}, testStart)
+	return n
+}
+
+// Guards against an answer of an earlier era that arrives late, on another connection, and is taken for the newest state: its
+// records, its end, or only its time.
+func TestLateAnswerOfEarlierEra(t *testing.T) {
+	n := nodeInEra(t, "a1", 2)
+	later := testStart.Add(time.Second)
+	old := topic.Position{Era: 1, Offset: 9}
+	n.handleTargetsRead(targetsRead{startedAt: later, changes: []registry.Change{{ID: "t1", Offset: 8, Era: 1}}, next: old}, later)
+	n.handleTargetsRead(targetsRead{startedAt: later, complete: true, next: old}, later)
+	n.handleConfigsRead(configsRead{startedAt: later, next: old}, later)
+	if len(n.registry.Usable()) != 1 || n.targetsTopic.next.Era != 2 || n.configsTopic.next.Era != 2 {
+		t.Errorf("usable %+v, read up to %+v and %+v", n.registry.Usable(), n.targetsTopic.next, n.configsTopic.next)
+	}
+	if n.targetsTopic.asOf.After(testStart) || n.configsTopic.asOf.After(testStart) {
+		t.Error("an answer of an earlier era counts as a read of the newest one")
+	}
+}
+
+// Guards against an instance that goes on from its own offset when a peer tells of a newer era: the offset is that of another
+// record there.
+func TestPeerTellsOfNewerEra(t *testing.T) {
+	n, peer := nodeInEra(t, "a1", 1), nodeInEra(t, "a2", 1)
+	again := topic.Position{Era: 2, Offset: 3}
+	listing := []registry.Change{listedTarget("t2", topic.Position{Era: 2, Offset: 2})}
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: again}, testStart)
+
+	if n.mergeTargetsUpdate(peer.targetsUpdate(testStart), testStart); !n.targetsTopic.behind || n.targetsTopic.next.Era != 1 {
+		t.Fatalf("behind %v, read up to %+v", n.targetsTopic.behind, n.targetsTopic.next)
+	}
+	state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.next.Offset, TargetsEra: n.targetsTopic.next.Era}, testStart)
+	n.handleStateFetched(stateFetched{state: &state, requestedAt: testStart}, testStart)
+	if n.targetsTopic.next != again || n.Store.(*storeClient).learned != 2 {
+		t.Errorf("read up to %+v, the store's client knows era %d", n.targetsTopic.next, n.Store.(*storeClient).learned)
+	}
+	if usable := n.registry.Usable(); len(usable) != 2 {
+		t.Errorf("usable targets %+v, want t2 and t1, which may write its entry again", usable)
+	}
+	if n.traffic.StoreRestores() != 1 {
+		t.Errorf("%d restores were counted", n.traffic.StoreRestores())
+	}
+}
+
+// Guards against a rolling replacement in which instances that know no eras stop those that do, or the other way round.
+func TestPeerThatKnowsNoEras(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	answering := int64(0)
+	update := &targetsUpdate{Base: 5, Next: 9, StoreAnsweringMS: &answering, Changes: []registry.Change{{ID: "t1", Offset: 8}}}
+	if n.mergeTargetsUpdate(update, testStart); n.targetsTopic.behind || n.targetsTopic.next.Offset != 5 || len(n.registry.Usable()) != 1 {
+		t.Errorf("behind %v, read up to %+v", n.targetsTopic.behind, n.targetsTopic.next)
+	}
+
+	started := newQuietNode(t, newMember("a2", "a"))
+	state := &State{
+		Config: &routes.Config{Version: 3, Services: []routes.Service{{Name: "s"}}}, ConfigListed: true, ConfigNext: 5,
+		TargetsListed: true, TargetsNext: 5, Targets: []registry.Change{listedTarget("t1", topic.Position{Offset: 4})},
+	}
+	started.handleStateFetched(stateFetched{state: state, requestedAt: testStart}, testStart)
+	if started.View() == nil {
+		t.Fatal("an instance does not serve with the state of a peer that knows no eras")
+	}
+	started.Store.(*storeClient).era = 1
+	if started.noticeEra(testStart); started.targetsPriority(testStart, 0).requiredAsOf != testStart {
+		t.Error("the targets are not listed when the store tells an era for the first time")
+	}
+}
+
+// restoreFleet runs a small fleet with a stored crash mark, restores its store from a copy of before the instances wrote to it,
+// and returns the store some seconds later.
+func restoreFleet(t *testing.T, lost time.Duration) *virtualStore {
+	sim := newSimulation(schedule{instancesPerZone: 2}, 1)
+	sim.store.era = 1
+	marks := &sharedMarks{refused: map[string]bool{}}
+	sim.onConfigure = func(_ int, c *Config) { c.CrashMarks = marks }
+	sim.onAllStarted = func() {
+		sim.after(3*time.Second, func() { marks.refuse("k", true) })
+		sim.after(settlingTime+2*time.Second, func() { sim.store.restore(lost) })
+	}
+	synctest.Test(t, func(*testing.T) { sim.run(rand.New(rand.NewPCG(1, 30))) })
+	if len(sim.failures) > 0 {
+		t.Errorf("%v", sim.failures)
+	}
+	return sim.store
+}
+
+// Guards against what the instances wrote to the store and is lost with a restore: without the announcements nobody finds the
+// fleet, and after a restart of all instances a request that is refused would crash targets again.
+func TestOwnWritesAfterRestore(t *testing.T) {
+	store := restoreFleet(t, settlingTime+2*time.Second)
+	zones := map[string]bool{}
+	for _, m := range store.members {
+		zones[m.Zone] = true
+	}
+	if len(zones) != scheduleZones {
+		t.Errorf("members of %d zones are announced after the restore, want %d: %+v", len(zones), scheduleZones, store.members)
+	}
+	if _, stored := store.marks["k"]; !stored {
+		t.Errorf("the crash mark is not stored after the restore: %v", store.marks)
+	}
+}
+
+var restoreCosts = flag.Bool("fleet.restorecosts", false, "measure the calls after a restore with the largest fleet too")
+
+// callsAfter returns how many calls a fleet makes in the 10 s after the store was away for a second and came back, from a copy of
+// some time before if lost is not 0.
+func callsAfter(t *testing.T, instancesPerZone int, lost time.Duration) int {
+	sim := newSimulation(schedule{instancesPerZone: instancesPerZone}, 1)
+	sim.store.era = 1
+	before, after := 0, 0
+	const awayFrom = settlingTime + 3*time.Second
+	sim.onAllStarted = func() {
+		sim.after(awayFrom, func() { sim.store.update(func() { sim.store.behavior = storeRefuses }) })
+		sim.after(awayFrom+time.Second, func() {
+			if lost > 0 {
+				sim.store.restore(lost)
+			}
+			sim.store.update(func() { sim.store.behavior, before = storeServes, sim.store.calls })
+		})
+		sim.after(awayFrom+11*time.Second, func() { sim.store.update(func() { after = sim.store.calls }) })
+	}
+	synctest.Test(t, func(*testing.T) { sim.run(rand.New(rand.NewPCG(1, 30))) })
+	return after - before
+}
+
+// Guards against a storm of calls when the era rises: the readers list once and tell the others.
+func TestFewStoreCallsAfterRestore(t *testing.T) {
+	sizes := []int{7, 15}
+	if *restoreCosts {
+		sizes = []int{7, 46, 157}
+	}
+	const largestFactor = 1.5
+	for _, perZone := range sizes {
+		restart, restored := callsAfter(t, perZone, 0), callsAfter(t, perZone, 6*time.Second)
+		t.Logf("%d instances: %d calls in the 10 s after a restart of the store, %d after a restore", perZone*scheduleZones, restart, restored)
+		if float64(restored) > largestFactor*float64(restart) {
+			t.Errorf("%d instances: %d calls in the 10 s after a restore, %d after a restart without loss", perZone*scheduleZones, restored, restart)
+		}
+	}
+}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -7,6 +7,7 @@
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // event is an input of the control loop.
@@ -22,7 +23,7 @@
 type configsRead struct {
 	startedAt time.Time
 	configs   []*routes.Config
-	next      int64
+	next      topic.Position
 	err       error
 }
 
@@ -31,7 +32,7 @@
 	startedAt time.Time
 	changes   []registry.Change
 	complete  bool
-	next      int64
+	next      topic.Position
 	err       error
 }
 
--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -17,6 +17,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against one answer to a load probe that ends the process, and against a target that is not probed any more after it,
@@ -60,16 +61,18 @@
 // faultyStore panics in each call, as a decoder does that meets an answer that it is not made for.
 type faultyStore struct{}
 
-func (faultyStore) NewestConfig(context.Context) (*routes.Config, int64, error) {
+func (faultyStore) Era() int64     { return 0 }
+func (faultyStore) LearnEra(int64) {}
+func (faultyStore) NewestConfig(context.Context) (*routes.Config, topic.Position, error) {
 	panic("decoder fault")
 }
-func (faultyStore) ConfigsSince(context.Context, int64) ([]*routes.Config, int64, error) {
+func (faultyStore) ConfigsSince(context.Context, topic.Position) ([]*routes.Config, topic.Position, error) {
 	panic("decoder fault")
 }
-func (faultyStore) NewestTargets(context.Context) ([]registry.Change, int64, error) {
+func (faultyStore) NewestTargets(context.Context) ([]registry.Change, topic.Position, error) {
 	panic("decoder fault")
 }
-func (faultyStore) TargetsSince(context.Context, int64) ([]registry.Change, int64, error) {
+func (faultyStore) TargetsSince(context.Context, topic.Position) ([]registry.Change, topic.Position, error) {
 	panic("decoder fault")
 }
 func (faultyStore) Members(context.Context) ([]discovery.Member, error)       { panic("decoder fault") }
@@ -141,10 +144,10 @@
 	n.isLeader = true
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	n.applyConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, "store", testStart)
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	known := n.registry
 	n.registry = nil
-	n.handleGuarded(context.Background(), targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, testStart)
+	n.handleGuarded(context.Background(), targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}, testStart)
 	n.registry = known
 	n.Store = &storeClient{store: &fakeStore{targets: []registry.Change{{ID: "other"}, {ID: "t", Offset: 1, Entry: entry}, {ID: "t", Offset: 2}}}}
 	later := testStart.Add(time.Second)
@@ -166,7 +169,7 @@
 func TestViewIsPublishedAfterPanic(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	n.applyConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, "store", testStart)
 	faults := 2
 	n.TargetTerminated = func(string, time.Duration, bool) {
@@ -174,7 +177,7 @@
 			panic("fault")
 		}
 	}
-	n.handleGuarded(context.Background(), targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, testStart)
+	n.handleGuarded(context.Background(), targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}, testStart)
 	if n.View().Pools["s"].Target("t") == nil {
 		t.Fatal("the view was published in spite of the panic")
 	}
--- a/internal/fleet/late_writes_test.go
+++ b/internal/fleet/late_writes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 var (
@@ -119,6 +120,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	list   []*lateTarget
+	// arrives holds the targets that do not run yet at the beginning.
+	arrives map[int]bool
 }
 
 // lateTarget is a target with its entry in the store.
@@ -136,7 +139,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i := range scheduleTargets {
-		t := &lateTarget{entry: *targetEntry(i, false), running: true}
+		t := &lateTarget{entry: *targetEntry(i, false), running: !m.arrives[i]}
 		t.entry.Born = 1_000_000 + int64(i)
 		m.list = append(m.list, t)
 		m.scheduleHeartbeat(t, t.incarnation, 0)
@@ -363,18 +366,18 @@
 	entry := targetEntry(0, false)
 	entry.Born, entry.Sequence = 7, 3
 	listing := []registry.Change{{ID: entry.ID, Offset: 1, Entry: entry}}
-	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 2}, testStart)
-	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 2}}, next: 3}, testStart)
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 2}}, testStart)
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 2}}, next: topic.Position{Offset: 3}}, testStart)
 
 	n, other := newQuietNode(t, newMember("a1", "a")), newQuietNode(t, newMember("c1", "c"))
 	n.learnDepartures(peer.registry.RecentDepartures(testStart), testStart)
 	for _, started := range []*Node{n, other} {
-		started.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 3}, testStart)
+		started.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 3}}, testStart)
 	}
 	other.mergeTargetsUpdate(n.targetsUpdate(testStart), testStart)
 	late := *entry
 	late.Sequence = 8
-	other.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 3, Entry: &late}}, next: 4}, testStart)
+	other.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: entry.ID, Offset: 3, Entry: &late}}, next: topic.Position{Offset: 4}}, testStart)
 	if len(other.registry.Usable()) != 0 {
 		t.Error("a departed target is used because of a late write")
 	}
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 var testStart = time.Unix(1_000_000, 0)
@@ -121,7 +122,7 @@
 	if r.due(testStart, readPriority{rank: 0, isLeader: true, firstRead: testStart}) {
 		t.Error("a read is due while another one is in flight")
 	}
-	r.readSucceeded(testStart, 10)
+	r.readSucceeded(testStart, topic.Position{Offset: 10})
 	cases := []struct {
 		age  time.Duration
 		rank int
@@ -161,7 +162,7 @@
 func TestServedInstanceDoesNotWaitForRefusedOnes(t *testing.T) {
 	const rank, refused = 3, 5
 	r := topicState{interval: targetsReadInterval}
-	r.readSucceeded(testStart, 10)
+	r.readSucceeded(testStart, topic.Position{Offset: 10})
 	own := targetsReadInterval + firstRankDelay + (rank-1)*nearRankStep
 	if !r.due(testStart.Add(own), readPriority{rank: rank, firstRead: testStart, failing: refused, storeAnsweredAt: testStart}) {
 		t.Errorf("an instance that the store answered just now does not read after %s", own)
@@ -194,7 +195,7 @@
 // answers it, so it need not wait for failing instances.
 func TestAnswerOnOneTopicCountsForOther(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
-	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 1}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 1}}, testStart)
 	n.failingInFleet = 20
 	n.configsTopic.known, n.configsTopic.asOf = true, testStart
 	if at := testStart.Add(configsReadInterval); !n.configsTopic.due(at, n.readPriority(at, 0)) {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -11,6 +11,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // datagram is the one-way message between instances. Unset fields are omitted. Keys are only ever added, so that
@@ -96,8 +97,19 @@
 	StoreAnsweringMS *int64 `cbor:"5,keyasint,omitempty"`
 	// Answer identifies the answer of the store that AgeMS is the age of.
 	Answer answerID `cbor:"6,keyasint"`
+	// BaseEra and NextEra are the eras of Base and Next. They are 0 if the sender is of an earlier version.
+	BaseEra int64 `cbor:"7,keyasint,omitempty"`
+	NextEra int64 `cbor:"8,keyasint,omitempty"`
+	// RestoredEra is the era that the last known restore of the store began, and RestoredMS is how long ago that became known.
+	// Both are 0 if no restore is known.
+	RestoredEra int64 `cbor:"9,keyasint,omitempty"`
+	RestoredMS  int64 `cbor:"10,keyasint,omitempty"`
 }
 
+func (u *targetsUpdate) base() topic.Position { return topic.Position{Era: u.BaseEra, Offset: u.Base} }
+
+func (u *targetsUpdate) next() topic.Position { return topic.Position{Era: u.NextEra, Offset: u.Next} }
+
 // configStatus states which version of the configuration is in force.
 type configStatus struct {
 	Version uint64 `cbor:"1,keyasint"`
@@ -129,6 +141,25 @@
 	Marks []discovery.CrashMark
 	// MarksRead is true when the sender's marks include those in the store.
 	MarksRead bool
+	// ConfigEra, TargetsEra and TargetsFromEra are the eras of ConfigNext, TargetsNext and TargetsFrom. They are 0 if the sender
+	// is of an earlier version.
+	ConfigEra, TargetsEra, TargetsFromEra int64
+	// RestoredEra is the era that the last known restore of the store began, and Restored is how long ago that became known.
+	// Both are 0 if no restore is known.
+	RestoredEra int64
+	Restored    time.Duration
+}
+
+func (s *State) configNext() topic.Position {
+	return topic.Position{Era: s.ConfigEra, Offset: s.ConfigNext}
+}
+
+func (s *State) targetsNext() topic.Position {
+	return topic.Position{Era: s.TargetsEra, Offset: s.TargetsNext}
+}
+
+func (s *State) targetsFrom() topic.Position {
+	return topic.Position{Era: s.TargetsFromEra, Offset: s.TargetsFrom}
 }
 
 // StateRequest requests the state of another instance.
@@ -143,6 +174,12 @@
 	// MarksDigest is a digest of the crash marks of the caller. If the marks are the same, they are omitted from the
 	// answer.
 	MarksDigest uint64
+	// TargetsEra is the era of TargetsNext, 0 if the caller is of an earlier version.
+	TargetsEra int64
+}
+
+func (r *StateRequest) targetsNext() topic.Position {
+	return topic.Position{Era: r.TargetsEra, Offset: r.TargetsNext}
 }
 
 func encode(d *datagram) ([]byte, error) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -20,6 +20,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 const (
@@ -89,11 +90,13 @@
 	members  *members
 	registry *registry.Registry
 	// recentChanges are the latest changes of targets, repeated for instances that missed a datagram. They are complete
-	// from the offset recentChangesBase on.
+	// from the position recentChangesBase on.
 	recentChanges     []recentChange
-	recentChangesBase int64
+	recentChangesBase topic.Position
 	targetsTopic      topicState
 	configsTopic      topicState
+	era               eraState
+	newerConfig       newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
 	config          *routes.Config
@@ -211,7 +214,7 @@
 		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(c.TargetHeartbeat),
 		pools: map[string]*dispatch.Pool{}, targetsByHash: map[uint32]targetRef{}, pendingForOtherZones: map[uint32]timedLoadReport{},
 		probeStates:       map[string]*probeState{},
-		recentChangesBase: -1, instances: 1, zoneLive: 1,
+		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
 		targetsTopic: newTopicState(targetsReadInterval, c.Self), configsTopic: newTopicState(configsReadInterval, c.Self),
 	}
 	n.startDelayFraction = c.Random.Float64()
@@ -295,9 +298,11 @@
 	n.admitHeldTargets(now)
 	n.updateLeadership(now)
 	n.updateFailingCounts(now)
+	n.noticeEra(now)
 	rank := n.members.readRank(now, n.isLeader)
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
+	n.fetchNewerConfig(ctx, now)
 	n.startDueProbes(now)
 	n.sendLeaderHeartbeat(now)
 	n.sendHeartbeat(now)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -15,6 +15,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 var errStoreDown = errors.New("the store is down")
@@ -32,6 +33,8 @@
 	store *fakeStore
 	mu    sync.Mutex
 	down  bool
+	// era is the era that the store tells, and learned the one that a peer told.
+	era, learned int64
 }
 
 func (c *storeClient) setDown(down bool) {
@@ -52,36 +55,39 @@
 	return nil
 }
 
-func (c *storeClient) NewestConfig(context.Context) (*routes.Config, int64, error) {
+func (c *storeClient) Era() int64         { return c.era }
+func (c *storeClient) LearnEra(era int64) { c.learned = era }
+
+func (c *storeClient) NewestConfig(context.Context) (*routes.Config, topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, topic.Position{}, err
 	}
 	defer c.store.mu.Unlock()
 	n := len(c.store.configs)
 	if n == 0 {
-		return nil, 0, nil
+		return nil, topic.Position{}, nil
 	}
-	return c.store.configs[n-1], int64(n), nil
+	return c.store.configs[n-1], topic.Position{Offset: int64(n)}, nil
 }
 
-func (c *storeClient) ConfigsSince(_ context.Context, from int64) ([]*routes.Config, int64, error) {
+func (c *storeClient) ConfigsSince(_ context.Context, from topic.Position) ([]*routes.Config, topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, topic.Position{}, err
 	}
 	defer c.store.mu.Unlock()
-	return c.store.configs[from:], int64(len(c.store.configs)), nil
+	return c.store.configs[from.Offset:], topic.Position{Offset: int64(len(c.store.configs))}, nil
 }
 
-func (c *storeClient) NewestTargets(ctx context.Context) ([]registry.Change, int64, error) {
-	return c.TargetsSince(ctx, 0)
+func (c *storeClient) NewestTargets(ctx context.Context) ([]registry.Change, topic.Position, error) {
+	return c.TargetsSince(ctx, topic.Position{})
 }
 
-func (c *storeClient) TargetsSince(_ context.Context, from int64) ([]registry.Change, int64, error) {
+func (c *storeClient) TargetsSince(_ context.Context, from topic.Position) ([]registry.Change, topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, topic.Position{}, err
 	}
 	defer c.store.mu.Unlock()
-	return append([]registry.Change(nil), c.store.targets[from:]...), int64(len(c.store.targets)), nil
+	return append([]registry.Change(nil), c.store.targets[from.Offset:]...), topic.Position{Offset: int64(len(c.store.targets))}, nil
 }
 
 func (c *storeClient) Members(context.Context) ([]discovery.Member, error) {
--- a/internal/fleet/pause_test.go
+++ b/internal/fleet/pause_test.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against datagrams that waited in the socket during a pause and count as just sent: the ages in them are too low by
@@ -93,9 +94,9 @@
 	const lag, rounds = 150 * time.Millisecond, 20
 	a, b := newQuietNode(t, newMember("a1", "a")), newQuietNode(t, newMember("b1", "b"))
 	for _, n := range []*Node{a, b} {
-		n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 5}, testStart)
+		n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 5}}, testStart)
 	}
-	a.handleTargetsRead(targetsRead{startedAt: testStart.Add(time.Second), next: 6}, testStart.Add(time.Second))
+	a.handleTargetsRead(targetsRead{startedAt: testStart.Add(time.Second), next: topic.Position{Offset: 6}}, testStart.Add(time.Second))
 	now := testStart.Add(time.Second)
 	for range rounds {
 		for _, pair := range [][2]*Node{{a, b}, {b, a}} {
@@ -182,8 +183,8 @@
 func TestReadOfAPauseIsNoFailure(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
 	n.started, n.lastTick = testStart, testStart
-	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 2}, testStart)
-	n.handleConfigsRead(configsRead{startedAt: testStart, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 2}}, testStart)
+	n.handleConfigsRead(configsRead{startedAt: testStart, next: topic.Position{Offset: 2}}, testStart)
 	before := testStart.Add(time.Second)
 	n.targetsTopic.readStarted(before)
 	n.configsTopic.readStarted(before)
@@ -212,7 +213,7 @@
 	n.started = testStart
 	n.recordTick(testStart)
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 1, Entry: entry}}, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	total := time.Duration(0)
 	n.DetectSuspension = func() (time.Duration, time.Duration) {
 		found := total
@@ -222,7 +223,7 @@
 	started := testStart.Add(100 * time.Millisecond)
 	total = suspended
 	resumed := started.Add(5 * time.Millisecond)
-	removal := targetsRead{startedAt: started, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}
+	removal := targetsRead{startedAt: started, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}
 	n.detectPauseBeforeEvent(removal, resumed)
 	n.handleTargetsRead(removal, resumed)
 	if age := resumed.Sub(n.targetsTopic.asOf); age < suspended {
--- a/internal/fleet/peer_faults_test.go
+++ b/internal/fleet/peer_faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against one message that crashes the process, and with it all instances that receive it. After a message of
@@ -38,7 +39,7 @@
 func TestOlderPeerStateDoesNotRestoreTargets(t *testing.T) {
 	entry := &registry.Entry{ID: "departed", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	n := newQuietNode(t, newMember("a1", "a"))
-	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 9}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 9}}, testStart)
 	peer := newMember("a2", "a")
 	n.members.add(peer, testStart)
 	old := []registry.Change{{ID: "departed", Offset: 3, Entry: entry}}
@@ -96,17 +97,17 @@
 func TestDepartureBeforePeerListing(t *testing.T) {
 	entry := &registry.Entry{ID: "departed", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	started := newQuietNode(t, newMember("a2", "a"))
-	started.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 9}, testStart)
+	started.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 9}}, testStart)
 	trimmed := newQuietNode(t, newMember("a3", "a"))
-	trimmed.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 4}, testStart)
-	trimmed.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 9}, testStart)
+	trimmed.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 4}}, testStart)
+	trimmed.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 9}}, testStart)
 	for name, peer := range map[string]*Node{"started": started, "trimmed": trimmed} {
 		n := newQuietNode(t, newMember("a1", "a"))
 		listing := []registry.Change{{ID: "departed", Offset: 5, Entry: entry}}
-		n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 6}, testStart)
-		state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.next}, testStart)
+		n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 6}}, testStart)
+		state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.next.Offset}, testStart)
 		n.handleStateFetched(stateFetched{state: &state}, testStart)
-		if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.next != 9 {
+		if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.next.Offset != 9 {
 			t.Errorf("%s: usable targets %+v, known up to %d; want no targets, known up to 9", name, usable, n.targetsTopic.next)
 		}
 	}
@@ -120,10 +121,10 @@
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	peer := newQuietNode(t, newMember("a1", "a"))
 	listing := []registry.Change{{ID: "t", Offset: 1, Entry: entry}}
-	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 2}, testStart)
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	peer.updateStoreAvailability(testStart.Add(away))
 	returned := testStart.Add(away + time.Millisecond)
-	peer.handleTargetsRead(targetsRead{startedAt: returned, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, returned)
+	peer.handleTargetsRead(targetsRead{startedAt: returned, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}, returned)
 
 	n, started := newQuietNode(t, newMember("a2", "a")), returned.Add(time.Second)
 	state := peer.stateFor(StateRequest{}, started)
@@ -152,10 +153,10 @@
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	n.applyConfig(&routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, "store", testStart)
 	listing := []registry.Change{{ID: "t", Offset: 1, Entry: entry}}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	pool := n.View().Pools["s"]
 	n.applyConfig(&routes.Config{Version: 2, Services: []routes.Service{{Name: "other"}}}, "store", testStart)
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: 3}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}, testStart)
 	if pool.Target("t") != nil {
 		t.Error("a waiting request may still be sent to the target")
 	}
@@ -167,7 +168,7 @@
 	n := newQuietNode(t, newMember("a1", "a"))
 	entry := &registry.Entry{ID: "t", Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4}
 	returned := testStart.Add(5 * time.Second)
-	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: 2}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	n.registry.StoreAnswered(returned, returned)
 	fetchedAt := returned.Add(registry.OutageGracePeriod - 500*time.Millisecond)
 	n.handleStateFetched(stateFetched{requestedAt: fetchedAt, state: &State{
--- a/internal/fleet/read_schedule.go
+++ b/internal/fleet/read_schedule.go
@@ -5,6 +5,7 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 const (
@@ -61,8 +62,8 @@
 	// reader is the hash of this incarnation, and ownAnswers the number of its reads that succeeded.
 	reader, ownAnswers uint32
 	answerTimes        answerTimes
-	// next is the offset to read on from.
-	next int64
+	// next is the position to read on from.
+	next topic.Position
 	// known is true once the topic was listed in the store or received from a peer.
 	known bool
 	// behind is true when a peer has records that this instance lacks, and peersFailed is true after a fetch of a
@@ -155,12 +156,12 @@
 	return time.Duration(tolerated)*toleratedFailingStep + time.Duration(failing-tolerated)*furtherFailingStep
 }
 
-// readSucceeded records the success of a read. next is the offset to read on from.
-func (t *topicState) readSucceeded(startedAt time.Time, next int64) {
+// readSucceeded records the success of a read. next is the position to read on from.
+func (t *topicState) readSucceeded(startedAt time.Time, next topic.Position) {
 	t.readEnded()
 	t.behind, t.peersFailed, t.known = false, false, true
 	t.backoff = 0
-	t.next = max(t.next, next)
+	t.next = topic.Later(t.next, next)
 	t.ownAnswers++
 	t.refresh(startedAt, answerID{Reader: t.reader, Number: t.ownAnswers})
 }
--- a/internal/fleet/sampler_test.go
+++ b/internal/fleet/sampler_test.go
@@ -11,6 +11,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // scriptedProber answers load probes by target id.
@@ -68,7 +69,7 @@
 			ID: id, Address: "127.0.0.1:9", Zone: "a", Service: "s", Slots: 4,
 		}})
 	}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 4}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 4}}, testStart)
 	n.applyBackpressure([]probeResult{
 		{id: "paused", service: "s", noLoadReport: true, report: dispatch.LoadReport{Backoff: time.Hour}},
 		{id: "leaving", service: "s", report: dispatch.LoadReport{Draining: true}}, {id: "usual", service: "s"},
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // largeZoneSeenBy returns the table of one member of a zone, which knows all members and heard from some.
@@ -191,7 +192,7 @@
 	}
 	n.registry.Apply(registry.Change{ID: "departed", Offset: 3, Entry: entry("departed")}, testStart)
 	n.registry.Apply(registry.Change{ID: "stays", Offset: 4, Entry: entry("stays")}, testStart)
-	n.targetsTopic.known, n.targetsTopic.next = true, 5
+	n.targetsTopic.known, n.targetsTopic.next = true, topic.Position{Offset: 5}
 	n.handleStateFetched(stateFetched{state: &State{
 		TargetsListed: true, TargetsNext: 9, Targets: []registry.Change{{ID: "stays", Offset: 8, Entry: entry("stays")}},
 	}}, testStart)
@@ -207,13 +208,13 @@
 	const targets = 150
 	peer, _ := nodeWithTargets(targets)
 	n, _ := nodeWithTargets(targets)
-	request := StateRequest{HaveConfig: true, HaveVersion: 1, TargetsNext: n.targetsTopic.next}
+	request := StateRequest{HaveConfig: true, HaveVersion: 1, TargetsNext: n.targetsTopic.next.Offset}
 	if state := peer.stateFor(request, testStart); len(state.Targets) != 0 || state.Config != nil {
 		t.Errorf("%d targets and configuration %v are sent to a peer that has them", len(state.Targets), state.Config)
 	}
 	// The peer lists the targets: t0 has departed, t1 drains, and the others are unchanged.
 	var listing []registry.Change
-	known, _ := peer.registry.ChangesSince(0, testStart)
+	known, _ := peer.registry.ChangesSince(topic.Position{}, testStart)
 	for _, c := range known {
 		if c.ID == "t0" {
 			continue
@@ -225,13 +226,13 @@
 		}
 		listing = append(listing, c)
 	}
-	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: targets + 10}, testStart)
+	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: targets + 10}}, testStart)
 	state := peer.stateFor(request, testStart)
 	if len(state.Targets) != 2 {
 		t.Errorf("%d targets instead of the two that changed", len(state.Targets))
 	}
 	n.handleStateFetched(stateFetched{state: &state}, testStart)
-	if got := len(n.registry.Usable()); got != targets-2 || n.targetsTopic.next != targets+10 {
+	if got := len(n.registry.Usable()); got != targets-2 || n.targetsTopic.next.Offset != targets+10 {
 		t.Errorf("%d usable targets, want %d; known up to %d, want %d", got, targets-2, n.targetsTopic.next, targets+10)
 	}
 	if full := peer.stateFor(StateRequest{}, testStart); len(full.Targets) < targets-1 {
@@ -463,7 +464,7 @@
 		}})
 		reports = append(reports, loadReport{Target: hashID(id), Running: 1, SlowdownPercent: 100})
 	}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: changes, complete: true, next: int64(targets) + 1}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: changes, complete: true, next: topic.Position{Offset: int64(targets) + 1}}, testStart)
 	return n, reports
 }
 
--- a/internal/fleet/simulation_test.go
+++ b/internal/fleet/simulation_test.go
@@ -46,7 +46,7 @@
 
 func (sim *simulation) now() time.Duration { return time.Since(sim.startedAt) }
 
-func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i%scheduleZones, 1+i) }
+func address(i int) string { return fmt.Sprintf("10.%d.%d.%d:7000", i/250, i%scheduleZones, 1+i%250) }
 
 func (sim *simulation) startNode(i int) {
 	self := discovery.Member{ID: fmt.Sprintf("n%02d", i), Zone: fmt.Sprintf("z%d", i%scheduleZones), Address: address(i), Capacity: testCapacity}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // fetchTimeout is the timeout of a call to a peer.
@@ -168,7 +169,7 @@
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
 	}
 	if n.targetsTopic.known {
-		request.TargetsNext = n.targetsTopic.next
+		request.TargetsNext, request.TargetsEra = n.targetsTopic.next.Offset, n.targetsTopic.next.Era
 	}
 	go func() {
 		time.Sleep(jitter)
@@ -184,8 +185,8 @@
 // stateFor returns the answer to a peer's request for the state.
 func (n *Node) stateFor(request StateRequest, now time.Time) State {
 	s := State{
-		ConfigNext: n.configsTopic.next, ConfigAge: now.Sub(n.configsTopic.asOf),
-		TargetsNext: n.targetsTopic.next, TargetsAge: now.Sub(n.targetsTopic.asOf),
+		ConfigNext: n.configsTopic.next.Offset, ConfigEra: n.configsTopic.next.Era, ConfigAge: now.Sub(n.configsTopic.asOf),
+		TargetsNext: n.targetsTopic.next.Offset, TargetsEra: n.targetsTopic.next.Era, TargetsAge: now.Sub(n.targetsTopic.asOf),
 		ConfigAnswer: n.configsTopic.answer, TargetsAnswer: n.targetsTopic.answer,
 		Members: n.members.membersToIntroduce(n.Self.Zone, true), TargetsListed: n.targetsTopic.known, ConfigListed: n.configsTopic.known,
 		MarksRead: n.storedMarks.loaded, StoreAnswering: now.Sub(n.registry.StoreAnsweringSince()),
@@ -194,7 +195,11 @@
 		s.Config = n.config
 	}
 	if n.targetsTopic.known {
-		s.Targets, s.TargetsFrom = n.registry.ChangesSince(request.TargetsNext, now)
+		changes, from := n.registry.ChangesSince(request.targetsNext(), now)
+		s.Targets, s.TargetsFrom, s.TargetsFromEra = changes, from.Offset, from.Era
+	}
+	if era, at := n.registry.LatestRestore(); era > 0 {
+		s.RestoredEra, s.Restored = era, now.Sub(at)
 	}
 	if digest := n.marksDigest(); digest != 0 && digest != request.MarksDigest {
 		s.Marks = n.allMarks()
@@ -223,7 +228,7 @@
 	}
 	changed := n.mergeTargetState(e, now)
 	if s.Config != nil || s.ConfigListed && !n.configsTopic.known {
-		n.configsTopic.next, n.configsTopic.known, n.configsTopic.behind = max(n.configsTopic.next, s.ConfigNext), true, false
+		n.configsTopic.next, n.configsTopic.known, n.configsTopic.behind = topic.Later(n.configsTopic.next, s.configNext()), true, false
 		n.configsTopic.refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
 		n.applyConfig(s.Config, "peer", now)
 	}
@@ -236,17 +241,19 @@
 // instance.
 func (n *Node) mergeTargetState(e stateFetched, now time.Time) bool {
 	s := e.state
-	if !s.TargetsListed || n.targetsTopic.known && s.TargetsNext <= n.targetsTopic.next {
+	if !s.TargetsListed || n.targetsTopic.known && !s.targetsNext().After(n.targetsTopic.next) {
 		return false
 	}
-	if s.TargetsFrom > 0 {
+	n.registry.Restored(s.RestoredEra, e.requestedAt.Add(-s.Restored))
+	n.enterEra(s.targetsNext(), "peer", now)
+	if s.targetsFrom() != (topic.Position{}) {
 		n.applyChanges(s.Targets, now)
-		n.registry.AdvanceReadOffset(s.TargetsNext)
+		n.registry.AdvanceReadPosition(s.targetsNext())
 	} else {
 		// The peer may have listed the targets only after a target departed that this instance still has.
-		n.replaceTargets(s.Targets, s.TargetsNext, "peer", now)
+		n.replaceTargets(s.Targets, s.targetsNext(), "peer", now)
 	}
-	n.targetsTopic.next, n.targetsTopic.known, n.targetsTopic.behind = s.TargetsNext, true, false
+	n.targetsTopic.next, n.targetsTopic.known, n.targetsTopic.behind = s.targetsNext(), true, false
 	n.targetsTopic.refresh(e.requestedAt.Add(-s.TargetsAge), s.TargetsAnswer)
 	return true
 }
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -5,9 +5,11 @@
 	"errors"
 	"time"
 
+	"github.com/basillink/basillink/internal/clock"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // readConfigs starts a read of the configurations if this instance is due to read them.
@@ -15,7 +17,7 @@
 	// Failed reads of targets show that the store does not answer this instance, and overdue ones that it may answer
 	// nobody. Reading one topic is then enough to find out.
 	overdue := n.targetsTopic.known && n.configsTopic.known && now.Sub(n.targetsTopic.asOf) >= targetsReadInterval+firstRankDelay
-	if n.targetsTopic.backoff > 0 || overdue || !n.configsTopic.due(now, n.readPriority(now, rank)) {
+	if n.targetsTopic.backoff > 0 || overdue || !n.configsTopic.due(now, n.configsPriority(now, rank)) {
 		return
 	}
 	n.configsTopic.readStarted(now)
@@ -32,9 +34,9 @@
 	}()
 }
 
-// fetchConfigs reads the configurations from an offset on, or the newest one if none is known or the offset is no longer
-// available.
-func (n *Node) fetchConfigs(ctx context.Context, from int64, known bool) (configs []*routes.Config, next int64, err error) {
+// fetchConfigs reads the configurations from a position on, or the newest one if none is known or the store does not have the
+// records from that position on.
+func (n *Node) fetchConfigs(ctx context.Context, from topic.Position, known bool) (configs []*routes.Config, next topic.Position, err error) {
 	if known {
 		configs, next, err = n.Store.ConfigsSince(ctx, from)
 		if !isTrimmed(err) {
@@ -53,6 +55,23 @@
 	return readPriority{rank: rank, isLeader: n.isLeader, firstRead: n.firstReadTime(now, rank), failing: n.failingInFleet, storeAnsweredAt: n.storeAnsweredAt}
 }
 
+// configsPriority returns the priority of this instance for reads of the configurations.
+func (n *Node) configsPriority(now time.Time, rank int) readPriority {
+	priority := n.readPriority(now, rank)
+	priority.requiredAsOf = n.era.listingRequiredAt(&n.configsTopic)
+	return priority
+}
+
+// targetsPriority returns the priority of this instance for reads of the targets.
+func (n *Node) targetsPriority(now time.Time, rank int) readPriority {
+	priority := n.readPriority(now, rank)
+	priority.requiredAsOf = n.era.listingRequiredAt(&n.targetsTopic)
+	if at := n.registry.ExpiredDecidedAt(); !at.IsZero() && !now.Before(at) {
+		priority.requiredAsOf = clock.Later(priority.requiredAsOf, at.Add(expiredReadMargin))
+	}
+	return priority
+}
+
 // updateFailingCounts counts the instances whose reads of the store fail: those of this zone, this one included, and
 // those of the whole fleet as far as they are known.
 func (n *Node) updateFailingCounts(now time.Time) {
@@ -91,6 +110,9 @@
 
 func (n *Node) handleConfigsRead(e configsRead, now time.Time) {
 	e.startedAt = n.startOfCall(e.startedAt)
+	if e.err == nil && n.endOutdatedRead(&n.configsTopic, e.next) {
+		return
+	}
 	if e.err != nil && e.startedAt.Before(n.resumedAt) {
 		n.endReadOfPause(&n.configsTopic, e.err)
 		return
@@ -103,7 +125,7 @@
 	n.configsTopic.readSucceeded(e.startedAt, e.next)
 	n.storeAnsweredAt = e.startedAt
 	for _, config := range e.configs {
-		n.applyConfig(config, "store", now)
+		n.applyStoredConfig(config, now)
 	}
 	n.broadcastUpdate(now)
 }
@@ -133,11 +155,7 @@
 
 // readTargets starts a read of the records of targets if this instance is due to read them.
 func (n *Node) readTargets(ctx context.Context, now time.Time, rank int) {
-	priority := n.readPriority(now, rank)
-	if at := n.registry.ExpiredDecidedAt(); !at.IsZero() {
-		priority.requiredAsOf = at.Add(expiredReadMargin)
-	}
-	if !n.targetsTopic.due(now, priority) {
+	if !n.targetsTopic.due(now, n.targetsPriority(now, rank)) {
 		return
 	}
 	n.targetsTopic.readStarted(now)
@@ -154,9 +172,9 @@
 	}()
 }
 
-// fetchTargets reads the records of targets from an offset on, or the newest record of each target if none are known or the
-// offset is no longer available. The result is complete in the latter case.
-func (n *Node) fetchTargets(ctx context.Context, from int64, known bool) (changes []registry.Change, next int64, complete bool, err error) {
+// fetchTargets reads the records of targets from a position on, or the newest record of each target if none are known or the
+// store does not have the records from that position on. The result is complete in the latter case.
+func (n *Node) fetchTargets(ctx context.Context, from topic.Position, known bool) (changes []registry.Change, next topic.Position, complete bool, err error) {
 	if known {
 		changes, next, err = n.Store.TargetsSince(ctx, from)
 		if !isTrimmed(err) {
@@ -169,6 +187,9 @@
 
 func (n *Node) handleTargetsRead(e targetsRead, now time.Time) {
 	e.startedAt = n.startOfCall(e.startedAt)
+	if e.err == nil && n.endOutdatedRead(&n.targetsTopic, e.next) {
+		return
+	}
 	if e.err != nil && e.startedAt.Before(n.storeAnsweredAt) {
 		n.targetsTopic.readEnded()
 		n.Log.Info("A read of targets failed after a later one succeeded.", "error", e.err)
@@ -185,6 +206,7 @@
 		return
 	}
 	first := !n.targetsTopic.known
+	n.enterEra(e.next, "store", now)
 	n.targetsTopic.readSucceeded(e.startedAt, e.next)
 	n.storeAnsweredAt = e.startedAt
 	n.registry.StoreAnswered(now, e.startedAt)
@@ -196,7 +218,7 @@
 	} else {
 		changed = n.applyChanges(n.classifyRemovals(e.changes, now), now)
 	}
-	n.registry.AdvanceReadOffset(n.targetsTopic.next)
+	n.registry.AdvanceReadPosition(n.targetsTopic.next)
 	if changed || first {
 		n.publishView(now)
 	}
--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // maxLoggedTargets is the largest number of targets that one log line names.
@@ -12,11 +13,11 @@
 func truncateForLog(ids []string) []string { return ids[:min(len(ids), maxLoggedTargets)] }
 
 // replaceTargets applies a complete listing of the targets. It reports whether anything changed.
-func (n *Node) replaceTargets(changes []registry.Change, next int64, source string, now time.Time) bool {
+func (n *Node) replaceTargets(changes []registry.Change, next topic.Position, source string, now time.Time) bool {
 	departed, changed := n.registry.Replace(changes, next, now)
 	// Recent changes are still repeated, because those that started lately may not know of the departures among them.
 	n.recentChangesBase = next
-	n.Log.Info("Applied a listing of the targets.", "source", source, "records", len(changes), "next", next,
+	n.Log.Info("Applied a listing of the targets.", "source", source, "records", len(changes), "next", next.Offset, "era", next.Era,
 		"left", len(departed), "targets", truncateForLog(departed))
 	return changed
 }
@@ -36,10 +37,12 @@
 	for _, c := range changes {
 		effect := n.registry.Merge(c, now)
 		n.logChange(c, effect)
-		if c.Entry != nil && !c.Lapsed && (effect == registry.Unchanged || effect == registry.Outdated) {
+		unchanged := c.Entry != nil && !c.Lapsed && (effect == registry.Unchanged || effect == registry.Outdated)
+		if unchanged && !n.registry.EntriesReturn(now) {
 			continue
 		}
-		changed = true
+		changed = changed || !unchanged
+		// While entries return, other instances may have taken a target that this one still had for expired.
 		n.recentChanges = append(n.recentChanges, recentChange{c, now})
 	}
 	return changed
@@ -62,10 +65,10 @@
 	}
 }
 
-// splitByOffset splits changes into those before an offset and the others.
-func splitByOffset(changes []registry.Change, offset int64) (before, rest []registry.Change) {
+// splitByPosition splits changes into those before a position and the others.
+func splitByPosition(changes []registry.Change, p topic.Position) (before, rest []registry.Change) {
 	for _, c := range changes {
-		if c.Offset < offset {
+		if c.Position().Before(p) {
 			before = append(before, c)
 		} else {
 			rest = append(rest, c)
@@ -116,13 +119,16 @@
 		return nil
 	}
 	for len(n.recentChanges) > 0 && (now.Sub(n.recentChanges[0].seenAt) > repeatPeriod || len(n.recentChanges) > maxRepeatedChanges) {
-		n.recentChangesBase = max(n.recentChangesBase, n.recentChanges[0].change.Offset+1)
+		n.recentChangesBase = topic.Later(n.recentChangesBase, n.recentChanges[0].change.Position().Next())
 		n.recentChanges = n.recentChanges[1:]
 	}
 	answering := now.Sub(n.registry.StoreAnsweringSince()).Milliseconds()
 	update := &targetsUpdate{
-		Base: n.recentChangesBase, Next: n.targetsTopic.next, AgeMS: now.Sub(n.targetsTopic.asOf).Milliseconds(), StoreAnsweringMS: &answering,
-		Answer: n.targetsTopic.answer,
+		Base: n.recentChangesBase.Offset, BaseEra: n.recentChangesBase.Era, Next: n.targetsTopic.next.Offset, NextEra: n.targetsTopic.next.Era,
+		AgeMS: now.Sub(n.targetsTopic.asOf).Milliseconds(), StoreAnsweringMS: &answering, Answer: n.targetsTopic.answer,
+	}
+	if era, at := n.registry.LatestRestore(); era > 0 {
+		update.RestoredEra, update.RestoredMS = era, now.Sub(at).Milliseconds()
 	}
 	for _, r := range n.recentChanges {
 		update.Changes = append(update.Changes, n.currentVerdict(r.change, now))
@@ -136,7 +142,7 @@
 	if !c.Lapsed {
 		return n.registry.WithKnowledge(c, now)
 	}
-	if n.registry.IsBackSince(c.ID, c.Offset) {
+	if n.registry.IsBackSince(c.ID, c.Position()) {
 		return c
 	}
 	if c.Lapsed, c.Hold = n.registry.Retained(c.ID, now); !c.Lapsed {
@@ -163,19 +169,22 @@
 		n.targetsTopic.behind = true
 		return false
 	}
-	if update.Next > n.targetsTopic.next && update.Base > n.targetsTopic.next {
+	next := update.next()
+	if next.After(n.targetsTopic.next) && update.base().After(n.targetsTopic.next) {
 		n.targetsTopic.behind = true
 		return false
 	}
 	changed := false
-	applied, missed := splitByOffset(update.Changes, n.targetsTopic.next)
+	applied, missed := splitByPosition(update.Changes, n.targetsTopic.next)
 	n.learnDepartures(applied, now)
-	if update.Next > n.targetsTopic.next {
+	if next.After(n.targetsTopic.next) {
+		n.registry.Restored(update.RestoredEra, now.Add(-time.Duration(update.RestoredMS)*time.Millisecond))
+		n.enterEra(next, "peer", now)
 		changed = n.applyChanges(missed, now)
-		n.targetsTopic.next = update.Next
-		n.registry.AdvanceReadOffset(update.Next)
+		n.targetsTopic.next = next
+		n.registry.AdvanceReadPosition(next)
 	}
-	if update.Next >= n.targetsTopic.next {
+	if !next.Before(n.targetsTopic.next) {
 		n.targetsTopic.refresh(asOf, update.Answer)
 		n.targetsTopic.behind = false
 	}
--- a/internal/fleet/terminated_test.go
+++ b/internal/fleet/terminated_test.go
@@ -8,6 +8,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against terminated targets that are not reported until the store removes their entries, and against departures
@@ -31,11 +32,11 @@
 		{ID: "gone", Offset: 1, Entry: entry("gone", 1, false)}, {ID: "restarted", Offset: 2, Entry: entry("restarted", 1, false)},
 		{ID: "drained", Offset: 3, Entry: entry("drained", 1, false)}, {ID: "stays", Offset: 4, Entry: entry("stays", 1, false)},
 	}
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: 5}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 5}}, testStart)
 	pool := n.View().Pools["s"]
 	before := pool.Target("restarted")
 	pool.UpdateLoad([]dispatch.TargetLoad{{Target: before, LoadReport: dispatch.LoadReport{ReceivedAt: time.Second}}})
-	n.handleTargetsRead(targetsRead{startedAt: testStart, next: 10, changes: []registry.Change{
+	n.handleTargetsRead(targetsRead{startedAt: testStart, next: topic.Position{Offset: 10}, changes: []registry.Change{
 		{ID: "drained", Offset: 5, Entry: entry("drained", 1, true)}, {ID: "drained", Offset: 6}, {ID: "gone", Offset: 7},
 		{ID: "restarted", Offset: 8, Entry: entry("restarted", 2, false)}, {ID: "stays", Offset: 9, Entry: entry("stays", 1, false)},
 	}}, testStart)
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -64,6 +64,8 @@
 	storeCalls     [numStoreCalls]atomic.Int64
 	// staleDatagrams counts the datagrams that were dropped because they had waited during a pause of the process.
 	staleDatagrams atomic.Int64
+	// storeRestores counts the eras of the store that this instance entered after the first one.
+	storeRestores atomic.Int64
 }
 
 // StoreCall is a kind of call to the store.
@@ -102,5 +104,8 @@
 // StaleDatagrams returns the number of datagrams that were dropped because they had waited during a pause of the process.
 func (t *Traffic) StaleDatagrams() int64 { return t.staleDatagrams.Load() }
 
+// StoreRestores returns the number of restores of the store from an older copy that this instance noticed.
+func (t *Traffic) StoreRestores() int64 { return t.storeRestores.Load() }
+
 // LoadProbes returns the number of load probes that got a result.
 func (t *Traffic) LoadProbes() int64 { return t.loadProbes.Load() }
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -130,12 +130,16 @@
 	case status.Version == n.configVersion() && n.configsTopic.known:
 		n.configsTopic.refresh(asOf, status.Answer)
 	case status.Version < n.configVersion():
+		return
 	case n.fetchesFrom(p, &n.configsTopic):
 		n.configsTopic.behind = true
 		n.fetchState(ctx, p.Address, now)
 	default:
 		n.configsTopic.behind = true
 	}
+	if status.Version > n.configVersion() && status.Version >= n.newerConfig.version {
+		n.newerConfig.version, n.newerConfig.address, n.newerConfig.toldAt = status.Version, p.Address, now
+	}
 }
 
 // observeLoads passes load reports to the dispatcher. Reports of services that are missing in this instance's
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -16,6 +16,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // virtualNet carries datagrams and calls between the nodes of one test in virtual time.
@@ -216,12 +217,65 @@
 	// behaviorByInstance is the behavior toward single instances, by id. An instance gets the later one, in the order of
 	// the constants, of this and behavior.
 	behaviorByInstance map[string]storeBehavior
+	// configVersion is the version of the newest configuration, 0 for version 1.
+	configVersion uint64
+	// era rises with each restore from a copy. hidesEra makes the answers tell none, as before the platform had eras.
+	era      int64
+	hidesEra bool
+	// seen is the newest era that the client of each instance knows.
+	seen map[string]int64
+	// writes are the writes that a restore may lose, in order.
+	writes []virtualWrite
+	// calls is the number of calls received.
+	calls int
+	// answerDelay returns how much later than executed a read is answered. It may be nil.
+	answerDelay func() time.Duration
+}
+
+// virtualWrite is a write at a time, with how to undo it.
+type virtualWrite struct {
+	at   time.Time
+	undo func()
+}
+
+// wrote records a write. The lock must be held.
+func (s *virtualStore) wrote(undo func()) {
+	s.writes = append(s.writes, virtualWrite{time.Now(), undo})
 }
 
 func (s *virtualStore) append(id string, e *registry.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.records = append(s.records, registry.Change{ID: id, Offset: int64(len(s.records)), Entry: e})
+	s.wrote(func() { s.records = s.records[:len(s.records)-1] })
+}
+
+func (s *virtualStore) putConfig(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.configVersion
+	s.configVersion = version
+	s.wrote(func() { s.configVersion = before })
+}
+
+// restore replaces the content by a copy of some time ago, in a new era.
+func (s *virtualStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.writes) > 0 && time.Since(s.writes[len(s.writes)-1].at) < age {
+		s.writes[len(s.writes)-1].undo()
+		s.writes = s.writes[:len(s.writes)-1]
+	}
+	s.records = slices.Clip(s.records)
+	s.era++
+}
+
+// answerEra returns the era that answers tell. The lock must be held.
+func (s *virtualStore) answerEra() int64 {
+	if s.hidesEra {
+		return 0
+	}
+	return s.era
 }
 
 // update changes the store under its lock.
@@ -255,6 +309,7 @@
 // begin waits for the duration of a call and locks the store, unless the store refuses the call.
 func (c virtualStoreClient) begin() error {
 	c.mu.Lock()
+	c.calls++
 	behavior, slow := max(c.behavior, c.behaviorByInstance[c.id]), c.slow
 	c.mu.Unlock()
 	switch {
@@ -273,39 +328,93 @@
 	return nil
 }
 
-func (c virtualStoreClient) NewestConfig(context.Context) (*routes.Config, int64, error) {
+// readPosition executes a read and returns the position behind what it read. The lock is held while read runs, which returns
+// the offset behind it and whether the store has the records.
+func (c virtualStoreClient) readPosition(name string, from topic.Position, read func(era int64) (next int64, available bool)) (topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return topic.Position{}, err
 	}
-	defer c.mu.Unlock()
-	return &routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}}, 1, nil
+	era := c.answerEra()
+	next, available := read(era)
+	delay := time.Duration(0)
+	if c.answerDelay != nil {
+		delay = c.answerDelay()
+	}
+	c.mu.Unlock()
+	time.Sleep(delay)
+	if newest := c.Era(); era < newest || era < from.Era {
+		return topic.Position{}, &discovery.OutdatedAnswerError{Era: era, Newest: newest}
+	}
+	c.LearnEra(era)
+	if !available {
+		return topic.Position{}, &discovery.TrimmedError{Topic: name, From: from, Era: era}
+	}
+	return topic.Position{Era: era, Offset: next}, nil
 }
 
-func (c virtualStoreClient) ConfigsSince(context.Context, int64) ([]*routes.Config, int64, error) {
-	if err := c.begin(); err != nil {
-		return nil, 0, err
-	}
+func (c virtualStoreClient) Era() int64 {
+	c.mu.Lock()
 	defer c.mu.Unlock()
-	return nil, 1, nil
+	return c.seen[c.id]
 }
 
-func (c virtualStoreClient) NewestTargets(context.Context) ([]registry.Change, int64, error) {
-	if err := c.begin(); err != nil {
-		return nil, 0, err
-	}
+func (c virtualStoreClient) LearnEra(era int64) {
+	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.newestEntries(), int64(len(c.records)), nil
+	if c.seen == nil {
+		c.seen = map[string]int64{}
+	}
+	c.seen[c.id] = max(c.seen[c.id], era)
 }
 
-func (c virtualStoreClient) TargetsSince(_ context.Context, from int64) ([]registry.Change, int64, error) {
-	if err := c.begin(); err != nil {
-		return nil, 0, err
-	}
-	defer c.mu.Unlock()
-	if from < c.firstOffset {
-		return nil, 0, &discovery.TrimmedError{Topic: "targets", From: from}
+func (c virtualStoreClient) config() *routes.Config {
+	return &routes.Config{Version: max(c.configVersion, 1), Services: []routes.Service{{Name: "s"}}}
+}
+
+func (c virtualStoreClient) NewestConfig(context.Context) (config *routes.Config, next topic.Position, err error) {
+	next, err = c.readPosition("configs", topic.Position{}, func(int64) (int64, bool) {
+		config = c.config()
+		return int64(config.Version), true
+	})
+	return config, next, err
+}
+
+func (c virtualStoreClient) ConfigsSince(_ context.Context, from topic.Position) (configs []*routes.Config, next topic.Position, err error) {
+	next, err = c.readPosition("configs", from, func(era int64) (int64, bool) {
+		config := c.config()
+		if int64(config.Version) > from.Offset {
+			configs = []*routes.Config{config}
+		}
+		return int64(config.Version), era == from.Era && int64(config.Version) >= from.Offset
+	})
+	return configs, next, err
+}
+
+func (c virtualStoreClient) NewestTargets(context.Context) (changes []registry.Change, next topic.Position, err error) {
+	next, err = c.readPosition("targets", topic.Position{}, func(era int64) (int64, bool) {
+		changes = inEra(c.newestEntries(), era)
+		return int64(len(c.records)), true
+	})
+	return changes, next, err
+}
+
+func (c virtualStoreClient) TargetsSince(_ context.Context, from topic.Position) (changes []registry.Change, next topic.Position, err error) {
+	next, err = c.readPosition("targets", from, func(era int64) (int64, bool) {
+		if from.Offset < c.firstOffset || from.Offset > int64(len(c.records)) || era != from.Era {
+			return 0, false
+		}
+		changes = inEra(slices.Clone(c.records[from.Offset:]), era)
+		return int64(len(c.records)), true
+	})
+	return changes, next, err
+}
+
+// inEra sets the era of changes.
+func inEra(changes []registry.Change, era int64) []registry.Change {
+	for i := range changes {
+		changes[i].Era = era
 	}
-	return slices.Clone(c.records[from:]), int64(len(c.records)), nil
+	return changes
 }
 
 func (c virtualStoreClient) Members(context.Context) ([]discovery.Member, error) {
@@ -321,8 +430,10 @@
 		return err
 	}
 	defer c.mu.Unlock()
+	before := slices.Clone(c.members)
 	c.members = slices.DeleteFunc(c.members, func(other discovery.Member) bool { return other.ID == m.ID })
 	c.members = append(c.members, m)
+	c.wrote(func() { c.members = before })
 	return nil
 }
 
@@ -356,10 +467,12 @@
 	if s.marks == nil {
 		s.marks = map[string]discovery.CrashMark{}
 	}
+	before := maps.Clone(s.marks)
 	s.marks[mark.Key] = mark
 	if mark.Data == nil {
 		delete(s.marks, mark.Key)
 	}
+	s.wrote(func() { s.marks = before })
 }
 
 // startVirtualNode runs a node and returns it with a function that stops it. configure changes its configuration, and
@@ -370,6 +483,7 @@
 	v.mu.Lock()
 	random := rand.New(rand.NewPCG(v.random.Uint64(), 1))
 	v.mu.Unlock()
+	s.update(func() { delete(s.seen, self.ID) })
 	c := Config{
 		Self: self, Store: virtualStoreClient{s, self.ID}, Seeds: seeds, Policy: dispatch.DefaultPolicy(), Prober: idleProber{},
 		ProbeInterval: 50 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Now: func() time.Duration { return time.Since(start) }, Random: random, Log: log,
--- a/internal/registry/availability.go
+++ b/internal/registry/availability.go
@@ -34,8 +34,32 @@
 	since, until time.Time
 	// previousUntil is the latest known answer before since, zero if none is known: then no outage is assumed.
 	previousUntil time.Time
+	// restoredEra is the era that began when the store was restored from an older copy, and restoredAt is when that became known.
+	// Both are zero if no restore is known.
+	restoredEra int64
+	restoredAt  time.Time
 }
 
+// restored records that an era was known at a time to have begun with a restore of the store.
+func (a *availability) restored(era int64, at time.Time) {
+	switch {
+	case era == 0:
+	case era > a.restoredEra:
+		a.restoredEra, a.restoredAt = era, at
+	case era == a.restoredEra:
+		a.restoredAt = clock.Earlier(a.restoredAt, at)
+	}
+}
+
+// restoredRecently reports whether a restore became known less than some time ago.
+func (a *availability) restoredRecently(now time.Time, within time.Duration) bool {
+	return !a.restoredAt.IsZero() && now.Sub(a.restoredAt) < within
+}
+
+// graceStart returns the end of the last outage or restore. Targets whose entries are missing have had time to write them again
+// since.
+func (a *availability) graceStart() time.Time { return clock.Later(a.since, a.restoredAt) }
+
 // merge adds a period in which the store answered. The period consists of a single read if until, the start of the read, is
 // before since, the arrival of the answer.
 func (a *availability) merge(since, until time.Time) {
@@ -44,7 +68,7 @@
 	case a.since.IsZero():
 		a.since, a.until = since, until
 	case start.Sub(a.until) > OutageAfter:
-		*a = availability{since: since, until: until, previousUntil: a.until}
+		a.since, a.until, a.previousUntil = since, until, a.until
 	case a.since.Sub(until) > OutageAfter:
 		a.previousUntil = clock.Later(a.previousUntil, until)
 	default:
@@ -61,13 +85,13 @@
 // inGrace reports whether targets whose entries expired may still be in use: not enough time has passed since the last
 // outage, or the entries that were read last are too old to tell.
 func (a *availability) inGrace(now time.Time) bool {
-	end := a.since.Add(OutageGracePeriod)
+	end := a.graceStart().Add(OutageGracePeriod)
 	return now.Before(end.Add(lateReadTime)) || a.until.Before(end.Add(-evictionReadAge)) || a.silent(now)
 }
 
 // mayEvict reports whether records that were applied up to a time show which expired targets are not back.
 func (a *availability) mayEvict(now, asOf time.Time) bool {
-	end := a.since.Add(OutageGracePeriod)
+	end := a.graceStart().Add(OutageGracePeriod)
 	if now.Before(end) || asOf.Before(end.Add(-evictionReadAge)) || a.silent(now) {
 		return false
 	}
@@ -75,16 +99,21 @@
 }
 
 // entriesBackAt returns when the entries of all running targets are back after the last outage.
-func (a *availability) entriesBackAt() time.Time { return a.since.Add(EntriesReturnWithin) }
+func (a *availability) entriesBackAt() time.Time { return a.graceStart().Add(EntriesReturnWithin) }
 
 // graceLeft returns the rest of the grace period, or 0 while the latest known answer is old.
 func (a *availability) graceLeft(now time.Time) time.Duration {
 	if a.silent(now) {
 		return 0
 	}
-	return max(a.since.Add(OutageGracePeriod).Sub(now), time.Nanosecond)
+	return max(a.graceStart().Add(OutageGracePeriod).Sub(now), time.Nanosecond)
 }
 
 func (a *availability) backdate(by time.Duration) {
-	a.since, a.until, a.previousUntil = a.since.Add(-by), a.until.Add(-by), a.previousUntil.Add(-by)
+	for _, t := range []*time.Time{&a.since, &a.until, &a.previousUntil, &a.restoredAt} {
+		// A zero time is unknown, and stays so.
+		if !t.IsZero() {
+			*t = t.Add(-by)
+		}
+	}
 }
--- a/internal/registry/knowledge.go
+++ b/internal/registry/knowledge.go
@@ -1,9 +1,10 @@
 package registry
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // An instance that starts, or listed the store after a departure, does not know what a late write has to be compared with. The
@@ -11,7 +12,7 @@
 
 // record returns the record of an instance that takes over what another one knows of a target.
 func (k *Known) record(id string, now time.Time) *record {
-	rec := &record{presence: gone, incarnationSeenAt: now, earlier: k.Earlier, departedOffset: k.DepartedOffset}
+	rec := &record{presence: gone, incarnationSeenAt: now, earlier: k.Earlier, departedPosition: topic.Position{Era: k.DepartedEra, Offset: k.DepartedOffset}}
 	rec.target.Entry = Entry{ID: id, Born: k.Born, Sequence: k.Sequence, Draining: k.Draining}
 	if k.InUse != nil {
 		rec.presence, rec.target = present, newTarget(k.InUse, now)
@@ -25,7 +26,10 @@
 // known returns what this instance knows of a target, for another instance.
 func (rec *record) known(now time.Time) *Known {
 	entry := rec.target.Entry
-	k := &Known{Born: entry.Born, Sequence: entry.Sequence, Draining: entry.Draining, Earlier: rec.earlier, DepartedOffset: rec.departedOffset}
+	k := &Known{
+		Born: entry.Born, Sequence: entry.Sequence, Draining: entry.Draining, Earlier: rec.earlier,
+		DepartedOffset: rec.departedPosition.Offset, DepartedEra: rec.departedPosition.Era,
+	}
 	if rec.presence != gone {
 		k.InUse = &entry
 	}
@@ -48,7 +52,7 @@
 
 // describe returns the record of a target as a change for an instance that may know nothing of it.
 func (r *Registry) describe(id string, rec *record, now time.Time) Change {
-	change := Change{ID: id, Offset: rec.offset}
+	change := Change{ID: id, Offset: rec.position.Offset, Era: rec.position.Era}
 	switch {
 	case rec.held != nil:
 		held := *rec.held
@@ -64,7 +68,7 @@
 
 // WithKnowledge adds to the latest change of a target what this instance knows of it, if it is gone or its entry is held.
 func (r *Registry) WithKnowledge(c Change, now time.Time) Change {
-	if rec := r.records[c.ID]; rec != nil && rec.offset == c.Offset && (rec.presence == gone || rec.held != nil) {
+	if rec := r.records[c.ID]; rec != nil && rec.position == c.Position() && (rec.presence == gone || rec.held != nil) {
 		c.Known = rec.known(now)
 	}
 	return c
@@ -77,12 +81,13 @@
 // instance that starts.
 func (r *Registry) RecentDepartures(now time.Time) []Change {
 	var changes []Change
+	lostSince := r.evidence(now).lostSince
 	for id, rec := range r.records {
-		if rec.held != nil || rec.presence == gone && !rec.departedAt.IsZero() && now.Sub(rec.departedAt) < maxLateRecordAge {
+		if rec.held != nil || rec.presence == gone && !rec.departedAt.IsZero() && rec.departedAt.After(lostSince) {
 			changes = append(changes, r.describe(id, rec, now))
 		}
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(b.Offset, a.Offset) })
+	slices.SortFunc(changes, func(a, b Change) int { return b.Position().Compare(a.Position()) })
 	return changes[:min(len(changes), maxRecentDepartures)]
 }
 
@@ -111,20 +116,20 @@
 	}
 	known := c.Known.record(c.ID, now)
 	if rec == nil {
-		known.offset = c.Offset
+		known.position = c.Position()
 		if c.Entry != nil && c.Known.HeldFor > 0 {
 			r.holdEntry(known, c.Entry, now.Add(-c.Known.HeldFor))
 		}
 		r.records[c.ID] = known
 		return DepartureLearned
 	}
-	unknownDeparture := rec.departedOffset < known.departedOffset && known.departedOffset < rec.offset
+	unknownDeparture := rec.departedPosition.Before(known.departedPosition) && known.departedPosition.Before(rec.position)
 	if rec.presence != present || rec.target.Born != known.target.Born || !unknownDeparture {
 		return NothingNew
 	}
 	entry := rec.target.Entry
 	held := c.Entry != nil && c.Known.HeldFor > 0 && c.Entry.Born == entry.Born && c.Entry.Sequence >= entry.Sequence
-	switch order := known.orderOf(&entry, rec.incarnationSeenAt); {
+	switch order := known.orderOf(&entry, r.evidence(rec.incarnationSeenAt)); {
 	case held:
 		r.holdEntry(known, c.Entry, now.Add(-c.Known.HeldFor))
 	case order == unclear:
@@ -132,7 +137,7 @@
 	case order == newer:
 		return NothingNew
 	}
-	known.offset = rec.offset
+	known.position = rec.position
 	r.records[c.ID] = known
 	return LateWriteFound
 }
--- a/internal/registry/order.go
+++ b/internal/registry/order.go
@@ -19,6 +19,11 @@
 	MaxWriteDelay = 6 * time.Second
 	// maxLateRecordAge bounds how long after it was sent such a write is read. The instances read each record within a second.
 	maxLateRecordAge = MaxWriteDelay + time.Second
+	// maxCopyAge bounds how old a copy is that the store is restored from. The platform calls it some seconds.
+	maxCopyAge = time.Minute
+	// restoredEntryTime is how long after a restore the store may still have entries of targets that departed in the lost time:
+	// until it misses their heartbeats and the instances have read so.
+	restoredEntryTime = 30 * time.Second
 	// maxEarlierIncarnations is the number of earlier incarnations of a target that are remembered.
 	maxEarlierIncarnations = 4
 )
@@ -35,32 +40,56 @@
 	unclear
 )
 
+// evidence is what orders an entry and what is known of its target, besides their incarnations and sequences.
+type evidence struct {
+	// recentSince is the time since which what was learned of a target may be newer than a late write that is read now, and
+	// lostSince the same for an entry that the store has again after a restore. Such an entry was read before, so that its
+	// sequence is not higher than the known one.
+	recentSince, lostSince time.Time
+	// rewritten is true while targets write entries again that the store lost.
+	rewritten bool
+}
+
+// evidence returns the evidence for entries that are read at a time.
+func (r *Registry) evidence(now time.Time) evidence {
+	recentSince := now.Add(-maxLateRecordAge)
+	e := evidence{recentSince: recentSince, lostSince: recentSince, rewritten: r.store.restoredRecently(now, OutageGracePeriod+lateReadTime)}
+	if r.store.restoredRecently(now, restoredEntryTime) {
+		e.lostSince = r.store.restoredAt.Add(-maxCopyAge)
+	}
+	return e
+}
+
 // orderOf returns the order of an entry and the record of its target, which is not nil.
-func (rec *record) orderOf(e *Entry, now time.Time) order {
+func (rec *record) orderOf(e *Entry, by evidence) order {
 	known := &rec.target.Entry
 	switch {
 	case e.Born == 0 || known.Born == 0:
 		return newer
 	case e.Born != known.Born:
-		return rec.orderOfIncarnation(e, now)
+		return rec.orderOfIncarnation(e, by)
 	case e.Sequence == 0 || known.Sequence == 0:
 		return newer
-	case e.Sequence < known.Sequence, e.Sequence == known.Sequence && rec.presence != present:
+	case e.Sequence < known.Sequence:
+		return older
+	case e.Sequence == known.Sequence && rec.presence == expired && by.rewritten:
+		return newer
+	case e.Sequence == known.Sequence && rec.presence != present:
 		return older
 	case rec.presence != gone || rec.target.Draining:
 		// A target that drains reports so in each later heartbeat, so that this one was sent after its departure.
 		return newer
 	}
-	return rec.orderAfterDeparture(now)
+	return rec.orderAfterDeparture(by)
 }
 
 // orderOfIncarnation returns the order of an entry of another incarnation than the known one. The start time of an incarnation
 // that is not known yet is lower if the clock of the target stepped back between two starts.
-func (rec *record) orderOfIncarnation(e *Entry, now time.Time) order {
+func (rec *record) orderOfIncarnation(e *Entry, by evidence) order {
 	switch {
 	case slices.Contains(rec.earlier, e.Born):
 		return older
-	case e.Born > rec.target.Born || now.Sub(rec.incarnationSeenAt) >= maxLateRecordAge:
+	case e.Born > rec.target.Born || !rec.incarnationSeenAt.After(by.lostSince):
 		return newer
 	}
 	return unclear
@@ -68,8 +97,8 @@
 
 // orderAfterDeparture returns the order of an entry, with a higher sequence than any that was read, of an incarnation that is
 // gone.
-func (rec *record) orderAfterDeparture(now time.Time) order {
-	if rec.departedAt.IsZero() || now.Sub(rec.departedAt) >= maxLateRecordAge {
+func (rec *record) orderAfterDeparture(by evidence) order {
+	if rec.departedAt.IsZero() || !rec.departedAt.After(by.recentSince) {
 		return newer
 	}
 	return unclear
@@ -146,12 +175,12 @@
 	}
 	held := *rec.held
 	rec.use(newTarget(&held, now), now)
-	return Change{ID: id, Offset: rec.offset, Entry: &held, Running: true}, true
+	return Change{ID: id, Offset: rec.position.Offset, Era: rec.position.Era, Entry: &held, Running: true}, true
 }
 
 // useHeld uses a held entry whose target another instance found running. It reports whether there was one.
 func (r *Registry) useHeld(rec *record, c Change, now time.Time) bool {
-	if !c.Running || rec == nil || rec.held == nil || rec.offset != c.Offset {
+	if !c.Running || rec == nil || rec.held == nil || rec.position != c.Position() {
 		return false
 	}
 	rec.use(newTarget(rec.held, now), now)
--- a/internal/registry/order_test.go
+++ b/internal/registry/order_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // report is an entry of an incarnation with a sequence number.
@@ -15,7 +17,7 @@
 // departures bring a registered target into each state in which it is out of use although it never reported that it drains.
 var departures = map[string]func(r *Registry){
 	"removal":        func(r *Registry) { r.Apply(Change{ID: "t1", Offset: 2}, start) },
-	"listing":        func(r *Registry) { r.Replace(nil, 3, start) },
+	"listing":        func(r *Registry) { r.Replace(nil, topic.Position{Offset: 3}, start) },
 	"answer of 421":  func(r *Registry) { r.Drop("t1") },
 	"not back again": func(r *Registry) { recordOutage(r, start.Add(-time.Minute), start); evictExpired(r) },
 }
@@ -163,8 +165,8 @@
 	peer.Apply(Change{ID: "t1", Offset: 2}, start)
 	joined := func(at time.Time) *Registry {
 		r := New(heartbeat)
-		changes, _ := peer.ChangesSince(0, at)
-		r.Replace(changes, 3, at)
+		changes, _ := peer.ChangesSince(topic.Position{}, at)
+		r.Replace(changes, topic.Position{Offset: 3}, at)
 		return r
 	}
 	after := start.Add(time.Second)
@@ -251,7 +253,7 @@
 		at := start.Add(2 * time.Second)
 		for _, listingFirst := range []bool{false, true} {
 			r := New(heartbeat)
-			listing := func() { r.Replace([]Change{{ID: "t1", Offset: 3, Entry: c.listed}}, 4, at) }
+			listing := func() { r.Replace([]Change{{ID: "t1", Offset: 3, Entry: c.listed}}, topic.Position{Offset: 4}, at) }
 			if listingFirst {
 				listing()
 			}
--- a/internal/registry/prune.go
+++ b/internal/registry/prune.go
@@ -1,6 +1,10 @@
 package registry
 
-import "time"
+import (
+	"time"
+
+	"github.com/basillink/basillink/internal/topic"
+)
 
 const (
 	// departureMemory is how long a departed target is remembered. No late write, repeated change or state of a peer is so old.
@@ -24,7 +28,7 @@
 		case now.Sub(rec.unusedSince) >= departureMemory:
 			delete(r.records, id)
 			// A peer that asks for the changes since an earlier offset gets a listing, which tells it of the departure.
-			r.completeFrom = max(r.completeFrom, rec.offset+1)
+			r.completeFrom = topic.Later(r.completeFrom, rec.position.Next())
 		}
 	}
 }
--- a/internal/registry/prune_test.go
+++ b/internal/registry/prune_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against a registry, and states of peers, that grow with each target that was ever replaced.
@@ -17,12 +19,12 @@
 			r.Apply(Change{ID: id, Offset: offset + 2}, now)
 			offset += 2
 		}
-		r.AdvanceReadOffset(offset + 1)
+		r.AdvanceReadPosition(topic.Position{Offset: offset + 1})
 		now = now.Add(time.Minute)
 		r.ForgetDeparted(now)
 	}
 	kept := replaced * int((departureMemory+2*pruneInterval)/time.Minute)
-	if changes, _ := r.ChangesSince(0, now); len(changes) > kept {
+	if changes, _ := r.ChangesSince(topic.Position{}, now); len(changes) > kept {
 		t.Errorf("%d of %d departed targets are known, want at most %d", len(changes), minutes*replaced, kept)
 	}
 }
@@ -37,7 +39,7 @@
 	r.Apply(Change{ID: "t1", Offset: 3, Entry: entry("t1")}, back)
 	r.Apply(Change{ID: "t1", Offset: 4}, back)
 	r.ForgetDeparted(back.Add(time.Second))
-	if changes, _ := r.ChangesSince(0, back); len(changes) != 1 {
+	if changes, _ := r.ChangesSince(topic.Position{}, back); len(changes) != 1 {
 		t.Error("a recent departure is forgotten")
 	}
 }
@@ -46,18 +48,18 @@
 func TestPeerLearnsOfForgottenDeparture(t *testing.T) {
 	r, peer := New(heartbeat), New(heartbeat)
 	for _, each := range []*Registry{r, peer} {
-		each.Replace([]Change{{ID: "t1", Offset: 1, Entry: entry("t1")}, {ID: "t2", Offset: 2, Entry: entry("t2")}}, 3, start)
+		each.Replace([]Change{{ID: "t1", Offset: 1, Entry: entry("t1")}, {ID: "t2", Offset: 2, Entry: entry("t2")}}, topic.Position{Offset: 3}, start)
 	}
 	r.Apply(Change{ID: "t1", Offset: 3}, start)
-	r.AdvanceReadOffset(4)
+	r.AdvanceReadPosition(topic.Position{Offset: 4})
 	r.ForgetDeparted(start)
 	now := start.Add(departureMemory + pruneInterval)
 	r.ForgetDeparted(now)
-	changes, from := r.ChangesSince(3, now)
-	if from != 0 {
-		t.Fatalf("changes are complete from %d, want a listing", from)
+	changes, from := r.ChangesSince(topic.Position{Offset: 3}, now)
+	if from != (topic.Position{}) {
+		t.Fatalf("changes are complete from %v, want a listing", from)
 	}
-	peer.Replace(changes, 4, now)
+	peer.Replace(changes, topic.Position{Offset: 4}, now)
 	if ids := usableIDs(peer); ids["t1"] || !ids["t2"] {
 		t.Errorf("usable targets %v, want t2", ids)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Entry is the registration of a target, as the target reports it.
@@ -29,8 +31,10 @@
 // Change is one record of the store about a target. Entry is nil if the target is gone or its record does not describe a
 // usable target.
 type Change struct {
-	ID     string
+	ID string
+	// Offset and Era are the position of the record.
 	Offset int64
+	Era    int64 `cbor:",omitempty"`
 	Entry  *Entry
 	// Lapsed marks a removal that may be the effect of an outage of the store. Classify and ChangesSince set it. Entry is
 	// then the last known entry of the target, or nil. Hold is how much longer the sender of the change keeps the target in
@@ -46,6 +50,9 @@
 	Known *Known `cbor:",omitempty"`
 }
 
+// Position returns the position of the record.
+func (c *Change) Position() topic.Position { return topic.Position{Era: c.Era, Offset: c.Offset} }
+
 // Known is what an instance knows of a target that is gone, or whose latest entry it holds: what an entry has to be compared with.
 type Known struct {
 	// Born, Sequence and Draining are those of the newest entry. If the target is in use with that entry, InUse is the entry.
@@ -55,10 +62,11 @@
 	InUse    *Entry `cbor:"4,keyasint,omitempty"`
 	// Earlier are the start times of earlier incarnations.
 	Earlier []int64 `cbor:"5,keyasint,omitempty"`
-	// DepartedFor is how long the target is known to be gone, 0 if it did not depart by a removal. DepartedOffset is the offset of
-	// its latest removal, 0 if there was none.
+	// DepartedFor is how long the target is known to be gone, 0 if it did not depart by a removal. DepartedOffset and DepartedEra
+	// are the position of its latest removal, 0 if there was none.
 	DepartedFor    time.Duration `cbor:"6,keyasint,omitempty"`
 	DepartedOffset int64         `cbor:"8,keyasint,omitempty"`
+	DepartedEra    int64         `cbor:"9,keyasint,omitempty"`
 	// HeldFor is how long the entry of the change has been held, 0 if it is not.
 	HeldFor time.Duration `cbor:"7,keyasint,omitempty"`
 }
@@ -78,13 +86,13 @@
 	// expired means that the entry was removed, possibly because of an outage of the store. The target stays in use until
 	// the grace period after the outage ends.
 	expired
-	// gone means that the target was removed. Its offset is kept, so that an older record that arrives late does not
+	// gone means that the target was removed. Its position is kept, so that an older record that arrives late does not
 	// restore the target.
 	gone
 )
 
 type record struct {
-	offset   int64
+	position topic.Position
 	target   Target
 	presence presence
 	// incarnationSeenAt is when this instance learned of the incarnation of the target.
@@ -94,8 +102,8 @@
 	// departedAt is when this instance learned that the entry of the target was removed. It is zero while the target is not gone,
 	// and if it is gone for another reason.
 	departedAt time.Time
-	// departedOffset is the offset of the latest removal that this instance knows of, 0 if there was none.
-	departedOffset int64
+	// departedPosition is that of the latest removal that this instance knows of, zero if there was none.
+	departedPosition topic.Position
 	// unusedSince is when ForgetDeparted first found the target gone, zero if it was in use since.
 	unusedSince time.Time
 	// held is an entry that may be older than what is known of the target, nil if there is none. It was first seen at heldSince.
@@ -127,12 +135,12 @@
 	heartbeat time.Duration
 	// expiryDelay is the time from the last answer of the store before an outage until the first entry can expire.
 	expiryDelay time.Duration
-	// readOffset is the offset before which all records were applied. An older record of an unknown target belongs to a
+	// readPosition is the position before which all records were applied. An older record of an unknown target belongs to a
 	// target that has departed since.
-	readOffset int64
-	// completeFrom is the first offset since which all departures are known, except those between gapFrom and gapTo. The
+	readPosition topic.Position
+	// completeFrom is the first position since which all departures are known, except those between gapFrom and gapTo. The
 	// records of that gap are known from a listing only, which contains nothing about targets that departed before it.
-	completeFrom, gapFrom, gapTo int64
+	completeFrom, gapFrom, gapTo topic.Position
 	// anyExpired is true if a target may be expired.
 	anyExpired bool
 	// anyHeld is true if an entry may be held.
@@ -151,8 +159,10 @@
 	return &Registry{records: map[string]*record{}, heartbeat: heartbeat, expiryDelay: (missedHeartbeats - 1) * heartbeat}
 }
 
-// AdvanceReadOffset records that all records before the offset were applied.
-func (r *Registry) AdvanceReadOffset(offset int64) { r.readOffset = max(r.readOffset, offset) }
+// AdvanceReadPosition records that all records before the position were applied.
+func (r *Registry) AdvanceReadPosition(p topic.Position) {
+	r.readPosition = topic.Later(r.readPosition, p)
+}
 
 // StoreAnswered records that the store answered the reads of some instance from since to until, without an outage in
 // between. For a single read, until is its start and since is when the answer arrived. What several instances know may be
@@ -219,7 +229,7 @@
 	if r.useHeld(rec, c, now) {
 		return Changed
 	}
-	if rec != nil && c.Offset <= rec.offset || rec == nil && c.Offset < r.readOffset {
+	if rec != nil && !c.Position().After(rec.position) || rec == nil && c.Position().Before(r.readPosition) {
 		return Unchanged
 	}
 	if rec == nil && c.Known != nil {
@@ -241,8 +251,8 @@
 		rec = &record{presence: gone}
 		r.records[c.ID] = rec
 	}
-	rec.offset = c.Offset
-	switch order := rec.orderOf(c.Entry, now); {
+	rec.position = c.Position()
+	switch order := rec.orderOf(c.Entry, r.evidence(now)); {
 	case order == older:
 		return Outdated
 	case order == unclear && !c.Running:
@@ -269,9 +279,9 @@
 	}
 	wasInUse := rec.presence != gone
 	if (wasInUse || rec.held != nil) && !c.Malformed {
-		rec.departedAt, rec.departedOffset = now, c.Offset
+		rec.departedAt, rec.departedPosition = now, c.Position()
 	}
-	rec.offset, rec.presence, rec.held = c.Offset, gone, nil
+	rec.position, rec.presence, rec.held = c.Position(), gone, nil
 	return wasInUse
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -168,7 +170,7 @@
 	r := New(heartbeat)
 	r.Apply(Change{ID: "t1", Offset: 1, Entry: entry("t1")}, start)
 	r.Apply(Change{ID: "t2", Offset: 2, Entry: entry("t2")}, start)
-	r.Replace([]Change{{ID: "t2", Offset: 9, Entry: entry("t2")}, {ID: "bad", Offset: 10}}, 11, start)
+	r.Replace([]Change{{ID: "t2", Offset: 9, Entry: entry("t2")}, {ID: "bad", Offset: 10}}, topic.Position{Offset: 11}, start)
 	if got := usableIDs(r); got["t1"] || !got["t2"] || len(got) != 1 {
 		t.Errorf("usable: %v", got)
 	}
--- a/internal/registry/retention.go
+++ b/internal/registry/retention.go
@@ -1,11 +1,18 @@
 package registry
 
-import "time"
+import (
+	"time"
 
-// Entries of running targets expire while the store is away. Their targets stay in use for a grace period after an outage.
+	"github.com/basillink/basillink/internal/topic"
+)
+
+// Entries of running targets expire while the store is away, and are missing when it comes back from an older copy. Their targets stay in use for a grace period after an outage.
 
 // mayBeOutageEffect reports whether a removal that is read now and was made before a time may be the effect of an outage.
 func (r *Registry) mayBeOutageEffect(now, removedBefore time.Time) bool {
+	if r.store.restoredRecently(now, OutageGracePeriod) {
+		return true
+	}
 	if r.store.silent(now) {
 		return r.canHaveExpired(r.store.until, now)
 	}
@@ -27,8 +34,8 @@
 		return markGone(rec, c, now)
 	case unknown && c.Entry == nil:
 		return false
-	case rec != nil && unknown && rec.orderOf(c.Entry, now) != newer:
-		rec.offset, rec.held = c.Offset, nil
+	case rec != nil && unknown && rec.orderOf(c.Entry, r.evidence(now)) != newer:
+		rec.position, rec.held = c.Position(), nil
 		return false
 	case unknown:
 		if rec == nil {
@@ -39,7 +46,7 @@
 	case rec.target.Draining:
 		return markGone(rec, c, now)
 	}
-	rec.offset, rec.presence, rec.held = c.Offset, expired, nil
+	rec.position, rec.presence, rec.held = c.Position(), expired, nil
 	r.anyExpired = true
 	return unknown
 }
@@ -61,6 +68,9 @@
 	return evicted
 }
 
+// EntriesReturn reports whether targets may write entries again that the store lost in its last outage or restore.
+func (r *Registry) EntriesReturn(now time.Time) bool { return r.store.inGrace(now) }
+
 // ExpiredDecidedAt returns from when on a read shows which expired targets are back. It is zero if no target is expired.
 func (r *Registry) ExpiredDecidedAt() time.Time {
 	if !r.anyExpired {
@@ -69,10 +79,10 @@
 	return r.store.entriesBackAt()
 }
 
-// IsBackSince reports whether an entry of a target was read behind an offset, and is in use.
-func (r *Registry) IsBackSince(id string, offset int64) bool {
+// IsBackSince reports whether an entry of a target was read behind a position, and is in use.
+func (r *Registry) IsBackSince(id string, p topic.Position) bool {
 	rec := r.records[id]
-	return rec != nil && rec.presence == present && rec.offset > offset
+	return rec != nil && rec.presence == present && rec.position.After(p)
 }
 
 // Retained reports whether a target is in use although its entry has expired. remaining is the rest of the grace period, or
