Restore the store in the soak

The soak's store comes back from a copy of 0.5 to 6 s before, as one of the random faults and in each batch of TestSoakWithRestores. Targets and the operator write again.

--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -47,6 +47,8 @@
 	servedCount  atomic.Int64
 	started      time.Time
 	crashLog     crashLog
+	// everyBatch holds the faults that each batch injects, besides random ones.
+	everyBatch []fault
 }
 
 // recordViolation records a violated guarantee. Kinds are the names of the rules that the platform's users publish. Violations
@@ -88,6 +90,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.configVersion++
+	h.putConfig()
+}
+
+// putConfig writes the newest configuration to the store. The caller must hold h.mu.
+func (h *harness) putConfig() {
 	route := func(name, service string, idempotent bool) routes.Route {
 		return routes.Route{
 			Name: name, Host: host, PathPrefix: "/" + name + "/", Idempotent: idempotent, Timeout: 1500 * time.Millisecond,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -58,6 +59,7 @@
 	{"store slow", storeFault(platformtest.Faults{Delay: 240 * time.Millisecond})},
 	{"store rejects calls", storeFault(platformtest.Faults{ThrottleRate: 0.5})},
 	{"store discards its history", func(_ context.Context, h *harness, _ *rand.Rand) { h.store.Trim() }},
+	{"store restored from an older copy", restoreStore},
 	{"target slow", targetFault(platformtest.TargetFaults{Slowdown: 6})},
 	{"target loses answers", targetFault(platformtest.TargetFaults{Slowdown: 1, LostAnswerRate: 0.3})},
 	{"target fails requests", targetFault(platformtest.TargetFaults{Slowdown: 1, FailureRate: 0.5})},
@@ -76,6 +78,29 @@
 	}},
 }
 
+// restoreStore restores the store from a copy of some seconds ago, after it was down. The targets write their entries again with
+// their next heartbeats, and the operator writes the configuration again. The store then removes the entries of targets that left
+// in the lost time, because they send no heartbeats.
+func restoreStore(ctx context.Context, h *harness, random *rand.Rand) {
+	downtime, age := randomMillis(random, 0, 1000), randomMillis(random, 500, 6000)
+	h.store.SetFaults(platformtest.Faults{Down: true})
+	sleep(ctx, downtime)
+	h.store.Restore(downtime + age)
+	h.store.SetFaults(platformtest.Faults{})
+	sleep(ctx, randomMillis(random, 0, 500))
+	h.mu.Lock()
+	h.putConfig()
+	left := slices.Clone(h.removed)
+	h.mu.Unlock()
+	sleep(ctx, missedHeartbeats*heartbeatInterval)
+	for _, target := range left {
+		h.store.DropTarget(target.ID)
+	}
+}
+
+// missedHeartbeats is the number of missed heartbeats after which the store removes the entry of a target.
+const missedHeartbeats = 3
+
 // crashTarget terminates a random target without a drain, and starts a target of service s0 at its address and one of
 // service s1 at a new address. If the terminated target belonged to s1, its address thus passes to the other service.
 func crashTarget(ctx context.Context, h *harness, random *rand.Rand) {
@@ -153,13 +178,16 @@
 	h.addTarget(target.Service, "")
 }
 
-// injectFaults injects batches of overlapping random faults until ctx is done. After about half of the batches it drains a
+// injectFaults injects batches of overlapping random faults, and those of h.everyBatch, until ctx is done. After about half of the batches it drains a
 // target while no fault is active.
 func (h *harness) injectFaults(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		var group sync.WaitGroup
+		batch := slices.Clone(h.everyBatch)
 		for range 2 + random.IntN(4) {
-			f := faults[random.IntN(len(faults))]
+			batch = append(batch, faults[random.IntN(len(faults))])
+		}
+		for _, f := range batch {
 			faultRandom := rand.New(rand.NewPCG(random.Uint64(), 3))
 			h.t.Logf("%6.2f s %s", time.Since(h.started).Seconds(), f.name)
 			group.Go(func() { f.inject(ctx, h, faultRandom) })
@@ -182,8 +210,19 @@
 // runs twice or runs although it was refused, a caller that gets the answer to a different request, requests that reach a
 // target after it started to drain, an older configuration that replaces a newer one, too many retries or health checks, and
 // instances that do not recover.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSoak(t) }
+
+// Guards against the same, and against instances that go back with the store when it is restored from an older copy, while other
+// faults overlap with it.
+func TestSoakWithRestores(t *testing.T) {
+	runSoak(t, fault{"store restored from an older copy", restoreStore})
+}
+
+// runSoak runs a fleet under random faults, with the given ones in each batch.
+func runSoak(t *testing.T, everyBatch ...fault) {
+	t.Helper()
 	h := newHarness(t)
+	h.everyBatch = everyBatch
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	faultCtx, cancelFaults := context.WithTimeout(ctx, settleTime+time.Duration(*seconds)*time.Second)
