Start with the newest configuration that a peer told of

Change: the first configuration is withheld from whatever source while a newer one is told, for a second at most; a newer one that no read returned is fetched from its peer after 0.5 s, in all zones, at most each 0.3 s. Entries that change nothing are repeated only after a known outage or restore. A pending listing of the crash marks is not brought forward by a restore. The schedules have an instance that runs all the time, because a departure that all who knew it forgot cannot be known.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -47,7 +47,9 @@
 	n.traffic.storeRestores.Add(1)
 	// What this instance wrote may be gone: the leaders look for their announcements, and one of them compares the crash marks.
 	n.announcement = nil
-	n.storedMarks.listingDue = now
+	if n.storedMarks.listingDue.IsZero() {
+		n.storedMarks.listingDue = now
+	}
 	if source == "store" {
 		n.greetAfterListing(now)
 	}
--- a/internal/fleet/newer_config.go
+++ b/internal/fleet/newer_config.go
@@ -14,27 +14,53 @@
 type newerConfig struct {
 	version uint64
 	address string
-	toldAt  time.Time
-	// withheld is an older configuration that the store has. It is not used before withheldUntil.
-	withheld      *routes.Config
-	withheldUntil time.Time
+	// The version was told first at toldAt, and last at heardAt.
+	toldAt, heardAt time.Time
+	// nextFetch is the earliest time of the next fetch from the peer.
+	nextFetch time.Time
+	// withheld is an older configuration that the store or another peer has. It is not used before withheldUntil.
+	withheld       *routes.Config
+	withheldSource string
+	withheldUntil  time.Time
 }
 
-// withholdTime is how long an instance without a configuration waits for a newer one than the store has.
-const withholdTime = time.Second
+const (
+	// withholdTime is how long an instance without a configuration waits for a newer one than it read.
+	withholdTime = time.Second
+	// newerConfigWait is how long an instance waits for a read of the store that returns the newer configuration. Leaders read
+	// at once, and the others fetch it from their leader.
+	newerConfigWait = 500 * time.Millisecond
+	// newerConfigRetry is the pause between two fetches, in case this instance rejects what the peer has in force.
+	newerConfigRetry = 300 * time.Millisecond
+)
 
-// applyStoredConfig applies a configuration that was read from the store. If no configuration is in force and a peer told of a
-// newer one, it is withheld until that was fetched.
-func (n *Node) applyStoredConfig(config *routes.Config, now time.Time) {
+// tell records that a peer has a version in force.
+func (c *newerConfig) tell(version uint64, address string, now time.Time) {
+	if version < c.version {
+		return
+	}
+	if version > c.version {
+		c.toldAt = now
+	}
+	c.version, c.address, c.heardAt = version, address, now
+}
+
+// applyNewestConfig applies a configuration that was read from the store or a peer. If no configuration is in force and a peer
+// told of a newer one, it is withheld until that was fetched.
+func (n *Node) applyNewestConfig(config *routes.Config, source string, now time.Time) {
 	told := &n.newerConfig
-	if n.table == nil && config.Version < told.version && now.Sub(told.toldAt) < withholdTime {
-		told.withheld, told.withheldUntil = config, now.Add(withholdTime)
+	if n.table == nil && config != nil && config.Version < told.version && now.Sub(told.heardAt) < withholdTime {
+		if told.withheld == nil {
+			told.withheldUntil = now.Add(withholdTime)
+		}
+		told.withheld, told.withheldSource = config, source
 		return
 	}
-	n.applyConfig(config, "store", now)
+	n.applyConfig(config, source, now)
 }
 
-// fetchNewerConfig fetches a configuration from the peer that told of it if a read of the store since then did not return it.
+// fetchNewerConfig fetches a configuration from the peer that told of it, if a read of the store since then did not return it or
+// none succeeded for some time.
 func (n *Node) fetchNewerConfig(ctx context.Context, now time.Time) {
 	told := &n.newerConfig
 	if told.version <= n.configVersion() {
@@ -42,11 +68,14 @@
 		return
 	}
 	if told.withheld != nil && !now.Before(told.withheldUntil) {
-		n.Log.Warn("Could not fetch a newer configuration than that of the store.", "version", told.version, "address", told.address)
-		n.applyConfig(told.withheld, "store", now)
+		n.Log.Warn("Could not fetch a newer configuration of a peer.", "version", told.version, "address", told.address)
+		n.applyConfig(told.withheld, told.withheldSource, now)
 		told.withheld = nil
 	}
-	if told.withheld != nil || n.configsTopic.asOf.After(told.toldAt) {
-		n.fetchState(ctx, told.address, now)
+	due := told.withheld != nil || n.configsTopic.asOf.After(told.toldAt) || now.Sub(told.toldAt) >= newerConfigWait
+	if !due || now.Before(told.nextFetch) {
+		return
 	}
+	told.nextFetch = now.Add(newerConfigRetry)
+	n.fetchState(ctx, told.address, now)
 }
--- a/internal/fleet/restore_schedules_test.go
+++ b/internal/fleet/restore_schedules_test.go
@@ -93,6 +93,9 @@
 	if r.IntN(3) == 0 {
 		s.pauses = pauseSeries(r, s.instancesPerZone*scheduleZones, first.backAt)
 	}
+	if !s.witnessed() {
+		s.pauses = nil
+	}
 	for _, restore := range s.restores {
 		for target := range scheduleTargets {
 			s.cuts = append(s.cuts, targetSpan{span{restore.awayFrom, restore.backAt}, target})
@@ -101,6 +104,17 @@
 	return s
 }
 
+// witnessed reports whether an instance runs all the time, so that what only the others knew before their restarts is known.
+func (s *restoreSchedule) witnessed() bool {
+	for i := range s.instancesPerZone * scheduleZones {
+		restarted := slices.ContainsFunc(s.restarts, func(c restart) bool { return slices.Contains(c.instances, i) })
+		if !restarted && !slices.ContainsFunc(s.pauses, func(p pause) bool { return p.instance == i }) {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreRun is a run of a schedule with restores.
 type restoreRun struct {
 	*lateTargets
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -230,7 +230,7 @@
 	if s.Config != nil || s.ConfigListed && !n.configsTopic.known {
 		n.configsTopic.next, n.configsTopic.known, n.configsTopic.behind = topic.Later(n.configsTopic.next, s.configNext()), true, false
 		n.configsTopic.refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
-		n.applyConfig(s.Config, "peer", now)
+		n.applyNewestConfig(s.Config, "peer", now)
 	}
 	if changed {
 		n.publishView(now)
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -125,7 +125,7 @@
 	n.configsTopic.readSucceeded(e.startedAt, e.next)
 	n.storeAnsweredAt = e.startedAt
 	for _, config := range e.configs {
-		n.applyStoredConfig(config, now)
+		n.applyNewestConfig(config, "store", now)
 	}
 	n.broadcastUpdate(now)
 }
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -137,8 +137,8 @@
 	default:
 		n.configsTopic.behind = true
 	}
-	if status.Version > n.configVersion() && status.Version >= n.newerConfig.version {
-		n.newerConfig.version, n.newerConfig.address, n.newerConfig.toldAt = status.Version, p.Address, now
+	if status.Version > n.configVersion() {
+		n.newerConfig.tell(status.Version, p.Address, now)
 	}
 }
 
--- a/internal/registry/availability.go
+++ b/internal/registry/availability.go
@@ -98,6 +98,12 @@
 	return !asOf.Before(a.entriesBackAt()) || !now.Before(end.Add(lateReadTime))
 }
 
+// entriesReturn reports whether targets may write entries again after a known outage or restore.
+func (a *availability) entriesReturn(now time.Time) bool {
+	known := !a.previousUntil.IsZero() || !a.restoredAt.IsZero()
+	return known && now.Before(a.graceStart().Add(OutageGracePeriod+lateReadTime))
+}
+
 // entriesBackAt returns when the entries of all running targets are back after the last outage.
 func (a *availability) entriesBackAt() time.Time { return a.graceStart().Add(EntriesReturnWithin) }
 
--- a/internal/registry/retention.go
+++ b/internal/registry/retention.go
@@ -69,7 +69,7 @@
 }
 
 // EntriesReturn reports whether targets may write entries again that the store lost in its last outage or restore.
-func (r *Registry) EntriesReturn(now time.Time) bool { return r.store.inGrace(now) }
+func (r *Registry) EntriesReturn(now time.Time) bool { return r.store.entriesReturn(now) }
 
 // ExpiredDecidedAt returns from when on a read shows which expired targets are back. It is zero if no target is expired.
 func (r *Registry) ExpiredDecidedAt() time.Time {
