Repeat crash marks that came with the state of a peer

A leader of a zone that had just started got a mark with the state of a peer, and did not relay it. The datagram with the same mark that arrived after it changed nothing, so that it was not relayed either, and the members of the zone learned of the mark by its digest 0.4 s later. One of them sent the request meanwhile, and a fourth target crashed.

Change: the leader repeats the marks that were new to it in its next datagrams, 16 at most. Ruled out: relaying each at once, because a state may hold 4,096 marks.

--- a/internal/fleet/crash_marks.go
+++ b/internal/fleet/crash_marks.go
@@ -92,14 +92,16 @@
 	}
 }
 
-// mergeStateMarks merges marks that came with the state of a peer. They are not relayed, because other instances know
-// them.
-func (n *Node) mergeStateMarks(marks []discovery.CrashMark) {
+// mergeStateMarks merges marks that came with the state of a peer. The leader repeats new ones, but does not relay them at once:
+// they may be many, and most instances know them. A datagram with a mark that the state had already told is not relayed either.
+func (n *Node) mergeStateMarks(marks []discovery.CrashMark, now time.Time) {
 	if n.CrashMarks == nil {
 		return
 	}
 	for _, mark := range marks {
-		n.CrashMarks.MergeCrashMark(mark.Key, mark.Data)
+		if n.CrashMarks.MergeCrashMark(mark.Key, mark.Data) {
+			n.rememberMark(mark, now)
+		}
 	}
 }
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -219,7 +219,7 @@
 	e.requestedAt = n.startOfCall(e.requestedAt)
 	s := e.state
 	n.addMembers(s.Members, now)
-	n.mergeStateMarks(s.Marks)
+	n.mergeStateMarks(s.Marks, now)
 	n.storedMarks.loaded = n.storedMarks.loaded || s.MarksRead
 	if s.TargetsListed {
 		// The ages are those at the peer, which answered after the request.
