--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -93,16 +93,20 @@
 	}
 }
 
+// restoredAt is long after the instances wrote to the store and compared the crash marks with it.
+const restoredAt = settlingTime + 10*time.Second
+
 // restoreFleet runs a small fleet with a stored crash mark, restores its store from a copy of before the instances wrote to it,
 // and returns the store some seconds later.
 func restoreFleet(t *testing.T, lost time.Duration) *virtualStore {
+	t.Helper()
 	sim := newSimulation(schedule{instancesPerZone: 2}, 1)
 	sim.store.era = 1
 	marks := &sharedMarks{refused: map[string]bool{}}
 	sim.onConfigure = func(_ int, c *Config) { c.CrashMarks = marks }
 	sim.onAllStarted = func() {
 		sim.after(3*time.Second, func() { marks.refuse("k", true) })
-		sim.after(settlingTime+2*time.Second, func() { sim.store.restore(lost) })
+		sim.after(restoredAt, func() { sim.store.restore(lost) })
 	}
 	synctest.Test(t, func(*testing.T) { sim.run(rand.New(rand.NewPCG(1, 30))) })
 	if len(sim.failures) > 0 {
@@ -114,7 +118,7 @@
 // Guards against what the instances wrote to the store and is lost with a restore: without the announcements nobody finds the
 // fleet, and after a restart of all instances a request that is refused would crash targets again.
 func TestOwnWritesAfterRestore(t *testing.T) {
-	store := restoreFleet(t, settlingTime+2*time.Second)
+	store := restoreFleet(t, restoredAt)
 	zones := map[string]bool{}
 	for _, m := range store.members {
 		zones[m.Zone] = true
@@ -165,3 +169,59 @@
 		}
 	}
 }
+
+// Guards against an instance that starts with the older configuration of a restored store while a peer of another zone told of a
+// newer one, and against one that waits for good if that peer cannot be reached.
+func TestStartsWithNewestToldConfiguration(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	config := func(version uint64) *routes.Config {
+		return &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}}
+	}
+	n.newerConfig.tell(3, "127.0.0.1:9", testStart)
+	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config(2)}, next: topic.Position{Era: 2, Offset: 2}}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Era: 2, Offset: 2}}, testStart)
+	if n.View() != nil {
+		t.Fatal("the older configuration is in force")
+	}
+	n.fetchNewerConfig(t.Context(), testStart)
+	if !n.fetchInFlight {
+		t.Error("the newer configuration is not fetched from the peer that told of it")
+	}
+	n.fetchNewerConfig(t.Context(), testStart.Add(withholdTime))
+	if n.configVersion() != 2 {
+		t.Errorf("configuration %d is in force after the wait, want that of the store", n.configVersion())
+	}
+}
+
+// Guards against records that this instance skips because they change nothing for it, while another one took their target for
+// expired: the two listed the store at different times.
+func TestUnchangedEntriesAreRepeatedAfterRestore(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{listedTarget("t1", topic.Position{Era: 2, Offset: 2})}, complete: true, next: topic.Position{Era: 2, Offset: 3}}, testStart)
+	again := listedTarget("t1", topic.Position{Era: 2, Offset: 3})
+	again.Entry.Sequence = 2
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{again}, next: topic.Position{Era: 2, Offset: 4}}, testStart)
+	if changes := n.targetsUpdate(testStart).Changes; len(changes) != 1 || changes[0].Position() != again.Position() {
+		t.Errorf("repeated changes %+v, want the entry of t1", changes)
+	}
+}
+
+// Guards against an instance that lists a restored store after a pause and uses the targets that left meanwhile: it asks the others.
+func TestListingOfNewEraAsksForDepartures(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	n.members.add(newMember("a2", "a"), testStart)
+	greetings := func() int64 {
+		sent := int64(0)
+		n.traffic.EachDatagramKind(func(kind DatagramKind, flow, _ Flow) {
+			if kind.String() == "greeting" {
+				sent += flow.Datagrams
+			}
+		})
+		return sent
+	}
+	before := greetings()
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Era: 2, Offset: 3}}, testStart)
+	if greetings() == before {
+		t.Error("no instance was asked")
+	}
+}
--- a/internal/registry/availability_test.go
+++ b/internal/registry/availability_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/basillink/basillink/internal/topic"
 )
 
 // Guards against a reader that was paused and takes departures for the effect of an outage, once it or another instance
@@ -84,3 +86,23 @@
 		}
 	}
 }
+
+// Guards against a target that stays out of use after a restore of the store from an older copy because it writes its entry again
+// with the sequence that is known, which elsewhere marks a write that was executed late.
+func TestEntryRewrittenAfterRestoreIsUsed(t *testing.T) {
+	r := New(heartbeat)
+	target := entry("t1")
+	target.Born, target.Sequence = 1, 4
+	r.Replace([]Change{{ID: "t1", Offset: 8, Era: 1, Entry: target}}, topic.Position{Era: 1, Offset: 9}, start)
+	r.Restored(2, start)
+	if r.Replace(nil, topic.Position{Era: 2, Offset: 3}, start); !usableIDs(r)["t1"] {
+		t.Fatal("a target that the copy lacks is dropped before it could write its entry again")
+	}
+	later := start.Add(time.Second)
+	r.Apply(Change{ID: "t1", Offset: 3, Era: 2, Entry: target}, later)
+	end := later.Add(2 * OutageGracePeriod)
+	r.StoreAnswered(start, end)
+	if r.EvictExpired(end, end); !usableIDs(r)["t1"] {
+		t.Error("a target that wrote its entry again is dropped")
+	}
+}
