--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -23,7 +23,8 @@
 	n := newQuietNode(t, newMember(id, "a"))
 	next := topic.Position{Era: era, Offset: 5}
 	listing := []registry.Change{listedTarget("t1", topic.Position{Era: era, Offset: 4})}
-	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{{Version: 3, Services: []routes.Service{{Name: "s"}}}}, next: next}, testStart)
+	config := &routes.Config{Version: 3, Services: []routes.Service{{Name: "s"}}}
+	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config}, next: next}, testStart)
 	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: next}, testStart)
 	return n
 }
@@ -178,8 +179,9 @@
 		return &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}}
 	}
 	n.newerConfig.tell(3, "127.0.0.1:9", testStart)
-	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config(2)}, next: topic.Position{Era: 2, Offset: 2}}, testStart)
-	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Era: 2, Offset: 2}}, testStart)
+	next := topic.Position{Era: 2, Offset: 2}
+	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config(2)}, next: next}, testStart)
+	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: next}, testStart)
 	if n.View() != nil {
 		t.Fatal("the older configuration is in force")
 	}
@@ -197,10 +199,12 @@
 // expired: the two listed the store at different times.
 func TestUnchangedEntriesAreRepeatedAfterRestore(t *testing.T) {
 	n := nodeInEra(t, "a1", 1)
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{listedTarget("t1", topic.Position{Era: 2, Offset: 2})}, complete: true, next: topic.Position{Era: 2, Offset: 3}}, testStart)
+	listing := []registry.Change{listedTarget("t1", topic.Position{Era: 2, Offset: 2})}
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Era: 2, Offset: 3}}, testStart)
 	again := listedTarget("t1", topic.Position{Era: 2, Offset: 3})
 	again.Entry.Sequence = 2
-	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{again}, next: topic.Position{Era: 2, Offset: 4}}, testStart)
+	read := targetsRead{startedAt: testStart, changes: []registry.Change{again}, next: topic.Position{Era: 2, Offset: 4}}
+	n.handleTargetsRead(read, testStart)
 	if changes := n.targetsUpdate(testStart).Changes; len(changes) != 1 || changes[0].Position() != again.Position() {
 		t.Errorf("repeated changes %+v, want the entry of t1", changes)
 	}
--- a/internal/registry/availability.go
+++ b/internal/registry/availability.go
@@ -56,8 +56,7 @@
 	return !a.restoredAt.IsZero() && now.Sub(a.restoredAt) < within
 }
 
-// graceStart returns the end of the last outage or restore. Targets whose entries are missing have had time to write them again
-// since.
+// graceStart returns the end of the last outage or restore, since when targets can write missing entries again.
 func (a *availability) graceStart() time.Time { return clock.Later(a.since, a.restoredAt) }
 
 // merge adds a period in which the store answered. The period consists of a single read if until, the start of the read, is
--- a/internal/registry/retention.go
+++ b/internal/registry/retention.go
@@ -6,7 +6,8 @@
 	"github.com/basillink/basillink/internal/topic"
 )
 
-// Entries of running targets expire while the store is away, and are missing when it comes back from an older copy. Their targets stay in use for a grace period after an outage.
+// Entries of running targets expire while the store is away, and are missing when it comes back from an older copy. Their
+// targets stay in use for a grace period after the outage or restore.
 
 // mayBeOutageEffect reports whether a removal that is read now and was made before a time may be the effect of an outage.
 func (r *Registry) mayBeOutageEffect(now, removedBefore time.Time) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -178,8 +178,8 @@
 	h.addTarget(target.Service, "")
 }
 
-// injectFaults injects batches of overlapping random faults, and those of h.everyBatch, until ctx is done. After about half of the batches it drains a
-// target while no fault is active.
+// injectFaults injects batches of overlapping random faults, and those of h.everyBatch, until ctx is done. After about half of
+// the batches it drains a target while no fault is active.
 func (h *harness) injectFaults(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		var group sync.WaitGroup
