Wait in TestOperatorsCommands until the instance has stopped

Cause: suspected, not shown. It sent SIGSTOP and went on at once, so that the instance may have put the change into force before it stopped. Other tests wait for the stop with pauseProcess; so does this one now.

--- a/internal/e2e/operator_test.go
+++ b/internal/e2e/operator_test.go
@@ -115,7 +115,7 @@
 	if changes != len(verdicts) {
 		t.Errorf("%d changes in the history, want %d", changes, len(verdicts))
 	}
-	f.signal(2, syscall.SIGSTOP)
+	pauseProcess(t, f.instances[2].command)
 	run(client.ExitNotInForce, "publish", "-wait", "-timeout", "1s", file(8))
 	f.signal(2, syscall.SIGCONT)
 	f.log.SetFaults(standin.LogFaults{Down: true})
