Do not count the wait for a pooled connection as a failed connect

The time to obtain a connection (150 ms) included the wait for a turn in the pool, which opens one connection every 5 ms. Beside load the last of 60 requests waited longer, the only target was taken for unreachable and excluded, and the retry found none. A pause of the process longer than the timeout did the same to all that waited, and to dials whose connection was already open.

Change: the wait and the dial have a timeout each, which counts only time in which the process runs. A request whose wait times out has a target chosen again; that is neither a retry nor evidence against the target.

Ruled out: refusals by the target; it answers only 200.

--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -168,12 +168,14 @@
 	maxBufferedAnswerBytes = 256 << 10
 	// maxAnswerBytes is the size of the largest accepted body.
 	maxAnswerBytes = 64 << 20
-	// connectTimeout bounds the opening of a connection to a target. Targets usually accept within about 1 ms.
+	// connectTimeout bounds the wait for a turn in the connection pool of a target, after which a target is chosen again, and
+	// then the opening of a connection. Targets usually accept within about 1 ms.
 	connectTimeout = 150 * time.Millisecond
 )
 
-// maxDecisionAge is how old a decision may be when the request is sent. Opening a connection takes at most connectTimeout, so
-// a longer delay means that the process was paused, and the target may have been deregistered in the meantime.
+// maxDecisionAge is how old a decision may be when the request is sent. The wait for a turn in the connection pool and the
+// opening of a connection take at most connectTimeout each, so a longer delay means that the process was paused, and the target
+// may have been deregistered in the meantime.
 const maxDecisionAge = 500 * time.Millisecond
 
 // StaleDecisionError reports that the request was not sent within maxDecisionAge of the decision.
@@ -197,6 +199,10 @@
 	var unavailable *TargetUnavailableError
 	var held *CrashHeldError
 	var draining *DrainingError
+	var timeout *transport.ConnectTimeoutError
+	if errors.As(err, &timeout) {
+		return timeout.Waited
+	}
 	return errors.As(err, &stale) || errors.As(err, &unavailable) || errors.As(err, &held) || errors.As(err, &draining)
 }
 
@@ -358,9 +364,9 @@
 		return dispatch.Answered
 	case reason.TargetShed:
 		return dispatch.Shed
-	case reason.ConnectionRefused, reason.ConnectionsBusy:
+	case reason.ConnectionRefused:
 		return dispatch.ConnectFailed
-	case reason.CallerLeftRunning, reason.CallerLeftEarly, reason.DeadlineTooShort:
+	case reason.CallerLeftRunning, reason.CallerLeftEarly, reason.DeadlineTooShort, reason.ConnectionsBusy:
 		return dispatch.Cancelled
 	}
 	return dispatch.Failed
--- a/internal/testprocess/testprocess.go
+++ b/internal/testprocess/testprocess.go
@@ -2,9 +2,11 @@
 package testprocess
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -30,3 +32,14 @@
 		os.Exit(1)
 	}()
 }
+
+// PauseSelf stops the test's own process for some time, as an operator or a machine without a free processor would.
+func PauseSelf(t testing.TB, pause time.Duration) {
+	t.Helper()
+	script := fmt.Sprintf("kill -STOP %[1]d; sleep %[2]f; kill -CONT %[1]d", os.Getpid(), pause.Seconds())
+	command := exec.Command("sh", "-c", script)
+	SetOwnProcessGroup(command)
+	if err := command.Run(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/transport/error.go
+++ b/internal/transport/error.go
@@ -40,6 +40,8 @@
 type ConnectTimeoutError struct {
 	Address string
 	Limit   time.Duration
+	// Waited is true if the exchange waited for its turn in the pool until then, which says nothing about the target.
+	Waited bool
 }
 
 func (e *ConnectTimeoutError) Error() string {
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -28,7 +28,8 @@
 	Accept func(head *protocol.ResponseHeader, firstExchange bool) bool
 	// AllowCloseDelimited accepts bodies that end with an orderly close of the connection.
 	AllowCloseDelimited bool
-	// ConnectTimeout bounds the time to obtain a connection. 0 means that only the context bounds it.
+	// ConnectTimeout bounds the wait for a turn in the pool, and then the time to open a connection. 0 means that only the
+	// context bounds them. Time in which the process does not run does not count.
 	ConnectTimeout time.Duration
 	// CheckAfterIdle is the idle time from which on a pooled connection is checked before use, which costs a round trip.
 	// 0 disables the check.
@@ -45,7 +46,7 @@
 //
 // Every error is an *ExchangeError.
 func (p *Pool) RoundTrip(ctx context.Context, request *protocol.Request, limits Limits, prepare PrepareFunc) (*Answer, error) {
-	conn, err := p.acquireWithTimeout(ctx, limits)
+	conn, err := p.acquire(ctx, limits)
 	if err != nil {
 		return nil, p.connectError(ctx, err)
 	}
@@ -184,21 +185,6 @@
 	return err
 }
 
-// acquireWithTimeout returns a connection for an exchange. limits.ConnectTimeout bounds the time to obtain it, separately
-// from the deadline of the exchange.
-func (p *Pool) acquireWithTimeout(ctx context.Context, limits Limits) (*Conn, error) {
-	if limits.ConnectTimeout <= 0 {
-		return p.acquire(ctx, limits.CheckAfterIdle)
-	}
-	connectCtx, cancel := context.WithTimeout(ctx, limits.ConnectTimeout)
-	defer cancel()
-	conn, err := p.acquire(connectCtx, limits.CheckAfterIdle)
-	if err != nil && connectCtx.Err() != nil && ctx.Err() == nil {
-		return nil, &ConnectTimeoutError{p.address, limits.ConnectTimeout}
-	}
-	return conn, err
-}
-
 // longAnswerReceiveBytes is the size of the receive buffer of a connection with a long answer. The kernel lets it grow to some
 // MB while the caller reads more slowly than the target sends.
 const longAnswerReceiveBytes = 64 << 10
--- a/internal/transport/failure.go
+++ b/internal/transport/failure.go
@@ -13,7 +13,10 @@
 func (p *Pool) connectError(ctx context.Context, err error) error {
 	failureReason := reason.ConnectionRefused
 	var exhausted *PoolExhaustedError
+	var timeout *ConnectTimeoutError
 	switch {
+	case errors.As(err, &timeout) && timeout.Waited:
+		failureReason = reason.ConnectionsBusy
 	case errors.As(err, &exhausted):
 		failureReason = contextReason(ctx, reason.ConnectionsBusy, reason.CallerLeftEarly)
 	case errors.Is(err, context.DeadlineExceeded) || ContextDone(ctx):
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -79,21 +80,21 @@
 }
 
 // acquire returns an idle connection that the peer has not closed, or a new one. Waiters are served in order. A connection
-// that was idle for at least checkAfterIdle is checked first; 0 disables the check.
-func (p *Pool) acquire(ctx context.Context, checkAfterIdle time.Duration) (*Conn, error) {
+// that was idle for at least limits.CheckAfterIdle is checked first; 0 disables the check.
+func (p *Pool) acquire(ctx context.Context, limits Limits) (*Conn, error) {
 	for {
-		conn, err := p.takeIdleOrReserve(ctx)
+		conn, err := p.boundConnect(ctx, limits.ConnectTimeout, p.takeIdleOrReserve)
 		if err != nil {
 			return nil, err
 		}
 		if conn == nil {
-			return p.openNew(ctx)
+			return p.boundConnect(ctx, limits.ConnectTimeout, p.openNew)
 		}
 		idleTime := time.Since(conn.lastUsed)
 		switch {
 		case idleTime >= p.idleTimeout || conn.readable():
 			p.discard(conn)
-		case checkAfterIdle > 0 && idleTime >= checkAfterIdle:
+		case limits.CheckAfterIdle > 0 && idleTime >= limits.CheckAfterIdle:
 			p.verifyBeforeUse(conn)
 		default:
 			return conn, nil
@@ -101,6 +102,22 @@
 	}
 }
 
+// boundConnect calls obtain with a context that ends after a running time, and returns a *ConnectTimeoutError if obtain fails
+// for that reason. A timeout of 0 is none.
+func (p *Pool) boundConnect(ctx context.Context, timeout time.Duration, obtain func(context.Context) (*Conn, error)) (*Conn, error) {
+	if timeout <= 0 {
+		return obtain(ctx)
+	}
+	connectCtx, cancel := withRunningTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := obtain(connectCtx)
+	if err != nil && connectCtx.Err() != nil && ctx.Err() == nil {
+		var exhausted *PoolExhaustedError
+		return nil, &ConnectTimeoutError{Address: p.address, Limit: timeout, Waited: errors.As(err, &exhausted)}
+	}
+	return conn, err
+}
+
 // verifyBeforeUse checks a connection and returns it to the pool if it is alive. If it is silent, all other idle
 // connections are checked at once, instead of one by one as requests take them.
 func (p *Pool) verifyBeforeUse(conn *Conn) {
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -14,6 +14,7 @@
 	"github.com/basillink/basillink/internal/chart"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
+	"github.com/basillink/basillink/internal/testprocess"
 	"github.com/basillink/basillink/internal/testwait"
 )
 
@@ -88,6 +89,39 @@
 	}
 }
 
+// Guards against taking the wait for a connection of the own pool for a target that accepts none.
+func TestWaitForPoolIsNotAConnectFailure(t *testing.T) {
+	proceed := make(chan struct{})
+	target := rawtarget.Start(t, blockUntil(proceed))
+	defer close(proceed)
+	pool := testPool(t, target.Address(), 1)
+	go func() { _, _ = send(pool, newRequest("GET", target.Address(), "/", "")) }()
+	testwait.Until(t, "the first request", func() bool { return target.Requests.Load() == 1 })
+	_, err := pool.RoundTrip(t.Context(), newRequest("GET", target.Address(), "/", ""), Limits{ConnectTimeout: 20 * time.Millisecond}, nil)
+	var failure *ExchangeError
+	var timeout *ConnectTimeoutError
+	if !errors.As(err, &failure) || failure.Reason != reason.ConnectionsBusy || !errors.As(err, &timeout) || !timeout.Waited {
+		t.Errorf("got %v, want connections_busy", err)
+	}
+}
+
+// Guards against a connect timeout that passes while the process is paused, before it could look at the new connection.
+func TestPauseDoesNotExpireConnectTimeout(t *testing.T) {
+	const timeout = 150 * time.Millisecond
+	ctx, cancel := withRunningTimeout(t.Context(), timeout)
+	defer cancel()
+	begin := time.Now()
+	testprocess.PauseSelf(t, 2*timeout)
+	if err, paused := ctx.Err(), time.Since(begin); err != nil || paused < 2*timeout {
+		t.Errorf("after a pause of %s: %v", paused, err)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(20 * timeout):
+		t.Error("the timeout does not expire")
+	}
+}
+
 // Guards against a connection leak when an exchange ends after the pool was closed, and against waiters that Close does
 // not wake.
 func TestCloseWithExchangesInFlight(t *testing.T) {
