Make fewer calls to a store that was restored

Change: ranks count from the time at which the configurations were held back; topics of an earlier era are listed at once; leaders relay a new era at once, and leaders and members fetch its listing from the peer that told of it, for as long as a fetch may take. Failed fetches lead to a read.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -15,6 +15,33 @@
 	// noticed is the newest era that an answer of the store told this instance, at noticedAt.
 	noticed   int64
 	noticedAt time.Time
+	// told is the newest era that a peer told this instance, first at toldAt.
+	told   int64
+	toldAt time.Time
+}
+
+// fetchLimit returns how long a fetch from a peer of a zone takes at most: the time over which the requests of the zone are
+// spread, and the timeout of one.
+func fetchLimit(zonePeers int) time.Duration {
+	return fetchTimeout + time.Duration(zonePeers)*fetchSpreadPerInstance
+}
+
+// awaitsPeer reports whether this instance fetches a topic of a newer era from the peer that told of it, before it reads the store
+// itself.
+func (e eraState) awaitsPeer(t *topicState, now time.Time, limit time.Duration) bool {
+	return t.known && !t.peersFailed && e.told > t.next.Era && now.Sub(e.toldAt) < limit
+}
+
+// tellEra records an era that a peer told.
+func (n *Node) tellEra(era int64, now time.Time) {
+	if era > n.era.told {
+		n.era.told, n.era.toldAt = era, now
+	}
+}
+
+// awaitsListing reports whether this instance waits for the targets of a newer era from a peer.
+func (n *Node) awaitsListing(now time.Time) bool {
+	return n.era.awaitsPeer(&n.targetsTopic, now, fetchLimit(n.members.zonePeerCount()))
 }
 
 // listingRequiredAt returns when an era was noticed that is newer than that of a topic, or zero if none was. A read of any
@@ -26,10 +53,16 @@
 	return e.noticedAt
 }
 
+// continues reports whether a topic is read on from its position, rather than listed. The store does not have positions of an
+// earlier era.
+func (e eraState) continues(t *topicState) bool {
+	return t.known && !t.relist && t.next.Era >= e.noticed
+}
+
 // noticeEra records a new era that any answer of the store told, also one to a write or a refusal.
 func (n *Node) noticeEra(now time.Time) {
 	if era := n.Store.Era(); era > n.era.noticed {
-		n.era = eraState{noticed: era, noticedAt: now}
+		n.era.noticed, n.era.noticedAt = era, now
 	}
 }
 
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -97,6 +97,26 @@
 // restoredAt is long after the instances wrote to the store and compared the crash marks with it.
 const restoredAt = settlingTime + 10*time.Second
 
+// Guards against reading on from a position of an earlier era than the one that is known, which takes a call more: the store
+// refuses it before the topic is listed.
+func TestTopicsOfEarlierEraAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := nodeInEra(t, "a1", 1)
+		client := virtualStoreClient{&virtualStore{era: 2}, "a1"}
+		client.LearnEra(2)
+		n.Store = client
+		n.noticeEra(testStart.Add(time.Millisecond))
+		n.readConfigs(t.Context(), testStart.Add(targetsReadInterval), 0)
+		n.readTargets(t.Context(), testStart.Add(targetsReadInterval), 0)
+		time.Sleep(time.Second)
+		client.update(func() {
+			if client.calls != 2 {
+				t.Errorf("%d calls to list two topics, want 2", client.calls)
+			}
+		})
+	})
+}
+
 // restoreFleet runs a small fleet with a stored crash mark, restores its store from a copy of before the instances wrote to it,
 // and returns the store some seconds later.
 func restoreFleet(t *testing.T, lost time.Duration) *virtualStore {
@@ -210,6 +230,55 @@
 	}
 }
 
+// Guards against leaders and members that list a restored store themselves while they fetch its listing from a peer, and against
+// waiting for good for a peer that cannot be reached.
+func TestListingOfNewEraIsFetchedFromPeer(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	n.isLeader = true
+	n.members.add(newMember("b1", "b"), testStart)
+	at := testStart.Add(2 * time.Second)
+	listed := &targetsUpdate{Base: 2, BaseEra: 2, Next: 2, NextEra: 2, Answer: answerID{Reader: 1, Number: 1}}
+	n.applyUpdate(t.Context(), &datagram{Targets: listed}, n.members.remotePeers["b"][0], at)
+	if !n.fetchInFlight || n.targetsTopic.due(at, n.targetsPriority(at, 0)) {
+		t.Errorf("fetch in flight %v, reads the store as well", n.fetchInFlight)
+	}
+	n.handleStateFetched(stateFetched{err: errRefused}, at)
+	if !n.targetsTopic.due(at, n.targetsPriority(at, 0)) {
+		t.Error("the store is not read after the fetch failed")
+	}
+	n.targetsTopic.peersFailed = false
+	if late := at.Add(fetchLimit(0)); !n.targetsTopic.due(late, n.targetsPriority(late, 0)) {
+		t.Error("the store is not read after the time of a fetch")
+	}
+}
+
+// Guards against members of a zone that list a restored store themselves, because their leader tells them only with its next
+// heartbeat: nothing but the era changed.
+func TestLeaderRelaysNewEraAtOnce(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	n.isLeader = true
+	n.members.add(newMember("a2", "a"), testStart)
+	n.members.add(newMember("b1", "b"), testStart)
+	sent := func() (datagrams int64) {
+		n.traffic.EachDatagramKind(func(_ DatagramKind, flow, _ Flow) { datagrams += flow.Datagrams })
+		return datagrams
+	}
+	tell := func(era int64) int64 {
+		before := sent()
+		at := testStart.Add(time.Second)
+		n.members.peers["a2"].lastHeard = at
+		update := &targetsUpdate{Base: 0, BaseEra: 1, Next: 5, NextEra: era, RestoredEra: era, Answer: answerID{Reader: 1, Number: uint32(era)}}
+		n.applyUpdate(t.Context(), &datagram{Targets: update}, n.members.remotePeers["b"][0], at)
+		return sent() - before
+	}
+	if tell(2) == 0 || n.targetsTopic.next.Era != 2 {
+		t.Errorf("era %d, not relayed", n.targetsTopic.next.Era)
+	}
+	if tell(2) != 0 {
+		t.Error("an era that is known is relayed again")
+	}
+}
+
 // Guards against an instance that lists a restored store after a pause and uses the targets that left meanwhile: it asks the others.
 func TestListingOfNewEraAsksForDepartures(t *testing.T) {
 	n := nodeInEra(t, "a1", 1)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -95,8 +95,10 @@
 	recentChangesBase topic.Position
 	targetsTopic      topicState
 	configsTopic      topicState
-	era               eraState
-	newerConfig       newerConfig
+	// configsHeldAt is the latest time at which the configurations were not read because the targets could not be.
+	configsHeldAt time.Time
+	era           eraState
+	newerConfig   newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
 	config          *routes.Config
--- a/internal/fleet/read_schedule.go
+++ b/internal/fleet/read_schedule.go
@@ -102,11 +102,19 @@
 	storeAnsweredAt time.Time
 	// requiredAsOf is a time since which the topic has to be read, whatever its interval, or zero.
 	requiredAsOf time.Time
+	// awaitsPeer is true while the topic is fetched from a peer that listed it in a newer era.
+	awaitsPeer bool
+	// heldAt is the latest time at which the topic was not read because another one showed that the store does not answer.
+	// Each rank waits from then on: all are overdue once it answers again.
+	heldAt time.Time
 }
 
 // due reports whether this instance should read now. Leaders read missing records at once; the others first fetch them
 // from peers, because each call to the store is billed. The more instances fail to read, the later others try.
 func (t *topicState) due(now time.Time, priority readPriority) bool {
+	if priority.awaitsPeer && !t.relist {
+		return false
+	}
 	if priority.rank == 0 && t.awaitsStoreReturn(now) {
 		return t.readsInFlight < maxOutageReads && now.Sub(t.lastReadAt) >= outageReadInterval
 	}
@@ -120,6 +128,9 @@
 		return !now.Before(priority.firstRead)
 	}
 	wait := rankDelay(priority.rank)
+	if now.Sub(priority.heldAt) < wait {
+		return false
+	}
 	if t.backoff == 0 && now.Sub(priority.storeAnsweredAt) > storeAnswerValidity {
 		wait += failureDelay(priority.failing)
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -163,7 +163,10 @@
 		return
 	}
 	n.fetchInFlight = true
-	jitter := n.fetchJitter()
+	jitter := time.Duration(0)
+	if !n.isLeader {
+		jitter = n.fetchJitter()
+	}
 	request := StateRequest{MarksDigest: n.marksDigest()}
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -17,13 +17,17 @@
 	// Failed reads of targets show that the store does not answer this instance, and overdue ones that it may answer
 	// nobody. Reading one topic is then enough to find out.
 	overdue := n.targetsTopic.known && n.configsTopic.known && now.Sub(n.targetsTopic.asOf) >= targetsReadInterval+firstRankDelay
-	if n.targetsTopic.backoff > 0 || overdue || !n.configsTopic.due(now, n.configsPriority(now, rank)) {
+	if n.targetsTopic.backoff > 0 || overdue {
+		n.configsHeldAt = now
+		return
+	}
+	if !n.configsTopic.due(now, n.configsPriority(now, rank)) {
 		return
 	}
 	n.configsTopic.readStarted(now)
 	n.logRead("configs", &n.configsTopic, rank, now)
 	n.traffic.storeCalls[CallConfigs].Add(1)
-	next, known := n.configsTopic.next, n.configsTopic.known
+	next, known := n.configsTopic.next, n.era.continues(&n.configsTopic)
 	go func() {
 		r := configsRead{startedAt: now}
 		r.err = n.guardCall(storePart, func() (err error) {
@@ -59,6 +63,7 @@
 func (n *Node) configsPriority(now time.Time, rank int) readPriority {
 	priority := n.readPriority(now, rank)
 	priority.requiredAsOf = n.era.listingRequiredAt(&n.configsTopic)
+	priority.heldAt = n.configsHeldAt
 	return priority
 }
 
@@ -66,6 +71,7 @@
 func (n *Node) targetsPriority(now time.Time, rank int) readPriority {
 	priority := n.readPriority(now, rank)
 	priority.requiredAsOf = n.era.listingRequiredAt(&n.targetsTopic)
+	priority.awaitsPeer = n.awaitsListing(now)
 	if at := n.registry.ExpiredDecidedAt(); !at.IsZero() && !now.Before(at) {
 		priority.requiredAsOf = clock.Later(priority.requiredAsOf, at.Add(expiredReadMargin))
 	}
@@ -161,7 +167,7 @@
 	n.targetsTopic.readStarted(now)
 	n.logRead("targets", &n.targetsTopic, rank, now)
 	n.traffic.storeCalls[CallTargets].Add(1)
-	next, known := n.targetsTopic.next, n.targetsTopic.known && !n.targetsTopic.relist
+	next, known := n.targetsTopic.next, n.era.continues(&n.targetsTopic)
 	go func() {
 		r := targetsRead{startedAt: now}
 		r.err = n.guardCall(storePart, func() (err error) {
--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -170,6 +170,7 @@
 		return false
 	}
 	next := update.next()
+	n.tellEra(next.Era, now)
 	if next.After(n.targetsTopic.next) && update.base().After(n.targetsTopic.next) {
 		n.targetsTopic.behind = true
 		return false
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -10,9 +10,9 @@
 // applyUpdate applies what a peer read from the store and its load reports, and relays datagrams of other zones to this
 // zone.
 func (n *Node) applyUpdate(ctx context.Context, d *datagram, p *peerState, now time.Time) {
-	before := n.configVersion()
+	before, eraBefore := n.configVersion(), n.targetsTopic.next.Era
 	changed := d.Targets != nil && n.mergeTargetsUpdate(d.Targets, now)
-	if n.targetsTopic.behind && n.fetchesFrom(p, &n.targetsTopic) {
+	if n.targetsTopic.behind && n.fetchesFrom(p, &n.targetsTopic, now) {
 		n.fetchState(ctx, p.Address, now)
 	}
 	if changed {
@@ -26,7 +26,8 @@
 		n.queueForOtherZones(d)
 		return
 	}
-	if n.isLeader && !changed && !isNewer(d.Config, before) {
+	// The zone is told at once of a new era, before others of it read the store.
+	if n.isLeader && !changed && !isNewer(d.Config, before) && n.targetsTopic.next.Era == eraBefore {
 		n.queueForZone(d.Loads)
 		return
 	}
@@ -51,9 +52,10 @@
 }
 
 // fetchesFrom reports whether this instance fetches missing records of a topic from a peer. Leaders read the store
-// themselves unless their reads fail: a partitioned leader would otherwise learn nothing until its next attempt.
-func (n *Node) fetchesFrom(p *peerState, topic *topicState) bool {
-	return topic.backoff > 0 || n.targetsTopic.backoff > 0 || p.Zone == n.Self.Zone && !n.isLeader
+// themselves unless their reads fail: a partitioned leader would otherwise learn nothing until its next attempt. The listing of a
+// newer era is fetched by leaders too.
+func (n *Node) fetchesFrom(p *peerState, topic *topicState, now time.Time) bool {
+	return n.awaitsListing(now) || topic.backoff > 0 || n.targetsTopic.backoff > 0 || p.Zone == n.Self.Zone && !n.isLeader
 }
 
 // isNewer reports whether a peer's configuration is newer than a version.
@@ -131,7 +133,7 @@
 		n.configsTopic.refresh(asOf, status.Answer)
 	case status.Version < n.configVersion():
 		return
-	case n.fetchesFrom(p, &n.configsTopic):
+	case n.fetchesFrom(p, &n.configsTopic, now):
 		n.configsTopic.behind = true
 		n.fetchState(ctx, p.Address, now)
 	default:
