Move the reading of the store's topics into a package of its own

Change: internal/storeread holds the schedule of the reads (Topic, Priority), the era (Era), the ages of answers and the reads that fall back to a listing. Its fields tell position, era and time of a topic; reads in flight, backoff and reader are private. Three tests of the schedule moved with it, unchanged but for names. No behavior is changed.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -80,7 +80,7 @@
 // newDatagram returns a datagram with the fields that every datagram of this instance carries.
 func (n *Node) newDatagram(now time.Time) *datagram {
 	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leader: n.isLeader, ZoneLive: n.liveInZone(now), MarksDigest: n.marksDigest()}
-	if n.targetsTopic.isFailing(now) {
+	if n.targetsTopic.IsFailing(now) {
 		d.ZoneFailing = 1
 	}
 	if n.isLeader {
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -38,10 +39,10 @@
 	n.handleTargetsRead(targetsRead{startedAt: later, changes: []registry.Change{{ID: "t1", Offset: 8, Era: 1}}, next: old}, later)
 	n.handleTargetsRead(targetsRead{startedAt: later, complete: true, next: old}, later)
 	n.handleConfigsRead(configsRead{startedAt: later, next: old}, later)
-	if len(n.registry.Usable()) != 1 || n.targetsTopic.next.Era != 2 || n.configsTopic.next.Era != 2 {
-		t.Errorf("usable %+v, read up to %+v and %+v", n.registry.Usable(), n.targetsTopic.next, n.configsTopic.next)
+	if len(n.registry.Usable()) != 1 || n.targetsTopic.Next.Era != 2 || n.configsTopic.Next.Era != 2 {
+		t.Errorf("usable %+v, read up to %+v and %+v", n.registry.Usable(), n.targetsTopic.Next, n.configsTopic.Next)
 	}
-	if n.targetsTopic.asOf.After(testStart) || n.configsTopic.asOf.After(testStart) {
+	if n.targetsTopic.AsOf.After(testStart) || n.configsTopic.AsOf.After(testStart) {
 		t.Error("an answer of an earlier era counts as a read of the newest one")
 	}
 }
@@ -54,13 +55,13 @@
 	listing := []registry.Change{listedTarget("t2", topic.Position{Era: 2, Offset: 2})}
 	peer.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: again}, testStart)
 
-	if n.mergeTargetsUpdate(peer.targetsUpdate(testStart), testStart); !n.targetsTopic.behind || n.targetsTopic.next.Era != 1 {
-		t.Fatalf("behind %v, read up to %+v", n.targetsTopic.behind, n.targetsTopic.next)
+	if n.mergeTargetsUpdate(peer.targetsUpdate(testStart), testStart); !n.targetsTopic.Behind || n.targetsTopic.Next.Era != 1 {
+		t.Fatalf("behind %v, read up to %+v", n.targetsTopic.Behind, n.targetsTopic.Next)
 	}
-	state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.next.Offset, TargetsEra: n.targetsTopic.next.Era}, testStart)
+	state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.Next.Offset, TargetsEra: n.targetsTopic.Next.Era}, testStart)
 	n.handleStateFetched(stateFetched{state: &state, requestedAt: testStart}, testStart)
-	if n.targetsTopic.next != again || n.Store.(*storeClient).learned != 2 {
-		t.Errorf("read up to %+v, the store's client knows era %d", n.targetsTopic.next, n.Store.(*storeClient).learned)
+	if n.targetsTopic.Next != again || n.Store.(*storeClient).learned != 2 {
+		t.Errorf("read up to %+v, the store's client knows era %d", n.targetsTopic.Next, n.Store.(*storeClient).learned)
 	}
 	if usable := n.registry.Usable(); len(usable) != 2 {
 		t.Errorf("usable targets %+v, want t2 and t1, which may write its entry again", usable)
@@ -75,8 +76,8 @@
 	n := nodeInEra(t, "a1", 1)
 	answering := int64(0)
 	update := &targetsUpdate{Base: 5, Next: 9, StoreAnsweringMS: &answering, Changes: []registry.Change{{ID: "t1", Offset: 8}}}
-	if n.mergeTargetsUpdate(update, testStart); n.targetsTopic.behind || n.targetsTopic.next.Offset != 5 || len(n.registry.Usable()) != 1 {
-		t.Errorf("behind %v, read up to %+v", n.targetsTopic.behind, n.targetsTopic.next)
+	if n.mergeTargetsUpdate(update, testStart); n.targetsTopic.Behind || n.targetsTopic.Next.Offset != 5 || len(n.registry.Usable()) != 1 {
+		t.Errorf("behind %v, read up to %+v", n.targetsTopic.Behind, n.targetsTopic.Next)
 	}
 
 	started := newQuietNode(t, newMember("a2", "a"))
@@ -89,7 +90,7 @@
 		t.Fatal("an instance does not serve with the state of a peer that knows no eras")
 	}
 	started.Store.(*storeClient).era = 1
-	if started.noticeEra(testStart); started.targetsPriority(testStart, 0).requiredAsOf != testStart {
+	if started.era.Notice(started.Store.Era(), testStart); started.targetsPriority(testStart, 0).RequiredAsOf != testStart {
 		t.Error("the targets are not listed when the store tells an era for the first time")
 	}
 }
@@ -105,9 +106,9 @@
 		client := virtualStoreClient{&virtualStore{era: 2}, "a1"}
 		client.LearnEra(2)
 		n.Store = client
-		n.noticeEra(testStart.Add(time.Millisecond))
-		n.readConfigs(t.Context(), testStart.Add(targetsReadInterval), 0)
-		n.readTargets(t.Context(), testStart.Add(targetsReadInterval), 0)
+		n.era.Notice(n.Store.Era(), testStart.Add(time.Millisecond))
+		n.readConfigs(t.Context(), testStart.Add(storeread.TargetsInterval), 0)
+		n.readTargets(t.Context(), testStart.Add(storeread.TargetsInterval), 0)
 		time.Sleep(time.Second)
 		client.update(func() {
 			if client.calls != 2 {
@@ -237,17 +238,17 @@
 	n.isLeader = true
 	n.members.add(newMember("b1", "b"), testStart)
 	at := testStart.Add(2 * time.Second)
-	listed := &targetsUpdate{Base: 2, BaseEra: 2, Next: 2, NextEra: 2, Answer: answerID{Reader: 1, Number: 1}}
+	listed := &targetsUpdate{Base: 2, BaseEra: 2, Next: 2, NextEra: 2, Answer: storeread.AnswerID{Reader: 1, Number: 1}}
 	n.applyUpdate(t.Context(), &datagram{Targets: listed}, n.members.remotePeers["b"][0], at)
-	if !n.fetchInFlight || n.targetsTopic.due(at, n.targetsPriority(at, 0)) {
+	if !n.fetchInFlight || n.targetsTopic.Due(at, n.targetsPriority(at, 0)) {
 		t.Errorf("fetch in flight %v, reads the store as well", n.fetchInFlight)
 	}
 	n.handleStateFetched(stateFetched{err: errRefused}, at)
-	if !n.targetsTopic.due(at, n.targetsPriority(at, 0)) {
+	if !n.targetsTopic.Due(at, n.targetsPriority(at, 0)) {
 		t.Error("the store is not read after the fetch failed")
 	}
-	n.targetsTopic.peersFailed = false
-	if late := at.Add(fetchLimit(0)); !n.targetsTopic.due(late, n.targetsPriority(late, 0)) {
+	n.targetsTopic.PeersFailed = false
+	if late := at.Add(fetchLimit(0)); !n.targetsTopic.Due(late, n.targetsPriority(late, 0)) {
 		t.Error("the store is not read after the time of a fetch")
 	}
 }
@@ -267,12 +268,12 @@
 		before := sent()
 		at := testStart.Add(time.Second)
 		n.members.peers["a2"].lastHeard = at
-		update := &targetsUpdate{Base: 0, BaseEra: 1, Next: 5, NextEra: era, RestoredEra: era, Answer: answerID{Reader: 1, Number: uint32(era)}}
+		update := &targetsUpdate{Base: 0, BaseEra: 1, Next: 5, NextEra: era, RestoredEra: era, Answer: storeread.AnswerID{Reader: 1, Number: uint32(era)}}
 		n.applyUpdate(t.Context(), &datagram{Targets: update}, n.members.remotePeers["b"][0], at)
 		return sent() - before
 	}
-	if tell(2) == 0 || n.targetsTopic.next.Era != 2 {
-		t.Errorf("era %d, not relayed", n.targetsTopic.next.Era)
+	if tell(2) == 0 || n.targetsTopic.Next.Era != 2 {
+		t.Errorf("era %d, not relayed", n.targetsTopic.Next.Era)
 	}
 	if tell(2) != 0 {
 		t.Error("an era that is known is relayed again")
--- a/internal/fleet/guard.go
+++ b/internal/fleet/guard.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/basillink/basillink/internal/clock"
+	"github.com/basillink/basillink/internal/storeread"
 )
 
 // Names of the parts of the node in the log entries of panics.
@@ -47,15 +47,15 @@
 // resetReads makes topics readable again after the handling of an answer of the store panicked.
 func (n *Node) resetReads(e event, now time.Time) {
 	n.joinInFlight, n.storedMarks.callInFlight = false, false
-	for _, topic := range []*topicState{&n.targetsTopic, &n.configsTopic} {
-		if topic.readsInFlight > 0 {
-			topic.readFailed(now, n.Random.Float64(), n.failingInFleet)
+	for _, topic := range []*storeread.Topic{&n.targetsTopic, &n.configsTopic} {
+		if topic.Reading() {
+			topic.ReadFailed(now, n.Random.Float64(), n.failingInFleet)
 		}
 	}
 	if read, ok := e.(targetsRead); ok {
 		// The topic may count as read up to an offset whose records were not applied. A listing that panics is not repeated.
-		n.targetsTopic.relist = !read.complete
-		n.targetsTopic.retryAt = clock.Later(n.targetsTopic.retryAt, now.Add(minReadBackoff))
+		n.targetsTopic.Relist = !read.complete
+		n.targetsTopic.DelayRetry(now)
 	}
 }
 
--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -17,6 +17,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -106,12 +107,12 @@
 	later := testStart.Add(time.Minute)
 	calls := map[string]func(n *Node){
 		"configs, listed": func(n *Node) { n.readConfigs(ctx, later, 0) },
-		"configs":         func(n *Node) { n.configsTopic.known = true; n.readConfigs(ctx, later, 0) },
+		"configs":         func(n *Node) { n.configsTopic.Known = true; n.readConfigs(ctx, later, 0) },
 		"targets, listed": func(n *Node) { n.readTargets(ctx, later, 0) },
-		"targets":         func(n *Node) { n.targetsTopic.known = true; n.readTargets(ctx, later, 0) },
+		"targets":         func(n *Node) { n.targetsTopic.Known = true; n.readTargets(ctx, later, 0) },
 		"members":         func(n *Node) { n.join(ctx, later) },
-		"stored marks":    func(n *Node) { n.targetsTopic.known = true; n.syncStoredMarks(ctx, later) },
-		"putting a mark":  func(n *Node) { n.targetsTopic.known, n.storedMarks.loaded = true, true; n.syncStoredMarks(ctx, later) },
+		"stored marks":    func(n *Node) { n.targetsTopic.Known = true; n.syncStoredMarks(ctx, later) },
+		"putting a mark":  func(n *Node) { n.targetsTopic.Known, n.storedMarks.loaded = true, true; n.syncStoredMarks(ctx, later) },
 		"state of a peer": func(n *Node) { n.fetchState(ctx, "127.0.0.1:9", later) },
 		"marks of a peer": func(n *Node) { n.fetchDifferingMarks(ctx, 2, &peerState{marksDifferSince: testStart}, later) },
 	}
@@ -127,7 +128,7 @@
 			case <-time.After(time.Second):
 				t.Fatal("the call has no result")
 			}
-			if n.targetsTopic.readsInFlight+n.configsTopic.readsInFlight > 0 || n.joinInFlight || n.storedMarks.callInFlight || n.fetchInFlight || n.marksFetchInFlight {
+			if n.targetsTopic.Reading() || n.configsTopic.Reading() || n.joinInFlight || n.storedMarks.callInFlight || n.fetchInFlight || n.marksFetchInFlight {
 				t.Error("the call is still in flight")
 			}
 			if n.Panics() != 1 {
@@ -151,7 +152,7 @@
 	n.registry = known
 	n.Store = &storeClient{store: &fakeStore{targets: []registry.Change{{ID: "other"}, {ID: "t", Offset: 1, Entry: entry}, {ID: "t", Offset: 2}}}}
 	later := testStart.Add(time.Second)
-	n.targetsTopic.refresh(later, answerID{Reader: 7, Number: 1})
+	n.targetsTopic.Refresh(later, storeread.AnswerID{Reader: 7, Number: 1})
 	n.readTargets(context.Background(), later, 0)
 	select {
 	case e := <-n.inbox:
@@ -159,8 +160,8 @@
 	case <-time.After(time.Second):
 		t.Fatal("the targets are not listed again")
 	}
-	if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.relist {
-		t.Errorf("usable targets %+v, listed again %v; want none, true", usable, !n.targetsTopic.relist)
+	if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.Relist {
+		t.Errorf("usable targets %+v, listed again %v; want none, true", usable, !n.targetsTopic.Relist)
 	}
 }
 
--- a/internal/fleet/held_targets.go
+++ b/internal/fleet/held_targets.go
@@ -35,10 +35,10 @@
 
 // admitHeldTargets puts targets into use whose entries were held and have proved to be newer.
 func (n *Node) admitHeldTargets(now time.Time) {
-	if !n.targetsTopic.known {
+	if !n.targetsTopic.Known {
 		return
 	}
-	admitted := n.registry.AdmitHeld(now, n.targetsTopic.asOf)
+	admitted := n.registry.AdmitHeld(now, n.targetsTopic.AsOf)
 	if len(admitted) == 0 {
 		return
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/storeread"
 )
 
 const (
@@ -155,7 +156,7 @@
 		at = earliest
 	}
 	if n.members.zoneLeader(now) != nil {
-		at = at.Add(leaderHelpWait + time.Duration(rank)*nearRankStep)
+		at = at.Add(leaderHelpWait + time.Duration(rank)*storeread.NearRankStep)
 	}
 	return at
 }
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -111,80 +112,18 @@
 	}
 }
 
-// Guards against reads that are too rare for the bound on departures or too many, and against missing reads when a
-// leader fails.
-func TestTopicReadSchedule(t *testing.T) {
-	r := topicState{interval: targetsReadInterval}
-	if !r.due(testStart, readPriority{rank: 5, isLeader: false, firstRead: testStart}) {
-		t.Error("an unknown topic is not read")
-	}
-	r.readStarted(testStart)
-	if r.due(testStart, readPriority{rank: 0, isLeader: true, firstRead: testStart}) {
-		t.Error("a read is due while another one is in flight")
-	}
-	r.readSucceeded(testStart, topic.Position{Offset: 10})
-	cases := []struct {
-		age  time.Duration
-		rank int
-		want bool
-	}{
-		{targetsReadInterval - time.Millisecond, 0, false}, {targetsReadInterval, 0, true}, {targetsReadInterval, 1, false},
-		{targetsReadInterval + firstRankDelay, 1, true}, {targetsReadInterval + firstRankDelay, 2, false}, {time.Second, 3, true},
-	}
-	for _, c := range cases {
-		if got := r.due(testStart.Add(c.age), readPriority{rank: c.rank, isLeader: true, firstRead: testStart}); got != c.want {
-			t.Errorf("age %s, rank %d: due %v, want %v", c.age, c.rank, got, c.want)
-		}
-	}
-	r.behind = true
-	if r.due(testStart, readPriority{rank: 5, isLeader: false, firstRead: testStart}) || !r.due(testStart, readPriority{rank: 5, isLeader: true, firstRead: testStart}) {
-		t.Error("an instance that lacks records reads although its leader may send them, or the leader does not read")
-	}
-	r.peersFailed = true
-	if !r.due(testStart, readPriority{rank: 5, isLeader: false, firstRead: testStart}) {
-		t.Error("an instance that cannot fetch from peers does not read")
-	}
-	r.behind, r.peersFailed = false, false
-	r.readFailed(testStart, 1, 0)
-	if r.due(testStart.Add(minReadBackoff), readPriority{rank: 0, isLeader: true, firstRead: testStart}) || !r.due(testStart.Add(2*time.Second), readPriority{rank: 0, isLeader: true, firstRead: testStart}) {
-		t.Error("after a failed read, the next one is due within the shortest backoff, or is not due after 2 s")
-	}
-	for range 10 {
-		r.readFailed(testStart, 1, 0)
-	}
-	if !r.due(testStart.Add(2*maxReadBackoff), readPriority{rank: 0, isLeader: true, firstRead: testStart}) {
-		t.Error("the backoff grows without bound")
-	}
-}
-
-// Guards against an instance that the store answers but that waits for instances that the store refuses, as if the
-// store were down. Departures must be applied within 2 s even then.
-func TestServedInstanceDoesNotWaitForRefusedOnes(t *testing.T) {
-	const rank, refused = 3, 5
-	r := topicState{interval: targetsReadInterval}
-	r.readSucceeded(testStart, topic.Position{Offset: 10})
-	own := targetsReadInterval + firstRankDelay + (rank-1)*nearRankStep
-	if !r.due(testStart.Add(own), readPriority{rank: rank, firstRead: testStart, failing: refused, storeAnsweredAt: testStart}) {
-		t.Errorf("an instance that the store answered just now does not read after %s", own)
-	}
-	r.refresh(testStart.Add(time.Minute), answerID{})
-	if r.due(testStart.Add(time.Minute+own), readPriority{rank: rank, firstRead: testStart, failing: refused, storeAnsweredAt: testStart}) {
-		t.Error("an instance that the store has not answered for a minute reads at once, like those that it refuses")
-	}
-}
-
 // Guards against instances that count as failing forever after an outage, because others read again before they do: all
 // others then waited 300 ms for each of them, and a configuration that changed just after the outage was applied 2.6 s
 // late.
 func TestFailingCountResetsAfterOutage(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
-	n.targetsTopic.known, n.targetsTopic.asOf = true, testStart
+	n.targetsTopic.Known, n.targetsTopic.AsOf = true, testStart
 	outage := testStart.Add(4 * time.Second)
-	n.targetsTopic.readFailed(outage, 0.5, 0)
+	n.targetsTopic.ReadFailed(outage, 0.5, 0)
 	if d := n.newDatagram(outage); d.ZoneFailing != 1 {
 		t.Error("an instance whose reads fail in an outage does not announce it")
 	}
-	n.targetsTopic.refresh(outage, answerID{})
+	n.targetsTopic.Refresh(outage, storeread.AnswerID{})
 	n.updateFailingCounts(outage)
 	if d := n.newDatagram(outage); d.ZoneFailing != 0 || n.failingInZone != 0 {
 		t.Error("an instance counts as failing although another one reads the store")
@@ -197,21 +136,12 @@
 	n := newQuietNode(t, newMember("a1", "a"))
 	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 1}}, testStart)
 	n.failingInFleet = 20
-	n.configsTopic.known, n.configsTopic.asOf = true, testStart
-	if at := testStart.Add(configsReadInterval); !n.configsTopic.due(at, n.readPriority(at, 0)) {
+	n.configsTopic.Known, n.configsTopic.AsOf = true, testStart
+	if at := testStart.Add(storeread.ConfigsInterval); !n.configsTopic.Due(at, n.readPriority(at, 0)) {
 		t.Error("the instance waits for others that failed in the outage")
 	}
 }
 
-// Guards against a store that counts as down, so that targets with expired entries are retained, while it only refuses
-// the first three ranks and the fourth is about to read.
-func TestFourthRankReadsBeforeOutageIsDeclared(t *testing.T) {
-	r := topicState{interval: targetsReadInterval, known: true, asOf: testStart}
-	if !r.due(testStart.Add(outageAfter-20*time.Millisecond), readPriority{rank: 3, firstRead: testStart, failing: 3}) {
-		t.Errorf("the fourth rank has not read %s after the latest read", outageAfter)
-	}
-}
-
 // Guards against targets that no instance or several instances probe when there are too many for one, and against a
 // shard that stays with an owner that fell silent.
 func TestShardAssignment(t *testing.T) {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -11,6 +11,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -96,7 +97,7 @@
 	// the latest read. It is nil if the sender is of an earlier version.
 	StoreAnsweringMS *int64 `cbor:"5,keyasint,omitempty"`
 	// Answer identifies the answer of the store that AgeMS is the age of.
-	Answer answerID `cbor:"6,keyasint"`
+	Answer storeread.AnswerID `cbor:"6,keyasint"`
 	// BaseEra and NextEra are the eras of Base and Next. They are 0 if the sender is of an earlier version.
 	BaseEra int64 `cbor:"7,keyasint,omitempty"`
 	NextEra int64 `cbor:"8,keyasint,omitempty"`
@@ -115,7 +116,7 @@
 	Version uint64 `cbor:"1,keyasint"`
 	AgeMS   int64  `cbor:"2,keyasint"`
 	// Answer identifies the answer of the store that AgeMS is the age of.
-	Answer answerID `cbor:"3,keyasint"`
+	Answer storeread.AnswerID `cbor:"3,keyasint"`
 }
 
 // State is everything that an instance needs to start serving.
@@ -124,7 +125,7 @@
 	ConfigNext int64
 	ConfigAge  time.Duration
 	// ConfigAnswer and TargetsAnswer identify the answers of the store that ConfigAge and TargetsAge are the ages of.
-	ConfigAnswer, TargetsAnswer answerID
+	ConfigAnswer, TargetsAnswer storeread.AnswerID
 	Targets                     []registry.Change
 	TargetsNext                 int64
 	// TargetsFrom is the offset from which on Targets is complete. 0 means that Targets holds all targets.
--- a/internal/fleet/newer_config.go
+++ b/internal/fleet/newer_config.go
@@ -72,7 +72,7 @@
 		n.applyConfig(told.withheld, told.withheldSource, now)
 		told.withheld = nil
 	}
-	due := told.withheld != nil || n.configsTopic.asOf.After(told.toldAt) || now.Sub(told.toldAt) >= newerConfigWait
+	due := told.withheld != nil || n.configsTopic.AsOf.After(told.toldAt) || now.Sub(told.toldAt) >= newerConfigWait
 	if !due || now.Before(told.nextFetch) {
 		return
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -20,6 +20,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -93,11 +94,11 @@
 	// from the position recentChangesBase on.
 	recentChanges     []recentChange
 	recentChangesBase topic.Position
-	targetsTopic      topicState
-	configsTopic      topicState
+	targetsTopic      storeread.Topic
+	configsTopic      storeread.Topic
 	// configsHeldAt is the latest time at which the configurations were not read because the targets could not be.
 	configsHeldAt time.Time
-	era           eraState
+	era           storeread.Era
 	newerConfig   newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
@@ -217,7 +218,7 @@
 		pools: map[string]*dispatch.Pool{}, targetsByHash: map[uint32]targetRef{}, pendingForOtherZones: map[uint32]timedLoadReport{},
 		probeStates:       map[string]*probeState{},
 		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
-		targetsTopic: newTopicState(targetsReadInterval, c.Self), configsTopic: newTopicState(configsReadInterval, c.Self),
+		targetsTopic: storeread.NewTopic(storeread.TargetsInterval, readerHash(c.Self)), configsTopic: storeread.NewTopic(storeread.ConfigsInterval, readerHash(c.Self)),
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
@@ -293,14 +294,14 @@
 	n.join(ctx, now)
 	n.updateStoreAvailability(now)
 	n.registry.ForgetDeparted(now)
-	if expired := n.registry.EvictExpired(now, n.targetsTopic.asOf); len(expired) > 0 {
+	if expired := n.registry.EvictExpired(now, n.targetsTopic.AsOf); len(expired) > 0 {
 		n.Log.Info("Removed expired targets that did not come back.", "count", len(expired), "targets", truncateForLog(expired))
 		n.publishView(now)
 	}
 	n.admitHeldTargets(now)
 	n.updateLeadership(now)
 	n.updateFailingCounts(now)
-	n.noticeEra(now)
+	n.era.Notice(n.Store.Era(), now)
 	rank := n.members.readRank(now, n.isLeader)
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
@@ -328,7 +329,7 @@
 
 // updateStoreAvailability logs when the latest known read of any instance gets too old, and when there is a new one.
 func (n *Node) updateStoreAvailability(now time.Time) {
-	if !n.targetsTopic.known {
+	if !n.targetsTopic.Known {
 		return
 	}
 	silent := n.registry.StoreSilent(now)
@@ -336,7 +337,7 @@
 		return
 	}
 	n.storeDown = silent
-	age := now.Sub(n.targetsTopic.asOf).Milliseconds()
+	age := now.Sub(n.targetsTopic.AsOf).Milliseconds()
 	if silent {
 		n.Log.Warn("Lost the store.", "age_ms", age)
 		return
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -94,8 +94,8 @@
 // backdate moves the times of what was received and read before a suspension of the host back by its length, because
 // the monotonic clock stops during a suspension.
 func (n *Node) backdate(by time.Duration) {
-	n.targetsTopic.backdate(by)
-	n.configsTopic.backdate(by)
+	n.targetsTopic.Backdate(by)
+	n.configsTopic.Backdate(by)
 	n.shardsAssignedAt = n.shardsAssignedAt.Add(-by)
 	n.registry.BackdateStore(by)
 	n.members.backdate(by)
--- a/internal/fleet/pause_test.go
+++ b/internal/fleet/pause_test.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -106,7 +107,7 @@
 		}
 	}
 	for _, n := range []*Node{a, b} {
-		if age := now.Sub(n.targetsTopic.asOf); age < 2*rounds*lag-lag {
+		if age := now.Sub(n.targetsTopic.AsOf); age < 2*rounds*lag-lag {
 			t.Errorf("%s takes an answer for %v old that is %v old", n.Self.ID, age, 2*rounds*lag)
 		}
 		if !n.registry.StoreSilent(now) {
@@ -186,21 +187,21 @@
 	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: topic.Position{Offset: 2}}, testStart)
 	n.handleConfigsRead(configsRead{startedAt: testStart, next: topic.Position{Offset: 2}}, testStart)
 	before := testStart.Add(time.Second)
-	n.targetsTopic.readStarted(before)
-	n.configsTopic.readStarted(before)
+	n.targetsTopic.ReadStarted(before)
+	n.configsTopic.ReadStarted(before)
 	resumed := before.Add(4 * time.Second)
 	n.recordTick(before)
 	n.detectPause(resumed)
 	n.handleTargetsRead(targetsRead{startedAt: before, err: errStoreDown}, resumed)
 	n.handleConfigsRead(configsRead{startedAt: before, err: errStoreDown}, resumed)
-	for name, topic := range map[string]*topicState{"targets": &n.targetsTopic, "configs": &n.configsTopic} {
-		if topic.isFailing(resumed) || topic.readsInFlight > 0 || !topic.due(resumed, readPriority{}) {
-			t.Errorf("%s: failing %v, %d reads in flight, due %v; want a new read at once", name, topic.isFailing(resumed), topic.readsInFlight, topic.due(resumed, readPriority{}))
+	for name, topic := range map[string]*storeread.Topic{"targets": &n.targetsTopic, "configs": &n.configsTopic} {
+		if topic.IsFailing(resumed) || topic.Reading() || !topic.Due(resumed, storeread.Priority{}) {
+			t.Errorf("%s: failing %v, reading %v, due %v; want a new read at once", name, topic.IsFailing(resumed), topic.Reading(), topic.Due(resumed, storeread.Priority{}))
 		}
 	}
-	n.targetsTopic.readStarted(resumed)
+	n.targetsTopic.ReadStarted(resumed)
 	n.handleTargetsRead(targetsRead{startedAt: resumed, err: errStoreDown}, resumed.Add(time.Millisecond))
-	if !n.targetsTopic.isFailing(resumed.Add(time.Millisecond)) {
+	if !n.targetsTopic.IsFailing(resumed.Add(time.Millisecond)) {
 		t.Error("a read that failed after the pause is no failure")
 	}
 }
@@ -226,7 +227,7 @@
 	removal := targetsRead{startedAt: started, changes: []registry.Change{{ID: "t", Offset: 2}}, next: topic.Position{Offset: 3}}
 	n.detectPauseBeforeEvent(removal, resumed)
 	n.handleTargetsRead(removal, resumed)
-	if age := resumed.Sub(n.targetsTopic.asOf); age < suspended {
+	if age := resumed.Sub(n.targetsTopic.AsOf); age < suspended {
 		t.Errorf("a read from before a suspension of %s counts as %s old", suspended, age)
 	}
 	if len(n.registry.Usable()) != 1 {
--- a/internal/fleet/peer_faults_test.go
+++ b/internal/fleet/peer_faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -18,14 +19,15 @@
 	ctx := context.Background()
 	n.handleGuarded(ctx, datagramReceived{}, testStart)
 	n.handleGuarded(ctx, stateFetched{}, testStart)
-	n.targetsTopic.readsInFlight, n.joinInFlight = 1, true
+	n.targetsTopic.ReadStarted(testStart)
+	n.joinInFlight = true
 	n.registry = nil
 	n.handleGuarded(ctx, targetsRead{startedAt: testStart, changes: []registry.Change{{ID: "t"}}}, testStart)
 	if n.Panics() != 3 {
 		t.Errorf("%d panics were counted, want 3", n.Panics())
 	}
 	n.registry = registry.New(targetHeartbeat)
-	if n.targetsTopic.readsInFlight > 0 || n.joinInFlight || !n.targetsTopic.due(testStart.Add(maxReadBackoff), readPriority{rank: 0, isLeader: true, firstRead: testStart}) {
+	if n.targetsTopic.Reading() || n.joinInFlight || !n.targetsTopic.Due(testStart.Add(storeread.MaxBackoff), storeread.Priority{Rank: 0, IsLeader: true, FirstRead: testStart}) {
 		t.Error("the targets are not read again")
 	}
 	n.handleGuarded(ctx, datagramReceived{datagram: &datagram{From: "b1", Started: 1}, from: "127.0.0.1:9"}, testStart)
@@ -105,10 +107,10 @@
 		n := newQuietNode(t, newMember("a1", "a"))
 		listing := []registry.Change{{ID: "departed", Offset: 5, Entry: entry}}
 		n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: topic.Position{Offset: 6}}, testStart)
-		state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.next.Offset}, testStart)
+		state := peer.stateFor(StateRequest{TargetsNext: n.targetsTopic.Next.Offset}, testStart)
 		n.handleStateFetched(stateFetched{state: &state}, testStart)
-		if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.next.Offset != 9 {
-			t.Errorf("%s: usable targets %+v, known up to %d; want no targets, known up to 9", name, usable, n.targetsTopic.next)
+		if usable := n.registry.Usable(); len(usable) != 0 || n.targetsTopic.Next.Offset != 9 {
+			t.Errorf("%s: usable targets %+v, known up to %d; want no targets, known up to 9", name, usable, n.targetsTopic.Next)
 		}
 	}
 }
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -13,6 +13,7 @@
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/storeread"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -139,7 +140,7 @@
 	// The monotonic clock of a suspended host stops.
 	other := newMember("a2", "a")
 	n.members.add(other, resumedAt)
-	n.members.peers["a2"].lastHeard, n.targetsTopic.asOf, n.targetsTopic.known, n.shardsAssignedAt = resumedAt, resumedAt, true, resumedAt
+	n.members.peers["a2"].lastHeard, n.targetsTopic.AsOf, n.targetsTopic.Known, n.shardsAssignedAt = resumedAt, resumedAt, true, resumedAt
 	suspended = 4 * time.Second
 	n.detectPause(resumedAt.Add(10 * time.Millisecond))
 	n.updateStoreAvailability(resumedAt.Add(10 * time.Millisecond))
@@ -192,7 +193,7 @@
 	}
 	n.registry.Apply(registry.Change{ID: "departed", Offset: 3, Entry: entry("departed")}, testStart)
 	n.registry.Apply(registry.Change{ID: "stays", Offset: 4, Entry: entry("stays")}, testStart)
-	n.targetsTopic.known, n.targetsTopic.next = true, topic.Position{Offset: 5}
+	n.targetsTopic.Known, n.targetsTopic.Next = true, topic.Position{Offset: 5}
 	n.handleStateFetched(stateFetched{state: &State{
 		TargetsListed: true, TargetsNext: 9, Targets: []registry.Change{{ID: "stays", Offset: 8, Entry: entry("stays")}},
 	}}, testStart)
@@ -208,7 +209,7 @@
 	const targets = 150
 	peer, _ := nodeWithTargets(targets)
 	n, _ := nodeWithTargets(targets)
-	request := StateRequest{HaveConfig: true, HaveVersion: 1, TargetsNext: n.targetsTopic.next.Offset}
+	request := StateRequest{HaveConfig: true, HaveVersion: 1, TargetsNext: n.targetsTopic.Next.Offset}
 	if state := peer.stateFor(request, testStart); len(state.Targets) != 0 || state.Config != nil {
 		t.Errorf("%d targets and configuration %v are sent to a peer that has them", len(state.Targets), state.Config)
 	}
@@ -232,8 +233,8 @@
 		t.Errorf("%d targets instead of the two that changed", len(state.Targets))
 	}
 	n.handleStateFetched(stateFetched{state: &state}, testStart)
-	if got := len(n.registry.Usable()); got != targets-2 || n.targetsTopic.next.Offset != targets+10 {
-		t.Errorf("%d usable targets, want %d; known up to %d, want %d", got, targets-2, n.targetsTopic.next, targets+10)
+	if got := len(n.registry.Usable()); got != targets-2 || n.targetsTopic.Next.Offset != targets+10 {
+		t.Errorf("%d usable targets, want %d; known up to %d, want %d", got, targets-2, n.targetsTopic.Next, targets+10)
 	}
 	if full := peer.stateFor(StateRequest{}, testStart); len(full.Targets) < targets-1 {
 		t.Errorf("an instance that knows nothing is sent %d targets, want at least %d", len(full.Targets), targets-1)
@@ -356,7 +357,7 @@
 	calls := f.store.callCount()
 	// In each zone, up to largeZoneSize members may read both topics before they count the zone as large, and the
 	// leader announces itself in three calls. The rest are the regular reads since the start.
-	if limit := 2 + zones*(2*largeZoneSize+3) + int(time.Since(f.startedAt)/targetsReadInterval) + int(time.Since(f.startedAt)/configsReadInterval); calls > limit {
+	if limit := 2 + zones*(2*largeZoneSize+3) + int(time.Since(f.startedAt)/storeread.TargetsInterval) + int(time.Since(f.startedAt)/storeread.ConfigsInterval); calls > limit {
 		t.Errorf("%d instances made %d calls to the store, want at most %d", count, calls, limit)
 	}
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -171,8 +171,8 @@
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
 	}
-	if n.targetsTopic.known {
-		request.TargetsNext, request.TargetsEra = n.targetsTopic.next.Offset, n.targetsTopic.next.Era
+	if n.targetsTopic.Known {
+		request.TargetsNext, request.TargetsEra = n.targetsTopic.Next.Offset, n.targetsTopic.Next.Era
 	}
 	go func() {
 		time.Sleep(jitter)
@@ -188,16 +188,16 @@
 // stateFor returns the answer to a peer's request for the state.
 func (n *Node) stateFor(request StateRequest, now time.Time) State {
 	s := State{
-		ConfigNext: n.configsTopic.next.Offset, ConfigEra: n.configsTopic.next.Era, ConfigAge: now.Sub(n.configsTopic.asOf),
-		TargetsNext: n.targetsTopic.next.Offset, TargetsEra: n.targetsTopic.next.Era, TargetsAge: now.Sub(n.targetsTopic.asOf),
-		ConfigAnswer: n.configsTopic.answer, TargetsAnswer: n.targetsTopic.answer,
-		Members: n.members.membersToIntroduce(n.Self.Zone, true), TargetsListed: n.targetsTopic.known, ConfigListed: n.configsTopic.known,
+		ConfigNext: n.configsTopic.Next.Offset, ConfigEra: n.configsTopic.Next.Era, ConfigAge: now.Sub(n.configsTopic.AsOf),
+		TargetsNext: n.targetsTopic.Next.Offset, TargetsEra: n.targetsTopic.Next.Era, TargetsAge: now.Sub(n.targetsTopic.AsOf),
+		ConfigAnswer: n.configsTopic.Answer, TargetsAnswer: n.targetsTopic.Answer,
+		Members: n.members.membersToIntroduce(n.Self.Zone, true), TargetsListed: n.targetsTopic.Known, ConfigListed: n.configsTopic.Known,
 		MarksRead: n.storedMarks.loaded, StoreAnswering: now.Sub(n.registry.StoreAnsweringSince()),
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
 	}
-	if n.targetsTopic.known {
+	if n.targetsTopic.Known {
 		changes, from := n.registry.ChangesSince(request.targetsNext(), now)
 		s.Targets, s.TargetsFrom, s.TargetsFromEra = changes, from.Offset, from.Era
 	}
@@ -215,7 +215,7 @@
 	n.fetchInFlight = false
 	if e.err != nil {
 		n.nextFetch = now.Add(fetchTimeout)
-		n.configsTopic.peersFailed, n.targetsTopic.peersFailed = true, true
+		n.configsTopic.PeersFailed, n.targetsTopic.PeersFailed = true, true
 		n.Log.Info("Could not fetch the state of a peer.", "error", e.err)
 		return
 	}
@@ -226,13 +226,13 @@
 	n.storedMarks.loaded = n.storedMarks.loaded || s.MarksRead
 	if s.TargetsListed {
 		// The ages are those at the peer, which answered after the request.
-		until := n.targetsTopic.answerTimes.date(s.TargetsAnswer, e.requestedAt.Add(-s.TargetsAge))
+		until := n.targetsTopic.DateAnswer(s.TargetsAnswer, e.requestedAt.Add(-s.TargetsAge))
 		n.registry.StoreAnswered(e.requestedAt.Add(-s.StoreAnswering), until)
 	}
 	changed := n.mergeTargetState(e, now)
-	if s.Config != nil || s.ConfigListed && !n.configsTopic.known {
-		n.configsTopic.next, n.configsTopic.known, n.configsTopic.behind = topic.Later(n.configsTopic.next, s.configNext()), true, false
-		n.configsTopic.refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
+	if s.Config != nil || s.ConfigListed && !n.configsTopic.Known {
+		n.configsTopic.Next, n.configsTopic.Known, n.configsTopic.Behind = topic.Later(n.configsTopic.Next, s.configNext()), true, false
+		n.configsTopic.Refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
 		n.applyNewestConfig(s.Config, "peer", now)
 	}
 	if changed {
@@ -244,7 +244,7 @@
 // instance.
 func (n *Node) mergeTargetState(e stateFetched, now time.Time) bool {
 	s := e.state
-	if !s.TargetsListed || n.targetsTopic.known && !s.targetsNext().After(n.targetsTopic.next) {
+	if !s.TargetsListed || n.targetsTopic.Known && !s.targetsNext().After(n.targetsTopic.Next) {
 		return false
 	}
 	n.registry.Restored(s.RestoredEra, e.requestedAt.Add(-s.Restored))
@@ -256,7 +256,7 @@
 		// The peer may have listed the targets only after a target departed that this instance still has.
 		n.replaceTargets(s.Targets, s.targetsNext(), "peer", now)
 	}
-	n.targetsTopic.next, n.targetsTopic.known, n.targetsTopic.behind = s.targetsNext(), true, false
-	n.targetsTopic.refresh(e.requestedAt.Add(-s.TargetsAge), s.TargetsAnswer)
+	n.targetsTopic.Next, n.targetsTopic.Known, n.targetsTopic.Behind = s.targetsNext(), true, false
+	n.targetsTopic.Refresh(e.requestedAt.Add(-s.TargetsAge), s.TargetsAnswer)
 	return true
 }
--- a/internal/fleet/stored_crash_marks.go
+++ b/internal/fleet/stored_crash_marks.go
@@ -73,7 +73,7 @@
 // syncStoredMarks reads the stored marks after a start, and then writes and deletes them one by one to match the marks
 // of this instance. It lists them again when the store may have executed a write of unknown result.
 func (n *Node) syncStoredMarks(ctx context.Context, now time.Time) {
-	if n.CrashMarks == nil || !n.updateMarksWriter(now) || n.storedMarks.callInFlight || now.Before(n.storedMarks.nextCall) || !n.targetsTopic.known {
+	if n.CrashMarks == nil || !n.updateMarksWriter(now) || n.storedMarks.callInFlight || now.Before(n.storedMarks.nextCall) || !n.targetsTopic.Known {
 		return
 	}
 	n.storedMarks.nextCall = now.Add(putMarkInterval)
--- a/internal/fleet/target_changes.go
+++ b/internal/fleet/target_changes.go
@@ -115,7 +115,7 @@
 // targetsUpdate returns how far the records of targets were read, with the latest changes, or nil if they were not read
 // yet.
 func (n *Node) targetsUpdate(now time.Time) *targetsUpdate {
-	if !n.targetsTopic.known {
+	if !n.targetsTopic.Known {
 		return nil
 	}
 	for len(n.recentChanges) > 0 && (now.Sub(n.recentChanges[0].seenAt) > repeatPeriod || len(n.recentChanges) > maxRepeatedChanges) {
@@ -124,8 +124,8 @@
 	}
 	answering := now.Sub(n.registry.StoreAnsweringSince()).Milliseconds()
 	update := &targetsUpdate{
-		Base: n.recentChangesBase.Offset, BaseEra: n.recentChangesBase.Era, Next: n.targetsTopic.next.Offset, NextEra: n.targetsTopic.next.Era,
-		AgeMS: now.Sub(n.targetsTopic.asOf).Milliseconds(), StoreAnsweringMS: &answering, Answer: n.targetsTopic.answer,
+		Base: n.recentChangesBase.Offset, BaseEra: n.recentChangesBase.Era, Next: n.targetsTopic.Next.Offset, NextEra: n.targetsTopic.Next.Era,
+		AgeMS: now.Sub(n.targetsTopic.AsOf).Milliseconds(), StoreAnsweringMS: &answering, Answer: n.targetsTopic.Answer,
 	}
 	if era, at := n.registry.LatestRestore(); era > 0 {
 		update.RestoredEra, update.RestoredMS = era, now.Sub(at).Milliseconds()
@@ -153,7 +153,7 @@
 
 // recordStoreAnswers records what a peer knows of the answers of the store. It returns the time of the latest one.
 func (n *Node) recordStoreAnswers(update *targetsUpdate, now time.Time) time.Time {
-	until := n.targetsTopic.answerTimes.date(update.Answer, now.Add(-time.Duration(update.AgeMS)*time.Millisecond))
+	until := n.targetsTopic.DateAnswer(update.Answer, now.Add(-time.Duration(update.AgeMS)*time.Millisecond))
 	since := until
 	if update.StoreAnsweringMS != nil {
 		since = now.Add(-time.Duration(*update.StoreAnsweringMS) * time.Millisecond)
@@ -165,29 +165,29 @@
 // mergeTargetsUpdate applies the update of a peer. It reports whether anything changed.
 func (n *Node) mergeTargetsUpdate(update *targetsUpdate, now time.Time) bool {
 	asOf := n.recordStoreAnswers(update, now)
-	if !n.targetsTopic.known {
-		n.targetsTopic.behind = true
+	if !n.targetsTopic.Known {
+		n.targetsTopic.Behind = true
 		return false
 	}
 	next := update.next()
-	n.tellEra(next.Era, now)
-	if next.After(n.targetsTopic.next) && update.base().After(n.targetsTopic.next) {
-		n.targetsTopic.behind = true
+	n.era.Tell(next.Era, now)
+	if next.After(n.targetsTopic.Next) && update.base().After(n.targetsTopic.Next) {
+		n.targetsTopic.Behind = true
 		return false
 	}
 	changed := false
-	applied, missed := splitByPosition(update.Changes, n.targetsTopic.next)
+	applied, missed := splitByPosition(update.Changes, n.targetsTopic.Next)
 	n.learnDepartures(applied, now)
-	if next.After(n.targetsTopic.next) {
+	if next.After(n.targetsTopic.Next) {
 		n.registry.Restored(update.RestoredEra, now.Add(-time.Duration(update.RestoredMS)*time.Millisecond))
 		n.enterEra(next, "peer", now)
 		changed = n.applyChanges(missed, now)
-		n.targetsTopic.next = next
+		n.targetsTopic.Next = next
 		n.registry.AdvanceReadPosition(next)
 	}
-	if !next.Before(n.targetsTopic.next) {
-		n.targetsTopic.refresh(asOf, update.Answer)
-		n.targetsTopic.behind = false
+	if !next.Before(n.targetsTopic.Next) {
+		n.targetsTopic.Refresh(asOf, update.Answer)
+		n.targetsTopic.Behind = false
 	}
 	n.updateStoreAvailability(now)
 	return changed
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/storeread"
 )
 
 // applyUpdate applies what a peer read from the store and its load reports, and relays datagrams of other zones to this
 // zone.
 func (n *Node) applyUpdate(ctx context.Context, d *datagram, p *peerState, now time.Time) {
-	before, eraBefore := n.configVersion(), n.targetsTopic.next.Era
+	before, eraBefore := n.configVersion(), n.targetsTopic.Next.Era
 	changed := d.Targets != nil && n.mergeTargetsUpdate(d.Targets, now)
-	if n.targetsTopic.behind && n.fetchesFrom(p, &n.targetsTopic, now) {
+	if n.targetsTopic.Behind && n.fetchesFrom(p, &n.targetsTopic, now) {
 		n.fetchState(ctx, p.Address, now)
 	}
 	if changed {
@@ -27,7 +28,7 @@
 		return
 	}
 	// The zone is told at once of a new era, before others of it read the store.
-	if n.isLeader && !changed && !isNewer(d.Config, before) && n.targetsTopic.next.Era == eraBefore {
+	if n.isLeader && !changed && !isNewer(d.Config, before) && n.targetsTopic.Next.Era == eraBefore {
 		n.queueForZone(d.Loads)
 		return
 	}
@@ -54,8 +55,8 @@
 // fetchesFrom reports whether this instance fetches missing records of a topic from a peer. Leaders read the store
 // themselves unless their reads fail: a partitioned leader would otherwise learn nothing until its next attempt. The listing of a
 // newer era is fetched by leaders too.
-func (n *Node) fetchesFrom(p *peerState, topic *topicState, now time.Time) bool {
-	return n.awaitsListing(now) || topic.backoff > 0 || n.targetsTopic.backoff > 0 || p.Zone == n.Self.Zone && !n.isLeader
+func (n *Node) fetchesFrom(p *peerState, topic *storeread.Topic, now time.Time) bool {
+	return n.awaitsListing(now) || topic.HasFailed() || n.targetsTopic.HasFailed() || p.Zone == n.Self.Zone && !n.isLeader
 }
 
 // isNewer reports whether a peer's configuration is newer than a version.
@@ -65,10 +66,10 @@
 
 // configStatus returns the version of the configuration in force, 0 for none, or nil while that is unknown.
 func (n *Node) configStatus(now time.Time) *configStatus {
-	if !n.configsTopic.known {
+	if !n.configsTopic.Known {
 		return nil
 	}
-	return &configStatus{Version: n.configVersion(), AgeMS: now.Sub(n.configsTopic.asOf).Milliseconds(), Answer: n.configsTopic.answer}
+	return &configStatus{Version: n.configVersion(), AgeMS: now.Sub(n.configsTopic.AsOf).Milliseconds(), Answer: n.configsTopic.Answer}
 }
 
 // configVersion returns the version of the configuration in force, 0 for none.
@@ -129,15 +130,15 @@
 func (n *Node) applyConfigStatus(ctx context.Context, status *configStatus, p *peerState, now time.Time) {
 	asOf := now.Add(-time.Duration(status.AgeMS) * time.Millisecond)
 	switch {
-	case status.Version == n.configVersion() && n.configsTopic.known:
-		n.configsTopic.refresh(asOf, status.Answer)
+	case status.Version == n.configVersion() && n.configsTopic.Known:
+		n.configsTopic.Refresh(asOf, status.Answer)
 	case status.Version < n.configVersion():
 		return
 	case n.fetchesFrom(p, &n.configsTopic, now):
-		n.configsTopic.behind = true
+		n.configsTopic.Behind = true
 		n.fetchState(ctx, p.Address, now)
 	default:
-		n.configsTopic.behind = true
+		n.configsTopic.Behind = true
 	}
 	if status.Version > n.configVersion() {
 		n.newerConfig.tell(status.Version, p.Address, now)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -12,7 +12,7 @@
 // publishView builds a view of the current configuration, targets and number of instances, and publishes it for the
 // request path. It does nothing until both the configuration and the targets are known.
 func (n *Node) publishView(now time.Time) {
-	if n.table == nil || !n.targetsTopic.known {
+	if n.table == nil || !n.targetsTopic.Known {
 		return
 	}
 	byService := map[string][]registry.Target{}
--- a/internal/fleet/answers.go
+++ b/internal/storeread/answers.go
@@ -1,16 +1,14 @@
-package fleet
+package storeread
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/basillink/basillink/internal/clock"
-	"github.com/basillink/basillink/internal/discovery"
 )
 
-// answerID identifies an answer of the store to a read of a topic. Reader is the hash of the incarnation of the instance
+// AnswerID identifies an answer of the store to a read of a topic. Reader is the hash of the incarnation of the instance
 // that read, and Number counts its answers. Reader is 0 if the sender of the id is of an earlier version.
-type answerID struct {
+type AnswerID struct {
 	_              struct{} `cbor:",toarray"`
 	Reader, Number uint32
 }
@@ -33,7 +31,7 @@
 )
 
 // date returns the time of an answer, which is at, or earlier if this instance heard of it earlier.
-func (t answerTimes) date(id answerID, at time.Time) time.Time {
+func (t answerTimes) date(id AnswerID, at time.Time) time.Time {
 	if id.Reader == 0 {
 		return at
 	}
@@ -63,8 +61,3 @@
 		t[reader] = answerTime{latest.number, latest.at.Add(-by)}
 	}
 }
-
-// readerHash returns the hash that identifies an incarnation of an instance as a reader of the store.
-func readerHash(m discovery.Member) uint32 {
-	return max(hashID(fmt.Sprintf("%s/%d", m.ID, m.Started)), 1)
-}
