Repeat what was read from the store in zones without targets

Both targets of a zone leave; the zone has none any more. Its leader told how far the store was read only with its rounds of probes, of which there were none, so a member that lost the one datagram with the second departure used that target until it read the store itself: up to 14.6 s instead of 11.9 s, because the store was away then.

Change: the heartbeat of a leader carries the same status as its rounds, at the same interval.

Ruled out: the eras; the traced member had missed the departure 0.6 s before the store went away, and heard no status since.

--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -213,18 +213,25 @@
 		return
 	}
 	n.addQueuedLoads(d, now)
-	if now.Sub(n.lastStatusSent) >= statusInterval {
-		n.lastStatusSent = now
-		d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
-		d.Marks = n.marksToRepeat(now)
-		if len(n.shardOwners) > 1 {
-			d.ShardOwners = n.shardOwners
-		}
-	}
+	n.addStatus(d, now)
 	n.addStandbys(d, now)
 	n.sendToZone(d, now)
 }
 
+// addStatus adds to a datagram of the leader to its zone how far the store was read and what others have to know again, when it is
+// due.
+func (n *Node) addStatus(d *datagram, now time.Time) {
+	if now.Sub(n.lastStatusSent) < statusInterval {
+		return
+	}
+	n.lastStatusSent = now
+	d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
+	d.Marks = n.marksToRepeat(now)
+	if len(n.shardOwners) > 1 {
+		d.ShardOwners = n.shardOwners
+	}
+}
+
 // updateInFlight updates the numbers of in-flight requests with the results of a round, and whether the zone is busy.
 func (n *Node) updateInFlight(results []probeResult, now time.Time) {
 	type load struct{ inFlight, slots, targets int }
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -102,14 +102,15 @@
 // leaderTimeout.
 const leaderInterval = 100 * time.Millisecond
 
-// sendLeaderHeartbeat claims leadership and relays queued load reports if no round of probes did so lately, for example
-// because the zone has no targets.
+// sendLeaderHeartbeat claims leadership, relays queued load reports and tells the status of this instance if no round of probes did
+// so lately, for example because the zone has no targets.
 func (n *Node) sendLeaderHeartbeat(now time.Time) {
 	if !n.isLeader || now.Sub(n.lastRelay) < leaderInterval {
 		return
 	}
 	d := n.newDatagram(now)
 	n.addQueuedLoads(d, now)
+	n.addStatus(d, now)
 	n.addStandbys(d, now)
 	n.sendToZone(d, now)
 }
