Read the stored crash marks beside the first listing of targets

An instance serves once it has listed the targets. The stored marks were read only by the leader of the first zone, 100 ms after it had become leader or when it noticed that the store answers again, and told in one datagram. An instance of another zone whose leader already had the mark, with the state of a peer, learned of it with a later heartbeat, or 300 ms after it had seen a differing digest. In between it sent the request once more.

Change: the first listing and the stored marks are read at the same time; the listing waits for the marks at most 100 ms. Who fetches the listing gets the marks with it. Leaders relay marks of a state at once, in one datagram, and an instance without marks fetches those of a peer at once.

Ruled out: waiting with the first view until some instance has the marks. It would delay each start of all instances by 100 ms or more.

TestPanicsInCallsAreErrors expected one call for the first listing; it now checks each of the two calls alike, and the listing alone as before.

--- a/internal/fleet/crash_marks.go
+++ b/internal/fleet/crash_marks.go
@@ -92,17 +92,24 @@
 	}
 }
 
-// mergeStateMarks merges marks that came with the state of a peer. The leader repeats new ones, but does not relay them at once:
-// they may be many, and most instances know them. A datagram with a mark that the state had already told is not relayed either.
+// mergeStateMarks merges marks that came with the state of a peer. The leader relays new ones to its zone in one datagram, and
+// repeats them: a later datagram with a mark that the state had already told is not relayed.
 func (n *Node) mergeStateMarks(marks []discovery.CrashMark, now time.Time) {
 	if n.CrashMarks == nil {
 		return
 	}
+	var merged []discovery.CrashMark
 	for _, mark := range marks {
 		if n.CrashMarks.MergeCrashMark(mark.Key, mark.Data) {
 			n.rememberMark(mark, now)
+			merged = append(merged, mark)
 		}
 	}
+	if n.isLeader && len(merged) > 0 {
+		d := n.newDatagram(now)
+		d.Marks = merged[:min(len(merged), maxRecentMarks)]
+		n.sendToZone(d, now)
+	}
 }
 
 // marksDigest returns a digest of the marks of this instance, 0 for none.
@@ -125,7 +132,8 @@
 }
 
 // fetchDifferingMarks fetches the marks of a peer whose digest has differed for marksFetchDelay: this instance was
-// down, paused or partitioned when they were broadcast. The peer likewise fetches those that it lacks itself.
+// down, paused or partitioned when they were broadcast. The peer likewise fetches those that it lacks itself. An instance that has
+// no marks does not wait.
 func (n *Node) fetchDifferingMarks(ctx context.Context, digest uint64, p *peerState, now time.Time) {
 	if digest == 0 || digest == n.marksDigest() {
 		p.marksDifferSince = time.Time{}
@@ -134,7 +142,9 @@
 	if p.marksDifferSince.IsZero() {
 		p.marksDifferSince = now
 	}
-	if now.Sub(p.marksDifferSince) < marksFetchDelay || n.marksFetchInFlight || now.Before(n.nextMarksFetch) {
+	// An instance without any mark may have just started.
+	isNew := n.marksDigest() == 0
+	if !isNew && now.Sub(p.marksDifferSince) < marksFetchDelay || n.marksFetchInFlight || now.Before(n.nextMarksFetch) {
 		return
 	}
 	n.marksFetchInFlight, n.nextMarksFetch = true, now.Add(marksFetchInterval)
--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -105,34 +105,41 @@
 func TestPanicsInCallsAreErrors(t *testing.T) {
 	ctx := context.Background()
 	later := testStart.Add(time.Minute)
-	calls := map[string]func(n *Node){
-		"configs, listed": func(n *Node) { n.readConfigs(ctx, later, 0) },
-		"configs":         func(n *Node) { n.configsTopic.Known = true; n.readConfigs(ctx, later, 0) },
-		"targets, listed": func(n *Node) { n.readTargets(ctx, later, 0) },
-		"targets":         func(n *Node) { n.targetsTopic.Known = true; n.readTargets(ctx, later, 0) },
-		"members":         func(n *Node) { n.join(ctx, later) },
-		"stored marks":    func(n *Node) { n.targetsTopic.Known = true; n.syncStoredMarks(ctx, later) },
-		"putting a mark":  func(n *Node) { n.targetsTopic.Known, n.storedMarks.loaded = true, true; n.syncStoredMarks(ctx, later) },
-		"state of a peer": func(n *Node) { n.fetchState(ctx, "127.0.0.1:9", later) },
-		"marks of a peer": func(n *Node) { n.fetchDifferingMarks(ctx, 2, &peerState{marksDifferSince: testStart}, later) },
+	calls := map[string]struct {
+		call func(n *Node)
+		// calls is the number of calls that are made at the same time.
+		calls int
+	}{
+		"configs, listed": {func(n *Node) { n.readConfigs(ctx, later, 0) }, 1},
+		"configs":         {func(n *Node) { n.configsTopic.Known = true; n.readConfigs(ctx, later, 0) }, 1},
+		"targets, listed": {func(n *Node) { n.storedMarks.loaded = true; n.readTargets(ctx, later, 0) }, 1},
+		"first targets":   {func(n *Node) { n.readTargets(ctx, later, 0) }, 2},
+		"targets":         {func(n *Node) { n.targetsTopic.Known = true; n.readTargets(ctx, later, 0) }, 1},
+		"members":         {func(n *Node) { n.join(ctx, later) }, 1},
+		"stored marks":    {func(n *Node) { n.targetsTopic.Known = true; n.syncStoredMarks(ctx, later) }, 1},
+		"putting a mark":  {func(n *Node) { n.targetsTopic.Known, n.storedMarks.loaded = true, true; n.syncStoredMarks(ctx, later) }, 1},
+		"state of a peer": {func(n *Node) { n.fetchState(ctx, "127.0.0.1:9", later) }, 1},
+		"marks of a peer": {func(n *Node) { n.fetchDifferingMarks(ctx, 2, &peerState{marksDifferSince: testStart}, later) }, 1},
 	}
-	for name, call := range calls {
+	for name, c := range calls {
 		t.Run(name, func(t *testing.T) {
 			n := newQuietNode(t, newMember("a1", "a"))
 			n.Store, n.link, n.CrashMarks = faultyStore{}, faultyLink{n.link}, oneMark{}
 			n.started, n.isLeader, n.leaderSince = testStart, true, testStart
-			call(n)
-			select {
-			case e := <-n.inbox:
-				n.handleGuarded(ctx, e, later)
-			case <-time.After(time.Second):
-				t.Fatal("the call has no result")
+			c.call(n)
+			for range c.calls {
+				select {
+				case e := <-n.inbox:
+					n.handleGuarded(ctx, e, later)
+				case <-time.After(time.Second):
+					t.Fatal("the call has no result")
+				}
 			}
 			if n.targetsTopic.Reading() || n.configsTopic.Reading() || n.joinInFlight || n.storedMarks.callInFlight || n.fetchInFlight || n.marksFetchInFlight {
 				t.Error("the call is still in flight")
 			}
-			if n.Panics() != 1 {
-				t.Errorf("%d panics were counted, want 1", n.Panics())
+			if n.Panics() != int64(c.calls) {
+				t.Errorf("%d panics were counted, want %d", n.Panics(), c.calls)
 			}
 		})
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -152,8 +152,11 @@
 	return trace.Wrap(client.Call(method, request, reply))
 }
 
-// fetchJitter returns a random delay that spreads the requests of a zone to one peer.
+// fetchJitter returns a random delay that spreads the requests of a zone to one peer. The leaders of the zones are few.
 func (n *Node) fetchJitter() time.Duration {
+	if n.isLeader {
+		return 0
+	}
 	return time.Duration(n.Random.Int64N(int64(time.Duration(n.members.zonePeerCount())*fetchSpreadPerInstance) + 1))
 }
 
@@ -163,10 +166,7 @@
 		return
 	}
 	n.fetchInFlight = true
-	jitter := time.Duration(0)
-	if !n.isLeader {
-		jitter = n.fetchJitter()
-	}
+	jitter := n.fetchJitter()
 	request := StateRequest{MarksDigest: n.marksDigest()}
 	if n.table != nil {
 		request.HaveVersion, request.HaveConfig = n.table.Version, true
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -153,12 +153,16 @@
 	n.logRead("targets", &n.targetsTopic, rank, now)
 	n.traffic.storeCalls[CallTargets].Add(1)
 	next, continues := n.targetsTopic.Next, n.era.Continues(&n.targetsTopic)
+	waitForMarks := n.readMarksWithListing(ctx, now)
 	go func() {
 		r := targetsRead{startedAt: now}
 		r.err = n.guardCall(storePart, func() (err error) {
 			r.changes, r.next, r.complete, err = storeread.FetchTargets(ctx, n.Store, next, continues)
 			return err
 		})
+		if r.err == nil {
+			waitForMarks()
+		}
 		n.deliver(ctx, r)
 	}()
 }
--- a/internal/fleet/stored_crash_marks.go
+++ b/internal/fleet/stored_crash_marks.go
@@ -102,10 +102,13 @@
 	return !due.IsZero() && !now.Before(due) && (n.marksDigest() != 0 || len(n.storedMarks.inStore) > 0)
 }
 
-func (n *Node) readStoredMarks(ctx context.Context, now time.Time) {
+// readStoredMarks starts a read of the stored marks. The returned channel is closed once its result is delivered.
+func (n *Node) readStoredMarks(ctx context.Context, now time.Time) <-chan struct{} {
 	n.storedMarks.callInFlight = true
 	n.traffic.storeCalls[CallCrashMarks].Add(1)
+	delivered := make(chan struct{})
 	go func() {
+		defer close(delivered)
 		e := storedMarksRead{sentAt: now}
 		e.err = n.guardCall(storePart, func() (err error) {
 			e.marks, err = n.Store.CrashMarks(ctx)
@@ -113,6 +116,26 @@
 		})
 		n.deliver(ctx, e)
 	}()
+	return delivered
+}
+
+// firstMarksWait is how much longer than for the first listing of the targets an instance waits for the stored marks.
+const firstMarksWait = 100 * time.Millisecond
+
+// readMarksWithListing starts a read of the stored marks together with the first listing of the targets, because an instance serves
+// once it has that. Instances that fetch the listing from this one get the marks with it. The returned function waits until the
+// result of the read is delivered, at most for firstMarksWait.
+func (n *Node) readMarksWithListing(ctx context.Context, now time.Time) (wait func()) {
+	if n.CrashMarks == nil || n.targetsTopic.Known || n.storedMarks.loaded || n.storedMarks.callInFlight {
+		return func() {}
+	}
+	delivered := n.readStoredMarks(ctx, now)
+	return func() {
+		select {
+		case <-delivered:
+		case <-time.After(firstMarksWait):
+		}
+	}
 }
 
 func (n *Node) putMark(ctx context.Context, mark discovery.CrashMark) {
