--- a/internal/storeread/topic.go
+++ b/internal/storeread/topic.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	// TargetsInterval and ConfigsInterval are the times between two reads of a topic by the fleet. Departures
-	// and configurations must be applied within 2 s after they were recorded in the store. If the instance of rank 0
-	// does not read, that of rank 1 does so FirstRankDelay later.
+	// TargetsInterval is the time between two reads of the targets by the fleet. Departures and configurations must be applied
+	// within 2 s after they were recorded in the store. If the instance of rank 0 does not read, that of rank 1 does so
+	// FirstRankDelay later.
 	TargetsInterval = 500 * time.Millisecond
+	// ConfigsInterval is the time between two reads of the configurations by the fleet.
 	ConfigsInterval = 800 * time.Millisecond
-	// FirstRankDelay is how much longer than the instance of rank 0 that of rank 1 waits with its read, and
-	// NearRankStep is the additional wait of each further rank.
+	// FirstRankDelay is how much longer than the instance of rank 0 that of rank 1 waits with its read.
 	FirstRankDelay = 160 * time.Millisecond
-	NearRankStep   = 90 * time.Millisecond
+	// NearRankStep is the additional wait of each further rank.
+	NearRankStep = 90 * time.Millisecond
 	// nearRanks is the number of ranks behind rank 1 that are NearRankStep apart. The ranks behind those are
 	// farRankStep apart: they read only when the store refuses the first ones, and even then a departure has to be
 	// known in time.
@@ -33,8 +34,9 @@
 	furtherFailingStep   = 300 * time.Millisecond
 	// storeAnswerValidity is how long an instance that the store answered ignores the failures of other instances.
 	storeAnswerValidity = 3 * time.Second
-	// minBackoff and MaxBackoff bound the backoff after a failed read.
+	// minBackoff is the shortest backoff after a failed read.
 	minBackoff = 250 * time.Millisecond
+	// MaxBackoff is the longest backoff after a failed read.
 	MaxBackoff = 1500 * time.Millisecond
 	// backoffPerFailing times the number of failing instances is the shortest first backoff, so that many of them make
 	// few calls.
