Count requests that wait for a connection until a target is chosen again

Cause: lets a request whose wait for a connection times out choose a target again. That was logged as a warning each time, which is much under load, and not counted: each retry reason has a counter.

Change: retry_connections_busy, logged as information. A retry after connections_busy has that reason instead of retry_connection_refused.

--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -1,13 +1,16 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
+	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/reason"
+	"github.com/basillink/basillink/internal/transport"
 )
 
 func isEOF(err error) bool { return errors.Is(err, io.EOF) }
@@ -60,6 +63,18 @@
 	g.Log.Info("Sending to a further target.", attributes...)
 }
 
+// recordNewChoice logs that a target is chosen again because nothing was sent to the first one. It counts the choices that are due to
+// busy connections, of which there are many under load.
+func (g *Gateway) recordNewChoice(call *call, d dispatch.Decision, err error) {
+	level := slog.LevelWarn
+	var timeout *transport.ConnectTimeoutError
+	if errors.As(err, &timeout) {
+		level = slog.LevelInfo
+		g.Counter.Retried(call.service, reason.RetryConnectionsBusy)
+	}
+	g.Log.Log(context.Background(), level, "Choosing a target again.", "request", call.id, "target", d.Target.ID, "error", err)
+}
+
 // recordAbortedStream counts and logs a streamed answer that was aborted, because the target's answer ended early or because it
 // could not be written to the caller.
 func (g *Gateway) recordAbortedStream(call *call, err error) {
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -245,7 +245,7 @@
 	}
 	answer, err := attempt.connPool.RoundTrip(ctx, request, limits, g.prepareSend(call, d, admission))
 	if invalidatesDecision(err) {
-		g.Log.Warn("Choosing a target again.", "request", call.id, "target", d.Target.ID, "error", err)
+		g.recordNewChoice(call, d, err)
 		slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled})
 		return &result{failure: reason.ConnectionLost, cause: err, notSent: true}
 	}
@@ -375,8 +375,10 @@
 // retryReason returns the reason of a retry after a failed exchange.
 func retryReason(failure *reason.Reason) *reason.Reason {
 	switch failure {
-	case reason.ConnectionRefused, reason.ConnectionsBusy:
+	case reason.ConnectionRefused:
 		return reason.RetryConnectionRefused
+	case reason.ConnectionsBusy:
+		return reason.RetryConnectionsBusy
 	case reason.ConnectionLost:
 		return reason.RetryConnectionLost
 	case reason.AnswerTruncated:
--- a/internal/ingress/pool_wait_test.go
+++ b/internal/ingress/pool_wait_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
 	"github.com/basillink/basillink/internal/testprocess"
@@ -54,7 +55,13 @@
 // Guards against refusing requests because connections to the only target are opened one after another: the last of them waits
 // longer than connectTimeout for its turn.
 func TestRequestsWaitForConnections(t *testing.T) {
-	newSlowTestbed(t, connectTimeout).checkConcurrentRequests(t, 90, func() {})
+	b := newSlowTestbed(t, connectTimeout)
+	b.checkConcurrentRequests(t, 90, func() {})
+	b.counter.mu.Lock()
+	defer b.counter.mu.Unlock()
+	if b.counter.retried[reason.RetryConnectionsBusy.Name] == 0 {
+		t.Errorf("no wait for a connection was counted: %v", b.counter.retried)
+	}
 }
 
 // Guards against taking a pause of the own process for a target that accepts no connections.
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -103,6 +103,7 @@
 var (
 	RetryTargetShed        = add("retry_target_shed", Retry, 0, "", "A target refused the request before running it.")
 	RetryConnectionRefused = add("retry_connection_refused", Retry, 0, "", "A connection to a target could not be opened.")
+	RetryConnectionsBusy   = add("retry_connections_busy", Retry, 0, "", "All connections to a target stayed in use, so that a target was chosen again. Nothing was sent.")
 	RetryConnectionLost    = add("retry_connection_lost", Retry, 0, "", "A connection to a target was closed before a byte of the request was sent.")
 	RetryAnswerLost        = add("retry_answer_lost", Retry, 0, "", "A repeatable request lost its answer.")
 	RetryAnswerTruncated   = add("retry_answer_truncated", Retry, 0, "", "A repeatable request received an incomplete answer.")
