Clear the write deadline of an answer before the next request

An answer is written with a deadline of 10 s, which stayed on the connection. The interim answer to a later request with Expect: 100-continue was written without a deadline of its own, failed when 10 s had passed, and the request was refused with 400 body_truncated.

Change: the wait for a request clears the write deadline, and the interim answer has that of the body.

Ruled out: the caller's idle limit; the connection was kept.

--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -48,8 +48,12 @@
 
 func (*MissingHostError) Error() string { return "the request has no Host header" }
 
-// AwaitRequest waits for the first byte of a request. It returns false if the connection fails or is idle for too long.
+// AwaitRequest waits for the first byte of a request. It returns false if the connection fails or is idle for too long. It clears the
+// write deadline of the last answer, which would fail the first write for the next request.
 func AwaitRequest(conn network.Conn, idleTimeout time.Duration) bool {
+	if err := conn.SetWriteDeadline(time.Time{}); err != nil {
+		return false
+	}
 	if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return false
 	}
@@ -141,7 +145,7 @@
 		return refuse(reason.MemoryFull)
 	}
 	if c.Request.MayContinue() {
-		if err := sendContinue(conn); err != nil {
+		if err := sendContinue(conn, l.BodyTimeout); err != nil {
 			return &Refusal{reason.BodyTruncated, err}
 		}
 	}
@@ -159,8 +163,11 @@
 	return nil
 }
 
-// sendContinue sends the interim answer.
-func sendContinue(conn network.Conn) error {
+// sendContinue sends the interim answer within a timeout.
+func sendContinue(conn network.Conn, timeout time.Duration) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
 	if _, err := conn.WriteBinary(continueResponse); err != nil {
 		return err
 	}
