Measure service times from the choice where no claim was awaited

A request that needs a claim is to be sent 3 or 6 ms after its target was chosen.

Change: an answer before the planned time counts from the choice, and a sample is at least 10 us.

Ruled out: the clock; it is monotonic.

--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -155,3 +155,32 @@
 	e := p.byID[id].estimate(p.clock, r, decisionContext{serviceTime: 100 * time.Millisecond, meanSlowdown: 1}, &p.policy)
 	return p.assign(e, r, p.clock, Inputs{InFlight: e.inFlight})
 }
+
+// Guards against service times below 0: an answer that comes before the time at which a claimed request was to be sent. The average of
+// a route then fell without bound, and each decision panicked.
+func TestAnswerBeforeClaimTimeout(t *testing.T) {
+	p := newSaturatedPool(&claimRecorder{})
+	p.SendClaim = func(string, uint32, time.Duration) bool { return false }
+	const elapsed = localClaimTimeout / 10
+	claimed := 0
+	for range 500 {
+		p.report("t1", 3, 1)
+		p.report("t2", 4, 1)
+		r := p.request(1)
+		d := p.Acquire(context.Background(), r)
+		if d.Target == nil {
+			t.Fatalf("refused: %v", d.Refusal)
+		}
+		if d.claim != nil {
+			claimed++
+		}
+		p.clock += elapsed
+		p.Release(r, d, DoneInfo{Result: Answered})
+	}
+	if claimed == 0 {
+		t.Error("no request was claimed")
+	}
+	if got := p.MeanServiceTime(); got < elapsed/2 || got > 2*elapsed {
+		t.Errorf("mean service time %s, want about %s", got, elapsed)
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -39,9 +39,10 @@
 	RetryAfter time.Duration
 	// Inputs explain the decision in the log.
 	Inputs Inputs
-	// sentAt is when the request is to be sent, and slowdown the slowdown expected of the target then.
-	sentAt   time.Duration
-	slowdown float64
+	// assignedAt is when the target was chosen, sentAt when the request is to be sent, and slowdown the slowdown expected of the
+	// target then.
+	assignedAt, sentAt time.Duration
+	slowdown           float64
 	// claim is set if the request has to be claimed before it is sent.
 	claim *claim
 }
@@ -49,6 +50,15 @@
 // SentAt returns the time at which the request was to be sent.
 func (d Decision) SentAt() time.Duration { return d.sentAt }
 
+// elapsed returns how long the request took that ends now. One that ends before it was to be sent did not wait for its claim: the
+// leader of the target's zone claims at once.
+func (d Decision) elapsed(now time.Duration) time.Duration {
+	if now < d.sentAt {
+		return now - d.assignedAt
+	}
+	return now - d.sentAt
+}
+
 // Inputs are the figures on which a decision was based.
 type Inputs struct {
 	// Candidates and Available count the considered targets and those of them with a free slot. Waiting counts the requests
@@ -285,7 +295,7 @@
 	inputs.Alternative = p.alternative(e, now)
 	inputs.ExpectedLatency = e.latency
 	inputs.Waited = now - r.Arrived
-	d := Decision{Target: t, Inputs: inputs, sentAt: now, slowdown: inputs.Slowdown}
+	d := Decision{Target: t, Inputs: inputs, assignedAt: now, sentAt: now, slowdown: inputs.Slowdown}
 	if p.needsClaim(t, inputs) {
 		d.claim = &claim{target: t, number: p.random.Uint32(), expected: e.latency}
 		t.pendingClaims = append(t.pendingClaims, d.claim)
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -43,7 +43,7 @@
 	case Answered:
 		t.recordSuccess(now)
 		p.recordUse(t, now)
-		p.routeEstimateOf(r).add(time.Duration(float64(now-d.sentAt)/d.slowdown), done.AnswerBytes)
+		p.routeEstimateOf(r).add(time.Duration(float64(d.elapsed(now))/d.slowdown), done.AnswerBytes)
 	case Failed:
 		t.recordFailure(now, 1)
 	case Shed:
@@ -74,12 +74,15 @@
 	// maxSampleFactor caps a service time sample at this multiple of the average, which limits the effect of one slow
 	// answer.
 	maxSampleFactor = 3
+	// minServiceTime is the shortest sample. Decisions divide by the average.
+	minServiceTime = 10 * time.Microsecond
 )
 
 func (e *routeEstimate) meanServiceTime() time.Duration { return time.Duration(e.serviceTime) }
 
 // add includes one answer in the averages. The sample is its service time divided by the expected slowdown.
 func (e *routeEstimate) add(sample time.Duration, answerBytes int) {
+	sample = max(sample, minServiceTime)
 	e.answerBytes += routeEstimateGain * (float64(answerBytes) - e.answerBytes)
 	e.serviceTime += routeEstimateGain * (min(float64(sample), maxSampleFactor*e.serviceTime) - e.serviceTime)
 }
