Decode workspaces, public routes, warm-up rates and evacuations

Cause: the two new deployments describe customers with keys and quotas, routes without a key, cold targets and the evacuation of a zone. None of it was decoded.

Change: routes.Config has workspaces with hashed keys, Route.Public and the warm-up of services; the operator's records are read as one type with configurations and evacuations. A configuration in which two workspaces share a key is rejected. Six bounds of the platform become settings.

--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -19,11 +19,12 @@
 	Era() int64
 	// LearnEra tells an era that another instance knows of.
 	LearnEra(era int64)
-	// NewestConfig returns the configuration in force, or nil if there is none yet, and the position to read on from.
-	NewestConfig(ctx context.Context) (*routes.Config, topic.Position, error)
-	// ConfigsSince returns the configurations from a position on and the position to read on from. The error wraps a
+	// NewestConfig returns the newest records of the operator and the position to read on from. There is at most one
+	// configuration, and all evacuations in force are listed.
+	NewestConfig(ctx context.Context) (OperatorRecords, topic.Position, error)
+	// ConfigsSince returns the records of the operator from a position on and the position to read on from. The error wraps a
 	// TrimmedError if records from that position on are not available.
-	ConfigsSince(ctx context.Context, from topic.Position) ([]*routes.Config, topic.Position, error)
+	ConfigsSince(ctx context.Context, from topic.Position) (OperatorRecords, topic.Position, error)
 	// NewestTargets returns the newest record of each target and the position to read on from.
 	NewestTargets(ctx context.Context) ([]registry.Change, topic.Position, error)
 	// TargetsSince returns the records of targets from a position on and the position to read on from. The error wraps a
@@ -39,6 +40,23 @@
 	PutCrashMark(ctx context.Context, mark CrashMark) error
 }
 
+// OperatorRecords are records that the operator wrote, in the order of the store.
+type OperatorRecords struct {
+	Configs     []*routes.Config
+	Evacuations []Evacuation
+	// Complete is true if the records are the newest ones of all keys, so that a zone without a record is not evacuated.
+	Complete bool
+}
+
+// Evacuation is a record of the operator that evacuates a zone, or that ends the evacuation.
+type Evacuation struct {
+	Zone string
+	// Active is false for a record that ends the evacuation.
+	Active bool
+	// Position is the position of the record.
+	Position topic.Position
+}
+
 // CrashMark is the record of a request that crashes targets. The data is written and read by package ingress.
 type CrashMark struct {
 	Key  string `cbor:"1,keyasint"`
--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -88,14 +88,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.NewReplacer(
+	pairs := []string{
 		"{{node|json}}", `"edge-a-1"`, "{{zone|json}}", `"tz-north-a"`, "{{listen.front|json}}", `"10.1.0.10:8161"`,
 		"{{listen.readiness|json}}", `"10.1.0.10:8167"`, "{{ip}}:{{internalPorts.0}}", "10.1.0.10:7720",
 		"{{provider.address|json}}", `"10.200.1.7:8169"`, "{{bounds.graceS}}", "6", "{{bounds.retryBudgetRatio}}", "0.2",
 		"{{bounds.retryBudgetExtra}}", "64", "{{bounds.budgetWindowS}}", "10", "{{bounds.probesPerS}}", "60",
 		"{{limits.cpuShare}}", "0.32", "{{seeds|json}}", `["10.1.0.10:8166"]`,
 		"{{#bootstrap}}", "", "{{/bootstrap}}", "", "{{heartbeatS}}", "2.5", "{{limits.memoryMb}}", "284",
-	).Replace(string(b))
+	}
+	optional := map[string]string{
+		"revokeS": "4", "quotaWindowS": "6", "quotaOverage": "0.2", "quotaSlack": "30", "warmupOverage": "1.25", "warmupSlack": "9",
+	}
+	for name, value := range optional {
+		pairs = append(pairs, "{{#bounds."+name+"}}", "", "{{/bounds."+name+"}}", "", "{{bounds."+name+"}}", value)
+	}
+	text := strings.NewReplacer(pairs...).Replace(string(b))
 	s, err := settings.DecodeEdge("template", []byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -103,6 +110,11 @@
 	if s.Bounds.RetryRatio != 0.2 || s.Peer.Capacity != 0.32 || len(s.Peer.Seeds) != 1 || !s.Peer.Bootstrap || s.Bounds.HeartbeatS != 2.5 || s.Memory.LimitMB != 284 {
 		t.Errorf("%+v", s)
 	}
+	want := [6]float64{4, 6, 0.2, 30, 1.25, 9}
+	bounds := s.Bounds
+	if got := [6]float64{bounds.RevokeS, bounds.QuotaWindowS, bounds.QuotaOverage, bounds.QuotaSlack, bounds.WarmupOverage, bounds.WarmupSlack}; got != want {
+		t.Errorf("optional bounds %v, want %v", got, want)
+	}
 }
 
 // Guards against more health checks per second than the platform allows.
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/storeread"
@@ -25,7 +26,7 @@
 	next := topic.Position{Era: era, Offset: 5}
 	listing := []registry.Change{listedTarget("t1", topic.Position{Era: era, Offset: 4})}
 	config := &routes.Config{Version: 3, Services: []routes.Service{{Name: "s"}}}
-	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config}, next: next}, testStart)
+	n.handleConfigsRead(configsRead{startedAt: testStart, records: discovery.OperatorRecords{Configs: []*routes.Config{config}}, next: next}, testStart)
 	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: next}, testStart)
 	return n
 }
@@ -201,7 +202,7 @@
 	}
 	n.newerConfig.tell(3, "127.0.0.1:9", testStart)
 	next := topic.Position{Era: 2, Offset: 2}
-	n.handleConfigsRead(configsRead{startedAt: testStart, configs: []*routes.Config{config(2)}, next: next}, testStart)
+	n.handleConfigsRead(configsRead{startedAt: testStart, records: discovery.OperatorRecords{Configs: []*routes.Config{config(2)}}, next: next}, testStart)
 	n.handleTargetsRead(targetsRead{startedAt: testStart, complete: true, next: next}, testStart)
 	if n.View() != nil {
 		t.Fatal("the older configuration is in force")
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -6,7 +6,6 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
-	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -19,10 +18,10 @@
 	from     string
 }
 
-// configsRead is the result of a read of configurations.
+// configsRead is the result of a read of the operator's records.
 type configsRead struct {
 	startedAt time.Time
-	configs   []*routes.Config
+	records   discovery.OperatorRecords
 	next      topic.Position
 	err       error
 }
--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -64,10 +64,10 @@
 
 func (faultyStore) Era() int64     { return 0 }
 func (faultyStore) LearnEra(int64) {}
-func (faultyStore) NewestConfig(context.Context) (*routes.Config, topic.Position, error) {
+func (faultyStore) NewestConfig(context.Context) (discovery.OperatorRecords, topic.Position, error) {
 	panic("decoder fault")
 }
-func (faultyStore) ConfigsSince(context.Context, topic.Position) ([]*routes.Config, topic.Position, error) {
+func (faultyStore) ConfigsSince(context.Context, topic.Position) (discovery.OperatorRecords, topic.Position, error) {
 	panic("decoder fault")
 }
 func (faultyStore) NewestTargets(context.Context) ([]registry.Change, topic.Position, error) {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -58,24 +58,24 @@
 func (c *storeClient) Era() int64         { return c.era }
 func (c *storeClient) LearnEra(era int64) { c.learned = era }
 
-func (c *storeClient) NewestConfig(context.Context) (*routes.Config, topic.Position, error) {
+func (c *storeClient) NewestConfig(context.Context) (discovery.OperatorRecords, topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, topic.Position{}, err
+		return discovery.OperatorRecords{}, topic.Position{}, err
 	}
 	defer c.store.mu.Unlock()
 	n := len(c.store.configs)
 	if n == 0 {
-		return nil, topic.Position{}, nil
+		return discovery.OperatorRecords{Complete: true}, topic.Position{}, nil
 	}
-	return c.store.configs[n-1], topic.Position{Offset: int64(n)}, nil
+	return discovery.OperatorRecords{Configs: c.store.configs[n-1:], Complete: true}, topic.Position{Offset: int64(n)}, nil
 }
 
-func (c *storeClient) ConfigsSince(_ context.Context, from topic.Position) ([]*routes.Config, topic.Position, error) {
+func (c *storeClient) ConfigsSince(_ context.Context, from topic.Position) (discovery.OperatorRecords, topic.Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, topic.Position{}, err
+		return discovery.OperatorRecords{}, topic.Position{}, err
 	}
 	defer c.store.mu.Unlock()
-	return c.store.configs[from.Offset:], topic.Position{Offset: int64(len(c.store.configs))}, nil
+	return discovery.OperatorRecords{Configs: c.store.configs[from.Offset:]}, topic.Position{Offset: int64(len(c.store.configs))}, nil
 }
 
 func (c *storeClient) NewestTargets(ctx context.Context) ([]registry.Change, topic.Position, error) {
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -30,7 +30,7 @@
 	go func() {
 		r := configsRead{startedAt: now}
 		r.err = n.guardCall(storePart, func() (err error) {
-			r.configs, r.next, err = storeread.FetchConfigs(ctx, n.Store, next, continues)
+			r.records, r.next, err = storeread.FetchConfigs(ctx, n.Store, next, continues)
 			return err
 		})
 		n.deliver(ctx, r)
@@ -110,7 +110,7 @@
 	}
 	n.configsTopic.ReadSucceeded(e.startedAt, e.next)
 	n.storeAnsweredAt = e.startedAt
-	for _, config := range e.configs {
+	for _, config := range e.records.Configs {
 		n.applyNewestConfig(config, "store", now)
 	}
 	n.broadcastUpdate(now)
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -371,23 +371,24 @@
 	return &routes.Config{Version: max(c.configVersion, 1), Services: []routes.Service{{Name: "s"}}}
 }
 
-func (c virtualStoreClient) NewestConfig(context.Context) (config *routes.Config, next topic.Position, err error) {
+func (c virtualStoreClient) NewestConfig(context.Context) (records discovery.OperatorRecords, next topic.Position, err error) {
 	next, err = c.readPosition("configs", topic.Position{}, func(int64) (int64, bool) {
-		config = c.config()
+		config := c.config()
+		records = discovery.OperatorRecords{Configs: []*routes.Config{config}, Complete: true}
 		return int64(config.Version), true
 	})
-	return config, next, err
+	return records, next, err
 }
 
-func (c virtualStoreClient) ConfigsSince(_ context.Context, from topic.Position) (configs []*routes.Config, next topic.Position, err error) {
+func (c virtualStoreClient) ConfigsSince(_ context.Context, from topic.Position) (records discovery.OperatorRecords, next topic.Position, err error) {
 	next, err = c.readPosition("configs", from, func(era int64) (int64, bool) {
 		config := c.config()
 		if int64(config.Version) > from.Offset {
-			configs = []*routes.Config{config}
+			records.Configs = []*routes.Config{config}
 		}
 		return int64(config.Version), era == from.Era && int64(config.Version) >= from.Offset
 	})
-	return configs, next, err
+	return records, next, err
 }
 
 func (c virtualStoreClient) NewestTargets(context.Context) (changes []registry.Change, next topic.Position, err error) {
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -40,6 +40,10 @@
 	Load string
 	// Leaving is "1" in answers of targets that are draining.
 	Leaving string
+	// Key carries the key of the caller's workspace. It is never forwarded if the configuration has workspaces.
+	Key string
+	// Workspace carries the name of the workspace of the caller's key to targets.
+	Workspace string
 }
 
 // View is an immutable snapshot of the configuration and the target pools.
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -12,6 +12,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces are those whose keys open the routes that are not public. Without any, routes need no key.
+	Workspaces []Workspace
 }
 
 // Route defines where requests for a host and path prefix are sent, and the service level for their callers.
@@ -32,6 +34,8 @@
 	MaxAttempts int
 	// Split distributes the requests over services by weight.
 	Split []Share
+	// Public routes need no key.
+	Public bool
 }
 
 // Share is the weight of one service in a split.
@@ -47,6 +51,11 @@
 	HealthPath string
 	// MaxConnections is the maximum number of connections that a target accepts from all clients together.
 	MaxConnections int
+	// WarmupTime is how long a target is cold after its start.
+	WarmupTime time.Duration
+	// WarmupRate is the number of requests per second that a cold target tolerates from all instances together. 0 means that
+	// cold targets need no limit.
+	WarmupRate float64
 }
 
 // Limits bounds what a caller may send and how long it may stay idle. The default applies to a value of 0.
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -33,6 +33,9 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]*Entry
+	// workspaces holds the workspaces by the hashes of their keys.
+	workspaces   map[KeyHash]*Workspace
+	requiresKeys bool
 }
 
 // Entry is a route of a Table with the state of its weighted split. It is safe for concurrent use.
@@ -54,6 +57,10 @@
 			return nil, err
 		}
 	}
+	t.requiresKeys = len(c.Workspaces) > 0
+	if err := t.addWorkspaces(c.Workspaces); err != nil {
+		return nil, err
+	}
 	for _, entries := range t.hosts {
 		slices.SortStableFunc(entries, func(a, b *Entry) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -80,6 +80,19 @@
 	// HeartbeatS is the time between two heartbeats of a target in the store. The store removes the target's entry after
 	// three missing heartbeats.
 	HeartbeatS float64 `toml:"heartbeat_s" unit:"s" accept:"number:0.01..3600" default:"1.5"`
+	// RevokeS is the time after which a key that was removed from the configuration must not run a request on any instance. An
+	// instance that does not know that its keys were current less than that ago refuses requests with keys.
+	RevokeS float64 `toml:"revoke_s" unit:"s" accept:"number:0.5..3600" default:"5"`
+	// QuotaWindowS is the length of the window in which the quota of a workspace is measured over all instances.
+	QuotaWindowS float64 `toml:"quota_window_s" unit:"s" accept:"number:0.1..3600" default:"5"`
+	// QuotaOverage is the share by which a workspace may exceed its quota in a window.
+	QuotaOverage float64 `toml:"quota_overage" accept:"number:0..10" default:"0.1"`
+	// QuotaSlack is the number of requests by which a workspace may exceed its quota in a window in addition.
+	QuotaSlack float64 `toml:"quota_slack" accept:"number:0..1000000" default:"20"`
+	// WarmupOverage is the factor by which all instances together may exceed the rate that a cold target tolerates in one second.
+	WarmupOverage float64 `toml:"warmup_overage" accept:"number:1..100" default:"1.5"`
+	// WarmupSlack is the number of requests by which all instances together may exceed that rate in addition.
+	WarmupSlack float64 `toml:"warmup_slack" accept:"number:0..1000000" default:"8"`
 }
 
 // HeartbeatInterval returns HeartbeatS as a duration.
@@ -92,6 +105,16 @@
 	return time.Duration(b.GraceS * float64(time.Second))
 }
 
+// RevocationTime returns RevokeS as a duration.
+func (b EdgeBounds) RevocationTime() time.Duration {
+	return time.Duration(b.RevokeS * float64(time.Second))
+}
+
+// QuotaWindow returns QuotaWindowS as a duration.
+func (b EdgeBounds) QuotaWindow() time.Duration {
+	return time.Duration(b.QuotaWindowS * float64(time.Second))
+}
+
 // RetryWindow returns RetryWindowS as a duration.
 func (b EdgeBounds) RetryWindow() time.Duration {
 	return time.Duration(b.RetryWindowS * float64(time.Second))
--- a/internal/storeread/fetch.go
+++ b/internal/storeread/fetch.go
@@ -6,24 +6,19 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/registry"
-	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/topic"
 )
 
-// FetchConfigs reads the configurations from a position on, or the newest one unless continues is set and the store has the
-// records from that position on.
-func FetchConfigs(ctx context.Context, store discovery.Store, from topic.Position, continues bool) (configs []*routes.Config, next topic.Position, err error) {
+// FetchConfigs reads the operator's records from a position on, or the newest ones unless continues is set and the store has
+// the records from that position on.
+func FetchConfigs(ctx context.Context, store discovery.Store, from topic.Position, continues bool) (records discovery.OperatorRecords, next topic.Position, err error) {
 	if continues {
-		configs, next, err = store.ConfigsSince(ctx, from)
+		records, next, err = store.ConfigsSince(ctx, from)
 		if !isTrimmed(err) {
-			return configs, next, err
+			return records, next, err
 		}
 	}
-	newest, next, err := store.NewestConfig(ctx)
-	if newest != nil {
-		configs = []*routes.Config{newest}
-	}
-	return configs, next, err
+	return store.NewestConfig(ctx)
 }
 
 // FetchTargets reads the records of targets from a position on, or the newest record of each target unless
