Read and append the lease of the credit owner in the store

Cause: the owner of the shared limits proves its lease by a record that is appended only if the topic still ends where expected.

--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/topic"
@@ -38,6 +39,12 @@
 	CrashMarks(ctx context.Context) ([]CrashMark, error)
 	// PutCrashMark stores a crash mark under its key, or deletes it if it has no data.
 	PutCrashMark(ctx context.Context, mark CrashMark) error
+	// CreditOwner returns the newest record of an owner of the shared limits, nil if there is none, and the position behind it.
+	CreditOwner(ctx context.Context) (*credit.OwnerRecord, topic.Position, error)
+	// PutCreditOwner appends a record of an owner if the topic ends at a position, and returns the position behind the record. The
+	// error wraps a ConflictError if the topic ends elsewhere. A call without an answer may be executed later, if the topic then
+	// ends at the position.
+	PutCreditOwner(ctx context.Context, record credit.OwnerRecord, at topic.Position) (topic.Position, error)
 }
 
 // OperatorRecords are records that the operator wrote, in the order of the store.
@@ -97,3 +104,14 @@
 func (e *OutdatedAnswerError) Error() string {
 	return fmt.Sprintf("the answer is of era %d of the store, before era %d", e.Era, e.Newest)
 }
+
+// ConflictError is returned for an append at a position at which the topic does not end.
+type ConflictError struct {
+	Topic string
+	// At is the requested position, and End the position at which the topic ends.
+	At, End topic.Position
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("topic %s: ends at offset %d of era %d, not at offset %d of era %d", e.Topic, e.End.Offset, e.End.Era, e.At.Offset, e.At.Era)
+}
