Guard the recorded asks of the pool tests by a lock

Cause: the harness of the pool tests was read without a lock, and the race detector failed eight of its tests at one time or another.

Change: the harness is read and set through functions that lock. The pool is unchanged.

--- a/internal/credit/pool_test.go
+++ b/internal/credit/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,13 +33,36 @@
 func (h *poolHarness) send(a Ask) bool {
 	h.mu.Lock()
 	h.asks = append(h.asks, a)
+	answer, owner := h.answer, !h.noOwner
 	h.mu.Unlock()
-	if h.answer != nil {
-		if answer := h.answer(a); answer != nil {
-			h.pool.HandleAnswer(*answer)
-		}
+	if answer != nil {
+		h.pool.HandleAnswer(*answer(a))
 	}
-	return !h.noOwner
+	return owner
+}
+
+func (h *poolHarness) sent() []Ask {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.asks)
+}
+
+func (h *poolHarness) refunded() []Refund {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.refunds)
+}
+
+func (h *poolHarness) setAnswer(answer func(Ask) *Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answer = answer
+}
+
+func (h *poolHarness) setOwner(known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noOwner = !known
 }
 
 // grantAll answers each ask in full.
@@ -68,6 +92,12 @@
 	return func() (int, int, int) { wg.Wait(); return granted, exhausted, unavailable }
 }
 
+// pause lets the time pass, and waits until the timers that fired meanwhile have been handled.
+func pause(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 var tenPerSecond = Limit{Rate: 10, Burst: 10, Version: 1}
 
 // Guards against an ask for each of many requests that wait together.
@@ -76,21 +106,21 @@
 		h := newPoolHarness()
 		wait := h.start(1, tenPerSecond)
 		wait2 := h.start(50, tenPerSecond)
-		if len(h.asks) != 1 || h.asks[0].Count != 1 {
-			t.Fatalf("asks %+v", h.asks)
+		if len(h.sent()) != 1 || h.sent()[0].Count != 1 {
+			t.Fatalf("asks %+v", h.sent())
 		}
-		time.Sleep(3 * time.Millisecond)
-		h.pool.HandleAnswer(*grantAll(h.asks[0]))
+		pause(3 * time.Millisecond)
+		h.pool.HandleAnswer(*grantAll(h.sent()[0]))
 		wait()
-		time.Sleep(askInterval)
-		if len(h.asks) != 2 || h.asks[1].Count < 50 || h.asks[1].Count > 60 {
-			t.Fatalf("asks %+v", h.asks)
+		pause(askInterval)
+		if len(h.sent()) != 2 || h.sent()[1].Count < 50 || h.sent()[1].Count > 60 {
+			t.Fatalf("asks %+v", h.sent())
 		}
-		h.pool.HandleAnswer(*grantAll(h.asks[1]))
+		h.pool.HandleAnswer(*grantAll(h.sent()[1]))
 		if granted, _, _ := wait2(); granted != 50 {
 			t.Errorf("%d granted", granted)
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -99,17 +129,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
 		wait := h.start(1, tenPerSecond)
-		time.Sleep(repeatAfter + time.Millisecond)
-		if len(h.asks) != 2 || h.asks[1] != h.asks[0] {
-			t.Fatalf("asks %+v", h.asks)
+		pause(repeatAfter + time.Millisecond)
+		if len(h.sent()) != 2 || h.sent()[1] != h.sent()[0] {
+			t.Fatalf("asks %+v", h.sent())
 		}
 		_, _, unavailable := wait()
 		if took := h.now(); unavailable != 1 || took > waitLimit+time.Millisecond {
 			t.Errorf("%d unavailable after %v", unavailable, took)
 		}
-		time.Sleep(time.Second)
-		if s := h.pool.Stats(); len(h.asks) != 2 || s.Asks != 1 || s.Repeats != 1 || s.Unavailable != 1 || s.Unanswered != 1 {
-			t.Errorf("%+v, %d asks", s, len(h.asks))
+		pause(time.Second)
+		if s := h.pool.Stats(); len(h.sent()) != 2 || s.Asks != 1 || s.Repeats != 1 || s.Unavailable != 1 || s.Unanswered != 1 {
+			t.Errorf("%+v, %d asks", s, len(h.sent()))
 		}
 	})
 }
@@ -120,13 +150,13 @@
 		h := newPoolHarness()
 		var grant Grant
 		go func() { grant, _ = h.pool.Acquire(context.Background(), keyA, tenPerSecond) }()
-		time.Sleep(repeatAfter + 10*time.Millisecond)
-		h.pool.HandleAnswer(*grantAll(h.asks[0]))
+		pause(repeatAfter + 10*time.Millisecond)
+		h.pool.HandleAnswer(*grantAll(h.sent()[0]))
 		synctest.Wait()
 		if grant.ID == 0 || grant.ExpiresAt != quotaBounds.Lifetime(tenPerSecond) {
 			t.Errorf("%+v", grant)
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -134,15 +164,15 @@
 func TestAnswerCountsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = func(a Ask) *Answer {
+		h.setAnswer(func(a Ask) *Answer {
 			h.pool.HandleAnswer(Answer{Number: a.Number, Granted: math.MaxUint16})
 			return grantAll(a)
-		}
+		})
 		for want := 1; want <= 3; want++ {
-			if granted, _, _ := h.start(1, tenPerSecond)(); granted != 1 || len(h.asks) != want {
-				t.Fatalf("granted %d, asks %+v", granted, h.asks)
+			if granted, _, _ := h.start(1, tenPerSecond)(); granted != 1 || len(h.sent()) != want {
+				t.Fatalf("granted %d, asks %+v", granted, h.sent())
 			}
-			time.Sleep(time.Second)
+			pause(time.Second)
 		}
 	})
 }
@@ -152,20 +182,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
 		h.start(1, tenPerSecond)()
-		time.Sleep(20 * time.Millisecond)
-		h.pool.HandleAnswer(*grantAll(h.asks[0]))
-		if granted, _, _ := h.start(1, tenPerSecond)(); granted != 1 || len(h.asks) != 2 {
-			t.Errorf("granted %d, asks %+v", granted, h.asks)
+		pause(20 * time.Millisecond)
+		h.pool.HandleAnswer(*grantAll(h.sent()[0]))
+		if granted, _, _ := h.start(1, tenPerSecond)(); granted != 1 || len(h.sent()) != 2 {
+			t.Errorf("granted %d, asks %+v", granted, h.sent())
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 		h.start(1, tenPerSecond)()
-		time.Sleep(quotaBounds.Lifetime(tenPerSecond))
-		h.pool.HandleAnswer(*grantAll(h.asks[len(h.asks)-1]))
-		before := len(h.asks)
-		if granted, _, _ := h.start(1, tenPerSecond)(); granted != 0 || len(h.asks) == before {
+		pause(quotaBounds.Lifetime(tenPerSecond))
+		h.pool.HandleAnswer(*grantAll(h.sent()[len(h.sent())-1]))
+		before := len(h.sent())
+		if granted, _, _ := h.start(1, tenPerSecond)(); granted != 0 || len(h.sent()) == before {
 			t.Errorf("an expired credit was granted")
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -173,30 +203,30 @@
 func TestCreditGoesBackOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = grantAll
+		h.setAnswer(grantAll)
 		first, _ := h.pool.Acquire(context.Background(), keyA, tenPerSecond)
 		h.pool.Return(first)
 		h.pool.Return(first)
 		second, _ := h.pool.Acquire(context.Background(), keyA, tenPerSecond)
-		if len(h.asks) != 1 || second.ID == first.ID || second.ExpiresAt != first.ExpiresAt {
-			t.Fatalf("asks %+v, grants %+v %+v", h.asks, first, second)
+		if len(h.sent()) != 1 || second.ID == first.ID || second.ExpiresAt != first.ExpiresAt {
+			t.Fatalf("asks %+v, grants %+v %+v", h.sent(), first, second)
 		}
 		h.pool.Return(first)
 		third, _ := h.pool.Acquire(context.Background(), keyA, tenPerSecond)
-		if len(h.asks) != 2 {
-			t.Fatalf("a credit went back twice: asks %+v", h.asks)
+		if len(h.sent()) != 2 {
+			t.Fatalf("a credit went back twice: asks %+v", h.sent())
 		}
 		h.pool.Return(second)
-		time.Sleep(time.Second)
-		want := Refund{Number: h.asks[0].Number, Key: keyA, Count: 1}
-		if len(h.refunds) != 1 || h.refunds[0] != want {
-			t.Errorf("refunds %+v, want %+v", h.refunds, want)
+		pause(time.Second)
+		want := Refund{Number: h.sent()[0].Number, Key: keyA, Count: 1}
+		if len(h.refunded()) != 1 || h.refunded()[0] != want {
+			t.Errorf("refunds %+v, want %+v", h.refunded(), want)
 		}
 		h.pool.Return(third)
 		h.pool.Return(Grant{})
-		time.Sleep(time.Second)
-		if s := h.pool.Stats(); len(h.refunds) != 1 || s.Returned != 2 || s.Refunded != 1 {
-			t.Errorf("%+v, refunds %+v", s, h.refunds)
+		pause(time.Second)
+		if s := h.pool.Stats(); len(h.refunded()) != 1 || s.Returned != 2 || s.Refunded != 1 {
+			t.Errorf("%+v, refunds %+v", s, h.refunded())
 		}
 	})
 }
@@ -205,20 +235,20 @@
 func TestReturnAfterRefundIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = grantAll
+		h.setAnswer(grantAll)
 		h.start(60, tenPerSecond)()
 		held, _ := h.pool.Acquire(context.Background(), keyA, tenPerSecond)
-		time.Sleep(quotaBounds.Lifetime(tenPerSecond) - 10*time.Millisecond)
-		refunds := len(h.refunds)
+		pause(quotaBounds.Lifetime(tenPerSecond) - 10*time.Millisecond)
+		refunds := len(h.refunded())
 		h.pool.Return(held)
-		if refunds != 1 || len(h.refunds) != 1 {
-			t.Errorf("refunds %+v", h.refunds)
+		if refunds != 1 || len(h.refunded()) != 1 {
+			t.Errorf("refunds %+v", h.refunded())
 		}
-		h.answer = nil
+		h.setAnswer(nil)
 		if granted, _, _ := h.start(1, tenPerSecond)(); granted != 0 {
 			t.Error("a credit was granted after the refund of its ask")
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -226,7 +256,7 @@
 func TestKnownDenialIsAnsweredLocally(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = func(a Ask) *Answer { return &Answer{Number: a.Number, RetryAfterMS: 500} }
+		h.setAnswer(func(a Ask) *Answer { return &Answer{Number: a.Number, RetryAfterMS: 500} })
 		var last time.Duration
 		for i := range 20 {
 			_, denial := h.pool.Acquire(context.Background(), keyA, tenPerSecond)
@@ -235,15 +265,15 @@
 			}
 			last = denial.RetryAfter
 		}
-		if len(h.asks) != 1 || last > 500*time.Millisecond+2*time.Second {
-			t.Errorf("%d asks, last %v", len(h.asks), last)
+		if len(h.sent()) != 1 || last > 500*time.Millisecond+2*time.Second {
+			t.Errorf("%d asks, last %v", len(h.sent()), last)
 		}
-		time.Sleep(maxLocalDenial)
-		h.answer = grantAll
-		if _, denial := h.pool.Acquire(context.Background(), keyA, tenPerSecond); denial != nil || len(h.asks) != 2 {
-			t.Errorf("%+v, %d asks", denial, len(h.asks))
+		pause(maxLocalDenial)
+		h.setAnswer(grantAll)
+		if _, denial := h.pool.Acquire(context.Background(), keyA, tenPerSecond); denial != nil || len(h.sent()) != 2 {
+			t.Errorf("%+v, %d asks", denial, len(h.sent()))
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -252,20 +282,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
 		wait := h.start(5, tenPerSecond)
-		time.Sleep(waitLimit - time.Millisecond)
-		former := h.asks[0]
+		pause(waitLimit - time.Millisecond)
+		former := h.sent()[0]
 		h.pool.OwnerChanged()
-		time.Sleep(10 * time.Millisecond)
-		latest := h.asks[len(h.asks)-1]
+		pause(10 * time.Millisecond)
+		latest := h.sent()[len(h.sent())-1]
 		if latest.Number == former.Number || latest.Count < 5 {
-			t.Fatalf("asks %+v", h.asks)
+			t.Fatalf("asks %+v", h.sent())
 		}
 		h.pool.HandleAnswer(*grantAll(latest))
 		if granted, _, _ := wait(); granted != 5 {
 			t.Errorf("%d granted", granted)
 		}
 		h.pool.HandleAnswer(*grantAll(former))
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -275,12 +305,12 @@
 		h := newPoolHarness()
 		wait := h.start(1, tenPerSecond)
 		h.pool.OwnerChanged()
-		h.pool.HandleAnswer(Answer{Number: h.asks[0].Number, RetryAfterMS: 1000})
-		h.pool.HandleAnswer(*grantAll(h.asks[len(h.asks)-1]))
+		h.pool.HandleAnswer(Answer{Number: h.sent()[0].Number, RetryAfterMS: 1000})
+		h.pool.HandleAnswer(*grantAll(h.sent()[len(h.sent())-1]))
 		if granted, _, _ := wait(); granted != 1 {
 			t.Error("refused")
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -289,18 +319,19 @@
 func TestNoOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.noOwner = true
-		if _, _, unavailable := h.start(3, tenPerSecond)(); unavailable != 3 || h.now() > waitLimit+time.Millisecond || len(h.asks) > 4 {
-			t.Errorf("%d unavailable after %v, %d asks", unavailable, h.now(), len(h.asks))
+		h.setOwner(false)
+		if _, _, unavailable := h.start(3, tenPerSecond)(); unavailable != 3 || h.now() > waitLimit+time.Millisecond || len(h.sent()) > 4 {
+			t.Errorf("%d unavailable after %v, %d asks", unavailable, h.now(), len(h.sent()))
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 		wait := h.start(3, tenPerSecond)
-		h.noOwner, h.answer = false, grantAll
+		h.setOwner(true)
+		h.setAnswer(grantAll)
 		h.pool.OwnerChanged()
 		if granted, _, _ := wait(); granted != 3 {
 			t.Errorf("%d granted", granted)
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -308,13 +339,13 @@
 func TestNotOwnerIsAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = func(a Ask) *Answer { return &Answer{Number: a.Number, NotOwner: true} }
+		h.setAnswer(func(a Ask) *Answer { return &Answer{Number: a.Number, NotOwner: true} })
 		wait := h.start(1, tenPerSecond)
-		h.answer = grantAll
-		if granted, _, _ := wait(); granted != 1 || len(h.asks) != 2 || h.asks[0].Number == h.asks[1].Number {
-			t.Errorf("granted %d, asks %+v", granted, h.asks)
+		h.setAnswer(grantAll)
+		if granted, _, _ := wait(); granted != 1 || len(h.sent()) != 2 || h.sent()[0].Number == h.sent()[1].Number {
+			t.Errorf("granted %d, asks %+v", granted, h.sent())
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -328,10 +359,10 @@
 		if denial == nil || !denial.Unavailable || h.now() != 10*time.Millisecond {
 			t.Fatalf("%+v after %v", denial, h.now())
 		}
-		h.pool.HandleAnswer(*grantAll(h.asks[0]))
-		time.Sleep(time.Second)
-		if len(h.refunds) != 1 {
-			t.Errorf("refunds %+v", h.refunds)
+		h.pool.HandleAnswer(*grantAll(h.sent()[0]))
+		pause(time.Second)
+		if len(h.refunded()) != 1 {
+			t.Errorf("refunds %+v", h.refunded())
 		}
 	})
 }
@@ -347,7 +378,7 @@
 		if granted, _, _ := wait(); granted != 2 {
 			t.Errorf("%d of 2 waiting requests granted when the limit was dropped", granted)
 		}
-		if g, denial := h.pool.Acquire(context.Background(), keyA, tenPerSecond); denial != nil || g != (Grant{}) || len(h.asks) != 1 {
+		if g, denial := h.pool.Acquire(context.Background(), keyA, tenPerSecond); denial != nil || g != (Grant{}) || len(h.sent()) != 1 {
 			t.Errorf("former version of a dropped limit: %+v %+v", g, denial)
 		}
 		for _, x := range []float64{math.NaN(), math.Inf(1), -1} {
@@ -361,7 +392,7 @@
 		if s := h.pool.Stats(); s.Invalid != 4 {
 			t.Errorf("%+v", s)
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -369,17 +400,17 @@
 func TestPoolForgetsIdleKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = grantAll
+		h.setAnswer(grantAll)
 		for i := range 100 * 200 {
 			key := Key{Kind: ColdTarget, Name: string(rune(i + 1000))}
 			if _, denial := h.pool.Acquire(context.Background(), key, Limit{Rate: 10}); denial != nil {
 				t.Fatalf("key %d: %+v", i, denial)
 			}
 			if i%100 == 99 {
-				time.Sleep(50 * time.Millisecond)
+				pause(50 * time.Millisecond)
 			}
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 		if s := h.pool.Stats(); s.Keys > 2*minPruneKeys || len(h.pool.batches) != 0 || len(h.pool.grants) != 0 {
 			t.Errorf("%d keys, %d batches, %d grants", s.Keys, len(h.pool.batches), len(h.pool.grants))
 		}
@@ -390,7 +421,7 @@
 func TestPoolBoundsKeysInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = grantAll
+		h.setAnswer(grantAll)
 		refused := 0
 		for i := range maxPoolKeys + 100 {
 			if _, denial := h.pool.Acquire(context.Background(), Key{Name: string(rune(i + 1000))}, tenPerSecond); denial != nil {
@@ -400,7 +431,7 @@
 		if refused != 100 || len(h.pool.keys) != maxPoolKeys {
 			t.Errorf("%d refused, %d keys", refused, len(h.pool.keys))
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
 
@@ -408,14 +439,14 @@
 func TestAsksOfBusyKeyAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newPoolHarness()
-		h.answer = grantAll
+		h.setAnswer(grantAll)
 		const seconds, rate = 4, 2000
 		use := func() {
 			for range seconds * rate {
 				if _, denial := h.pool.Acquire(context.Background(), keyA, Limit{Rate: 1e6}); denial != nil {
 					t.Fatal(denial)
 				}
-				time.Sleep(time.Second / rate)
+				pause(time.Second / rate)
 			}
 		}
 		use()
@@ -425,6 +456,6 @@
 		if s.Asks-first.Asks > most+most/10 || first.Asks > 3*most || s.Refunded > s.Granted/100 {
 			t.Errorf("%+v, then %+v", first, s)
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 	})
 }
