Grant credits of shared limits on the instance that holds the lease

Cause: quotas and cold targets need a credit.Source on each instance, and one owner that answers it. Change: the control loop makes the calls of credit.Tenure while a configuration with a shared limit is in force; leaders repeat the newest owner record. Asks, answers and refunds bypass the control loop, and the lease is checked right before each grant. Suspensions that the check finds are reported to the control loop.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -22,8 +22,20 @@
 	WorkspaceQuota Kind = iota
 	// ColdTarget limits the requests to a cold target. The name is the id of the target.
 	ColdTarget
+	// NumKinds is the number of kinds.
+	NumKinds
 )
 
+// kindNames are values of a metric label, in the order of the kinds.
+var kindNames = [NumKinds]string{"workspace_quota", "cold_target"}
+
+func (k Kind) String() string {
+	if k >= NumKinds {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
 // Key names a shared limit. It is encoded in datagrams.
 type Key struct {
 	_    struct{} `cbor:",toarray"`
@@ -31,7 +43,7 @@
 	Name string
 }
 
-func (k Key) String() string { return fmt.Sprintf("%d/%s", k.Kind, k.Name) }
+func (k Key) String() string { return fmt.Sprintf("%s/%s", k.Kind, k.Name) }
 
 // Limit is the size of a shared limit: a number of requests per second, and the number that may be saved up. It is encoded in
 // datagrams.
--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -78,6 +78,8 @@
 	// yet.
 	beganAt time.Duration
 	unowned bool
+	// left is true if the holder has released the ownership.
+	left bool
 	// era is the newest known era of the store.
 	era int64
 
@@ -91,7 +93,9 @@
 	// ownBeganAt is when the ownership began that these records belong to.
 	ownBeganAt time.Duration
 	takeover   Takeover
-	loss       Loss
+	// takeovers counts the ownerships.
+	takeovers int
+	loss      Loss
 
 	// renewing is true if the newest record to append was one of an owner.
 	renewing bool
@@ -217,7 +221,8 @@
 
 // setNewest records what is known of the newest record.
 func (t *Tenure) setNewest(h Holder, next topic.Position, freeAt, beganAt time.Duration) {
-	t.next, t.known, t.holder, t.freeAt, t.beganAt, t.unowned = next, true, h, freeAt, beganAt, false
+	t.next, t.known, t.holder, t.left = next, true, h, false
+	t.freeAt, t.beganAt, t.unowned = freeAt, beganAt, false
 }
 
 // firstEra is the highest era in which the store was not restored yet.
@@ -328,6 +333,7 @@
 		t.setNewest(t.self, r.End, now, now)
 		return
 	}
+	wasOwner := t.owns
 	if !t.owns {
 		t.takeover = Takeover{From: t.holder, Continued: continued, SincePrevious: max(now-t.beganAt, 0)}
 		if t.unowned {
@@ -339,12 +345,23 @@
 	}
 	t.setNewest(t.self, r.End, r.StartedAt+TTL, began)
 	t.owns = !t.released && now < t.freeAt
+	if t.owns && !wasOwner {
+		t.takeovers++
+	}
 	if t.owns || continued {
 		t.ownNext, t.ownBeganAt = r.End, began
 		t.ownUntil, t.renewAt = t.freeAt, r.StartedAt+RenewInterval
 	}
 }
 
+// CallFailed ends a call whose result could not be handled.
+func (t *Tenure) CallFailed(now time.Duration) {
+	if t.calling {
+		t.calling, t.unanswered = false, true
+		t.delayRetry(now)
+	}
+}
+
 // delayRetry delays the next call after a failed one.
 func (t *Tenure) delayRetry(now time.Duration) {
 	t.pause = min(max(2*t.pause, minRetry), maxRetry)
@@ -373,6 +390,7 @@
 		t.lose(LossSuperseded)
 	}
 	t.setNewest(a.holder(), next, now+a.valid(), a.beganAt(now))
+	t.left = a.Released
 	if isOwn {
 		t.extendOwn(next)
 	}
@@ -382,9 +400,10 @@
 // earliest one holds.
 func (t *Tenure) refine(now time.Duration, a Announcement) {
 	t.freeAt, t.beganAt = min(t.freeAt, now+a.valid()), min(t.beganAt, a.beganAt(now))
-	if t.holder.ID == "" || a.Released {
+	if t.holder.ID == "" {
 		t.holder = a.holder()
 	}
+	t.left = t.left || a.Released
 }
 
 // Release gives up the ownership and ends the tenure. It returns the announcement for the others, and false if this instance was
@@ -398,7 +417,7 @@
 	t.lose(LossReleased)
 	t.setNewest(t.self, t.ownNext, now, t.ownBeganAt)
 	a, known := t.Announcement(now)
-	a.Released = true
+	t.left, a.Released = true, true
 	return a, known
 }
 
@@ -408,14 +427,22 @@
 	return t.ownUntil, t.owns
 }
 
-// LastTakeover describes how this instance last became the owner, and LastLoss why it last ceased to be.
+// LastTakeover describes how this instance last became the owner.
 func (t *Tenure) LastTakeover() Takeover { return t.takeover }
 
+// Takeovers returns how often this instance became the owner.
+func (t *Tenure) Takeovers() int { return t.takeovers }
+
 // LastLoss returns why this instance last ceased to be the owner.
 func (t *Tenure) LastLoss() Loss { return t.loss }
 
 // Owner returns the instance that most likely is the owner, and false if none is known.
-func (t *Tenure) Owner() (Holder, bool) { return t.holder, t.holder.ID != "" }
+func (t *Tenure) Owner() (Holder, bool) {
+	if t.left || t.holder.ID == "" {
+		return Holder{}, false
+	}
+	return t.holder, true
+}
 
 // Announcement returns what this instance knows of the newest record, and false if it knows none.
 func (t *Tenure) Announcement(now time.Duration) (Announcement, bool) {
--- /dev/null
+++ b/internal/fleet/credit_owner_test.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/basillink/basillink/internal/credit"
+)
+
+// creditFault is a disturbance of a fleet that has an owner.
+type creditFault struct {
+	name string
+	// begin disturbs the owner or the store, and end, which may be nil, ends that after some time.
+	begin, end func(f *creditFleet, owner int)
+	lasts      time.Duration
+	// within bounds the time from the beginning, or from the end if untilEnd is true, until the next credit that another instance
+	// than the owner gets.
+	within   time.Duration
+	untilEnd bool
+}
+
+// takeoverTime bounds a takeover: the whole lease, the succession in the zone of the owner, a turn of a few candidates, and the
+// initial wait for the credits of a new ledger.
+const takeoverTime = credit.TTL + 700*time.Millisecond
+
+// failureTime is longer than the lease of an owner that could not renew it.
+const failureTime = 4 * time.Second
+
+// Guards against credits beyond the bounds, and against asks that nobody answers, while the owner or the store is disturbed.
+func TestCreditOwnerFaults(t *testing.T) {
+	faults := []creditFault{
+		{name: "killed", begin: (*creditFleet).kill, within: takeoverTime},
+		{name: "planned stop", begin: (*creditFleet).stop, within: 400 * time.Millisecond},
+		{name: "frozen", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: failureTime, within: takeoverTime},
+		{name: "frozen briefly", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: time.Second, within: takeoverTime},
+		{
+			name: "cut off", lasts: failureTime, within: takeoverTime,
+			begin: func(f *creditFleet, owner int) { f.net.setPartitioned(address(owner), true) },
+			end:   func(f *creditFleet, owner int) { f.net.setPartitioned(address(owner), false) },
+		},
+		{
+			name: "sends nothing", lasts: failureTime, within: time.Second, untilEnd: true,
+			begin: func(f *creditFleet, owner int) { f.loseFrom(address(owner)) },
+			end:   func(f *creditFleet, _ int) { f.loseFrom("") },
+		},
+		{
+			name: "refused by the store", lasts: failureTime, within: takeoverTime,
+			begin: func(f *creditFleet, owner int) { f.refuse(f.nodes[owner].Self.ID) },
+			end:   func(f *creditFleet, _ int) { f.refuse("") },
+		},
+		{
+			name: "store away", lasts: failureTime, within: 2 * time.Second, untilEnd: true,
+			begin: func(f *creditFleet, _ int) { f.setStore(storeRefuses) },
+			end:   func(f *creditFleet, _ int) { f.setStore(storeServes) },
+		},
+		{
+			name: "store silent", lasts: failureTime, within: 3 * time.Second, untilEnd: true,
+			begin: func(f *creditFleet, _ int) { f.setStore(storeSilent) },
+			end:   func(f *creditFleet, _ int) { f.setStore(storeServes) },
+		},
+		{
+			name: "late appends", lasts: failureTime, within: 2*takeoverTime + time.Second, untilEnd: true,
+			begin: func(f *creditFleet, _ int) { f.setLateness(700 * time.Millisecond) },
+			end:   func(f *creditFleet, _ int) { f.setLateness(0) },
+		},
+		{name: "store restored", begin: func(f *creditFleet, _ int) { f.store.restore(2 * time.Second) }, within: takeoverTime},
+		{name: "all restart", begin: (*creditFleet).restartAll, within: 2 * takeoverTime},
+	}
+	for i, fault := range faults {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", fault.name, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runCreditFault(t, fault, 100*seed+uint64(i)) })
+			})
+		}
+	}
+}
+
+func runCreditFault(t *testing.T, fault creditFault, seed uint64) {
+	const count = 6
+	f := startCreditFleet(t, count, true, seed)
+	defer f.stopAll()
+	f.drive(creditSettlingTime + time.Duration(f.net.random.Int64N(int64(time.Second))))
+	owner := f.owner()
+	if owner < 0 {
+		t.Fatal("no owner after the start")
+	}
+	// The rest of the fault is judged with credits left.
+	for i := range count {
+		f.setIdle(i, true)
+	}
+	time.Sleep(200 * time.Millisecond)
+	for i := range count {
+		f.setIdle(i, false)
+	}
+	at := f.now()
+	fault.begin(f, owner)
+	if fault.end != nil {
+		f.drive(at + fault.lasts)
+		fault.end(f, owner)
+	}
+	from := at
+	if fault.untilEnd {
+		from = f.now()
+	}
+	f.drive(f.now() + creditBounds.Window + 3*time.Second)
+	if took := f.firstGrantAfter(from, owner); took > fault.within {
+		t.Errorf("the next credit came after %s, want at most %s", took, fault.within)
+	} else {
+		t.Logf("the next credit came after %s", took)
+	}
+	if f.owner() < 0 {
+		t.Error("no owner at the end")
+	}
+	t.Logf("at most %d credits in a window", f.checkWindows())
+	if got := f.grantedBetween(f.now()-time.Second, f.now()); got < int(creditLimit.Rate*0.9) {
+		t.Errorf("%d credits in the last second, want about %.0f", got, creditLimit.Rate)
+	}
+}
+
+func (f *creditFleet) loseFrom(from string) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	f.net.loses = nil
+	if from != "" {
+		f.net.loses = func(sender, _ string) bool { return sender == from }
+	}
+}
+
+func (f *creditFleet) refuse(id string) {
+	f.store.update(func() { f.store.behaviorByInstance = map[string]storeBehavior{id: storeRefuses} })
+}
+
+func (f *creditFleet) setStore(b storeBehavior) { f.store.update(func() { f.store.behavior = b }) }
+
+func (f *creditFleet) setLateness(d time.Duration) {
+	f.store.update(func() { f.store.ownerLateness = d })
+}
+
+func (f *creditFleet) restartAll(int) {
+	for i := range f.nodes {
+		f.kill(i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range f.nodes {
+		f.restart(i)
+	}
+}
+
+// Guards against calls for the lease that grow with the fleet, and against calls of a fleet that needs no credit.
+func TestCreditOwnerStoreCalls(t *testing.T) {
+	const span = 30 * time.Second
+	for _, c := range []struct {
+		instances int
+		needed    bool
+	}{{3, false}, {3, true}, {30, true}, {110, true}} {
+		t.Run(fmt.Sprintf("%d instances, needed %v", c.instances, c.needed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startCreditFleet(t, c.instances, c.needed, uint64(c.instances))
+				defer f.stopAll()
+				time.Sleep(span)
+				reads, appends := f.storeCalls()
+				t.Logf("%d reads and %d appends in %s", reads, appends, span)
+				limit := int64(0)
+				if c.needed {
+					limit = int64(span/credit.RenewInterval) + 10
+				}
+				if reads+appends > limit {
+					t.Errorf("%d reads and %d appends in %s, want at most %d", reads, appends, span, limit)
+				}
+				if owns := f.owner() >= 0; owns != c.needed {
+					t.Errorf("there is an owner: %v, want %v", owns, c.needed)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -22,7 +22,7 @@
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// receiveDatagram decodes and dispatches a datagram. Claims and denials bypass the control loop, because requests wait
+// receiveDatagram decodes and dispatches a datagram. Claims, denials and messages about credits bypass the control loop, because requests wait
 // for them.
 func (n *Node) receiveDatagram(b []byte, from *net.UDPAddr) {
 	d, err := decode(b)
@@ -32,13 +32,15 @@
 	}
 	n.traffic.received[kindOf(d)].add(1, len(b))
 	switch {
-	case (d.Claim != nil || d.Denial != nil) && n.mayHaveWaited(time.Now()):
-		// The request of the claim was sent long ago.
+	case (d.Claim != nil || d.Denial != nil || d.isCredit()) && n.mayHaveWaited(time.Now()):
+		// The request that waits for it was sent long ago.
 		n.traffic.staleDatagrams.Add(1)
 	case d.Claim != nil:
 		n.handleClaim(d.Claim, time.Duration(d.ClaimMS)*time.Millisecond, from)
 	case d.Denial != nil:
 		n.handleDenial(d.Denial)
+	case d.isCredit():
+		n.handleCredit(d, from)
 	default:
 		n.enqueue(datagramReceived{datagram: d, from: from.String()})
 	}
@@ -125,6 +127,7 @@
 		p.Started, p.leaving, p.leaderClaimAt = d.Started, false, time.Time{}
 	}
 	p.lastHeard, p.leaving, p.unansweredGreetings = now, d.Leaving, 0
+	n.hearCreditOwner(d.CreditOwner, now)
 	if d.Leaving {
 		n.Log.Info("An instance is leaving.", "instance", d.From)
 		return
@@ -186,6 +189,7 @@
 func (n *Node) broadcastUpdate(now time.Time) {
 	d := n.newDatagram(now)
 	d.Targets, d.Config = n.targetsUpdate(now), n.configStatus(now)
+	n.addCreditOwner(d)
 	n.sendToZone(d, now)
 	n.sendToOtherZones(d, now)
 }
@@ -215,6 +219,7 @@
 	n.lastCrossZoneSend = now
 	d := n.newDatagram(now)
 	d.Targets, d.Config = n.targetsUpdate(now), n.configStatus(now)
+	n.addCreditOwner(d)
 	at := n.Now()
 	for _, report := range n.pendingForOtherZones {
 		d.Loads = append(d.Loads, report.withAge(at))
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -84,6 +84,10 @@
 		n.handleStateFetched(e, now)
 	case storedMarksRead:
 		n.handleStoredMarksRead(e, now)
+	case creditOwnerRead:
+		n.handleCreditOwnerRead(e, now)
+	case creditOwnerPut:
+		n.handleCreditOwnerPut(e, now)
 	case markStored:
 		n.handleMarkStored(e, now)
 	case marksFetched:
--- a/internal/fleet/greetings.go
+++ b/internal/fleet/greetings.go
@@ -100,6 +100,7 @@
 	}
 	answer.ZoneSize = n.members.zoneSize(p.Zone)
 	answer.Targets, answer.Config = n.targetsUpdate(now), n.configStatus(now)
+	n.addCreditOwner(answer)
 	answer.Departures = n.registry.RecentDepartures(now)
 	n.sendDatagram(answer, p.udp)
 }
--- a/internal/fleet/guard.go
+++ b/internal/fleet/guard.go
@@ -27,7 +27,7 @@
 	part := "message"
 	switch e.(type) {
 	case datagramReceived, stateRequested, stateFetched, marksFetched:
-	case configsRead, targetsRead, membersRead, storedMarksRead, markStored:
+	case configsRead, targetsRead, membersRead, storedMarksRead, markStored, creditOwnerRead, creditOwnerPut:
 		part = storePart
 	default:
 		n.handle(ctx, e, now)
@@ -47,6 +47,10 @@
 // resetReads makes topics readable again after the handling of an answer of the store panicked.
 func (n *Node) resetReads(e event, now time.Time) {
 	n.joinInFlight, n.storedMarks.callInFlight = false, false
+	switch e.(type) {
+	case creditOwnerRead, creditOwnerPut:
+		n.creditOwnership.tenure.CallFailed(n.creditClock.now())
+	}
 	for _, topic := range []*storeread.Topic{&n.targetsTopic, &n.configsTopic} {
 		if topic.Reading() {
 			topic.ReadFailed(now, n.Random.Float64(), n.failingInFleet)
--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/panicguard"
@@ -80,6 +81,12 @@
 func (faultyStore) Announce(context.Context, discovery.Member) error          { panic("decoder fault") }
 func (faultyStore) CrashMarks(context.Context) ([]discovery.CrashMark, error) { panic("decoder fault") }
 func (faultyStore) PutCrashMark(context.Context, discovery.CrashMark) error   { panic("decoder fault") }
+func (faultyStore) CreditOwner(context.Context) (*credit.OwnerRecord, topic.Position, error) {
+	panic("decoder fault")
+}
+func (faultyStore) PutCreditOwner(context.Context, credit.OwnerRecord, topic.Position) (topic.Position, error) {
+	panic("decoder fault")
+}
 
 // faultyLink panics in each call of a peer.
 type faultyLink struct{ link }
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
@@ -71,6 +72,12 @@
 	// ClaimMS is how many milliseconds the request of the claim is expected to be in flight, 0 if the sender is of an earlier
 	// version.
 	ClaimMS uint16 `cbor:"27,keyasint,omitempty"`
+	// CreditOwner is the newest known record of the owner of the shared limits. Leaders repeat it.
+	CreditOwner *credit.Announcement `cbor:"30,keyasint,omitempty"`
+	// CreditAsk, CreditAnswer and CreditRefund are sent without any other field.
+	CreditAsk    *credit.Ask    `cbor:"31,keyasint,omitempty"`
+	CreditAnswer *credit.Answer `cbor:"32,keyasint,omitempty"`
+	CreditRefund *credit.Refund `cbor:"33,keyasint,omitempty"`
 }
 
 // loadReport is the load of one target. Target is the hash of the target's id.
@@ -149,6 +156,8 @@
 	// Both are 0 if no restore is known.
 	RestoredEra int64
 	Restored    time.Duration
+	// CreditOwner is the newest known record of the owner of the shared limits, nil if none is known.
+	CreditOwner *credit.Announcement
 }
 
 func (s *State) configNext() topic.Position {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/ingress"
@@ -69,6 +70,8 @@
 	// TargetsChanged is called by the control loop after the set of registered targets may have changed. registered
 	// reports whether a target is among them. It must not block, and may be nil.
 	TargetsChanged func(registered func(id string) bool)
+	// CreditBounds are what the platform tolerates beyond the limits that all instances share.
+	CreditBounds map[credit.Kind]credit.Bounds
 }
 
 // Node is the member of the fleet that runs in this process. View, Ready, the counters, ReportMisdirected and
@@ -86,6 +89,9 @@
 	sampler       *sampler
 	started       time.Time
 	flush         flush
+	creditClock   *suspensionClock
+	creditDesk    *creditDesk
+	creditPool    *credit.Pool
 
 	// The fields below are owned by the control loop.
 	members  *members
@@ -181,6 +187,7 @@
 	republishAt time.Time
 	// pendingForOtherZones are load reports that were not sent to other zones yet.
 	pendingForOtherZones map[uint32]timedLoadReport
+	creditOwnership      creditOwnership
 }
 
 // targetRef is a target found by the hash of its id.
@@ -222,6 +229,9 @@
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
+	n.creditClock = &suspensionClock{detect: c.DetectSuspension}
+	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
+	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
 }
@@ -305,6 +315,7 @@
 	rank := n.members.readRank(now, n.isLeader)
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
+	n.stepCreditOwnership(ctx, now, rank)
 	n.fetchNewerConfig(ctx, now)
 	n.startDueProbes(now)
 	n.sendLeaderHeartbeat(now)
@@ -405,6 +416,7 @@
 // leave announces the stop to the peers and closes the sockets.
 func (n *Node) leave(now time.Time) {
 	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true}
+	n.releaseCreditOwner(d)
 	n.sendToZone(d, now)
 	n.sendToOtherZones(d, now)
 	n.link.close()
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
@@ -26,6 +27,7 @@
 	configs []*routes.Config
 	targets []registry.Change
 	members []discovery.Member
+	owners  ownerTopic
 	calls   int
 }
 
@@ -123,6 +125,23 @@
 	return nil
 }
 
+func (c *storeClient) CreditOwner(context.Context) (*credit.OwnerRecord, topic.Position, error) {
+	if err := c.begin(); err != nil {
+		return nil, topic.Position{}, err
+	}
+	defer c.store.mu.Unlock()
+	record, end := c.store.owners.newest(0)
+	return record, end, nil
+}
+
+func (c *storeClient) PutCreditOwner(_ context.Context, record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
+	if err := c.begin(); err != nil {
+		return topic.Position{}, err
+	}
+	defer c.store.mu.Unlock()
+	return c.store.owners.append(0, record, at)
+}
+
 func (s *fakeStore) publish(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -39,7 +39,7 @@
 // detectPause detects that the process was paused or the host suspended. Another instance may have taken over as
 // leader meanwhile, so this one has to listen first.
 func (n *Node) detectPause(now time.Time) {
-	_, suspended := n.DetectSuspension()
+	suspended := n.creditClock.takeSuspended()
 	pause := now.Sub(n.lastTick) + suspended
 	n.recordTick(now)
 	if suspended > 0 {
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -227,6 +227,7 @@
 	n.lastStatusSent = now
 	d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
 	d.Marks = n.marksToRepeat(now)
+	n.addCreditOwner(d)
 	if len(n.shardOwners) > 1 {
 		d.ShardOwners = n.shardOwners
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -204,6 +204,7 @@
 	if era, at := n.registry.LatestRestore(); era > 0 {
 		s.RestoredEra, s.Restored = era, now.Sub(at)
 	}
+	s.CreditOwner = n.creditAnnouncement()
 	if digest := n.marksDigest(); digest != 0 && digest != request.MarksDigest {
 		s.Marks = n.allMarks()
 	}
@@ -222,6 +223,7 @@
 	e.requestedAt = n.startOfCall(e.requestedAt)
 	s := e.state
 	n.addMembers(s.Members, now)
+	n.hearCreditOwner(s.CreditOwner, now)
 	n.mergeStateMarks(s.Marks, now)
 	n.storedMarks.loaded = n.storedMarks.loaded || s.MarksRead
 	if s.TargetsListed {
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -15,11 +15,13 @@
 	KindDenial
 	KindCrashMark
 	KindLeave
+	// KindCredit is an ask for credits of the shared limits, an answer or a refund.
+	KindCredit
 	numDatagramKinds
 )
 
 // datagramKindNames are values of a metric label.
-var datagramKindNames = [numDatagramKinds]string{"heartbeat", "greeting", "readings", "news", "claim", "denial", "mark", "leave"}
+var datagramKindNames = [numDatagramKinds]string{"heartbeat", "greeting", "readings", "news", "claim", "denial", "mark", "leave", "credit"}
 
 func (k DatagramKind) String() string { return datagramKindNames[k] }
 
@@ -30,6 +32,8 @@
 		return KindClaim
 	case d.Denial != nil:
 		return KindDenial
+	case d.CreditAsk != nil || d.CreditAnswer != nil || d.CreditRefund != nil:
+		return KindCredit
 	case d.Leaving:
 		return KindLeave
 	case d.Greeting || d.ZoneSize > 0:
@@ -79,11 +83,13 @@
 	CallAnnounce
 	CallCrashMarks
 	CallPutCrashMark
+	CallCreditOwner
+	CallPutCreditOwner
 	numStoreCalls
 )
 
 // storeCallNames are values of a metric label.
-var storeCallNames = [numStoreCalls]string{"configs", "targets", "members", "announce", "crash_marks", "keep_crash_mark"}
+var storeCallNames = [numStoreCalls]string{"configs", "targets", "members", "announce", "crash_marks", "keep_crash_mark", "credit_owner", "keep_credit_owner"}
 
 func (c StoreCall) String() string { return storeCallNames[c] }
 
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -33,6 +33,7 @@
 		return
 	}
 	relay := n.newDatagram(now)
+	n.addCreditOwner(relay)
 	relay.Loads, relay.Targets, relay.Config = d.Loads, n.targetsUpdate(now), n.configStatus(now)
 	n.sendToZone(relay, now)
 }
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/registry"
@@ -228,6 +229,11 @@
 	writes []virtualWrite
 	// calls is the number of calls received.
 	calls int
+	// workspaces are those of each configuration.
+	workspaces []routes.Workspace
+	owners     ownerTopic
+	// ownerLateness is how long after it was sent an append of an owner record is executed. Late appends get no answer. 0 for none.
+	ownerLateness time.Duration
 	// answerDelay returns how much later than executed a read is answered. It may be nil.
 	answerDelay func() time.Duration
 }
@@ -368,7 +374,7 @@
 }
 
 func (c virtualStoreClient) config() *routes.Config {
-	return &routes.Config{Version: max(c.configVersion, 1), Services: []routes.Service{{Name: "s"}}}
+	return &routes.Config{Version: max(c.configVersion, 1), Services: []routes.Service{{Name: "s"}}, Workspaces: c.workspaces}
 }
 
 func (c virtualStoreClient) NewestConfig(context.Context) (records discovery.OperatorRecords, next topic.Position, err error) {
@@ -476,6 +482,61 @@
 	s.wrote(func() { s.marks = before })
 }
 
+// ownerTopic holds the records of the owners of the shared limits.
+type ownerTopic struct{ records []credit.OwnerRecord }
+
+func (t *ownerTopic) newest(era int64) (*credit.OwnerRecord, topic.Position) {
+	end := topic.Position{Era: era, Offset: int64(len(t.records))}
+	if len(t.records) == 0 {
+		return nil, end
+	}
+	record := t.records[len(t.records)-1]
+	return &record, end
+}
+
+func (t *ownerTopic) append(era int64, record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
+	if end := (topic.Position{Era: era, Offset: int64(len(t.records))}); at.Offset != end.Offset {
+		return topic.Position{}, &discovery.ConflictError{Topic: "owners", At: at, End: end}
+	}
+	t.records = append(t.records, record)
+	return topic.Position{Era: era, Offset: int64(len(t.records))}, nil
+}
+
+func (c virtualStoreClient) CreditOwner(context.Context) (record *credit.OwnerRecord, end topic.Position, err error) {
+	end, err = c.readPosition("owners", topic.Position{}, func(era int64) (int64, bool) {
+		var end topic.Position
+		record, end = c.owners.newest(era)
+		return end.Offset, true
+	})
+	return record, end, err
+}
+
+func (c virtualStoreClient) PutCreditOwner(_ context.Context, record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
+	if err := c.begin(); err != nil {
+		return topic.Position{}, err
+	}
+	if lateness := c.ownerLateness; lateness > 0 {
+		c.mu.Unlock()
+		time.AfterFunc(lateness, func() { c.update(func() { _, _ = c.putOwner(record, at) }) })
+		time.Sleep(creditCallTimeout)
+		return topic.Position{}, errRefused
+	}
+	end, err := c.putOwner(record, at)
+	era := c.answerEra()
+	c.mu.Unlock()
+	c.LearnEra(era)
+	return end, err
+}
+
+// putOwner appends a record of an owner. The lock must be held.
+func (s *virtualStore) putOwner(record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
+	end, err := s.owners.append(s.answerEra(), record, at)
+	if err == nil {
+		s.wrote(func() { s.owners.records = s.owners.records[:len(s.owners.records)-1] })
+	}
+	return end, err
+}
+
 // startVirtualNode runs a node and returns it with a function that stops it. configure changes its configuration, and
 // may be nil.
 func startVirtualNode(v *virtualNet, s *virtualStore, self discovery.Member, seeds []string, log *slog.Logger, configure func(*Config)) (*Node, func()) {
