--- a/internal/credit/owner_record.go
+++ b/internal/credit/owner_record.go
@@ -23,6 +23,9 @@
 	Era int64 `json:"era"`
 	// OwnedMS is the time in milliseconds for which the holder had been the owner when it began to append the record.
 	OwnedMS int64 `json:"owned_ms"`
+	// Challenge is true if the writer could not know that the record before is invalid. The record makes nobody the owner, but
+	// keeps the owner that nobody hears from renewing its lease.
+	Challenge bool `json:"challenge,omitempty"`
 }
 
 // Announcement tells other instances of the newest known owner record. It is encoded in datagrams and in the answers of
--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -16,6 +16,12 @@
 	// minRetry and maxRetry bound the growing pause between two failed calls of a candidate. An owner retries after minRetry.
 	minRetry = 300 * time.Millisecond
 	maxRetry = 5 * time.Second
+	// challengeDelay is how long a candidate waits for an announcement after a conflict, before it challenges an owner that nobody
+	// hears. Announcements usually arrive within 100 ms.
+	challengeDelay = 500 * time.Millisecond
+	// minorityWait is the additional wait of a candidate that does not hear from the majority of the instances. Those may have an
+	// owner, or become it before.
+	minorityWait = 3 * time.Second
 )
 
 // Step is the call to the store that a Tenure is due to make.
@@ -97,6 +103,15 @@
 	takeovers int
 	loss      Loss
 
+	// sawMajority is true if this instance heard from the majority during the present ownership.
+	sawMajority bool
+
+	// challenge is true if somebody appended a record of which this instance has not heard since. It then challenges that owner at
+	// challengeAt, if it hears from the majority.
+	challenge   bool
+	challengeAt time.Duration
+	// challenging is true if the newest record to append is a challenge.
+	challenging bool
 	// renewing is true if the newest record to append was one of an owner.
 	renewing bool
 	// calling is true while a call is in progress.
@@ -122,6 +137,8 @@
 	Rank int
 	// Era is the newest known era of the store.
 	Era int64
+	// Minority is true if this instance does not hear from half of the instances that were live lately.
+	Minority bool
 }
 
 // Next returns the call that is due, and for AppendStep the position at which the topic has to end.
@@ -135,22 +152,29 @@
 	case t.candidateSince < 0:
 		t.candidateSince = s.Now
 	}
-	if t.calling || s.Now < t.retryAt || s.Now < t.dueAt(s.Rank) {
+	t.sawMajority = t.owns && (t.sawMajority || !s.Minority)
+	if t.calling || s.Now < t.retryAt || s.Now < t.dueAt(s) || t.owns && t.sawMajority && s.Minority {
 		return NoStep, topic.Position{}
 	}
 	t.calling = true
 	if !t.known {
 		return ReadStep, topic.Position{}
 	}
+	t.renewing, t.challenging = t.owns, !t.owns && s.Now < t.freeAt
 	return AppendStep, t.next
 }
 
 // dueAt returns the time of the next call.
-func (t *Tenure) dueAt(rank int) time.Duration {
-	wait := time.Duration(rank) * RankStep
+func (t *Tenure) dueAt(s Situation) time.Duration {
+	wait := time.Duration(s.Rank) * RankStep
+	if s.Minority {
+		wait += minorityWait
+	}
 	switch {
 	case t.owns:
 		return t.renewAt
+	case t.known && t.challenge && !s.Minority:
+		return t.challengeAt + wait
 	case !t.known && t.readAtOnce:
 		return t.candidateSince
 	case !t.known:
@@ -221,7 +245,7 @@
 
 // setNewest records what is known of the newest record.
 func (t *Tenure) setNewest(h Holder, next topic.Position, freeAt, beganAt time.Duration) {
-	t.next, t.known, t.holder, t.left = next, true, h, false
+	t.next, t.known, t.holder, t.left, t.challenge = next, true, h, false, false
 	t.freeAt, t.beganAt, t.unowned = freeAt, beganAt, false
 }
 
@@ -234,7 +258,7 @@
 	switch {
 	case record == nil && end.Offset == 0 && end.Era <= firstEra:
 		return now, now
-	case record == nil || record.Era != end.Era:
+	case record == nil || record.Era != end.Era || record.Challenge:
 		return now + TTL, now + TTL
 	}
 	beganAt = now - time.Duration(record.OwnedMS)*time.Millisecond
@@ -286,8 +310,8 @@
 	switch {
 	case r.Conflict:
 		t.conflicted(now, r)
-	case r.End.Era != r.At.Era || r.End.Era < t.era:
-		t.appendedInOtherEra(now, r.End)
+	case r.End.Era != r.At.Era || r.End.Era < t.era || t.challenging:
+		t.appendedWithoutLease(now, r.End)
 	default:
 		t.appended(now, r)
 	}
@@ -308,12 +332,18 @@
 	if mayBeOwn {
 		// An append of this instance that got no answer may have been executed.
 		t.known, t.readAtOnce = false, true
+		return
+	}
+	t.challenge, t.challengeAt = true, now+challengeDelay
+	if t.challenging {
+		// The owner renewed its lease since the conflict before. The end is known for a moment.
+		t.challengeAt = now
 	}
 }
 
-// appendedInOtherEra handles a record that was appended in a later era than expected. Another instance may be the owner in that
-// era, so it proves nothing. A lease that is still valid is not affected: nobody became the owner since.
-func (t *Tenure) appendedInOtherEra(now time.Duration, end topic.Position) {
+// appendedWithoutLease handles a challenge, and a record that was appended in a later era than expected. Another instance may be the
+// owner, so the record proves nothing. A lease that is still valid in a later era is not affected: nobody became the owner since.
+func (t *Tenure) appendedWithoutLease(now time.Duration, end topic.Position) {
 	if end.Before(t.next) || end.Era < t.era {
 		return
 	}
@@ -400,8 +430,8 @@
 // earliest one holds.
 func (t *Tenure) refine(now time.Duration, a Announcement) {
 	t.freeAt, t.beganAt = min(t.freeAt, now+a.valid()), min(t.beganAt, a.beganAt(now))
-	if t.holder.ID == "" {
-		t.holder = a.holder()
+	if t.holder.ID == "" && a.ID != "" {
+		t.holder, t.challenge = a.holder(), false
 	}
 	t.left = t.left || a.Released
 }
@@ -457,8 +487,7 @@
 
 // Record returns the record to append at a position.
 func (t *Tenure) Record(now time.Duration, at topic.Position) OwnerRecord {
-	r := OwnerRecord{Holder: t.self, Era: at.Era}
-	t.renewing = t.owns
+	r := OwnerRecord{Holder: t.self, Era: at.Era, Challenge: t.challenging}
 	if t.owns {
 		r.OwnedMS = wholeMilliseconds(now - t.ownBeganAt)
 	}
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -130,6 +130,7 @@
 	n.hearCreditOwner(d.CreditOwner, now)
 	if d.Leaving {
 		n.Log.Info("An instance is leaving.", "instance", d.From)
+		n.creditOwnership.instanceLeft()
 		return
 	}
 	p.zoneLive, p.zoneFailing = d.ZoneLive, d.ZoneFailing
