--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -84,8 +84,9 @@
 	// yet.
 	beganAt time.Duration
 	unowned bool
-	// left is true if the holder has released the ownership.
-	left bool
+	// left is true if the holder has released the ownership, and lastLeft is the last one that did.
+	left     bool
+	lastLeft Holder
 	// era is the newest known era of the store.
 	era int64
 
@@ -263,7 +264,7 @@
 	}
 	beganAt = now - time.Duration(record.OwnedMS)*time.Millisecond
 	switch {
-	case record.Holder == t.self:
+	case record.Holder == t.self, record.Holder == t.lastLeft:
 		return now, beganAt
 	case record.ID == t.self.ID:
 		// The earlier incarnation ended before this process started.
@@ -319,7 +320,8 @@
 
 // conflicted handles a refused append. The end of the topic tells that no record before it is valid for longer than TTL.
 func (t *Tenure) conflicted(now time.Duration, r AppendResult) {
-	mayBeOwn := t.owns || t.unanswered
+	// An append of this instance that got no answer may have been executed, or the last one of an owner that has left.
+	readsAtOnce := t.owns || t.unanswered || t.left
 	t.lose(LossConflict)
 	if r.End.Before(t.next) || r.End.Era < t.era {
 		return
@@ -329,8 +331,7 @@
 		return
 	}
 	t.setNewest(Holder{}, r.End, now+TTL, now+TTL)
-	if mayBeOwn {
-		// An append of this instance that got no answer may have been executed.
+	if readsAtOnce {
 		t.known, t.readAtOnce = false, true
 		return
 	}
@@ -420,7 +421,7 @@
 		t.lose(LossSuperseded)
 	}
 	t.setNewest(a.holder(), next, now+a.valid(), a.beganAt(now))
-	t.left = a.Released
+	t.setLeft(a)
 	if isOwn {
 		t.extendOwn(next)
 	}
@@ -433,7 +434,14 @@
 	if t.holder.ID == "" && a.ID != "" {
 		t.holder, t.challenge = a.holder(), false
 	}
-	t.left = t.left || a.Released
+	t.setLeft(a)
+}
+
+// setLeft takes from an announcement that the holder has left.
+func (t *Tenure) setLeft(a Announcement) {
+	if a.Released {
+		t.left, t.lastLeft = true, a.holder()
+	}
 }
 
 // Release gives up the ownership and ends the tenure. It returns the announcement for the others, and false if this instance was
--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -34,7 +34,7 @@
 
 // challengeTime bounds the takeover from an owner that nobody hears, but that reaches the store: its last known lease, the wait for
 // announcements after a conflict, and the wait after the challenge.
-const challengeTime = takeoverTime + credit.TTL + time.Second
+const challengeTime = lateTakeoverTime + credit.TTL + time.Second
 
 // failureTime is longer than the lease of an owner that could not renew it.
 const failureTime = 4 * time.Second
@@ -47,12 +47,12 @@
 		{name: "frozen", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: failureTime, within: lateTakeoverTime},
 		{name: "frozen briefly", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: time.Second, within: lateTakeoverTime},
 		{
-			name: "cut off", lasts: failureTime, within: challengeTime,
+			name: "cut off", lasts: 2 * failureTime, within: challengeTime,
 			begin: func(f *creditFleet, owner int) { f.net.setPartitioned(address(owner), true) },
 			end:   func(f *creditFleet, owner int) { f.net.setPartitioned(address(owner), false) },
 		},
 		{
-			name: "sends nothing", lasts: failureTime, within: challengeTime,
+			name: "sends nothing", lasts: 2 * failureTime, within: challengeTime,
 			begin: func(f *creditFleet, owner int) { f.loseFrom(address(owner)) },
 			end:   func(f *creditFleet, _ int) { f.loseFrom("") },
 		},
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -229,7 +229,7 @@
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
-	n.creditClock = &suspensionClock{detect: c.DetectSuspension}
+	n.creditClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
 	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
 	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
