Send nothing to the targets of evacuated zones

The operator asks by a record in the store that nothing is sent to a zone, and no instance read it.

Each instance keeps the evacuations with the position up to which the operator's topic was read. They travel in the configuration status of datagrams and in the state of peers, and the later position wins. Views leave out the targets of evacuated zones, which stay registered and are probed.

--- a/internal/dispatch/backpressure.go
+++ b/internal/dispatch/backpressure.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/basillink/basillink/internal/registry"
+)
 
 // maxBackoff caps the backoff that a target may ask for, so that times do not overflow.
 const maxBackoff = 24 * time.Hour
@@ -59,6 +63,22 @@
 	return t != nil && p.byID[t.ID] == t && !t.blocked(p.now())
 }
 
+// Detached returns a target that is not registered, with the backpressure of its incarnation. Hints that it is given hold
+// once the incarnation is registered.
+func (p *Pool) Detached(r registry.Target) *Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := newTarget(r, p.zone, 0)
+	p.restoreBackpressure(t)
+	return t
+}
+
+// HintsAllow reports whether the incarnation of a target, registered or not, is neither draining nor in a backoff.
+func (p *Pool) HintsAllow(r registry.Target) bool {
+	t := p.Detached(r)
+	return !t.blocked(p.now())
+}
+
 // restoreBackpressure gives a target that is registered again the backpressure of its incarnation. The caller holds p.mu.
 func (p *Pool) restoreBackpressure(t *Target) { t.backpressure = p.storedBackpressure[t.Incarnation()] }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,7 +72,7 @@
 		Panics: func() int64 {
 			return e.gateway.Panics() + e.node.Panics() + e.readiness.requests.Panics() + panicguard.Caught()
 		},
-		RequestBytes: e.gateway.Memory.Used,
+		RequestBytes: e.gateway.Memory.Used, EvacuatedZones: e.node.Traffic().EvacuatedZones,
 	}
 	if err := metrics.RegisterObservables(gauges); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -11,7 +11,7 @@
 )
 
 // observeTraffic exports counters of the control traffic of an instance: datagrams between instances, calls to the store and its
-// eras, and load probes.
+// eras, evacuations, and load probes.
 func observeTraffic(m *telemetry.Metrics, t *fleet.Traffic, store *platform.Store) error {
 	counters := []struct {
 		name, help string
@@ -33,6 +33,7 @@
 		{"basillink.store_restores", "Restores of the store from an older copy that this instance noticed.", func() []telemetry.LabeledValue {
 			return []telemetry.LabeledValue{{Value: t.StoreRestores()}}
 		}},
+		{"basillink.evacuations", "Evacuations that began, by zone.", func() []telemetry.LabeledValue { return labeledEvacuations(t) }},
 		{"basillink.store_era_faults", "Answers of the store with a faulty era, by fault.", func() []telemetry.LabeledValue { return labeledEraFaults(store) }},
 	}
 	for _, c := range counters {
@@ -67,6 +68,16 @@
 	return values
 }
 
+// labeledEvacuations returns the number of evacuations, labeled with the zone.
+func labeledEvacuations(t *fleet.Traffic) []telemetry.LabeledValue {
+	var values []telemetry.LabeledValue
+	for zone, count := range t.Evacuations() {
+		labels := []attribute.KeyValue{attribute.String("zone", zone)}
+		values = append(values, telemetry.LabeledValue{Labels: labels, Value: count})
+	}
+	return values
+}
+
 // labeledCalls returns the number of store calls, labeled with the type of call.
 func labeledCalls(t *fleet.Traffic) []telemetry.LabeledValue {
 	var values []telemetry.LabeledValue
--- /dev/null
+++ b/internal/fleet/evacuations.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/basillink/basillink/internal/discovery"
+	"github.com/basillink/basillink/internal/evacuation"
+	"github.com/basillink/basillink/internal/topic"
+)
+
+// The operator evacuates a zone by a record in the store. The targets of such a zone are left out of the views, so that the pools drop
+// them, and are still probed. Any instance that learns of it by a read tells the others; the leaders relay it to their zones.
+
+// applyEvacuationRecords applies the operator's records of a read. It reports whether the evacuated zones changed.
+func (n *Node) applyEvacuationRecords(records discovery.OperatorRecords, next topic.Position, now time.Time) bool {
+	before := n.evacuations.Zones()
+	changed := n.evacuations.ApplyRead(records, next, now)
+	n.recordEvacuations(before, "store")
+	return changed
+}
+
+// applyEvacuationReport applies the report of a peer. It reports whether the evacuated zones changed.
+func (n *Node) applyEvacuationReport(report *evacuation.Report, now time.Time) bool {
+	before := n.evacuations.Zones()
+	changed := n.evacuations.ApplyReport(report, now)
+	n.recordEvacuations(before, "peer")
+	return changed
+}
+
+// expireEvacuations ends the evacuations that the operator did not write again after a restore of the store.
+func (n *Node) expireEvacuations(now time.Time) {
+	before := n.evacuations.Zones()
+	if len(n.evacuations.Expire(now)) == 0 {
+		return
+	}
+	n.recordEvacuations(before, "restore")
+	n.publishView(now)
+}
+
+// reportsCurrentEvacuations reports whether a peer has read the operator's records at least as far as this instance knows them.
+func (n *Node) reportsCurrentEvacuations(status *configStatus) bool {
+	return status.Evacuations != nil && !status.Evacuations.Next().Before(n.evacuations.Next())
+}
+
+// recordEvacuations logs and counts the zones whose evacuation began or ended.
+func (n *Node) recordEvacuations(before []string, source string) {
+	after := n.evacuations.Zones()
+	position := n.evacuations.Next()
+	for _, zone := range after {
+		if !slices.Contains(before, zone) {
+			n.Log.Warn("A zone is evacuated.", "zone", zone, "source", source, "era", position.Era, "next", position.Offset)
+			n.traffic.addEvacuation(zone)
+		}
+	}
+	for _, zone := range before {
+		if !slices.Contains(after, zone) {
+			n.Log.Warn("The evacuation of a zone has ended.", "zone", zone, "source", source, "era", position.Era, "next", position.Offset)
+		}
+	}
+	n.traffic.setEvacuated(after)
+}
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/evacuation"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/storeread"
@@ -117,6 +118,8 @@
 	AgeMS   int64  `cbor:"2,keyasint"`
 	// Answer identifies the answer of the store that AgeMS is the age of.
 	Answer storeread.AnswerID `cbor:"3,keyasint"`
+	// Evacuations is nil if the sender is of an earlier version. It then tells nothing about how far the topic was read.
+	Evacuations *evacuation.Report `cbor:"4,keyasint,omitempty"`
 }
 
 // State is everything that an instance needs to start serving.
@@ -149,6 +152,8 @@
 	// Both are 0 if no restore is known.
 	RestoredEra int64
 	Restored    time.Duration
+	// Evacuations is nil if the sender is of an earlier version.
+	Evacuations *evacuation.Report
 }
 
 func (s *State) configNext() topic.Position {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/evacuation"
 	"github.com/basillink/basillink/internal/ingress"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
@@ -99,6 +100,7 @@
 	// configsHeldAt is the latest time at which the configurations were not read because the targets could not be.
 	configsHeldAt time.Time
 	era           storeread.Era
+	evacuations   evacuation.Set
 	newerConfig   newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
@@ -151,6 +153,8 @@
 	zoneServices map[string]bool
 	// zoneHeld are the ids of those zoneTargets that are not usable: their held entries are used once a probe finds them running.
 	zoneHeld map[string]bool
+	// zoneEvacuated holds the zoneTargets of an evacuated zone, by id. They are probed although the pools do not know them.
+	zoneEvacuated map[string]registry.Target
 	// samplerSynced is true while the sampler has exactly the targets of shard.
 	samplerSynced bool
 	probeStates   map[string]*probeState
@@ -299,6 +303,7 @@
 		n.publishView(now)
 	}
 	n.admitHeldTargets(now)
+	n.expireEvacuations(now)
 	n.updateLeadership(now)
 	n.updateFailingCounts(now)
 	n.era.Notice(n.Store.Era(), now)
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -92,6 +92,9 @@
 		return true
 	}
 	pool := n.pools[service]
+	if t, evacuated := n.zoneEvacuated[id]; evacuated {
+		return pool == nil || pool.HintsAllow(t)
+	}
 	return pool == nil || pool.Accepts(pool.Target(id))
 }
 
@@ -103,6 +106,9 @@
 			continue
 		}
 		t := pool.Target(r.id)
+		if evacuated, known := n.zoneEvacuated[r.id]; t == nil && known {
+			t = pool.Detached(evacuated)
+		}
 		if t == nil {
 			continue
 		}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -192,7 +192,8 @@
 		TargetsNext: n.targetsTopic.Next.Offset, TargetsEra: n.targetsTopic.Next.Era, TargetsAge: now.Sub(n.targetsTopic.AsOf),
 		ConfigAnswer: n.configsTopic.Answer, TargetsAnswer: n.targetsTopic.Answer,
 		Members: n.members.membersToIntroduce(n.Self.Zone, true), TargetsListed: n.targetsTopic.Known, ConfigListed: n.configsTopic.Known,
-		MarksRead: n.storedMarks.loaded, StoreAnswering: now.Sub(n.registry.StoreAnsweringSince()),
+		Evacuations: n.evacuations.Report(now),
+		MarksRead:   n.storedMarks.loaded, StoreAnswering: now.Sub(n.registry.StoreAnsweringSince()),
 	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
@@ -229,7 +230,8 @@
 		until := n.targetsTopic.DateAnswer(s.TargetsAnswer, e.requestedAt.Add(-s.TargetsAge))
 		n.registry.StoreAnswered(e.requestedAt.Add(-s.StoreAnswering), until)
 	}
-	changed := n.mergeTargetState(e, now)
+	evacuated := s.Evacuations != nil && n.applyEvacuationReport(s.Evacuations, now)
+	changed := n.mergeTargetState(e, now) || evacuated
 	if s.Config != nil || s.ConfigListed && !n.configsTopic.Known {
 		n.configsTopic.Next, n.configsTopic.Known, n.configsTopic.Behind = topic.Later(n.configsTopic.Next, s.configNext()), true, false
 		n.configsTopic.Refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -26,7 +26,9 @@
 	n.configsTopic.ReadStarted(now)
 	n.logRead("configs", &n.configsTopic, rank, now)
 	n.traffic.storeCalls[CallConfigs].Add(1)
-	next, continues := n.configsTopic.Next, n.era.Continues(&n.configsTopic)
+	// The operator's records are listed as well if a peer that knows no evacuations told how far they were read.
+	next := n.configsTopic.Next
+	continues := n.era.Continues(&n.configsTopic) && !n.evacuations.Next().Before(next)
 	go func() {
 		r := configsRead{startedAt: now}
 		r.err = n.guardCall(storePart, func() (err error) {
@@ -110,9 +112,13 @@
 	}
 	n.configsTopic.ReadSucceeded(e.startedAt, e.next)
 	n.storeAnsweredAt = e.startedAt
+	evacuated := n.applyEvacuationRecords(e.records, e.next, now)
 	for _, config := range e.records.Configs {
 		n.applyNewestConfig(config, "store", now)
 	}
+	if evacuated {
+		n.publishView(now)
+	}
 	n.broadcastUpdate(now)
 }
 
--- a/internal/fleet/traffic.go
+++ b/internal/fleet/traffic.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "sync/atomic"
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+)
 
 // DatagramKind is the main purpose of a datagram between instances.
 type DatagramKind int
@@ -66,6 +70,11 @@
 	staleDatagrams atomic.Int64
 	// storeRestores counts the eras of the store that this instance entered after the first one.
 	storeRestores atomic.Int64
+
+	mu sync.Mutex
+	// evacuations counts the evacuations that began, by zone, and evacuated holds the zones that are evacuated now.
+	evacuations map[string]int64
+	evacuated   []string
 }
 
 // StoreCall is a kind of call to the store.
@@ -109,3 +118,37 @@
 
 // LoadProbes returns the number of load probes that got a result.
 func (t *Traffic) LoadProbes() int64 { return t.loadProbes.Load() }
+
+// maxCountedZones bounds the number of label values of the evacuations. The operator may name zones that do not exist.
+const maxCountedZones = 32
+
+func (t *Traffic) addEvacuation(zone string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.evacuations == nil {
+		t.evacuations = map[string]int64{}
+	}
+	if _, counted := t.evacuations[zone]; counted || len(t.evacuations) < maxCountedZones {
+		t.evacuations[zone]++
+	}
+}
+
+func (t *Traffic) setEvacuated(zones []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated = zones
+}
+
+// Evacuations returns how many evacuations began since the start, by zone.
+func (t *Traffic) Evacuations() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.evacuations)
+}
+
+// EvacuatedZones returns the number of zones that are evacuated now.
+func (t *Traffic) EvacuatedZones() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int64(len(t.evacuated))
+}
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -16,6 +16,8 @@
 	if n.targetsTopic.Behind && n.fetchesFrom(p, &n.targetsTopic, now) {
 		n.fetchState(ctx, p.Address, now)
 	}
+	evacuated := d.Config != nil && d.Config.Evacuations != nil && n.applyEvacuationReport(d.Config.Evacuations, now)
+	changed = changed || evacuated
 	if changed {
 		n.publishView(now)
 	}
@@ -27,7 +29,7 @@
 		n.queueForOtherZones(d)
 		return
 	}
-	// The zone is told at once of a new era, before others of it read the store.
+	// The zone is told at once of evacuations and of a new era, before others of it read the store.
 	if n.isLeader && !changed && !isNewer(d.Config, before) && n.targetsTopic.Next.Era == eraBefore {
 		n.queueForZone(d.Loads)
 		return
@@ -69,7 +71,10 @@
 	if !n.configsTopic.Known {
 		return nil
 	}
-	return &configStatus{Version: n.configVersion(), AgeMS: now.Sub(n.configsTopic.AsOf).Milliseconds(), Answer: n.configsTopic.Answer}
+	return &configStatus{
+		Version: n.configVersion(), AgeMS: now.Sub(n.configsTopic.AsOf).Milliseconds(), Answer: n.configsTopic.Answer,
+		Evacuations: n.evacuations.Report(now),
+	}
 }
 
 // configVersion returns the version of the configuration in force, 0 for none.
@@ -132,7 +137,9 @@
 	asOf := now.Add(-time.Duration(status.AgeMS) * time.Millisecond)
 	switch {
 	case status.Version == n.configVersion() && n.configsTopic.Known:
-		n.configsTopic.Refresh(asOf, status.Answer)
+		if n.reportsCurrentEvacuations(status) {
+			n.configsTopic.Refresh(asOf, status.Answer)
+		}
 	case status.Version < n.configVersion():
 		return
 	case n.fetchesFrom(p, &n.configsTopic, now):
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -16,11 +16,14 @@
 		return
 	}
 	byService := map[string][]registry.Target{}
+	// inUse includes the targets of evacuated zones, and byService does not.
 	inUse := map[string]registry.Target{}
 	usable := n.registry.Usable()
 	for _, t := range usable {
-		byService[t.Service] = append(byService[t.Service], t)
 		inUse[t.ID] = t
+		if !n.evacuations.Contains(t.Zone) {
+			byService[t.Service] = append(byService[t.Service], t)
+		}
 	}
 	n.setTargetsToProbe(usable)
 	n.reportTerminated(inUse)
@@ -45,13 +48,17 @@
 		n.Log.Info("Serving.", "version", n.table.Version, "targets", len(inUse), "after_ms", now.Sub(n.started).Milliseconds())
 	}
 	if n.TargetsChanged != nil {
-		n.TargetsChanged(func(id string) bool { _, used := inUse[id]; return used })
+		n.TargetsChanged(func(id string) bool {
+			t, used := inUse[id]
+			return used && !n.evacuations.Contains(t.Zone)
+		})
 	}
 }
 
 // setTargetsToProbe makes this zone probe its usable targets and those whose entries are held after a departure.
 func (n *Node) setTargetsToProbe(usable []registry.Target) {
 	n.zoneTargets, n.zoneServices, n.zoneHeld, n.samplerSynced = nil, map[string]bool{}, map[string]bool{}, false
+	n.zoneEvacuated = map[string]registry.Target{}
 	add := func(t registry.Target) bool {
 		if _, served := n.table.Services[t.Service]; !served || t.Zone != n.Self.Zone {
 			return false
@@ -61,7 +68,9 @@
 		return true
 	}
 	for _, t := range usable {
-		add(t)
+		if add(t) && n.evacuations.Contains(t.Zone) {
+			n.zoneEvacuated[t.ID] = t
+		}
 	}
 	for _, t := range n.registry.HeldAfterDeparture() {
 		n.zoneHeld[t.ID] = add(t)
@@ -69,7 +78,7 @@
 }
 
 // reportTerminated reports the targets whose processes are gone without having announced that they drain. It runs
-// before the pools drop them.
+// before the pools drop them. The targets of evacuated zones have not terminated.
 func (n *Node) reportTerminated(inUse map[string]registry.Target) {
 	before := n.targetsInUse
 	n.targetsInUse = inUse
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -217,8 +217,8 @@
 	// behaviorByInstance is the behavior toward single instances, by id. An instance gets the later one, in the order of
 	// the constants, of this and behavior.
 	behaviorByInstance map[string]storeBehavior
-	// configVersion is the version of the newest configuration, 0 for version 1.
-	configVersion uint64
+	// operator is the log of the operator's records. The first one, at offset 0, is the configuration of version 1, which it leaves out.
+	operator []operatorRecord
 	// era rises with each restore from a copy. hidesEra makes the answers tell none, as before the platform had eras.
 	era      int64
 	hidesEra bool
@@ -253,9 +253,45 @@
 func (s *virtualStore) putConfig(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.configVersion
-	s.configVersion = version
-	s.wrote(func() { s.configVersion = before })
+	s.appendOperator(operatorRecord{config: &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}}})
+}
+
+// operatorRecord is a configuration, or a record that evacuates a zone or ends its evacuation.
+type operatorRecord struct {
+	config *routes.Config
+	zone   string
+	active bool
+}
+
+func (s *virtualStore) putEvacuation(zone string, active bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendOperator(operatorRecord{zone: zone, active: active})
+}
+
+// appendOperator appends a record of the operator. The lock must be held.
+func (s *virtualStore) appendOperator(r operatorRecord) {
+	s.operator = append(s.operator, r)
+	s.wrote(func() { s.operator = s.operator[:len(s.operator)-1] })
+}
+
+// operatorSince returns the records of the operator from an offset on and the offset behind them. The lock must be held.
+func (s *virtualStore) operatorSince(from, era int64) (records discovery.OperatorRecords, next int64) {
+	if from == 0 {
+		records.Configs = append(records.Configs, &routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}})
+	}
+	for i, r := range s.operator {
+		offset := int64(i) + 1
+		switch {
+		case offset < from:
+		case r.config != nil:
+			records.Configs = append(records.Configs, r.config)
+		default:
+			position := topic.Position{Era: era, Offset: offset}
+			records.Evacuations = append(records.Evacuations, discovery.Evacuation{Zone: r.zone, Active: r.active, Position: position})
+		}
+	}
+	return records, int64(len(s.operator)) + 1
 }
 
 // restore replaces the content by a copy of some time ago, in a new era.
@@ -266,7 +302,7 @@
 		s.writes[len(s.writes)-1].undo()
 		s.writes = s.writes[:len(s.writes)-1]
 	}
-	s.records = slices.Clip(s.records)
+	s.records, s.operator = slices.Clip(s.records), slices.Clip(s.operator)
 	s.era++
 }
 
@@ -367,26 +403,27 @@
 	c.seen[c.id] = max(c.seen[c.id], era)
 }
 
-func (c virtualStoreClient) config() *routes.Config {
-	return &routes.Config{Version: max(c.configVersion, 1), Services: []routes.Service{{Name: "s"}}}
-}
-
 func (c virtualStoreClient) NewestConfig(context.Context) (records discovery.OperatorRecords, next topic.Position, err error) {
-	next, err = c.readPosition("configs", topic.Position{}, func(int64) (int64, bool) {
-		config := c.config()
-		records = discovery.OperatorRecords{Configs: []*routes.Config{config}, Complete: true}
-		return int64(config.Version), true
+	next, err = c.readPosition("configs", topic.Position{}, func(era int64) (int64, bool) {
+		all, end := c.operatorSince(0, era)
+		newest := map[string]discovery.Evacuation{}
+		for _, e := range all.Evacuations {
+			newest[e.Zone] = e
+		}
+		maps.DeleteFunc(newest, func(_ string, e discovery.Evacuation) bool { return !e.Active })
+		records = discovery.OperatorRecords{
+			Configs: all.Configs[len(all.Configs)-1:], Evacuations: slices.Collect(maps.Values(newest)), Complete: true,
+		}
+		return end, true
 	})
 	return records, next, err
 }
 
 func (c virtualStoreClient) ConfigsSince(_ context.Context, from topic.Position) (records discovery.OperatorRecords, next topic.Position, err error) {
 	next, err = c.readPosition("configs", from, func(era int64) (int64, bool) {
-		config := c.config()
-		if int64(config.Version) > from.Offset {
-			records.Configs = []*routes.Config{config}
-		}
-		return int64(config.Version), era == from.Era && int64(config.Version) >= from.Offset
+		var end int64
+		records, end = c.operatorSince(from.Offset, era)
+		return end, era == from.Era && end >= from.Offset
 	})
 	return records, next, err
 }
--- a/internal/telemetry/observables.go
+++ b/internal/telemetry/observables.go
@@ -20,6 +20,8 @@
 	DroppedEvents func() int64
 	// RequestBytes returns the number of bytes that the requests in flight hold of their memory budget.
 	RequestBytes func() int64
+	// EvacuatedZones returns the number of availability zones that the operator has evacuated.
+	EvacuatedZones func() int64
 
 	// The functions below return counters since the start of the process. Probes that were not sent because the probe
 	// budget was spent are not counted.
@@ -48,6 +50,7 @@
 		{"basillink.ready", "1 while the instance is ready.", readyValue(callbacks.Ready)},
 		{"basillink.dropped_events", "Events and rumors dropped because a queue was full, since the start.", callbacks.DroppedEvents},
 		{"basillink.request_bytes", "Bytes that the requests in flight hold of their memory budget.", callbacks.RequestBytes},
+		{"basillink.evacuated_zones", "Availability zones that are evacuated now.", callbacks.EvacuatedZones},
 	}
 	for _, gauge := range gauges {
 		if gauge.read == nil {
