Limit the requests to cold targets by credit

Cold targets crash when all instances together send them more requests a second than their service tolerates, and a target may turn cold at any moment.

A request whose target is cold gets a credit of the fleet's owner instead of a claim. Denied, the target is skipped until the next credit is expected; if only such targets are left, the request waits for the credit if it comes in time, and is refused with cold_targets otherwise. A decision without a valid credit is not sent to a target that is cold by then, and credits of requests that did not reach the target go back. The prober tells all zones at once when a health answer says that a target turned cold.

The type credit of the test model of package dispatch is renamed, because the package now imports credit.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -12,12 +12,26 @@
 		serviceTime: serviceTime, crossZoneCost: p.crossZoneCost(r), remaining: r.Arrived + r.Objective - now,
 		meanSlowdown: p.meanSlowdown, firstReportDeadline: p.firstReportDeadline,
 	}
+	best, available, inputs = p.chooseFrom(p.sampleCandidates(), r, now, c)
+	if best.target == nil && inputs.cold.skipped() {
+		// A target without need of a credit may be outside the sample.
+		best, available, inputs = p.chooseFrom(p.targets, r, now, c)
+	}
+	return best, available, inputs
+}
+
+// chooseFrom chooses from some targets. The caller holds p.mu.
+func (p *Pool) chooseFrom(targets []*Target, r *Request, now time.Duration, c decisionContext) (best, available estimate, inputs Inputs) {
+	serviceTime := c.serviceTime
 	var unreachable estimate
 	p.cheapest = [2]estimate{}
-	for _, t := range p.sampleCandidates() {
+	for _, t := range targets {
 		if t.blocked(now) || slices.Contains(r.Excluded, t) {
 			continue
 		}
+		if p.limitsCold(t, now) && !inputs.cold.mayAsk(t, now) {
+			continue
+		}
 		inputs.Candidates++
 		e := t.estimate(now, r, c, &p.policy)
 		e.cost += time.Duration(p.random.Int64N(int64(serviceTime)/tieBreakDivisor + 1))
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -122,7 +122,7 @@
 	targets    map[string]*modelTarget
 	targetList []*modelTarget
 	pools      map[string][]*Pool
-	total      credit
+	total      modelCredit
 	// config is the configuration, and registered are the targets of all zones.
 	config     modelConfig
 	registered []registry.Target
@@ -130,14 +130,14 @@
 	overfullTicks, targetTicks int
 }
 
-// credit is the value of the requests that callers sent, and what they earned: modelClass.credit for an answer within the
+// modelCredit is the value of the requests that callers sent, and what they earned: modelClass.credit for an answer within the
 // latency objective, lateCredit for a later one within the deadline. Sent and served are numbers of requests, served ones
 // answered within the deadline.
-type credit struct{ offered, earned, sent, served float64 }
+type modelCredit struct{ offered, earned, sent, served float64 }
 
-func (c credit) ratio() float64 { return c.earned / c.offered }
+func (c modelCredit) ratio() float64 { return c.earned / c.offered }
 
-func (c credit) servedShare() float64 { return c.served / c.sent }
+func (c modelCredit) servedShare() float64 { return c.served / c.sent }
 
 // modelConfig configures one run of the model.
 type modelConfig struct {
@@ -464,7 +464,7 @@
 func TestTargetsWithoutReportsAreServed(t *testing.T) {
 	const wantCredit = 0.7
 	for _, c := range []struct{ perSecond, wantServed float64 }{{20, 0.95}, {50, 0.95}, {80, 0.9}} {
-		var total [3]credit
+		var total [3]modelCredit
 		for seed := range uint64(modelSeeds) {
 			for i, reportsEnd := range []time.Duration{0, -1, 3 * time.Second} {
 				m := runLoadModel(t, modelConfig{
@@ -484,7 +484,7 @@
 	}
 }
 
-func (c *credit) add(other credit) {
+func (c *modelCredit) add(other modelCredit) {
 	c.offered, c.earned = c.offered+other.offered, c.earned+other.earned
 	c.sent, c.served = c.sent+other.sent, c.served+other.served
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/registry"
 )
@@ -45,6 +46,9 @@
 	slowdown           float64
 	// claim is set if the request has to be claimed before it is sent.
 	claim *claim
+	// needsCredit is true if the request has to get a credit before it is sent, which is grant once hasCredit is true.
+	needsCredit, hasCredit bool
+	grant                  credit.Grant
 }
 
 // SentAt returns the time at which the request was to be sent.
@@ -75,8 +79,10 @@
 	ExpectedLatency time.Duration
 	// Alternative is the best candidate that was not chosen.
 	Alternative Alternative
-	// DeniedClaims is the number of claims that were denied before this decision.
-	DeniedClaims int
+	// DeniedClaims and DeniedCredits are the numbers of claims and of credits that were denied before this decision.
+	DeniedClaims, DeniedCredits int
+	// cold tells about the candidates that need a credit.
+	cold coldCandidates
 	// Waited is the time from the arrival of the request to the decision.
 	Waited time.Duration
 }
@@ -101,8 +107,11 @@
 	// is expected to be in flight. It reports whether a denial may follow. It must be set before the first request; if it is
 	// nil, no claims are made.
 	SendClaim func(target string, number uint32, expected time.Duration) bool
-	policy    Policy
-	zone      string
+	// Credit hands out the credits that requests for cold targets need. It must be set before the first request; if it is nil, cold
+	// targets receive requests without a limit.
+	Credit credit.Source
+	policy Policy
+	zone   string
 	// now returns the monotonic time.
 	now func() time.Duration
 
@@ -120,6 +129,8 @@
 	routes       map[string]*routeEstimate
 	// waiting is the queue, ordered by priority, then arrival.
 	waiting []*waiter
+	// warmup limits the requests to cold targets.
+	warmup credit.Limit
 	// meanSlowdown is the moving average over the load reports of all targets.
 	meanSlowdown float64
 	// instances is the number of instances that send to the same targets. instancesKnown is false while it is a guess.
@@ -133,6 +144,8 @@
 	storedBackpressure map[string]backpressure
 	// dispatchScheduled is true while a call of dispatchWaiting is scheduled.
 	dispatchScheduled bool
+	// creditTimerAt is the time of the next call of dispatchWaiting for a credit, or 0 if none is scheduled.
+	creditTimerAt time.Duration
 	// firstReportTimerSet is true once a call of dispatchWaiting at firstReportDeadline is scheduled.
 	firstReportTimerSet bool
 }
@@ -205,6 +218,15 @@
 	return p.byID[id]
 }
 
+// MarkCold records that the target with an id is cold until a time.
+func (p *Pool) MarkCold(id string, until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byID[id]; t != nil {
+		t.coldUntil = max(t.coldUntil, until)
+	}
+}
+
 // LastSeen returns when the last load report of a target arrived, or 0 if there was none or t is nil.
 func (p *Pool) LastSeen(t *Target) time.Duration {
 	p.mu.Lock()
@@ -266,12 +288,14 @@
 	switch {
 	case now >= r.Deadline:
 		return p.refuse(r, reason.DeadlineTooShort, now), true
+	case best.target == nil && inputs.cold.skipped():
+		return p.decideWithoutCredit(r, now, ahead, inputs.cold)
 	case best.target == nil:
 		return p.refuse(r, reason.NoTarget, now), true
 	case available.target != nil && (available.cost <= best.cost || now >= p.waitLimit(r)):
 		return p.assign(available, r, now, inputs), true
 	case now >= p.waitLimit(r):
-		return p.refuse(r, reason.Overloaded, now), true
+		return p.refuseOverloaded(r, now, inputs), true
 	}
 	wait := time.Duration(float64(ahead+1) / p.throughput(now, serviceTime))
 	if now < p.firstReportDeadline && available.target == nil {
@@ -281,7 +305,7 @@
 		return p.assign(available, r, now, inputs), true
 	}
 	if now+wait > p.waitLimit(r) {
-		return p.refuse(r, reason.Overloaded, now), true
+		return p.refuseOverloaded(r, now, inputs), true
 	}
 	return Decision{}, false
 }
@@ -296,7 +320,11 @@
 	inputs.ExpectedLatency = e.latency
 	inputs.Waited = now - r.Arrived
 	d := Decision{Target: t, Inputs: inputs, assignedAt: now, sentAt: now, slowdown: inputs.Slowdown}
-	if p.needsClaim(t, inputs) {
+	switch {
+	case p.limitsCold(t, now):
+		d.needsCredit = true
+		t.pendingCredits++
+	case p.needsClaim(t, inputs):
 		d.claim = &claim{target: t, number: p.random.Uint32(), expected: e.latency}
 		t.pendingClaims = append(t.pendingClaims, d.claim)
 		d.sentAt += d.claim.timeout()
@@ -338,7 +366,11 @@
 	total := 0.0
 	for _, t := range p.targets {
 		if now >= t.unreachableUntil && !t.blocked(now) {
-			total += float64(t.usableSlots(&p.policy)) / (float64(serviceTime) * t.slowdown(now, serviceTime, p.meanSlowdown, &p.policy))
+			rate := float64(t.usableSlots(&p.policy)) / (float64(serviceTime) * t.slowdown(now, serviceTime, p.meanSlowdown, &p.policy))
+			if p.limitsCold(t, now) {
+				rate = min(rate, p.warmup.Rate/float64(time.Second))
+			}
+			total += rate
 		}
 	}
 	return total / float64(p.instances)
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -24,15 +24,26 @@
 // DoneInfo describes a finished exchange.
 type DoneInfo struct {
 	Result Result
+	// NotReached is true if the target provably did not receive the request, so that its credit can be used for another one.
+	NotReached bool
 	// Load is the load report that the answer carried, or nil.
 	Load *LoadReport
+	// ColdFor is how much longer the target is cold, as the answer told.
+	ColdFor time.Duration
 	// AnswerBytes is the size of the answer's body.
 	AnswerBytes int
 }
 
 // Release frees the slot of a finished exchange and learns from its result. It must be called once for each Decision of
-// Acquire that has a target.
+// Acquire that has a target. It returns the credit of a request that did not reach the target.
 func (p *Pool) Release(r *Request, d Decision, done DoneInfo) {
+	p.release(r, d, done)
+	if d.hasCredit && (done.NotReached || done.Result == ConnectFailed) {
+		p.Credit.Return(d.grant)
+	}
+}
+
+func (p *Pool) release(r *Request, d Decision, done DoneInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -51,6 +62,9 @@
 	case ConnectFailed:
 		t.recordUnreachable(now)
 	}
+	if done.ColdFor > 0 {
+		t.coldUntil = max(t.coldUntil, now+done.ColdFor)
+	}
 	if done.Load != nil {
 		t.applyReport(*done.Load)
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -41,6 +41,8 @@
 	// the given time.
 	Draining bool
 	Backoff  time.Duration
+	// ColdFor is how much longer the target is cold, 0 if it is not.
+	ColdFor time.Duration
 	// Healthy is true if the target says that it is healthy and not about to leave.
 	Healthy bool
 }
@@ -53,7 +55,9 @@
 	StartedAt int64
 	local     bool
 	slots     int
-	warmUntil time.Duration
+	// warmUntil is the end of the warm-up of the entry, and coldUntil that of the answers of the target.
+	warmUntil, coldUntil time.Duration
+	creditState
 	report    LoadReport
 	hasReport bool
 	// ownInFlight counts the requests in flight from this instance.
@@ -111,6 +115,7 @@
 // applyReport replaces the load report unless it is older than the current one. Changes that are too recent to be included
 // in the report are still counted on top of it.
 func (t *Target) applyReport(r LoadReport) {
+	t.coldUntil = max(t.coldUntil, r.ReceivedAt+r.ColdFor)
 	if t.hasReport && r.ReceivedAt < t.report.ReceivedAt {
 		return
 	}
@@ -190,7 +195,7 @@
 	if span := float64(serviceTime) * slowdown / float64(slowdownTimeConstant); span > 0 {
 		slowdown = mean + (slowdown-mean)*(1-math.Exp(-span))/span
 	}
-	if now < t.warmUntil {
+	if t.isCold(now) {
 		slowdown *= p.WarmupFactor
 	}
 	return slowdown
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -74,17 +74,39 @@
 }
 
 // Acquire waits until the request is assigned to a target or refused. If the claim of a target is denied, the request is
-// decided again. If the decision has a target, the caller must call Release when the exchange has ended.
+// decided again, as it is without a credit for a cold target. If the decision has a target, the caller must call Release when the
+// exchange has ended.
 func (p *Pool) Acquire(ctx context.Context, r *Request) Decision {
-	for denied := 0; ; denied++ {
+	for deniedClaims, deniedCredits := 0, 0; ; {
 		d := p.acquire(ctx, r)
-		d.Inputs.DeniedClaims = denied
-		if d.claim == nil || p.confirmClaim(r, d) {
+		d.Inputs.DeniedClaims, d.Inputs.DeniedCredits = deniedClaims, deniedCredits
+		switch {
+		case d.needsCredit:
+			if p.obtainCredit(ctx, &d) {
+				return d
+			}
+			if ctx.Err() != nil {
+				return p.refuseLeft(r)
+			}
+			deniedCredits++
+		case d.claim != nil:
+			if p.confirmClaim(r, d) {
+				return d
+			}
+			deniedClaims++
+		default:
 			return d
 		}
 	}
 }
 
+// refuseLeft refuses a request whose caller has left.
+func (p *Pool) refuseLeft(r *Request) Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse(r, reason.CallerLeftEarly, p.now())
+}
+
 // confirmClaim sends the claim of a decision and waits for a denial. It reports whether the request may be sent. If it panics,
 // it gives the claim and the slot back.
 func (p *Pool) confirmClaim(r *Request, d Decision) (confirmed bool) {
@@ -135,6 +157,7 @@
 	p.dispatchWaiting(now)
 	p.scheduleFirstReportDeadline(now)
 	p.scheduleLeaseEnd(now)
+	p.scheduleNextCredit(now)
 	return wait
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,7 +63,7 @@
 	})
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
-		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, OnMisdirected: e.node.ReportMisdirected,
+		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, ParseWarmup: platform.ParseWarmup, OnMisdirected: e.node.ReportMisdirected,
 		Now: clk.Now, DetectSuspension: clk.DetectSuspension, LogSampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
 		Memory: membudget.New(s.Memory.RequestBytes()),
 	})
@@ -73,6 +73,7 @@
 			return e.gateway.Panics() + e.node.Panics() + e.readiness.requests.Panics() + panicguard.Caught()
 		},
 		RequestBytes: e.gateway.Memory.Used, EvacuatedZones: e.node.Traffic().EvacuatedZones,
+		ColdTargets: e.node.ColdTargets,
 	}
 	if err := metrics.RegisterObservables(gauges); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -214,7 +214,7 @@
 	}
 	n.lastCrossZoneSend = now
 	d := n.newDatagram(now)
-	d.Targets, d.Config = n.targetsUpdate(now), n.configStatus(now)
+	d.Targets, d.Config, d.Cold = n.targetsUpdate(now), n.configStatus(now), n.coldReports()
 	at := n.Now()
 	for _, report := range n.pendingForOtherZones {
 		d.Loads = append(d.Loads, report.withAge(at))
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -23,12 +23,17 @@
 func nodeInEra(t *testing.T, id string, era int64) *Node {
 	t.Helper()
 	n := newQuietNode(t, newMember(id, "a"))
+	listInEra(n, era)
+	return n
+}
+
+// listInEra makes a node list a configuration and one target in an era of the store.
+func listInEra(n *Node, era int64) {
 	next := topic.Position{Era: era, Offset: 5}
 	listing := []registry.Change{listedTarget("t1", topic.Position{Era: era, Offset: 4})}
 	config := &routes.Config{Version: 3, Services: []routes.Service{{Name: "s"}}}
 	n.handleConfigsRead(configsRead{startedAt: testStart, records: discovery.OperatorRecords{Configs: []*routes.Config{config}}, next: next}, testStart)
 	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: listing, complete: true, next: next}, testStart)
-	return n
 }
 
 // Guards against an answer of an earlier era that arrives late, on another connection, and is taken for the newest state: its
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -63,6 +63,8 @@
 	Marker uint64 `cbor:"26,keyasint,omitempty"`
 	// Departures are the recent departures of targets that the sender knows. They are set in answers to greetings.
 	Departures []registry.Change `cbor:"28,keyasint,omitempty"`
+	// Cold are the targets that are cold, as far as the sender knows.
+	Cold []coldReport `cbor:"29,keyasint,omitempty"`
 	// Leaving is true when the sender is stopping.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Claim is sent with ClaimMS only, and Denial without any other field. Key 10 belonged to an earlier version and must not be
@@ -154,6 +156,8 @@
 	Restored    time.Duration
 	// Evacuations is nil if the sender is of an earlier version.
 	Evacuations *evacuation.Report
+	// Cold is how much longer targets are cold, by the hash of the target's id.
+	Cold map[uint32]time.Duration
 }
 
 func (s *State) configNext() topic.Position {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/evacuation"
@@ -101,7 +102,11 @@
 	configsHeldAt time.Time
 	era           storeread.Era
 	evacuations   evacuation.Set
-	newerConfig   newerConfig
+	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
+	coldUntil map[uint32]time.Duration
+	// coldCredit hands out the credits for requests to cold targets. It is set before Run; if it is nil, cold targets are not limited.
+	coldCredit  credit.Source
+	newerConfig newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
 	config          *routes.Config
@@ -221,6 +226,7 @@
 		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(c.TargetHeartbeat),
 		pools: map[string]*dispatch.Pool{}, targetsByHash: map[uint32]targetRef{}, pendingForOtherZones: map[uint32]timedLoadReport{},
 		probeStates:       map[string]*probeState{},
+		coldUntil:         map[uint32]time.Duration{},
 		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
 		targetsTopic: storeread.NewTopic(storeread.TargetsInterval, readerHash(c.Self)), configsTopic: storeread.NewTopic(storeread.ConfigsInterval, readerHash(c.Self)),
 	}
@@ -304,6 +310,7 @@
 	}
 	n.admitHeldTargets(now)
 	n.expireEvacuations(now)
+	n.forgetWarm()
 	n.updateLeadership(now)
 	n.updateFailingCounts(now)
 	n.era.Notice(n.Store.Era(), now)
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -204,6 +204,7 @@
 	n.traffic.loadProbes.Add(int64(len(e.results)))
 	e.results = n.useFoundRunning(e.results, now)
 	n.applyBackpressure(e.results)
+	n.applyProbedCold(e.results, now)
 	d := n.newDatagram(now)
 	n.updateInFlight(e.results, now)
 	d.Loads = n.loadReports(e.results)
@@ -232,7 +233,7 @@
 	}
 	n.lastStatusSent = now
 	d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
-	d.Marks = n.marksToRepeat(now)
+	d.Marks, d.Cold = n.marksToRepeat(now), n.coldReports()
 	if len(n.shardOwners) > 1 {
 		d.ShardOwners = n.shardOwners
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -195,6 +195,12 @@
 		Evacuations: n.evacuations.Report(now),
 		MarksRead:   n.storedMarks.loaded, StoreAnswering: now.Sub(n.registry.StoreAnsweringSince()),
 	}
+	for _, report := range n.coldReports() {
+		if s.Cold == nil {
+			s.Cold = map[uint32]time.Duration{}
+		}
+		s.Cold[report.Target] = time.Duration(report.MS) * time.Millisecond
+	}
 	if n.config != nil && (!request.HaveConfig || request.HaveVersion < n.config.Version) {
 		s.Config = n.config
 	}
@@ -222,6 +228,9 @@
 	}
 	e.requestedAt = n.startOfCall(e.requestedAt)
 	s := e.state
+	for target, left := range s.Cold {
+		n.learnCold([]coldReport{{Target: target, MS: uint32(left.Milliseconds())}})
+	}
 	n.addMembers(s.Members, now)
 	n.mergeStateMarks(s.Marks, now)
 	n.storedMarks.loaded = n.storedMarks.loaded || s.MarksRead
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -11,6 +11,7 @@
 // applyUpdate applies what a peer read from the store and its load reports, and relays datagrams of other zones to this
 // zone.
 func (n *Node) applyUpdate(ctx context.Context, d *datagram, p *peerState, now time.Time) {
+	n.applyColdReports(d, p, now)
 	before, eraBefore := n.configVersion(), n.targetsTopic.Next.Era
 	changed := d.Targets != nil && n.mergeTargetsUpdate(d.Targets, now)
 	if n.targetsTopic.Behind && n.fetchesFrom(p, &n.targetsTopic, now) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -22,7 +22,7 @@
 	for _, t := range usable {
 		inUse[t.ID] = t
 		if !n.evacuations.Contains(t.Zone) {
-			byService[t.Service] = append(byService[t.Service], t)
+			byService[t.Service] = append(byService[t.Service], n.withColdness(t, now))
 		}
 	}
 	n.setTargetsToProbe(usable)
@@ -33,9 +33,10 @@
 		if pool == nil {
 			random := rand.New(rand.NewPCG(n.Random.Uint64(), n.Random.Uint64()))
 			pool = dispatch.NewPool(n.Policy, n.Self.Zone, n.Now, random)
-			pool.SendClaim = n.sendClaim
+			pool.SendClaim, pool.Credit = n.sendClaim, n.coldCredit
 			n.pools[name] = pool
 		}
+		pool.SetWarmup(n.table.Services[name].WarmupRate, n.table.Version)
 		pool.SetTargets(byService[name], n.instances, now)
 		pool.SetInstances(n.instances, n.instancesConverged)
 		view.Pools[name] = pool
--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -91,7 +91,7 @@
 	attributes := []any{
 		"request", call.id, "route", call.route.Name, "version", call.configVersion, "service", call.service,
 		"attempts", call.attempts, "candidates", inputs.Candidates, "open", inputs.Available, "waiting", inputs.Waiting,
-		"waited_ms", milliseconds(inputs.Waited), "denied", inputs.DeniedClaims,
+		"waited_ms", milliseconds(inputs.Waited), "denied", inputs.DeniedClaims, "denied_credits", inputs.DeniedCredits,
 	}
 	if t := call.lastDecision.Target; t != nil {
 		attributes = append(attributes, "target", t.ID, "occupied", inputs.InFlight, "pace", inputs.Slowdown,
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -31,6 +31,8 @@
 	retryReason *reason.Reason
 	// notSent is true if nothing was sent because the decision was no longer valid.
 	notSent bool
+	// notReached is true if the target provably did not receive the request.
+	notReached bool
 	// streaming is the attempt whose answer is still being read while it is forwarded. It is nil for buffered answers.
 	streaming *attempt
 }
@@ -185,8 +187,8 @@
 	return fmt.Sprintf("the dispatch decision is %s old, more than %s", e.Age.Round(time.Millisecond), maxDecisionAge)
 }
 
-// TargetUnavailableError reports that the chosen target was deregistered, began to drain or requested a backoff before the
-// request was sent.
+// TargetUnavailableError reports that the chosen target was deregistered, began to drain, requested a backoff or became cold before
+// the request was sent, or that the credit for a cold target expired.
 type TargetUnavailableError struct{ Target string }
 
 func (e *TargetUnavailableError) Error() string {
@@ -217,7 +219,7 @@
 		if err := g.checkTimeLeft(call, now); err != nil {
 			return err
 		}
-		if !call.pool.Accepts(d.Target) {
+		if !call.pool.AcceptsDecision(d) {
 			return &TargetUnavailableError{d.Target.ID}
 		}
 		if g.crashGuard.Active() && (!g.crashGuard.StillAdmitted(now, call.fingerprint(), admission) || g.crashGuard.RefusesCaller(call.callerFingerprint())) {
@@ -246,12 +248,12 @@
 	answer, err := attempt.connPool.RoundTrip(ctx, request, limits, g.prepareSend(call, d, admission))
 	if invalidatesDecision(err) {
 		g.recordNewChoice(call, d, err)
-		slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled})
+		slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled, NotReached: true})
 		return &result{failure: reason.ConnectionLost, cause: err, notSent: true}
 	}
 	if err != nil {
 		res := g.failedExchange(ctx, call, err)
-		slot.release(dispatch.DoneInfo{Result: dispatchResult(res)})
+		slot.release(dispatch.DoneInfo{Result: dispatchResult(res), NotReached: res.notReached})
 		return res
 	}
 	returned := false
@@ -261,11 +263,16 @@
 		}
 	}()
 	g.applyBackpressureHints(call, attempt, answer)
-	report := dispatch.DoneInfo{AnswerBytes: max(answer.Length(), 0)}
+	// A 421 answer comes from another target at the same address.
+	misdirected := answer.Response.StatusCode() == http.StatusMisdirectedRequest
+	report := dispatch.DoneInfo{AnswerBytes: max(answer.Length(), 0), NotReached: misdirected}
 	if load, ok := g.ParseLoad(answer.Response.Header.Peek(g.Headers.Load)); ok {
 		load.ReceivedAt = g.Now()
 		report.Load = &load
 	}
+	if g.ParseWarmup != nil && !misdirected {
+		report.ColdFor = g.ParseWarmup(answer.Response.Header.Peek(g.Headers.Warmup))
+	}
 	// classify may close the answer, so its size and load are read before.
 	res := g.classify(call, attempt, answer)
 	report.Result = dispatchResult(res)
@@ -316,6 +323,7 @@
 	if errors.As(err, &exchangeErr) {
 		r.failure = exchangeErr.Reason
 		r.retryable = ctx.Err() == nil && (!exchangeErr.Sent || call.route.Idempotent)
+		r.notReached = !exchangeErr.Sent
 	}
 	r.retryReason = retryReason(r.failure)
 	return r
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -40,6 +40,8 @@
 	Load string
 	// Leaving is "1" in answers of targets that are draining.
 	Leaving string
+	// Warmup carries how many milliseconds longer the target is cold.
+	Warmup string
 	// Key carries the key of the caller's workspace. It is never forwarded if the configuration has workspaces.
 	Key string
 	// Workspace carries the name of the workspace of the caller's key to targets.
@@ -81,6 +83,8 @@
 	Log     *slog.Logger
 	// ParseLoad decodes the value of the load header. It returns false if there is no valid load report.
 	ParseLoad func(value []byte) (dispatch.LoadReport, bool)
+	// ParseWarmup decodes the value of the warm-up header. It returns 0 if the target is not cold. It may be nil.
+	ParseWarmup func(value []byte) time.Duration
 	// OnMisdirected is called when a target's address answered with status 421, so that another incarnation listens there. It
 	// must not block.
 	OnMisdirected func(targetID string)
--- a/internal/telemetry/observables.go
+++ b/internal/telemetry/observables.go
@@ -22,6 +22,8 @@
 	RequestBytes func() int64
 	// EvacuatedZones returns the number of availability zones that the operator has evacuated.
 	EvacuatedZones func() int64
+	// ColdTargets returns the number of cold targets.
+	ColdTargets func() int64
 
 	// The functions below return counters since the start of the process. Probes that were not sent because the probe
 	// budget was spent are not counted.
@@ -50,6 +52,7 @@
 		{"basillink.ready", "1 while the instance is ready.", readyValue(callbacks.Ready)},
 		{"basillink.dropped_events", "Events and rumors dropped because a queue was full, since the start.", callbacks.DroppedEvents},
 		{"basillink.request_bytes", "Bytes that the requests in flight hold of their memory budget.", callbacks.RequestBytes},
+		{"basillink.cold_targets", "Targets that are cold, as far as this instance knows.", callbacks.ColdTargets},
 		{"basillink.evacuated_zones", "Availability zones that are evacuated now.", callbacks.EvacuatedZones},
 	}
 	for _, gauge := range gauges {
