Accept grants that need no credit, and read the cold model under its lock

Cause: a source that knows a newer configuration without a limit returns the zero grant, whose expiry has always passed, so that its request would be decided again and again. The race detector failed the two tests of the model of cold targets, which read its counts without the lock.

Change: the zero grant is valid; the tests hold the lock. An unavailable owner keeps a target out for 250 ms, whatever its denial says.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -19,7 +19,8 @@
 	maxPendingCredits = 2
 	// minCreditPause is the shortest time for which a target is skipped after a denial.
 	minCreditPause = 20 * time.Millisecond
-	// unavailablePause is that time if the owner of the credits was not reached.
+	// unavailablePause is that time if the owner of the credits was not reached, whatever the denial says: another owner may be in
+	// reach soon, and asking costs nothing while none is known.
 	unavailablePause = 250 * time.Millisecond
 )
 
@@ -104,6 +105,11 @@
 	return p.Credit != nil && p.warmup.Rate > 0 && t.isCold(now)
 }
 
+// hasValidCredit reports whether the decision has a credit that has not expired, or a grant that needs none.
+func (d Decision) hasValidCredit(now time.Duration) bool {
+	return d.hasCredit && (d.grant == credit.Grant{} || now <= d.grant.ExpiresAt)
+}
+
 // AcceptsDecision reports whether a request may still be sent to the target of its decision: the target accepts requests, and
 // if it is cold by now, the request has a credit that is still valid.
 func (p *Pool) AcceptsDecision(d Decision) bool {
@@ -113,7 +119,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	return !p.limitsCold(d.Target, now) || d.hasCredit && now <= d.grant.ExpiresAt
+	return !p.limitsCold(d.Target, now) || d.hasValidCredit(now)
 }
 
 // obtainCredit gets the credit of a decision. Without one it frees the slot and reports false.
@@ -161,7 +167,7 @@
 func (t *Target) recordDenial(denial credit.Denial, now time.Duration) {
 	pause := max(denial.RetryAfter, minCreditPause)
 	if denial.Unavailable {
-		pause = max(pause, unavailablePause)
+		pause = unavailablePause
 	}
 	t.deniedUntil, t.ownerUnavailable = max(t.deniedUntil, now+pause), denial.Unavailable
 }
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -196,10 +196,15 @@
 		if !p.AcceptsDecision(d) || now() != d.SentAt() {
 			t.Errorf("the decision with a credit is not accepted, or counts from %s at %s", d.SentAt(), now())
 		}
-		time.Sleep(owner.validity)
+		time.Sleep(owner.validity + time.Millisecond)
 		if p.AcceptsDecision(d) {
 			t.Error("a decision with an expired credit is accepted")
 		}
+		// A source that knows a newer configuration without a limit hands out grants that need no credit.
+		d.grant = credit.Grant{}
+		if !p.AcceptsDecision(d) {
+			t.Error("a decision that needs no credit is not accepted")
+		}
 	})
 }
 
@@ -460,7 +465,7 @@
 	}
 }
 
-// busiestSecond returns the most requests that reached one cold target in one second.
+// busiestSecond returns the most requests that reached one cold target in one second. The caller holds m.mu.
 func (m *coldModel) busiestSecond() int {
 	most := 0
 	for _, arrivals := range m.arrivals {
@@ -492,6 +497,8 @@
 			m.demand(300, 2*time.Second)
 			m.demand(100, 2*time.Second)
 			time.Sleep(5 * time.Second)
+			m.mu.Lock()
+			defer m.mu.Unlock()
 			if most := m.busiestSecond(); float64(most) > coldBound {
 				t.Errorf("seed %d: %d requests in one second, bound %.1f", seed, most, coldBound)
 			}
@@ -516,6 +523,8 @@
 			go m.probe(now() + 12*time.Second)
 			m.demand(400, 4*time.Second)
 			time.Sleep(10 * time.Second)
+			m.mu.Lock()
+			defer m.mu.Unlock()
 			if most := m.busiestSecond(); float64(most) > coldBound {
 				t.Errorf("seed %d: %d requests in one second, bound %.1f", seed, most, coldBound)
 			}
