--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -10,6 +10,7 @@
 	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/evacuation"
 	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/storeread"
@@ -63,6 +64,8 @@
 	Marker uint64 `cbor:"26,keyasint,omitempty"`
 	// Departures are the recent departures of targets that the sender knows. They are set in answers to greetings.
 	Departures []registry.Change `cbor:"28,keyasint,omitempty"`
+	// Cold are the targets that are cold, as far as the sender knows.
+	Cold []coldReport `cbor:"29,keyasint,omitempty"`
 	// Leaving is true when the sender is stopping.
 	Leaving bool `cbor:"9,keyasint,omitempty"`
 	// Claim is sent with ClaimMS only, and Denial without any other field. Key 10 belonged to an earlier version and must not be
@@ -124,6 +127,8 @@
 	AgeMS   int64  `cbor:"2,keyasint"`
 	// Answer identifies the answer of the store that AgeMS is the age of.
 	Answer storeread.AnswerID `cbor:"3,keyasint"`
+	// Evacuations is nil if the sender is of an earlier version. It then tells nothing about how far the topic was read.
+	Evacuations *evacuation.Report `cbor:"4,keyasint,omitempty"`
 }
 
 // State is everything that an instance needs to start serving.
@@ -156,6 +161,10 @@
 	// Both are 0 if no restore is known.
 	RestoredEra int64
 	Restored    time.Duration
+	// Evacuations is nil if the sender is of an earlier version.
+	Evacuations *evacuation.Report
+	// Cold is how much longer targets are cold, by the hash of the target's id.
+	Cold map[uint32]time.Duration
 	// CreditOwner is the newest known record of the owner of the shared limits, nil if none is known.
 	CreditOwner *credit.Announcement
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -17,6 +17,7 @@
 	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
+	"github.com/basillink/basillink/internal/evacuation"
 	"github.com/basillink/basillink/internal/ingress"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/registry"
@@ -105,7 +106,12 @@
 	// configsHeldAt is the latest time at which the configurations were not read because the targets could not be.
 	configsHeldAt time.Time
 	era           storeread.Era
-	newerConfig   newerConfig
+	evacuations   evacuation.Set
+	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
+	coldUntil map[uint32]time.Duration
+	// coldCredit hands out the credits for requests to cold targets. It is set before Run; if it is nil, cold targets are not limited.
+	coldCredit  credit.Source
+	newerConfig newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
 	config          *routes.Config
@@ -157,6 +163,8 @@
 	zoneServices map[string]bool
 	// zoneHeld are the ids of those zoneTargets that are not usable: their held entries are used once a probe finds them running.
 	zoneHeld map[string]bool
+	// zoneEvacuated holds the zoneTargets of an evacuated zone, by id. They are probed although the pools do not know them.
+	zoneEvacuated map[string]registry.Target
 	// samplerSynced is true while the sampler has exactly the targets of shard.
 	samplerSynced bool
 	probeStates   map[string]*probeState
@@ -224,6 +232,7 @@
 		Config: c, inbox: make(chan event, inboxSize), members: newMembers(c.Self), registry: registry.New(c.TargetHeartbeat),
 		pools: map[string]*dispatch.Pool{}, targetsByHash: map[uint32]targetRef{}, pendingForOtherZones: map[uint32]timedLoadReport{},
 		probeStates:       map[string]*probeState{},
+		coldUntil:         map[uint32]time.Duration{},
 		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
 		targetsTopic: storeread.NewTopic(storeread.TargetsInterval, readerHash(c.Self)), configsTopic: storeread.NewTopic(storeread.ConfigsInterval, readerHash(c.Self)),
 	}
@@ -309,6 +318,8 @@
 		n.publishView(now)
 	}
 	n.admitHeldTargets(now)
+	n.expireEvacuations(now)
+	n.forgetWarm()
 	n.updateLeadership(now)
 	n.updateFailingCounts(now)
 	n.era.Notice(n.Store.Era(), now)
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -92,6 +92,9 @@
 		return true
 	}
 	pool := n.pools[service]
+	if t, evacuated := n.zoneEvacuated[id]; evacuated {
+		return pool == nil || pool.HintsAllow(t)
+	}
 	return pool == nil || pool.Accepts(pool.Target(id))
 }
 
@@ -103,6 +106,9 @@
 			continue
 		}
 		t := pool.Target(r.id)
+		if evacuated, known := n.zoneEvacuated[r.id]; t == nil && known {
+			t = pool.Detached(evacuated)
+		}
 		if t == nil {
 			continue
 		}
@@ -198,6 +204,7 @@
 	n.traffic.loadProbes.Add(int64(len(e.results)))
 	e.results = n.useFoundRunning(e.results, now)
 	n.applyBackpressure(e.results)
+	n.applyProbedCold(e.results, now)
 	d := n.newDatagram(now)
 	n.updateInFlight(e.results, now)
 	d.Loads = n.loadReports(e.results)
@@ -226,7 +233,7 @@
 	}
 	n.lastStatusSent = now
 	d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
-	d.Marks = n.marksToRepeat(now)
+	d.Marks, d.Cold = n.marksToRepeat(now), n.coldReports()
 	n.addCreditOwner(d)
 	if len(n.shardOwners) > 1 {
 		d.ShardOwners = n.shardOwners
