Report suspensions to each user of the clock

Cause: the request path and the control loop share one clock. A suspension of the host was reported only to the one that looked first. If that was the request path, the control loop never moved its times back, so that what it knew counted as fresh.

Change: Clock.Detector returns a function that reports each suspension once to its own caller.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -47,6 +47,18 @@
 	return time.Since(c.start) + time.Duration(c.suspended.Load())
 }
 
+// Detector returns a function like DetectSuspension that reports each suspension once to its own caller, whoever found it first.
+// The function is not safe for concurrent use.
+func (c *Clock) Detector() func() (now, suspended time.Duration) {
+	reported := time.Duration(c.suspended.Load())
+	return func() (now, suspended time.Duration) {
+		c.DetectSuspension()
+		total := time.Duration(c.suspended.Load())
+		suspended, reported = total-reported, total
+		return time.Since(c.start) + total, suspended
+	}
+}
+
 // DetectSuspension checks for a suspension since the last call. It returns the corrected time since the creation of the
 // clock and the length of the new suspension, or 0 if there was none or the boot time cannot be read.
 func (c *Clock) DetectSuspension() (now, suspended time.Duration) {
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -35,3 +35,21 @@
 		t.Error("the boot time of this host cannot be read")
 	}
 }
+
+// Guards against a suspension that one user of the clock finds and another one never learns of.
+func TestDetectorsReportSuspensionsOfOthers(t *testing.T) {
+	start := time.Now()
+	suspended := time.Duration(0)
+	c := newClock(func() (time.Duration, bool) { return time.Hour + time.Since(start) + suspended, true })
+	first, second := c.Detector(), c.Detector()
+	suspended = 4 * time.Second
+	c.DetectSuspension()
+	for name, detect := range map[string]func() (time.Duration, time.Duration){"first": first, "second": second} {
+		if now, found := detect(); found < 3900*time.Millisecond || now < found {
+			t.Errorf("%s: found a suspension of %s at %s, want about 4s", name, found, now)
+		}
+		if _, again := detect(); again != 0 {
+			t.Errorf("%s: the same suspension was found again: %s", name, again)
+		}
+	}
+}
