Publish since when the configuration is known to be current

Cause: keys of callers may only be relied on while an instance knows that its configuration was the newest one lately. The request path cannot read that from the control loop.

Change: Node.ConfigsAsOf returns the start of the read of the store, of this instance or of a peer, on the clock of the request path. It is published after the view, and never moves forward by a suspension, a wait of a datagram for the control loop, or a negative age in a message.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -40,7 +40,7 @@
 	case d.Denial != nil:
 		n.handleDenial(d.Denial)
 	default:
-		n.enqueue(datagramReceived{datagram: d, from: from.String()})
+		n.enqueue(datagramReceived{datagram: d, from: from.String(), receivedAt: time.Now()})
 	}
 }
 
@@ -151,7 +151,7 @@
 	n.learnDepartures(d.Departures, now)
 	n.mergePeerMarks(d.Marks, p, now)
 	n.fetchDifferingMarks(ctx, d.MarksDigest, p, now)
-	n.applyUpdate(ctx, d, p, now)
+	n.applyUpdate(ctx, d, p, n.receptionOf(e, now), now)
 }
 
 // applyLeaderUpdate applies what only the leader of a zone reports.
--- a/internal/fleet/era_test.go
+++ b/internal/fleet/era_test.go
@@ -240,7 +240,7 @@
 	n.members.add(newMember("b1", "b"), testStart)
 	at := testStart.Add(2 * time.Second)
 	listed := &targetsUpdate{Base: 2, BaseEra: 2, Next: 2, NextEra: 2, Answer: storeread.AnswerID{Reader: 1, Number: 1}}
-	n.applyUpdate(t.Context(), &datagram{Targets: listed}, n.members.remotePeers["b"][0], at)
+	n.applyUpdate(t.Context(), &datagram{Targets: listed}, n.members.remotePeers["b"][0], at, at)
 	if !n.fetchInFlight || n.targetsTopic.Due(at, n.targetsPriority(at, 0)) {
 		t.Errorf("fetch in flight %v, reads the store as well", n.fetchInFlight)
 	}
@@ -270,7 +270,7 @@
 		at := testStart.Add(time.Second)
 		n.members.peers["a2"].lastHeard = at
 		update := &targetsUpdate{Base: 0, BaseEra: 1, Next: 5, NextEra: era, RestoredEra: era, Answer: storeread.AnswerID{Reader: 1, Number: uint32(era)}}
-		n.applyUpdate(t.Context(), &datagram{Targets: update}, n.members.remotePeers["b"][0], at)
+		n.applyUpdate(t.Context(), &datagram{Targets: update}, n.members.remotePeers["b"][0], at, at)
 		return sent() - before
 	}
 	if tell(2) == 0 || n.targetsTopic.Next.Era != 2 {
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -16,6 +16,8 @@
 type datagramReceived struct {
 	datagram *datagram
 	from     string
+	// receivedAt is when it was read from the socket, zero if that is not known.
+	receivedAt time.Time
 }
 
 // configsRead is the result of a read of the operator's records.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -55,7 +55,7 @@
 	// TargetHeartbeat is the interval at which targets renew their entries in the store.
 	TargetHeartbeat time.Duration
 	// Now returns the time since the start on the clock of the dispatcher. DetectSuspension also returns for how long
-	// the host was suspended since the last call. If it is nil, suspensions are not detected.
+	// the host was suspended since the last call of this node. If it is nil, suspensions are not detected.
 	Now              func() time.Duration
 	DetectSuspension func() (now, suspended time.Duration)
 	Random           *rand.Rand
@@ -71,12 +71,13 @@
 	TargetsChanged func(registered func(id string) bool)
 }
 
-// Node is the member of the fleet that runs in this process. View, Ready, the counters, ReportMisdirected and
+// Node is the member of the fleet that runs in this process. View, ConfigsAsOf, Ready, the counters, ReportMisdirected and
 // SpreadCrashMark are safe for concurrent use.
 type Node struct {
 	Config
 	inbox         chan event
 	view          atomic.Pointer[ingress.View]
+	configsAsOf   configsAsOf
 	ready         atomic.Bool
 	droppedEvents atomic.Int64
 	guard         panicguard.Guard
@@ -113,6 +114,8 @@
 	// paused.
 	lastTick, resumedAt time.Time
 	suspension          suspension
+	// unhandledSuspension is the length of the suspensions that were found between two calls of detectPause.
+	unhandledSuspension time.Duration
 	// leaderSince is when isLeader last changed.
 	leaderSince time.Time
 	// announcement is the entry of this instance in the store, nil while unknown.
@@ -270,12 +273,14 @@
 		case e := <-n.inbox:
 			n.detectPauseBeforeEvent(e, time.Now())
 			n.handleGuarded(ctx, e, time.Now())
+			n.publishConfigsAsOf(time.Now)
 			if _, isRound := e.(roundFinished); isRound {
 				// A finished round can make the next one due earlier.
 				timer.Reset(n.timeToNextTick(time.Now()))
 			}
 		case <-timer.C:
 			n.tick(ctx, time.Now())
+			n.publishConfigsAsOf(time.Now)
 			timer.Reset(n.timeToNextTick(time.Now()))
 		case <-ctx.Done():
 			n.leave(time.Now())
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -40,11 +40,11 @@
 // leader meanwhile, so this one has to listen first.
 func (n *Node) detectPause(now time.Time) {
 	_, suspended := n.DetectSuspension()
-	pause := now.Sub(n.lastTick) + suspended
+	pause := now.Sub(n.lastTick) + suspended + n.unhandledSuspension
+	n.unhandledSuspension = 0
 	n.recordTick(now)
 	if suspended > 0 {
-		n.backdate(suspended)
-		n.suspension = suspension{endedAt: now, length: suspended}
+		n.recordSuspension(now, suspended)
 	}
 	n.updateFlush(now, pause)
 	if pause < pauseThreshold {
@@ -54,6 +54,12 @@
 	n.resumedAt = now
 }
 
+// recordSuspension moves what was known before a suspension of the host back by its length.
+func (n *Node) recordSuspension(now time.Time, length time.Duration) {
+	n.backdate(length)
+	n.suspension = suspension{endedAt: now, length: length}
+}
+
 // detectPauseBeforeEvent detects a pause when an event is handled before the first tick after it. Otherwise the event would
 // find this instance in the role that it had before the pause. A suspension of the host, which the monotonic clock does not
 // show, is looked for before the results of calls: their age tells how old the knowledge of this instance is.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -232,7 +232,7 @@
 	changed := n.mergeTargetState(e, now)
 	if s.Config != nil || s.ConfigListed && !n.configsTopic.Known {
 		n.configsTopic.Next, n.configsTopic.Known, n.configsTopic.Behind = topic.Later(n.configsTopic.Next, s.configNext()), true, false
-		n.configsTopic.Refresh(e.requestedAt.Add(-s.ConfigAge), s.ConfigAnswer)
+		n.configsTopic.Refresh(e.requestedAt.Add(-max(s.ConfigAge, 0)), s.ConfigAnswer)
 		n.applyNewestConfig(s.Config, "peer", now)
 	}
 	if changed {
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -9,8 +9,8 @@
 )
 
 // applyUpdate applies what a peer read from the store and its load reports, and relays datagrams of other zones to this
-// zone.
-func (n *Node) applyUpdate(ctx context.Context, d *datagram, p *peerState, now time.Time) {
+// zone. receivedAt is when the datagram was read from the socket.
+func (n *Node) applyUpdate(ctx context.Context, d *datagram, p *peerState, receivedAt, now time.Time) {
 	before, eraBefore := n.configVersion(), n.targetsTopic.Next.Era
 	changed := d.Targets != nil && n.mergeTargetsUpdate(d.Targets, now)
 	if n.targetsTopic.Behind && n.fetchesFrom(p, &n.targetsTopic, now) {
@@ -20,7 +20,7 @@
 		n.publishView(now)
 	}
 	if d.Config != nil {
-		n.applyConfigStatus(ctx, d.Config, p, now)
+		n.applyConfigStatus(ctx, d.Config, p, receivedAt, now)
 	}
 	n.observeLoads(d.Loads)
 	if p.Zone == n.Self.Zone {
@@ -128,8 +128,8 @@
 
 // applyConfigStatus compares the configuration of a peer with that of this instance. A newer one is fetched from the
 // peer if it is in the same zone, where traffic is free, and otherwise read from the store.
-func (n *Node) applyConfigStatus(ctx context.Context, status *configStatus, p *peerState, now time.Time) {
-	asOf := now.Add(-time.Duration(status.AgeMS) * time.Millisecond)
+func (n *Node) applyConfigStatus(ctx context.Context, status *configStatus, p *peerState, receivedAt, now time.Time) {
+	asOf := receivedAt.Add(-max(time.Duration(status.AgeMS)*time.Millisecond, 0))
 	switch {
 	case status.Version == n.configVersion() && n.configsTopic.Known:
 		n.configsTopic.Refresh(asOf, status.Answer)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -40,6 +40,7 @@
 	n.updateUnroutedPools(byService, now)
 	n.indexTargets(byService)
 	n.view.Store(view)
+	n.publishFirstConfigsAsOf(now)
 	n.publishClaimTable()
 	if !n.ready.Swap(true) {
 		n.Log.Info("Serving.", "version", n.table.Version, "targets", len(inUse), "after_ms", now.Sub(n.started).Milliseconds())
