Read configurations from a store that answers slowly

Cause: the configurations are not read while the targets are overdue, since one topic is enough to find out whether the store answers. A store whose answers take 0.7 s or more keeps the targets overdue, so that the configurations were never read. No change of the configuration arrived, and all instances would refuse requests with keys.

Change: an instance that the store answered in the last 3 s reads configurations older than 1.3 s although targets are overdue.

If the store serves one of 24 instances only, instances may refuse keys for 1 to 2 s until that one is due to read.

--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -16,7 +16,7 @@
 	// Failed reads of targets show that the store does not answer this instance, and overdue ones that it may answer
 	// nobody. Reading one topic is then enough to find out.
 	overdue := n.targetsTopic.Known && n.configsTopic.Known && now.Sub(n.targetsTopic.AsOf) >= storeread.TargetsInterval+storeread.FirstRankDelay
-	if n.targetsTopic.HasFailed() || overdue {
+	if n.targetsTopic.HasFailed() || overdue && !n.storeAnswersSlowly(now) {
 		n.configsHeldAt = now
 		return
 	}
@@ -37,6 +37,16 @@
 	}()
 }
 
+// maxConfigsHold is the age of the configuration from which on it is read although the targets are overdue.
+const maxConfigsHold = storeread.ConfigsInterval + storeread.TargetsInterval
+
+// storeAnswersSlowly reports whether the store has answered this instance lately, and the configuration is still too old. A store
+// that takes longer for an answer than the time from which on the targets count as overdue would otherwise never be asked for the
+// configuration, and all instances would refuse requests with keys.
+func (n *Node) storeAnswersSlowly(now time.Time) bool {
+	return now.Sub(n.configsTopic.AsOf) >= maxConfigsHold && now.Sub(n.storeAnsweredAt) < storeread.StoreAnswerValidity
+}
+
 // readPriority returns the priority of this instance for reads of the store.
 func (n *Node) readPriority(now time.Time, rank int) storeread.Priority {
 	return storeread.Priority{
--- a/internal/storeread/topic.go
+++ b/internal/storeread/topic.go
@@ -32,8 +32,8 @@
 	toleratedFailing     = 8
 	toleratedFailingStep = 30 * time.Millisecond
 	furtherFailingStep   = 300 * time.Millisecond
-	// storeAnswerValidity is how long an instance that the store answered ignores the failures of other instances.
-	storeAnswerValidity = 3 * time.Second
+	// StoreAnswerValidity is how long an instance that the store answered ignores the failures of other instances.
+	StoreAnswerValidity = 3 * time.Second
 	// minBackoff is the shortest backoff after a failed read.
 	minBackoff = 250 * time.Millisecond
 	// MaxBackoff is the longest backoff after a failed read.
@@ -150,7 +150,7 @@
 	if now.Sub(priority.HeldAt) < wait {
 		return false
 	}
-	if t.backoff == 0 && now.Sub(priority.StoreAnsweredAt) > storeAnswerValidity {
+	if t.backoff == 0 && now.Sub(priority.StoreAnsweredAt) > StoreAnswerValidity {
 		wait += failureDelay(priority.Failing)
 	}
 	return now.Sub(t.AsOf) >= t.interval+wait || t.AsOf.Before(priority.RequiredAsOf) && now.Sub(priority.RequiredAsOf) >= wait
