Keep keys of callers out of the log entries of malformed requests

Cause: the error of the codec quotes the head of a request, and that of the framing check quotes a line without a colon. Both are logged, and a head may carry the key of a caller.

Change: the error of the codec is replaced by a HeadError, and of a malformed header name only the part that is a token is quoted.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -15,6 +15,16 @@
 
 func (e *Error) Error() string { return e.Detail }
 
+// tokenPrefix returns the beginning of a malformed header name that is a token. The rest may be a value, which must not be logged.
+func tokenPrefix(name []byte) []byte {
+	for i, c := range name {
+		if !tokenBytes[c] {
+			return name[:i]
+		}
+	}
+	return name
+}
+
 // maxQuotedBytes bounds the part of a header that an Error quotes, because callers choose it and errors are logged.
 const maxQuotedBytes = 64
 
@@ -77,7 +87,7 @@
 func (h *bodyHeaders) add(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !IsToken(name) {
-		return &Error{"malformed header name: " + quote(name)}
+		return &Error{"malformed header name: " + quote(tokenPrefix(name))}
 	}
 	value = bytes.Trim(value, " \t")
 	if !isFieldValue(value) {
--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -84,7 +84,7 @@
 		return refusal
 	}
 	if err := panicguard.Catch(func() error { return req.ReadHeader(&c.Request.Header, conn) }); err != nil {
-		return &Refusal{reason.BadFraming, err}
+		return &Refusal{reason.BadFraming, headError(err)}
 	}
 	if c.Request.Header.IsHTTP11() && len(c.Request.Header.Host()) == 0 {
 		return &Refusal{reason.BadFraming, &MissingHostError{}}
@@ -92,6 +92,21 @@
 	return nil
 }
 
+// HeadError reports a head that the codec rejects. It leaves out the codec's error, which quotes the head: keys of callers must not
+// reach the log.
+type HeadError struct{}
+
+func (e *HeadError) Error() string { return "the codec rejects the head of the request" }
+
+// headError returns what may be logged of an error of the codec.
+func headError(err error) error {
+	var panicked *panicguard.Error
+	if errors.As(err, &panicked) {
+		return err
+	}
+	return &HeadError{}
+}
+
 // peekHead waits for a complete head and returns it without consuming it.
 func (l Limits) peekHead(conn network.Conn) ([]byte, *Refusal) {
 	for needed := 1; ; {
