Serve routes that are not public only to callers with a key

Cause: configurations have workspaces with keys. A request names its workspace by a key, which must not reach a target, and a key that was taken away must not run a request on any instance, in touch or not.

Readiness is false while keys are outdated. The priority of the workspace goes before that of the route. Configurations without workspaces are served as before.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,6 +14,8 @@
 type Request struct {
 	// Route is the name under which service times and answer sizes are learned.
 	Route string
+	// Workspace is the name of the caller's workspace, empty if the route needs no key.
+	Workspace string
 	// Priority orders waiting requests. Lower values go first, unlike in package admission.
 	Priority int
 	// Objective is the latency objective, counted from Arrived.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
+	"github.com/basillink/basillink/internal/workspace"
 	"github.com/basillink/basillink/platform"
 )
 
@@ -52,7 +53,7 @@
 			Capacity: int(s.Peer.Capacity * fleet.CapacityUnit),
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Bootstrap: s.Peer.Bootstrap, Policy: e.policy(), Prober: platform.Prober{},
-		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.HeartbeatInterval(), Now: clk.Now, DetectSuspension: clk.DetectSuspension,
+		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.HeartbeatInterval(), Now: clk.Now, DetectSuspension: clk.Detector(),
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:            telemetry.Component(log, "fleet"),
 		TargetsChanged: func(registered func(string) bool) { e.gateway.CloseUnregistered(registered) },
@@ -61,11 +62,12 @@
 		},
 		CrashMarks: crashMarks{e},
 	})
+	keys := workspace.Freshness{AsOf: e.node.ConfigsAsOf, Validity: workspace.Validity(s.Bounds.RevocationTime())}
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
 		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, OnMisdirected: e.node.ReportMisdirected,
 		Now: clk.Now, DetectSuspension: clk.DetectSuspension, LogSampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
-		Memory: membudget.New(s.Memory.RequestBytes()),
+		Memory: membudget.New(s.Memory.RequestBytes()), Keys: keys,
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
@@ -83,7 +85,7 @@
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	e.readiness = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler(), e.log)
+	e.readiness = newReadiness(s.Listen.Readiness, func() bool { return e.node.Ready() && e.gateway.ServesKeys() }, metrics.Handler(), e.log)
 	return e, nil
 }
 
--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -93,6 +93,9 @@
 		"attempts", call.attempts, "candidates", inputs.Candidates, "open", inputs.Available, "waiting", inputs.Waiting,
 		"waited_ms", milliseconds(inputs.Waited), "denied", inputs.DeniedClaims,
 	}
+	if name := call.caller.Name(); name != "" {
+		attributes = append(attributes, "workspace", name)
+	}
 	if t := call.lastDecision.Target; t != nil {
 		attributes = append(attributes, "target", t.ID, "occupied", inputs.InFlight, "pace", inputs.Slowdown,
 			"reading_age_ms", milliseconds(inputs.ReportAge), "expected_ms", milliseconds(inputs.ExpectedLatency))
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -14,6 +14,7 @@
 	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/workspace"
 )
 
 // notReadyRetryAfter is the Retry-After of requests that are refused before a target is chosen, for example because the
@@ -30,8 +31,13 @@
 	// id is the caller's request id, empty if the request has none.
 	id string
 	// uri is the path and query.
-	uri           string
-	route         *routes.Entry
+	uri   string
+	table *routes.Table
+	route *routes.Entry
+	// caller is the workspace of the request and its key.
+	caller workspace.Caller
+	// mayHaveRun is true once a target may have run the request, so that no later answer may promise that none did.
+	mayHaveRun    bool
 	service       string
 	pool          *dispatch.Pool
 	configVersion uint64
@@ -54,19 +60,23 @@
 	hasFingerprint    bool
 }
 
-// parse selects the route, service and target pool of a request. All of them come from one view, so that a configuration
-// change does not affect a request that is already being served.
+// parse selects the route, workspace, service and target pool of a request. All of them come from one view, so that a
+// configuration change does not affect a request that is already being served, unless it takes the key of the request away.
 func (g *Gateway) parse(c *app.RequestContext, call *call) *reason.Reason {
-	view := g.awaitView()
-	if view == nil {
+	if g.awaitView() == nil {
 		return reason.NotReady
 	}
-	call.configVersion = view.Table.Version
+	keysCurrent := g.Keys.IsCurrent(g.Now())
+	view := g.View()
+	call.table, call.configVersion = view.Table, view.Table.Version
 	call.uri = inbound.OriginForm(string(c.Request.RequestURI()))
 	call.route = view.Table.Match(string(c.Request.Header.Host()), pathOf(call.uri))
 	if call.route == nil {
 		return reason.UnknownRoute
 	}
+	if refusal := g.authorize(call, keysCurrent); refusal != nil {
+		return refusal
+	}
 	call.service = call.route.NextService()
 	call.pool = view.Pools[call.service]
 	call.deadline = call.arrivedAt + call.route.Timeout - answerMargin
@@ -74,8 +84,8 @@
 		call.deadline = min(call.deadline, call.arrivedAt+timeout-answerMargin)
 	}
 	call.dispatchRequest = dispatch.Request{
-		Route: call.route.Name, Priority: call.route.Priority, Objective: call.route.LatencyObjective,
-		Arrived: call.arrivedAt, Deadline: call.deadline, RequestBytes: len(c.Request.Body()),
+		Route: call.route.Name, Workspace: call.caller.Name(), Priority: workspace.Priority(call.caller, &call.route.Route),
+		Objective: call.route.LatencyObjective, Arrived: call.arrivedAt, Deadline: call.deadline, RequestBytes: len(c.Request.Body()),
 	}
 	if call.pool == nil {
 		return reason.NoTarget
@@ -131,13 +141,13 @@
 	}
 	if refusal != nil {
 		r := newRefusal(refusal)
-		r.retryAfter = notReadyRetryAfter
+		r.retryAfter = refusalRetryAfter(refusal)
 		return g.writeRefusal(c, call, r)
 	}
 	call.setCallerIP(c)
-	call.pool.RecordRequest()
 	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.Now())
 	defer cancel()
+	call.pool.RecordRequest()
 	res := g.execute(ctx, call)
 	defer res.release()
 	defer res.streaming.closeSentinel()
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -88,6 +88,9 @@
 	if err := g.checkTimeLeft(call, g.Now()); err != nil {
 		return newDrainRefusal(err), false
 	}
+	if refusal := g.reauthorize(call, g.Now()); refusal != nil {
+		return g.refuseUnsent(call, refusal), false
+	}
 	decision := call.pool.Acquire(ctx, &call.dispatchRequest)
 	slot := &slot{call: call, decision: decision}
 	// send releases the slot unless it panics.
@@ -110,6 +113,7 @@
 		}
 	}()
 	res = g.send(ctx, call, slot, attempt, admission)
+	call.recordExecution(res)
 	retry = g.finishAttempt(ctx, call, attempt, res)
 	returned = true
 	if retry {
@@ -118,6 +122,14 @@
 	return res, false
 }
 
+// recordExecution records whether a target may have run the request in the attempt that ended with a result.
+func (call *call) recordExecution(r *result) {
+	if r.failure != nil && r.failure.Outcome == reason.NotRun {
+		return
+	}
+	call.mayHaveRun = true
+}
+
 // finishAttempt reports the result of an attempt to the crash guard and decides whether the request is tried again. If so, it
 // releases the result.
 func (g *Gateway) finishAttempt(ctx context.Context, call *call, attempt *attempt, res *result) (retry bool) {
@@ -199,10 +211,14 @@
 	var unavailable *TargetUnavailableError
 	var held *CrashHeldError
 	var draining *DrainingError
+	var unauthorized *AuthorizationError
 	var timeout *transport.ConnectTimeoutError
 	if errors.As(err, &timeout) {
 		return timeout.Waited
 	}
+	if errors.As(err, &unauthorized) {
+		return true
+	}
 	return errors.As(err, &stale) || errors.As(err, &unavailable) || errors.As(err, &held) || errors.As(err, &draining)
 }
 
@@ -223,6 +239,9 @@
 		if g.crashGuard.Active() && (!g.crashGuard.StillAdmitted(now, call.fingerprint(), admission) || g.crashGuard.RefusesCaller(call.callerFingerprint())) {
 			return g.newCrashHeldError(call)
 		}
+		if refusal := g.reauthorize(call, now); refusal != nil {
+			return &AuthorizationError{refusal}
+		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
 		return nil
 	}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/routes"
+	"github.com/basillink/basillink/internal/workspace"
 )
 
 // Headers holds the names of the HTTP headers that callers, instances and targets exchange. In ExpectedInstance and InstanceID,
@@ -93,6 +94,8 @@
 	Memory *membudget.Budget
 	// CrashMarks sends crash marks to the other instances. It may be nil.
 	CrashMarks CrashMarkSpreader
+	// Keys tells until when requests with keys may be sent. It is only used while the configuration has workspaces.
+	Keys workspace.Freshness
 	// LogSampleOneIn is n to log one of n requests that were answered in time, without a failure or a retry. 0 logs none of them.
 	LogSampleOneIn int
 }
@@ -103,6 +106,7 @@
 	listener    inbound.Listener
 	server      *server.Hertz
 	connections inbound.Connections
+	keyHeaders  workspace.Headers
 	draining    atomic.Bool
 	// stopAt is the time since the start at which the process ends, 0 while it does not drain.
 	stopAt    atomic.Int64
@@ -131,7 +135,10 @@
 	if c.DetectSuspension == nil {
 		c.DetectSuspension = func() (time.Duration, time.Duration) { return c.Now(), 0 }
 	}
-	g := &Gateway{Config: c, listener: inbound.Listener{Address: c.Address}, targetConns: map[string]*targetConnections{}}
+	g := &Gateway{
+		Config: c, listener: inbound.Listener{Address: c.Address}, keyHeaders: workspace.NewHeaders(c.Headers.Key, c.Headers.Workspace),
+		targetConns: map[string]*targetConnections{},
+	}
 	g.crashGuard = crashguard.New(g.spreadCrashMark)
 	g.SetLogSampling(c.LogSampleOneIn)
 	g.server = server.New(
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -26,6 +26,7 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", DeadlineMS: "X-Deadline", ExpectedInstance: "X-Expected", InstanceID: "X-Instance",
 	NotExecuted: "X-Not-Run", Load: "X-Load", Leaving: "X-Leaving",
+	Key: "Caller-Key", Workspace: "Caller-Workspace",
 }
 
 func TestMain(m *testing.M) {
@@ -61,21 +62,30 @@
 	counter     *fakeCounter
 	view        atomic.Pointer[View]
 	misdirected atomic.Int64
+	targets     []*rawtarget.Target
 }
 
 func newTestbed(t testing.TB, targets ...*rawtarget.Target) *testbed {
 	t.Helper()
-	b := &testbed{counter: &fakeCounter{refused: map[string]int{}, retried: map[string]int{}}}
+	return newConfiguredTestbed(t, func(*Config) {}, targets...)
+}
+
+// newConfiguredTestbed returns a testbed whose gateway has a changed configuration.
+func newConfiguredTestbed(t testing.TB, configure func(*Config), targets ...*rawtarget.Target) *testbed {
+	t.Helper()
+	b := &testbed{counter: &fakeCounter{refused: map[string]int{}, retried: map[string]int{}}, targets: targets}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
-	b.gateway = New(Config{
+	config := Config{
 		Address: "127.0.0.1:0", Headers: testHeaders, View: b.view.Load, Counter: b.counter,
 		Log: slog.New(slog.DiscardHandler), Now: now,
 		ParseLoad: func(value []byte) (dispatch.LoadReport, bool) {
 			return dispatch.LoadReport{Slowdown: 1}, len(value) > 0
 		},
 		OnMisdirected: func(string) { b.misdirected.Add(1) },
-	})
+	}
+	configure(&config)
+	b.gateway = New(config)
 	b.view.Store(newView(t, now, targets))
 	if err := b.gateway.Open(); err != nil {
 		t.Fatal(err)
@@ -141,20 +151,25 @@
 // buildTable returns a table whose routes lead to a service.
 func buildTable(t testing.TB, service string) *routes.Table {
 	t.Helper()
+	table, err := routes.Build(newRoutesConfig(service))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// newRoutesConfig returns a configuration whose routes lead to a service.
+func newRoutesConfig(service string) *routes.Config {
 	route := func(name string, idempotent bool) routes.Route {
 		return routes.Route{
 			Name: name, Host: "h", PathPrefix: "/" + name + "/", Idempotent: idempotent, Timeout: 900 * time.Millisecond,
 			LatencyObjective: 400 * time.Millisecond, MaxAttempts: 2, Split: []routes.Share{{Service: service, Weight: 1}},
 		}
 	}
-	table, err := routes.Build(&routes.Config{
+	return &routes.Config{
 		Version: 1, Services: []routes.Service{{Name: service, MaxConnections: 100}},
 		Routes: []routes.Route{route("safe", true), route("once", false)},
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
-	return table
 }
 
 // callerConn is a connection of a caller to the gateway.
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -46,8 +46,14 @@
 		if neverForwarded[string(key)] || slices.Contains(connectionOptions, string(key)) {
 			return
 		}
+		if call.table.RequiresKeys() && g.keyHeaders.Withholds(key) {
+			return
+		}
 		header.AddToRequest(h, key, value)
 	})
+	if name := call.caller.Name(); name != "" {
+		h.Set(g.Headers.Workspace, name)
+	}
 	h.Set(g.Headers.ExpectedInstance, targetID)
 	request.SetBodyRaw(call.request.Body())
 }
