Spend a credit of the workspace's quota for each request that is sent

Cause: a workspace may run a limited number of requests over all instances. The gateway did not ask for the credits that the owner of the limits hands out.

Change: a request of a workspace with a limit acquires a credit before it waits for a target. It is refused at once without one: 429 with the denial's Retry-After, or 503 if no owner grants credit. The credit is spent right before the request is written; one that expired while the request waited is replaced. It goes back once if no target ran the request, also after a panic. A further target after one that may have run the request takes a further credit, and without one the failure is answered. Nothing limits requests while Config.Credit is nil.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -36,6 +36,7 @@
 	route *routes.Entry
 	// caller is the workspace of the request and its key.
 	caller workspace.Caller
+	quota  quotaCredit
 	// mayHaveRun is true once a target may have run the request, so that no later answer may promise that none did.
 	mayHaveRun    bool
 	service       string
@@ -147,8 +148,13 @@
 	call.setCallerIP(c)
 	ctx, cancel := context.WithTimeout(ctx, call.deadline-g.Now())
 	defer cancel()
-	call.pool.RecordRequest()
-	res := g.execute(ctx, call)
+	defer call.quota.giveBack()
+	res := g.acquireCredit(ctx, call)
+	if res == nil {
+		call.pool.RecordRequest()
+		res = g.execute(ctx, call)
+	}
+	call.quota.giveBack()
 	defer res.release()
 	defer res.streaming.closeSentinel()
 	if res.answer == nil {
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -103,6 +103,9 @@
 	if decision.Target == nil {
 		return g.refuseUnassigned(ctx, call, decision), false
 	}
+	if refusal := g.acquireCredit(ctx, call); refusal != nil {
+		return refusal, false
+	}
 	call.attempts++
 	attempt := g.newAttempt(ctx, call, decision)
 	returned := false
@@ -125,6 +128,7 @@
 // recordExecution records whether a target may have run the request in the attempt that ended with a result.
 func (call *call) recordExecution(r *result) {
 	if r.failure != nil && r.failure.Outcome == reason.NotRun {
+		call.quota.regain()
 		return
 	}
 	call.mayHaveRun = true
@@ -142,7 +146,10 @@
 	if !res.retryable || ctx.Err() != nil {
 		return false
 	}
-	if call.attempts >= max(call.route.MaxAttempts, 1) || g.checkTimeLeft(call, g.Now()) != nil || !call.pool.MayRetry() {
+	if call.attempts >= max(call.route.MaxAttempts, 1) || g.checkTimeLeft(call, g.Now()) != nil {
+		return false
+	}
+	if g.acquireCredit(ctx, call) != nil || !call.pool.MayRetry() {
 		return false
 	}
 	g.recordRetry(call, res)
@@ -212,11 +219,12 @@
 	var held *CrashHeldError
 	var draining *DrainingError
 	var unauthorized *AuthorizationError
+	var expired *CreditExpiredError
 	var timeout *transport.ConnectTimeoutError
 	if errors.As(err, &timeout) {
 		return timeout.Waited
 	}
-	if errors.As(err, &unauthorized) {
+	if errors.As(err, &unauthorized) || errors.As(err, &expired) {
 		return true
 	}
 	return errors.As(err, &stale) || errors.As(err, &unavailable) || errors.As(err, &held) || errors.As(err, &draining)
@@ -242,6 +250,9 @@
 		if refusal := g.reauthorize(call, now); refusal != nil {
 			return &AuthorizationError{refusal}
 		}
+		if err := call.quota.spend(now); err != nil {
+			return err
+		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
 		return nil
 	}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/crashguard"
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/membudget"
@@ -96,6 +97,8 @@
 	CrashMarks CrashMarkSpreader
 	// Keys tells until when requests with keys may be sent. It is only used while the configuration has workspaces.
 	Keys workspace.Freshness
+	// Credit hands out the credits for the quotas of workspaces. Nil is unlimited.
+	Credit credit.Source
 	// LogSampleOneIn is n to log one of n requests that were answered in time, without a failure or a retry. 0 logs none of them.
 	LogSampleOneIn int
 }
