--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/clock"
+	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/fleet"
@@ -20,6 +21,7 @@
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
+	"github.com/basillink/basillink/internal/workspace"
 	"github.com/basillink/basillink/platform"
 )
 
@@ -52,20 +54,22 @@
 			Capacity: int(s.Peer.Capacity * fleet.CapacityUnit),
 		},
 		Store: e.store, Seeds: seedHosts(s.Peer.Seeds), Bootstrap: s.Peer.Bootstrap, Policy: e.policy(), Prober: platform.Prober{},
-		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.HeartbeatInterval(), Now: clk.Now, DetectSuspension: clk.DetectSuspension,
+		ProbeInterval: probeInterval(s), TargetHeartbeat: s.Bounds.HeartbeatInterval(), Now: clk.Now, DetectSuspension: clk.Detector(),
 		Random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:            telemetry.Component(log, "fleet"),
 		TargetsChanged: func(registered func(string) bool) { e.gateway.CloseUnregistered(registered) },
 		TargetTerminated: func(id string, lastSeen time.Duration, restarted bool) {
 			e.gateway.TargetTerminated(id, lastSeen, restarted)
 		},
-		CrashMarks: crashMarks{e},
+		CrashMarks: crashMarks{e}, CreditBounds: creditBounds(s.Bounds),
 	})
+	keys := workspace.Freshness{AsOf: e.node.ConfigsAsOf, Validity: workspace.Validity(s.Bounds.RevocationTime())}
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
 		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, ParseWarmup: platform.ParseWarmup, OnMisdirected: e.node.ReportMisdirected,
 		Now: clk.Now, DetectSuspension: clk.DetectSuspension, LogSampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
-		Memory: membudget.New(s.Memory.RequestBytes()),
+		Memory: membudget.New(s.Memory.RequestBytes()), Keys: keys,
+		Credit: e.node.Credit(),
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
@@ -84,10 +88,21 @@
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	e.readiness = newReadiness(s.Listen.Readiness, e.node.Ready, metrics.Handler(), e.log)
+	e.readiness = newReadiness(s.Listen.Readiness, func() bool { return e.node.Ready() && e.gateway.ServesKeys() }, metrics.Handler(), e.log)
 	return e, nil
 }
 
+// coldTargetWindow is the time in which the platform counts the requests to a cold target.
+const coldTargetWindow = time.Second
+
+// creditBounds returns what the platform tolerates beyond the limits that all instances share.
+func creditBounds(b settings.EdgeBounds) map[credit.Kind]credit.Bounds {
+	return map[credit.Kind]credit.Bounds{
+		credit.WorkspaceQuota: {Window: b.QuotaWindow(), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
+		credit.ColdTarget:     {Window: coldTargetWindow, Overage: b.WarmupOverage - 1, Slack: b.WarmupSlack},
+	}
+}
+
 // probeInterval returns the interval between two load probes of a target. The platform's limit on probes per second applies to
 // all instances together. Only one instance probes a target, except for a short time while another one takes over.
 func probeInterval(s *settings.Edge) time.Duration {
--- a/internal/fleet/credit_desk.go
+++ b/internal/fleet/credit_desk.go
@@ -27,14 +27,14 @@
 	return now
 }
 
-// takeSuspended returns for how long the host was suspended since the last call.
-func (c *suspensionClock) takeSuspended() time.Duration {
+// takeSuspended returns the time, and for how long the host was suspended since the last call.
+func (c *suspensionClock) takeSuspended() (now, suspended time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, suspended := c.detect()
+	now, suspended = c.detect()
 	suspended += c.unreported
 	c.unreported = 0
-	return suspended
+	return now, suspended
 }
 
 // creditDesk grants credits of the shared limits while this instance is their owner, and knows where to ask for them otherwise. Asks
--- a/internal/fleet/credit_desk_test.go
+++ b/internal/fleet/credit_desk_test.go
@@ -48,10 +48,10 @@
 		return time.Minute, suspended
 	}}
 	c.now()
-	if got := c.takeSuspended(); got != 3*time.Second {
+	if _, got := c.takeSuspended(); got != 3*time.Second {
 		t.Errorf("the control loop hears of a suspension of %s, want 3s", got)
 	}
-	if got := c.takeSuspended(); got != 0 {
+	if _, got := c.takeSuspended(); got != 0 {
 		t.Errorf("the control loop hears again of a suspension of %s", got)
 	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -57,7 +57,7 @@
 	// TargetHeartbeat is the interval at which targets renew their entries in the store.
 	TargetHeartbeat time.Duration
 	// Now returns the time since the start on the clock of the dispatcher. DetectSuspension also returns for how long
-	// the host was suspended since the last call. If it is nil, suspensions are not detected.
+	// the host was suspended since the last call of this node. If it is nil, suspensions are not detected.
 	Now              func() time.Duration
 	DetectSuspension func() (now, suspended time.Duration)
 	Random           *rand.Rand
@@ -75,12 +75,13 @@
 	CreditBounds map[credit.Kind]credit.Bounds
 }
 
-// Node is the member of the fleet that runs in this process. View, Ready, the counters, ReportMisdirected and
+// Node is the member of the fleet that runs in this process. View, ConfigsAsOf, Ready, the counters, ReportMisdirected and
 // SpreadCrashMark are safe for concurrent use.
 type Node struct {
 	Config
 	inbox         chan event
 	view          atomic.Pointer[ingress.View]
+	configsAsOf   configsAsOf
 	ready         atomic.Bool
 	droppedEvents atomic.Int64
 	guard         panicguard.Guard
@@ -109,7 +110,8 @@
 	evacuations   evacuation.Set
 	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
 	coldUntil map[uint32]time.Duration
-	// coldCredit hands out the credits for requests to cold targets. It is set before Run; if it is nil, cold targets are not limited.
+	// coldCredit hands out the credits for requests to cold targets. It is nil if the configuration has no bounds for them, which
+	// are then not limited.
 	coldCredit  credit.Source
 	newerConfig newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
@@ -125,6 +127,8 @@
 	// paused.
 	lastTick, resumedAt time.Time
 	suspension          suspension
+	// unhandledSuspension is the length of the suspensions that were found between two calls of detectPause.
+	unhandledSuspension time.Duration
 	// leaderSince is when isLeader last changed.
 	leaderSince time.Time
 	// announcement is the entry of this instance in the store, nil while unknown.
@@ -241,6 +245,9 @@
 	n.creditClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
 	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
 	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
+	if _, limited := c.CreditBounds[credit.ColdTarget]; limited {
+		n.coldCredit = n.creditPool
+	}
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
 }
@@ -289,12 +296,14 @@
 		case e := <-n.inbox:
 			n.detectPauseBeforeEvent(e, time.Now())
 			n.handleGuarded(ctx, e, time.Now())
+			n.publishConfigsAsOf(time.Now)
 			if _, isRound := e.(roundFinished); isRound {
 				// A finished round can make the next one due earlier.
 				timer.Reset(n.timeToNextTick(time.Now()))
 			}
 		case <-timer.C:
 			n.tick(ctx, time.Now())
+			n.publishConfigsAsOf(time.Now)
 			timer.Reset(n.timeToNextTick(time.Now()))
 		case <-ctx.Done():
 			n.leave(time.Now())
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -90,6 +90,9 @@
 	if err := g.checkTimeLeft(call, g.Now()); err != nil {
 		return newDrainRefusal(err), false
 	}
+	if refusal := g.reauthorize(call, g.Now()); refusal != nil {
+		return g.refuseUnsent(call, refusal), false
+	}
 	decision := call.pool.Acquire(ctx, &call.dispatchRequest)
 	slot := &slot{call: call, decision: decision}
 	// send releases the slot unless it panics.
@@ -102,6 +105,9 @@
 	if decision.Target == nil {
 		return g.refuseUnassigned(ctx, call, decision), false
 	}
+	if refusal := g.acquireCredit(ctx, call); refusal != nil {
+		return refusal, false
+	}
 	call.attempts++
 	attempt := g.newAttempt(ctx, call, decision)
 	returned := false
@@ -112,6 +118,7 @@
 		}
 	}()
 	res = g.send(ctx, call, slot, attempt, admission)
+	call.recordExecution(res)
 	retry = g.finishAttempt(ctx, call, attempt, res)
 	returned = true
 	if retry {
@@ -120,6 +127,15 @@
 	return res, false
 }
 
+// recordExecution records whether a target may have run the request in the attempt that ended with a result.
+func (call *call) recordExecution(r *result) {
+	if r.failure != nil && r.failure.Outcome == reason.NotRun {
+		call.quota.regain()
+		return
+	}
+	call.mayHaveRun = true
+}
+
 // finishAttempt reports the result of an attempt to the crash guard and decides whether the request is tried again. If so, it
 // releases the result.
 func (g *Gateway) finishAttempt(ctx context.Context, call *call, attempt *attempt, res *result) (retry bool) {
@@ -132,7 +148,10 @@
 	if !res.retryable || ctx.Err() != nil {
 		return false
 	}
-	if call.attempts >= max(call.route.MaxAttempts, 1) || g.checkTimeLeft(call, g.Now()) != nil || !call.pool.MayRetry() {
+	if call.attempts >= max(call.route.MaxAttempts, 1) || g.checkTimeLeft(call, g.Now()) != nil {
+		return false
+	}
+	if g.acquireCredit(ctx, call) != nil || !call.pool.MayRetry() {
 		return false
 	}
 	g.recordRetry(call, res)
@@ -201,10 +220,15 @@
 	var unavailable *TargetUnavailableError
 	var held *CrashHeldError
 	var draining *DrainingError
+	var unauthorized *AuthorizationError
+	var expired *CreditExpiredError
 	var timeout *transport.ConnectTimeoutError
 	if errors.As(err, &timeout) {
 		return timeout.Waited
 	}
+	if errors.As(err, &unauthorized) || errors.As(err, &expired) {
+		return true
+	}
 	return errors.As(err, &stale) || errors.As(err, &unavailable) || errors.As(err, &held) || errors.As(err, &draining)
 }
 
@@ -225,6 +249,12 @@
 		if g.crashGuard.Active() && (!g.crashGuard.StillAdmitted(now, call.fingerprint(), admission) || g.crashGuard.RefusesCaller(call.callerFingerprint())) {
 			return g.newCrashHeldError(call)
 		}
+		if refusal := g.reauthorize(call, now); refusal != nil {
+			return &AuthorizationError{refusal}
+		}
+		if err := call.quota.spend(now); err != nil {
+			return err
+		}
 		g.setDeadline(request, min(remaining, call.deadline-now))
 		return nil
 	}
