--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -138,7 +138,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n.applyUpdate(t.Context(), decoded, n.members.peers["a2"], at)
+		n.applyUpdate(t.Context(), decoded, n.members.peers["a2"], at, at)
 	}
 	tell(peer.configStatus(testStart), testStart)
 	if n.View().Pools["s"].Target("t1") != nil {
