--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,7 +59,8 @@
 		TargetTerminated: func(id string, lastSeen time.Duration, restarted bool) {
 			e.gateway.TargetTerminated(id, lastSeen, restarted)
 		},
-		CrashMarks: crashMarks{e},
+		CrashMarks:   crashMarks{e},
+		CreditBounds: creditBounds(&s.Bounds),
 	})
 	e.gateway = ingress.New(ingress.Config{
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
@@ -80,6 +81,9 @@
 	if err := observeTraffic(metrics, e.node.Traffic(), e.store); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := observeCredit(metrics, e.node.CreditStats); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/telemetry/labeled_counter.go
+++ b/internal/telemetry/labeled_counter.go
@@ -26,3 +26,14 @@
 	_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(help), metric.WithInt64Callback(observe))
 	return trace.Wrap(err, "counter %s", name)
 }
+
+// RegisterObservableGauge registers a gauge whose value read returns at each collection. The function read must be safe for concurrent
+// use.
+func (m *Metrics) RegisterObservableGauge(name, help string, read func() int64) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(read())
+		return nil
+	}
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(help), metric.WithInt64Callback(observe))
+	return trace.Wrap(err, "gauge %s", name)
+}
