--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -22,6 +22,9 @@
 	// minorityWait is the additional wait of a candidate that does not hear from the majority of the instances. Those may have an
 	// owner, or become it before.
 	minorityWait = 3 * time.Second
+	// yieldWait is the additional wait of an owner that lost the ownership to a record of another instance. That one would lose a race
+	// against it otherwise, if nobody hears the former owner.
+	yieldWait = time.Second
 )
 
 // Step is the call to the store that a Tenure is due to make.
@@ -104,6 +107,8 @@
 	takeovers int
 	loss      Loss
 
+	// yields is true if the last ownership was lost to a record of another instance.
+	yields bool
 	// sawMajority is true if this instance heard from the majority during the present ownership.
 	sawMajority bool
 
@@ -171,6 +176,9 @@
 	if s.Minority {
 		wait += minorityWait
 	}
+	if t.yields {
+		wait += yieldWait
+	}
 	switch {
 	case t.owns:
 		return t.renewAt
@@ -209,6 +217,7 @@
 func (t *Tenure) lose(reason Loss) {
 	if t.owns {
 		t.owns, t.loss = false, reason
+		t.yields = reason == LossConflict || reason == LossSuperseded
 	}
 }
 
@@ -239,6 +248,7 @@
 	switch {
 	case record.Holder == t.self:
 		t.extendOwn(end)
+		t.yields = record.Challenge && t.yields
 	case record.Era == end.Era:
 		t.lose(LossSuperseded)
 	}
@@ -375,7 +385,7 @@
 		began = now
 	}
 	t.setNewest(t.self, r.End, r.StartedAt+TTL, began)
-	t.owns = !t.released && now < t.freeAt
+	t.owns, t.yields = !t.released && now < t.freeAt, false
 	if t.owns && !wasOwner {
 		t.takeovers++
 	}
--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"testing"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/basillink/basillink/internal/credit"
+	"github.com/basillink/basillink/internal/routes"
 )
 
 var creditSeeds = flag.Uint64("fleet.credit-seeds", 3, "number of schedules of each fault of the owner of the shared limits")
@@ -43,7 +45,7 @@
 func TestCreditOwnerFaults(t *testing.T) {
 	faults := []creditFault{
 		{name: "killed", begin: (*creditFleet).kill, within: lateTakeoverTime},
-		{name: "planned stop", begin: (*creditFleet).stop, within: 400 * time.Millisecond},
+		{name: "planned stop", begin: (*creditFleet).stop, within: takeoverTime - credit.TTL},
 		{name: "frozen", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: failureTime, within: lateTakeoverTime},
 		{name: "frozen briefly", begin: (*creditFleet).freeze, end: (*creditFleet).thaw, lasts: time.Second, within: lateTakeoverTime},
 		{
@@ -201,3 +203,27 @@
 		})
 	}
 }
+
+// Guards against credits that only virtual instances get: datagrams of asks and answers over sockets, from an owner in one zone to
+// instances in both.
+func TestCreditOverSockets(t *testing.T) {
+	f := startFleet(t, 4)
+	f.store.mu.Lock()
+	f.store.configs = append(f.store.configs, &routes.Config{
+		Version: 2, Services: []routes.Service{{Name: "s"}}, Workspaces: []routes.Workspace{{Name: creditKey.Name, Rate: creditLimit.Rate}},
+	})
+	f.store.mu.Unlock()
+	owners := 0
+	f.waitFor(t, "each instance gets a credit", func(n *Node) bool {
+		_, denial := n.Credit().Acquire(context.Background(), creditKey, creditLimit)
+		return denial == nil
+	})
+	for _, n := range f.nodes {
+		if n.CreditStats().Owns {
+			owners++
+		}
+	}
+	if owners != 1 {
+		t.Errorf("%d owners, want one", owners)
+	}
+}
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -237,6 +237,7 @@
 		Store:      client, Policy: dispatch.DefaultPolicy(), Prober: idleProber{}, ProbeInterval: 25 * time.Millisecond, TargetHeartbeat: targetHeartbeat, Seeds: seeds, Bootstrap: f.bootstrap,
 		Now:    func() time.Duration { return time.Since(start) },
 		Random: rand.New(rand.NewPCG(uint64(len(f.nodes)), 1)), Log: slog.New(slog.DiscardHandler),
+		CreditBounds: map[credit.Kind]credit.Bounds{credit.WorkspaceQuota: creditBounds},
 	})
 	if err := n.Open(); err != nil {
 		t.Fatal(err)
