--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -80,7 +80,7 @@
 	own := &n.creditOwnership
 	at := n.creditClock.now()
 	mayCall := own.needed && (own.owned || !n.storeDown || rank < maxCreditRankWithoutStore)
-	step, position := own.tenure.Next(credit.Situation{Now: at, MayCall: mayCall, Rank: rank, Era: n.Store.Era(), Minority: own.updateMinority(n, now)})
+	step, position := own.tenure.Next(credit.Situation{Now: at, MayCall: mayCall, Rank: rank, Era: n.Store.Era(), Minority: n.updateMinority(now)})
 	n.updateCreditOwner(now)
 	switch step {
 	case credit.ReadStep:
@@ -92,7 +92,8 @@
 }
 
 // updateMinority reports whether this instance hears from less than half of the instances that were live lately.
-func (own *creditOwnership) updateMinority(n *Node, now time.Time) bool {
+func (n *Node) updateMinority(now time.Time) bool {
+	own := &n.creditOwnership
 	if !n.instancesConverged {
 		return false
 	}
--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,6 +177,83 @@
 	}
 }
 
+// randomFaults disturb one instance, or the store if their instance is -1.
+var randomFaults = []creditFault{
+	{name: "killed", begin: (*creditFleet).kill, end: (*creditFleet).restart},
+	{name: "stopped", begin: (*creditFleet).stop, end: (*creditFleet).restart},
+	{name: "frozen", begin: (*creditFleet).freeze, end: (*creditFleet).thaw},
+	{
+		name:  "cut off",
+		begin: func(f *creditFleet, i int) { f.net.setPartitioned(address(i), true) },
+		end:   func(f *creditFleet, i int) { f.net.setPartitioned(address(i), false) },
+	},
+	{
+		name:  "sends nothing",
+		begin: func(f *creditFleet, i int) { f.loseFrom(address(i)) },
+		end:   func(f *creditFleet, _ int) { f.loseFrom("") },
+	},
+	{
+		name:  "refused by the store",
+		begin: func(f *creditFleet, i int) { f.refuse(f.nodes[i].Self.ID) },
+		end:   func(f *creditFleet, _ int) { f.refuse("") },
+	},
+	{
+		name:  "store away",
+		begin: func(f *creditFleet, _ int) { f.setStore(storeRefuses) },
+		end:   func(f *creditFleet, _ int) { f.setStore(storeServes) },
+	},
+	{
+		name:  "late appends",
+		begin: func(f *creditFleet, _ int) { f.setLateness(700 * time.Millisecond) },
+		end:   func(f *creditFleet, _ int) { f.setLateness(0) },
+	},
+	{
+		name: "restored",
+		begin: func(f *creditFleet, _ int) {
+			f.store.restore(time.Duration(f.net.random.Int64N(int64(3 * time.Second))))
+		},
+		end: func(*creditFleet, int) {},
+	},
+}
+
+// Guards against credits beyond the bounds when faults of the owner, of other instances and of the store overlap, and against a fleet
+// that finds no owner after them.
+func TestCreditUnderRandomFaults(t *testing.T) {
+	for seed := range *creditSeeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed) })
+		})
+	}
+}
+
+func runRandomFaults(t *testing.T, seed uint64) {
+	const count, rounds = 6, 8
+	random := rand.New(rand.NewPCG(seed, 7))
+	f := startCreditFleet(t, count, true, seed)
+	defer f.stopAll()
+	f.drive(creditSettlingTime)
+	for range rounds {
+		kinds, instances := random.Perm(len(randomFaults))[:1+random.IntN(2)], random.Perm(count)
+		if owner := f.owner(); owner >= 0 && random.IntN(2) == 0 {
+			instances = append([]int{owner}, slices.DeleteFunc(instances, func(i int) bool { return i == owner })...)
+		}
+		for k, kind := range kinds {
+			t.Logf("%s: %s, n%03d", f.now(), randomFaults[kind].name, instances[k])
+			randomFaults[kind].begin(f, instances[k])
+		}
+		f.drive(f.now() + time.Duration(random.Int64N(int64(4*time.Second))))
+		for k, kind := range kinds {
+			randomFaults[kind].end(f, instances[k])
+		}
+		f.drive(f.now() + time.Duration(random.Int64N(int64(2*time.Second))))
+	}
+	f.drive(f.now() + creditBounds.Window + 7*time.Second)
+	t.Logf("at most %d credits in a window", f.checkWindows())
+	if got := f.grantedBetween(f.now()-time.Second, f.now()); got < int(creditLimit.Rate*0.9) {
+		t.Errorf("%d credits in the last second, want about %.0f", got, creditLimit.Rate)
+	}
+}
+
 // Guards against calls for the lease that grow with the fleet, and against calls of a fleet that needs no credit.
 func TestCreditOwnerStoreCalls(t *testing.T) {
 	const span = 30 * time.Second
