--- a/internal/credit/tenure_schedules_test.go
+++ b/internal/credit/tenure_schedules_test.go
@@ -193,11 +193,24 @@
 
 // announce sends what a candidate knows to the others.
 func (s *tenureSchedule) announce(c *tenureCandidate) {
+	s.sendHeartbeat(c)
 	if a, ok := c.tenure.Announcement(s.clock(c)); ok {
 		s.broadcast(c, a)
 	}
 }
 
+// sendHeartbeat tells the others which incarnation of a candidate runs.
+func (s *tenureSchedule) sendHeartbeat(from *tenureCandidate) {
+	running := from.tenure.self
+	for _, c := range s.candidates {
+		if c == from || s.random.Float64() < s.lossRate {
+			continue
+		}
+		tenure := c.tenure
+		s.after(s.upTo(50*time.Millisecond), tenure, func() { tenure.HolderRestarted(s.clock(c), running.ID, running.Started) })
+	}
+}
+
 func (s *tenureSchedule) broadcast(from *tenureCandidate, a Announcement) {
 	for _, c := range s.candidates {
 		if c == from || s.random.Float64() < s.lossRate {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,6 @@
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/clock"
-	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/fleet"
@@ -61,7 +60,8 @@
 		TargetTerminated: func(id string, lastSeen time.Duration, restarted bool) {
 			e.gateway.TargetTerminated(id, lastSeen, restarted)
 		},
-		CrashMarks: crashMarks{e}, CreditBounds: creditBounds(s.Bounds),
+		CrashMarks:   crashMarks{e},
+		CreditBounds: creditBounds(&s.Bounds),
 	})
 	keys := workspace.Freshness{AsOf: e.node.ConfigsAsOf, Validity: workspace.Validity(s.Bounds.RevocationTime())}
 	e.gateway = ingress.New(ingress.Config{
@@ -85,6 +85,9 @@
 	if err := observeTraffic(metrics, e.node.Traffic(), e.store); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := observeCredit(metrics, e.node.CreditStats); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -92,17 +95,6 @@
 	return e, nil
 }
 
-// coldTargetWindow is the time in which the platform counts the requests to a cold target.
-const coldTargetWindow = time.Second
-
-// creditBounds returns what the platform tolerates beyond the limits that all instances share.
-func creditBounds(b settings.EdgeBounds) map[credit.Kind]credit.Bounds {
-	return map[credit.Kind]credit.Bounds{
-		credit.WorkspaceQuota: {Window: b.QuotaWindow(), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
-		credit.ColdTarget:     {Window: coldTargetWindow, Overage: b.WarmupOverage - 1, Slack: b.WarmupSlack},
-	}
-}
-
 // probeInterval returns the interval between two load probes of a target. The platform's limit on probes per second applies to
 // all instances together. Only one instance probes a target, except for a short time while another one takes over.
 func probeInterval(s *settings.Edge) time.Duration {
