Tell again that a target turned cold

Cause: a zone that lost the datagram which told that a target turned cold learned it from the next exchange of the leaders, up to 400 ms later.

Change: the instance that probes the target tells it with each round of probes for 300 ms.

--- a/internal/fleet/cold_targets.go
+++ b/internal/fleet/cold_targets.go
@@ -19,6 +19,9 @@
 	// coldTolerance is how much longer than known a target has to be cold for a report to count. Delays of datagrams would otherwise
 	// add up while leaders repeat what they told each other.
 	coldTolerance = 20 * time.Millisecond
+	// coldRepeatPeriod is how long the instance that probes a target tells again with each round of probes that it turned cold. A lost
+	// datagram would otherwise leave a zone unaware until the next exchange of the leaders.
+	coldRepeatPeriod = 300 * time.Millisecond
 	// maxColdTime bounds how long a report can make a target cold.
 	maxColdTime = 10 * time.Minute
 	// maxColdReports is the largest number of reports in one datagram.
@@ -89,16 +92,36 @@
 		reports = append(reports, coldReport{Target: hashID(r.id), MS: uint32(max(left.Milliseconds(), 1))})
 	}
 	news := n.learnCold(reports)
-	if len(news) == 0 {
+	if len(news) > 0 {
+		n.Log.Info("Targets turned cold.", "count", len(news), "left_ms", news[0].MS)
+	}
+	for _, r := range news {
+		n.turnedCold[r.Target] = at
+	}
+	if len(n.turnedCold) == 0 {
 		return
 	}
-	n.Log.Info("Targets turned cold.", "count", len(news), "left_ms", news[0].MS)
 	d := n.newDatagram(now)
-	d.Cold = news
+	if d.Cold = n.recentlyTurnedCold(at); len(d.Cold) == 0 {
+		return
+	}
 	n.sendToZone(d, now)
 	n.sendToOtherZones(d, now)
 }
 
+// recentlyTurnedCold returns the targets that turned cold within coldRepeatPeriod, and forgets when the others did.
+func (n *Node) recentlyTurnedCold(at time.Duration) []coldReport {
+	for target, since := range n.turnedCold {
+		if at-since >= coldRepeatPeriod {
+			delete(n.turnedCold, target)
+		}
+	}
+	return slices.DeleteFunc(n.coldReports(), func(r coldReport) bool {
+		_, recent := n.turnedCold[r.Target]
+		return !recent
+	})
+}
+
 // limitsCold reports whether the targets of a service tolerate few requests while they are cold.
 func (n *Node) limitsCold(service string) bool {
 	return n.table != nil && n.table.Services[service].WarmupRate > 0
--- a/internal/fleet/cold_targets_test.go
+++ b/internal/fleet/cold_targets_test.go
@@ -170,3 +170,24 @@
 		t.Errorf("decoded %d of %d reports, error %v", len(decoded.Cold), len(d.Cold), err)
 	}
 }
+
+// Guards against a zone that stays unaware of a cold target because one datagram was lost, and against an instance that tells it with
+// each round of probes for as long as the target is cold.
+func TestColdTargetIsToldAgain(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	clock := time.Second
+	n.Now = func() time.Duration { return clock }
+	listInEra(n, 1)
+	n.applyConfig(limitedConfig(), "store", testStart)
+	told := 0
+	const rounds = 20
+	for range rounds {
+		answer := probeResult{id: "t1", service: "s", report: dispatch.LoadReport{Slowdown: 1, ReceivedAt: clock, ColdFor: 10*time.Second - clock}}
+		n.applyProbedCold([]probeResult{answer}, testStart)
+		told += len(n.recentlyTurnedCold(clock))
+		clock += maxProbeInterval
+	}
+	if told < 2 || told > int(coldRepeatPeriod/maxProbeInterval) {
+		t.Errorf("told %d times in %d rounds", told, rounds)
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -104,6 +104,8 @@
 	evacuations   evacuation.Set
 	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
 	coldUntil map[uint32]time.Duration
+	// turnedCold is when this instance found by a probe that a target turned cold, for those that it tells again.
+	turnedCold map[uint32]time.Duration
 	// coldCredit hands out the credits for requests to cold targets. It is set before Run; if it is nil, cold targets are not limited.
 	coldCredit  credit.Source
 	newerConfig newerConfig
@@ -227,6 +229,7 @@
 		pools: map[string]*dispatch.Pool{}, targetsByHash: map[uint32]targetRef{}, pendingForOtherZones: map[uint32]timedLoadReport{},
 		probeStates:       map[string]*probeState{},
 		coldUntil:         map[uint32]time.Duration{},
+		turnedCold:        map[uint32]time.Duration{},
 		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
 		targetsTopic: storeread.NewTopic(storeread.TargetsInterval, readerHash(c.Self)), configsTopic: storeread.NewTopic(storeread.ConfigsInterval, readerHash(c.Self)),
 	}
