Spread the requests of zones without targets

Cause: instances of a zone without targets, such as an evacuated one, looked at all targets of the other zones and chose the best by the same load reports.

Change: like instances of large zones they choose from a random sample and from the targets to which they have connections.

Result: 24 of 24 instances chose the same target, now at most 12 by test.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -104,14 +104,18 @@
 // sampleCandidates returns the targets to choose from. In a large fleet many instances choose at the same time from load
 // reports of the same age, and would all send to the few best targets. To prevent that, each decision in a large zone
 // considers a random sample of the targets of its own zone and of the others, plus the recently used targets of its own
-// zone. The caller holds p.mu.
+// zone. So does each decision of a zone without targets. The caller holds p.mu.
 func (p *Pool) sampleCandidates() []*Target {
-	if p.localCount <= fullScanLimit {
+	p.sampled = p.sampled[:0]
+	switch {
+	case p.localCount > fullScanLimit:
+		p.sample(p.targets[:p.localCount], max(minSampled, p.localCount/sampleDivisor))
+		p.sample(p.targets[p.localCount:], minSampled)
+	case p.hasOnlyManyRemote():
+		p.sample(p.targets, max(minSampled, len(p.targets)/sampleDivisor))
+	default:
 		return p.targets
 	}
-	p.sampled = p.sampled[:0]
-	p.sample(p.targets[:p.localCount], max(minSampled, p.localCount/sampleDivisor))
-	p.sample(p.targets[p.localCount:], minSampled)
 	for _, t := range p.recentlyUsed {
 		if !slices.Contains(p.sampled, t) {
 			p.sampled = append(p.sampled, t)
@@ -120,11 +124,16 @@
 	return p.sampled
 }
 
-// recordUse remembers a target of the own zone to which this instance keeps a connection, unless the target has been
-// deregistered meanwhile. The caller holds p.mu.
+// hasOnlyManyRemote reports whether there are no targets in the own zone, for example because it is evacuated, and many in others. All
+// instances of the zone would choose the few best of them. The caller holds p.mu.
+func (p *Pool) hasOnlyManyRemote() bool { return p.localCount == 0 && len(p.targets) > fullScanLimit }
+
+// recordUse remembers a target to which this instance keeps a connection, unless the target has been deregistered meanwhile. If its
+// own zone has many targets, it remembers only those. The caller holds p.mu.
 func (p *Pool) recordUse(t *Target, now time.Duration) {
 	t.lastUsed = now
-	if p.localCount <= fullScanLimit || !t.local || p.byID[t.ID] != t || slices.Contains(p.recentlyUsed, t) {
+	samples := p.localCount > fullScanLimit && t.local || p.hasOnlyManyRemote()
+	if !samples || p.byID[t.ID] != t || slices.Contains(p.recentlyUsed, t) {
 		return
 	}
 	if len(p.recentlyUsed) < minSampled {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -123,7 +123,8 @@
 	cheapest [2]estimate
 	// sampled holds the targets that the last decision considered. It is reused to avoid allocations.
 	sampled []*Target
-	// recentlyUsed holds the targets of a large own zone that answered requests of this instance last.
+	// recentlyUsed holds the targets of a large own zone, or of all zones if the own one has none, that answered requests of this
+	// instance last.
 	recentlyUsed []*Target
 	byID         map[string]*Target
 	routes       map[string]*routeEstimate
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -644,3 +644,38 @@
 		t.Errorf("alternative with a single target: %+v", d.Inputs.Alternative)
 	}
 }
+
+// Guards against the instances of a zone whose targets are evacuated that all send to the few best targets of the other zones, because
+// they choose from the same load reports.
+func TestZoneWithoutTargetsSpreadsRequests(t *testing.T) {
+	const instances, targets = 24, 4 * fullScanLimit
+	chosen := map[string]int{}
+	for i := range instances {
+		var registered []registry.Target
+		for j := range targets {
+			registered = append(registered, target(fmt.Sprintf("t%02d", j), "b"))
+		}
+		p := newTestPool(DefaultPolicy(), registered...)
+		p.random = rand.New(rand.NewPCG(uint64(i), 1))
+		for j, r := range registered {
+			slowdown := 2.0
+			if j == 0 {
+				slowdown = 1
+			}
+			p.report(r.ID, 0, slowdown)
+		}
+		r := p.request(1)
+		d := p.acquireNow(t, r)
+		if d.Target == nil {
+			t.Fatalf("decision %+v", d)
+		}
+		chosen[d.Target.ID]++
+		p.Release(r, d, DoneInfo{Result: Answered})
+		if len(p.recentlyUsed) != 1 {
+			t.Error("the target to which a connection is open is not considered again")
+		}
+	}
+	if chosen["t00"] > instances/2 {
+		t.Errorf("%d of %d instances chose the same target: %v", chosen["t00"], instances, chosen)
+	}
+}
