Exchange load reports between zones more often during an evacuation

Cause: large zones tell each other their load every 400 ms, because they rarely use each other's targets. The instances of an evacuated zone use only those.

Change: every 60 ms while any zone is evacuated, as between busy small zones.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -73,6 +73,16 @@
 // Contains reports whether a zone is evacuated.
 func (s *Set) Contains(zone string) bool { return s.zones[zone].active }
 
+// Any reports whether any zone is evacuated.
+func (s *Set) Any() bool {
+	for _, z := range s.zones {
+		if z.active {
+			return true
+		}
+	}
+	return false
+}
+
 // Zones returns the evacuated zones in alphabetical order.
 func (s *Set) Zones() []string {
 	var zones []string
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -14,7 +14,8 @@
 	// between zones is billed, and other zones need the load reports of this zone only when its targets are loaded.
 	idleCrossZoneInterval = 200 * time.Millisecond
 	busyCrossZoneInterval = 60 * time.Millisecond
-	// largeCrossZoneInterval is the interval between large zones, which rarely need targets of other zones.
+	// largeCrossZoneInterval is the interval between large zones, which rarely need targets of other zones unless their own are
+	// evacuated.
 	largeCrossZoneInterval = 400 * time.Millisecond
 	// busyThreshold is the number of in-flight requests per slot above which a zone counts as busy.
 	busyThreshold = 0.45
@@ -226,6 +227,8 @@
 // crossZoneInterval returns the time between two datagrams to each other zone.
 func (n *Node) crossZoneInterval() time.Duration {
 	switch {
+	case n.evacuations.Any():
+		return busyCrossZoneInterval
 	case n.members.zonePeerCount() > largeZoneSize:
 		return largeCrossZoneInterval
 	case n.zoneBusy:
