--- a/internal/fleet/credit_desk_test.go
+++ b/internal/fleet/credit_desk_test.go
@@ -138,3 +138,29 @@
 		t.Errorf("announces %+v", a)
 	}
 }
+
+// Guards against an owner that goes on granting a quota that a newer configuration has lowered, until an instance asks that has it.
+func TestOwnerAppliesLoweredQuota(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	now := time.Duration(0)
+	n.creditDesk = newCreditDesk(&now, time.Hour)
+	number := uint32(0)
+	grantedIn10s := func() int {
+		granted := 0
+		for range 100 {
+			now += 100 * time.Millisecond
+			number++
+			ask := credit.Ask{Number: number, Key: creditKey, Limit: creditLimit, Count: uint16(creditLimit.Rate / 10)}
+			granted += int(n.creditDesk.grant("b", ask).Granted)
+		}
+		return granted
+	}
+	if got := grantedIn10s(); got < int(9*creditLimit.Rate) {
+		t.Errorf("%d credits granted in 10 s, want about %.0f", got, 10*creditLimit.Rate)
+	}
+	n.applySharedLimits(&routes.Config{Version: creditLimit.Version + 1, Workspaces: []routes.Workspace{{Name: creditKey.Name, Rate: 1}}})
+	grantedIn10s()
+	if got := grantedIn10s(); got > 20 {
+		t.Errorf("%d credits granted in 10 s after the quota was lowered to 1 a second", got)
+	}
+}
--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -75,6 +75,18 @@
 	return false
 }
 
+// applySharedLimits applies the shared limits of a configuration that comes into force. The ledger learns the quotas at once, also while
+// other instances still ask under the configuration before.
+func (n *Node) applySharedLimits(config *routes.Config) {
+	n.creditOwnership.needed = needsCredit(config)
+	now := n.creditClock.now()
+	for i := range config.Workspaces {
+		w := &config.Workspaces[i]
+		limit := credit.Limit{Rate: w.Rate, Burst: w.Burst, Version: config.Version}
+		n.creditDesk.ledger.Learn(now, credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}, limit)
+	}
+}
+
 // stepCreditOwnership makes the call for the lease that is due.
 func (n *Node) stepCreditOwnership(ctx context.Context, now time.Time, rank int) {
 	own := &n.creditOwnership
--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -101,7 +101,7 @@
 	const count = 6
 	f := startCreditFleet(t, count, true, seed)
 	defer f.stopAll()
-	f.drive(creditSettlingTime + time.Duration(f.net.random.Int64N(int64(time.Second))))
+	f.drive(creditSettlingTime + f.net.upTo(time.Second))
 	owner := f.owner()
 	if owner < 0 {
 		t.Fatal("no owner after the start")
@@ -210,7 +210,7 @@
 	{
 		name: "restored",
 		begin: func(f *creditFleet, _ int) {
-			f.store.restore(time.Duration(f.net.random.Int64N(int64(3 * time.Second))))
+			f.store.restore(f.net.upTo(3 * time.Second))
 		},
 		end: func(*creditFleet, int) {},
 	},
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -139,7 +139,7 @@
 		return
 	}
 	n.config, n.table = config, table
-	n.creditOwnership.needed = needsCredit(config)
+	n.applySharedLimits(config)
 	n.configsTopic.Behind = false
 	n.Log.Info("Configuration in force.", "version", config.Version, "routes", len(config.Routes), "source", source)
 	n.publishView(now)
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -45,15 +45,20 @@
 )
 
 func (v *virtualNet) delay() time.Duration {
+	return minDelay + v.upTo(delaySpread)
+}
+
+func (v *virtualNet) dropsDatagram(from, to string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return minDelay + time.Duration(v.random.Int64N(int64(delaySpread)))
+	return v.random.Float64() < v.lossRate || v.loses != nil && v.loses(from, to)
 }
 
-func (v *virtualNet) dropsDatagram() bool {
+// upTo returns a random duration below a limit.
+func (v *virtualNet) upTo(limit time.Duration) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.random.Float64() < v.lossRate
+	return time.Duration(v.random.Int64N(int64(limit)))
 }
 
 // nodeAt returns the node at an address, or nil if it does not run or a partition separates the two addresses.
@@ -131,7 +136,7 @@
 	from := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(self))
 	for _, to := range addresses {
 		address, bytes := to.String(), slices.Clone(b)
-		if l.net.dropsDatagram() || l.net.loses != nil && l.net.loses(self, address) {
+		if l.net.dropsDatagram(self, address) {
 			continue
 		}
 		time.AfterFunc(l.net.delay(), func() {
