--- a/internal/fleet/configs_as_of_test.go
+++ b/internal/fleet/configs_as_of_test.go
@@ -158,3 +158,15 @@
 	n.publishConfigsAsOf(clk.current)
 	checkAsOf(t, n, "read after the suspension", suspended+300*time.Millisecond)
 }
+
+// Guards against a status that waited for a busy control loop and counts as just received.
+func TestStatusThatWaitedForTheLoop(t *testing.T) {
+	n, clk := nodeKnowingConfig(t)
+	n.members.add(newMember("a2", "a"), testStart)
+	clk.now = testStart.Add(2 * time.Second)
+	status := &configStatus{Version: 3, AgeMS: 100, Answer: storeread.AnswerID{Reader: 7, Number: 1}}
+	received := testStart.Add(500 * time.Millisecond)
+	n.handleDatagram(t.Context(), datagramReceived{datagram: &datagram{From: "a2", Started: 1, Config: status}, receivedAt: received}, clk.now)
+	n.publishConfigsAsOf(clk.current)
+	checkAsOf(t, n, "status that waited", 400*time.Millisecond)
+}
