--- a/internal/ingress/keys_test.go
+++ b/internal/ingress/keys_test.go
@@ -13,6 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/test/mock"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+
+	"github.com/basillink/basillink/internal/dispatch"
 	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
 	"github.com/basillink/basillink/internal/workspace"
@@ -318,3 +323,30 @@
 		}
 	}
 }
+
+// Guards against waiting requests that are ordered by the priority of their route although their workspaces differ, and against ones
+// that do not tell their workspace to the dispatcher.
+func TestWorkspacePriorityComesBeforeRoute(t *testing.T) {
+	b := newKeyedTestbed(t, unchanged, startEcho(t, ""))
+	config := keyedConfig(2, routes.Workspace{Name: "low", Priority: 1, Keys: []routes.KeyHash{routes.HashKey([]byte("l"))}},
+		routes.Workspace{Name: "high", Keys: []routes.KeyHash{routes.HashKey([]byte("h"))}})
+	// The route /safe/ has a higher priority than /once/.
+	config.Routes[1].Priority = 5
+	b.setConfig(t, config)
+	parse := func(path, key string) dispatch.Request {
+		c := app.NewContext(0)
+		head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nCaller-Key: %s\r\n\r\n", path, key)
+		if err := req.ReadHeader(&c.Request.Header, mock.NewZeroCopyReader(head)); err != nil {
+			t.Fatal(err)
+		}
+		parsed := &call{request: &c.Request, arrivedAt: b.gateway.Now()}
+		if refusal := b.gateway.parse(c, parsed); refusal != nil {
+			t.Fatal(refusal)
+		}
+		return parsed.dispatchRequest
+	}
+	high, low := parse("/once/x", "h"), parse("/safe/x", "l")
+	if high.Priority >= low.Priority || high.Workspace != "high" || low.Workspace != "low" {
+		t.Errorf("priority %d of %q, %d of %q; want the first lower", high.Priority, high.Workspace, low.Priority, low.Workspace)
+	}
+}
