Count what callers hold before it is held, and close stalled connections

Cause: a chunked body was read a whole chunk at a time into the buffer of the connection, and the buffer kept all that had been decoded, also chunk lines and trailers, so that most of what a caller sent was counted after it was held or not at all. A head in single bytes kept a copy of the whole head for each byte. The own interface had no memory budget. A caller that stopped short of its end kept its share until a timeout, and connections were not limited.

Change: chunked bodies are decoded by a reader of our own, as they arrive, in segments that the budget grants before they are made; chunk lines (256 bytes) and trailers (8 KiB, checked and dropped as before) are bounded. Heads that do not arrive at once are collected in one buffer, granted too. A request takes 32 KiB until it is read and 96 KiB afterwards. The budget is half of the memory less 24 MB for the program, and the runtime's limit leaves these 24 MB too.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -162,6 +162,9 @@
 	for attempt := range ordinaryAttempts {
 		status, header := i.ordinary(fmt.Sprintf("%s-%d", when, attempt))
 		i.countDescriptors()
+		if status != http.StatusOK {
+			t.Logf("%s: attempt %d: status %d %s", when, attempt+1, status, header.Get("Basillink-Reason"))
+		}
 		switch status {
 		case http.StatusOK:
 			t.Logf("%s: answered at attempt %d", when, attempt+1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,9 @@
 	if err := metrics.RegisterObservables(d.observables()); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := metrics.RegisterClosedConnections(d.gateway.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	d.admin = admin.New(s.Listen.Admin, admin.Source{
 		Instance: s.Instance.ID,
 		Zone:     s.Instance.Zone,
@@ -84,6 +87,7 @@
 func (d *Daemon) observables() telemetry.Observables {
 	return telemetry.Observables{
 		InFlight:      d.gateway.InFlight,
+		RequestBytes:  d.gateway.RequestBytes,
 		Panics:        func() int64 { return d.gateway.Panics() + d.loop.Panics() + d.admin.Panics() + panicguard.Caught() },
 		Ready:         d.ready,
 		DroppedEvents: func() int64 { return int64(d.loop.DroppedEvents() + d.node.DroppedRumors()) },
--- a/internal/daemoncli/commands.go
+++ b/internal/daemoncli/commands.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -36,6 +37,7 @@
 	if err != nil {
 		return reportUsageError(errOut, err)
 	}
+	debug.SetMemoryLimit(s.Memory.RuntimeBytes())
 	log := telemetry.NewLogger(errOut, s.Log.Level, s.Log.Format)
 	d, err := daemon.New(s, log)
 	if err == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,7 +65,7 @@
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
 		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, OnMisdirected: e.node.ReportMisdirected,
 		Now: clk.Now, DetectSuspension: clk.DetectSuspension, LogSampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
-		Memory: membudget.New(s.Memory.RequestBytes()),
+		Memory: membudget.New(s.Memory.RequestBytes()), MaxConnections: s.Listen.ConnectionLimit(s.Memory),
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
@@ -80,6 +80,9 @@
 	if err := observeTraffic(metrics, e.node.Traffic(), e.store); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := metrics.RegisterClosedConnections(e.gateway.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -91,6 +91,7 @@
 // write sends c.Response to the caller and flushes the connection.
 func (g *Gateway) write(c *app.RequestContext, call *call) error {
 	call.answering = true
+	call.conn.Answering()
 	conn := c.GetConn()
 	if err := resp.Write(&c.Response, conn); err != nil {
 		return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 			closeAnswer(answer)
 		}
 	}()
-	limits := g.answerLimits()
+	limits := g.answerLimits(call)
 	limits.Accept = func(h *protocol.ResponseHeader, _ bool) bool { return matchesRunID(h, runID) }
 	if call.atMostOnce {
 		limits.CheckAfterIdle = atMostOnceMaxIdle
@@ -94,8 +94,10 @@
 // omitDefaultType prevents the codec from reporting text/plain for an answer without a content type.
 func omitDefaultType(answer *transport.Answer) { answer.Response.Header.SetNoDefaultContentType(true) }
 
-func (g *Gateway) answerLimits() transport.Limits {
-	return transport.Limits{MaxBufferedBytes: min(maxBufferedAnswerBytes, g.limits.MaxAnswerBytes), MaxBodyBytes: g.limits.MaxAnswerBytes}
+func (g *Gateway) answerLimits(call *call) transport.Limits {
+	return transport.Limits{
+		MaxBufferedBytes: min(maxBufferedAnswerBytes, g.limits.MaxAnswerBytes), MaxBodyBytes: g.limits.MaxAnswerBytes, Memory: call.memory,
+	}
 }
 
 // checkDraining calls ObserveDraining if an answer says that its target is draining.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/crashguard"
 	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/operator"
 )
@@ -30,6 +31,9 @@
 type call struct {
 	// request is the caller's request. It is valid until the answer has been written.
 	request *protocol.Request
+	// conn is the connection of the caller, and memory what the request may hold in memory.
+	conn   *inbound.Conn
+	memory *membudget.Grant
 	// serviceName is empty unless the active configuration contains the service.
 	serviceName string
 	service     *control.Service
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -86,7 +86,7 @@
 		return nil
 	}
 	started := g.now()
-	answer, err := g.ownerPools.pool(address).RoundTrip(ctx, request, g.answerLimits(), prepare)
+	answer, err := g.ownerPools.pool(address).RoundTrip(ctx, request, g.answerLimits(call), prepare)
 	call.exchangeTime += g.now() - started
 	if err != nil {
 		return forwardFailure(ctx, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/basillink/basillink/internal/control"
 	"github.com/basillink/basillink/internal/crashguard"
+	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/panicguard"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/settings"
@@ -50,6 +51,7 @@
 	instance       string
 	limits         settings.Limits
 	inbound        inbound.Limits
+	memory         *membudget.Budget
 	snapshot       func() *control.Snapshot
 	counter        Counter
 	log            *slog.Logger
@@ -80,6 +82,8 @@
 			HeaderTimeout:  receiveTimeout,
 			BodyTimeout:    receiveTimeout,
 		},
+		memory:         membudget.New(s.Memory.RequestBytes()),
+		connections:    inbound.Connections{Limit: s.Listen.ConnectionLimit(s.Memory)},
 		snapshot:       snapshot,
 		counter:        counter,
 		log:            log,
@@ -114,6 +118,12 @@
 // Panics returns the number of requests whose handling ended in a panic.
 func (g *Gateway) Panics() int64 { return g.panics.Panics() }
 
+// RequestBytes returns the number of bytes that the requests in flight hold of their memory budget.
+func (g *Gateway) RequestBytes() int64 { return g.memory.Used() }
+
+// ClosedConnections counts the connections of callers that were closed in favor of others.
+func (g *Gateway) ClosedConnections() inbound.ClosedCounts { return g.connections.Closed() }
+
 // Now returns the monotonic time since the gateway was created. The balancing policies use this clock.
 func (g *Gateway) Now() time.Duration { return g.now() }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/inbound"
+	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -39,9 +40,12 @@
 
 // Serve implements protocol.Server. Hertz closes the connection when Serve returns.
 func (s *protocolServer) Serve(ctx context.Context, conn network.Conn) error {
+	entry := s.gateway.connections.Add(ctx, conn)
+	if entry == nil {
+		return hertzerrors.ErrShortConnection
+	}
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
 	c.SetConn(conn)
-	entry := s.gateway.connections.Add(ctx, conn)
 	defer func() {
 		s.gateway.connections.Remove(entry)
 		c.Reset()
@@ -49,7 +53,7 @@
 	}()
 	for s.awaitRequest(conn, entry) {
 		s.gateway.connections.SetBusy(entry, true)
-		if !s.gateway.serveGuarded(ctx, c) {
+		if !s.gateway.serveGuarded(ctx, c, entry) || entry.Evicted() {
 			break
 		}
 		_ = conn.Release()
@@ -69,8 +73,8 @@
 
 // serveGuarded receives and serves one request. A panic ends only this request and its connection. It reports whether the
 // connection can be reused for another one.
-func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext) (keepAlive bool) {
-	call := &call{request: &c.Request, lastResult: admission.Other}
+func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext, conn *inbound.Conn) (keepAlive bool) {
+	call := &call{request: &c.Request, conn: conn, lastResult: admission.Other}
 	err := g.panics.Call(g.log, "request", func() error {
 		keepAlive = g.serveOne(ctx, c, call)
 		return nil
@@ -98,12 +102,19 @@
 
 // serveOne receives and serves one request. It reports whether the connection can be reused for another one.
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext, call *call) bool {
-	if refusal := g.inbound.ReadRequest(c); refusal != nil {
+	memory, refusal := g.readRequest(c, call.conn)
+	defer memory.Close()
+	call.memory = memory
+	if refusal != nil {
+		memory.Close()
 		c.Response.Header.SetConnectionClose(true)
 		_ = g.writeResult(ctx, c, call, g.withoutUnprovenNotRun(c, &result{failureReason: refusal.Reason, cause: refusal.Cause}))
-		inbound.Linger(ctx)
+		if !call.conn.Evicted() {
+			inbound.Linger(ctx)
+		}
 		return false
 	}
+	call.conn.Received()
 	ctx, stop := inbound.WatchDisconnect(ctx, inbound.DisconnectPollInterval)
 	defer stop()
 	if g.inFlight.draining.Load() || c.Request.Header.ConnectionClose() {
@@ -112,3 +123,32 @@
 	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
+
+const (
+	// receiveBytes is what a request needs until it has been read, besides a long head or body.
+	receiveBytes = 32 << 10
+	// requestBytes is what a request needs besides long bodies: the buffers of its two connections, the head, the buffer for
+	// streaming and the stacks of its goroutines.
+	requestBytes = 96 << 10
+)
+
+// readRequest reads a request. It returns what the request holds of the memory budget. Without memory for a request, only its
+// head is read.
+func (g *Gateway) readRequest(c *app.RequestContext, conn *inbound.Conn) (*membudget.Grant, *inbound.Refusal) {
+	limits := g.inbound
+	memory := g.memory.OpenEmpty()
+	limits.Memory, limits.Conn = memory, conn
+	if !conn.Grow(memory, receiveBytes, membudget.ForRequest) {
+		if refusal := limits.ReadHead(c); refusal != nil {
+			return memory, refusal
+		}
+		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
+	}
+	if refusal := limits.ReadRequest(c); refusal != nil {
+		return memory, refusal
+	}
+	if !conn.Grow(memory, requestBytes-receiveBytes, membudget.ForRequest) {
+		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
+	}
+	return memory, nil
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/transport"
 )
 
@@ -28,6 +29,7 @@
 	length := r.answer.Length()
 	c.Response.Header.SetContentLength(max(length, -1))
 	call.answering = true
+	call.conn.Answering()
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
@@ -35,7 +37,7 @@
 	if err := writeBodyPart(conn, r.answer.Response.Body(), chunked); err != nil {
 		return err
 	}
-	err := copyBody(conn, r.answer, chunked)
+	err := copyBody(conn, call.conn, r.answer, chunked)
 	var failure *transport.ExchangeError
 	if errors.As(err, &failure) {
 		r.finish(failure)
@@ -46,7 +48,7 @@
 }
 
 // copyBody copies the rest of an answer's body to conn.
-func copyBody(conn network.Conn, answer *transport.Answer, chunked bool) error {
+func copyBody(conn network.Conn, tracked *inbound.Conn, answer *transport.Answer, chunked bool) error {
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	for {
@@ -55,6 +57,7 @@
 			if err := writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				return err
 			}
+			tracked.Progress()
 		}
 		switch {
 		case readErr == io.EOF && chunked:
--- /dev/null
+++ b/internal/inbound/evict.go
@@ -0,0 +1,157 @@
+package inbound
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/basillink/basillink/internal/membudget"
+)
+
+const (
+	// stallTime is how long a caller must have made no progress before its connection may be closed in favor of others.
+	stallTime = time.Second
+	// ProgressBytes is the number of bytes of a request or an answer that count as progress. A caller that sends or reads single
+	// bytes makes none.
+	ProgressBytes = 4 << 10
+	// evictedShare is the share of the connections without progress that is closed at once, as a divisor, and minEvicted the
+	// lowest number.
+	evictedShare, minEvicted = 8, 4
+	// roomAttempts and roomInterval bound how long a request waits for the memory of evicted ones.
+	roomAttempts = 10
+	roomInterval = 5 * time.Millisecond
+)
+
+// ClosedCounts counts connections that were closed in favor of others.
+type ClosedCounts struct {
+	// ForMemory counts connections without progress that were closed because a request needed their memory.
+	ForMemory int64
+	// ForLimit counts connections that were closed for a new one because the limit on connections was reached.
+	ForLimit int64
+	// Refused counts new connections that were closed at the limit because all others made progress.
+	Refused int64
+}
+
+// Closed returns the counters since the start.
+func (c *Connections) Closed() ClosedCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// full reports whether the limit is reached. The mutex must be held.
+func (c *Connections) full() bool {
+	return c.Limit > 0 && len(c.all)-int(c.leaving.Load()) >= c.Limit
+}
+
+// setPhase begins a phase.
+func (c *Conn) setPhase(p phase) {
+	if c == nil {
+		return
+	}
+	c.Progress()
+	c.phase.Store(int32(p))
+}
+
+// Progress records that the caller has sent or read ProgressBytes.
+func (c *Conn) Progress() {
+	if c != nil {
+		c.progressAt.Store(int64(time.Since(c.owner.epoch)))
+	}
+}
+
+// Received records that the request has been read.
+func (c *Conn) Received() { c.setPhase(serving) }
+
+// Answering records that the answer is being written.
+func (c *Conn) Answering() { c.setPhase(answering) }
+
+// Evicted reports whether the connection is being closed in favor of others.
+func (c *Conn) Evicted() bool { return c != nil && c.evicted.Load() }
+
+// setReadDeadline sets the read deadline unless the connection is evicted.
+func (c *Conn) setReadDeadline(conn deadlineSetter, deadline time.Time) error {
+	err := conn.SetReadDeadline(deadline)
+	if c.Evicted() {
+		return conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
+}
+
+type deadlineSetter interface{ SetReadDeadline(time.Time) error }
+
+// Grow allocates bytes for the request on the connection. If the budget does not have them, it closes connections whose callers make
+// no progress and waits for their memory. It reports false, and allocates nothing, if that is not enough.
+func (c *Conn) Grow(memory *membudget.Grant, bytes int, priority membudget.Priority) bool {
+	if memory.Grow(bytes, priority) {
+		return true
+	}
+	if c == nil || !memory.CanEverGrow(bytes, priority) {
+		return false
+	}
+	for range roomAttempts {
+		if c.owner.evictForMemory(c) == 0 && c.owner.leaving.Load() == 0 {
+			return false
+		}
+		time.Sleep(roomInterval)
+		if memory.Grow(bytes, priority) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictForMemory closes connections without progress that hold memory of requests, except one. It returns their number.
+func (c *Connections) evictForMemory(except *Conn) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	evicted := c.evict(func(entry *Conn, p phase) bool { return entry != except && (p == receiving || p == answering) })
+	c.counts.ForMemory += int64(evicted)
+	return evicted
+}
+
+// evictForLimit closes connections without progress, and if there are none, idle ones. The mutex must be held.
+func (c *Connections) evictForLimit() {
+	evicted := c.evict(func(_ *Conn, p phase) bool { return p != serving && p != idle })
+	if evicted == 0 {
+		evicted = c.evict(func(_ *Conn, p phase) bool { return p == idle })
+	}
+	c.counts.ForLimit += int64(evicted)
+}
+
+// evict closes a share of the matching connections that made no progress for stallTime, those without progress for the longest time
+// first. It returns their number. The mutex must be held.
+func (c *Connections) evict(matches func(*Conn, phase) bool) int {
+	latest := int64(time.Since(c.epoch) - stallTime)
+	var stalled []*Conn
+	for entry := range c.all {
+		if !entry.evicted.Load() && entry.progressAt.Load() < latest && matches(entry, phase(entry.phase.Load())) {
+			stalled = append(stalled, entry)
+		}
+	}
+	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(a.progressAt.Load(), b.progressAt.Load()) })
+	evicted := 0
+	for _, entry := range stalled[:min(len(stalled), max(minEvicted, len(stalled)/evictedShare))] {
+		if c.evictOne(entry) {
+			evicted++
+		}
+	}
+	return evicted
+}
+
+// evictOne ends the reading of a request, so that its goroutine refuses it, or closes a connection in another phase. It reports false
+// if a request has just arrived.
+func (c *Connections) evictOne(entry *Conn) bool {
+	p := phase(entry.phase.Load())
+	if (p == idle || p == unused) && entry.HasInput() {
+		return false
+	}
+	entry.evicted.Store(true)
+	c.leaving.Add(1)
+	if p == receiving {
+		_ = entry.conn.SetReadDeadline(time.Unix(1, 0))
+	} else {
+		_ = entry.conn.Close()
+	}
+	return true
+}
--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -31,6 +31,8 @@
 	HeaderTimeout, BodyTimeout time.Duration
 	// Memory is what long bodies are allocated from. Nil is unlimited.
 	Memory *membudget.Grant
+	// Conn is the connection of the caller, which is told of progress. It may be nil.
+	Conn *Conn
 }
 
 // Refusal is the result for a request that was not read completely.
@@ -64,26 +66,30 @@
 // ReadRequest reads one request into c. It returns nil, or a refusal. After a refusal the position in the input is undefined, so
 // the connection must be closed.
 func (l Limits) ReadRequest(c *app.RequestContext) *Refusal {
-	if refusal := l.ReadHead(c); refusal != nil {
-		return refusal
+	refusal := l.ReadHead(c)
+	if refusal == nil {
+		refusal = l.readBody(c, c.GetConn())
+	}
+	if refusal != nil && l.Conn.Evicted() {
+		return &Refusal{reason.CallerStalled, refusal.Cause}
 	}
-	return l.readBody(c, c.GetConn())
+	return refusal
 }
 
 // ReadHead is like ReadRequest, but leaves the body unread.
 func (l Limits) ReadHead(c *app.RequestContext) *Refusal {
 	conn := c.GetConn()
-	if err := conn.SetReadDeadline(time.Now().Add(l.HeaderTimeout)); err != nil {
+	if err := l.Conn.setReadDeadline(conn, time.Now().Add(l.HeaderTimeout)); err != nil {
 		return &Refusal{reason.BadFraming, err}
 	}
-	head, refusal := l.peekHead(conn)
+	head, reader, refusal := l.readHeadBytes(conn)
 	if refusal != nil {
 		return refusal
 	}
 	if refusal := checkHead(head); refusal != nil {
 		return refusal
 	}
-	if err := panicguard.Catch(func() error { return req.ReadHeader(&c.Request.Header, conn) }); err != nil {
+	if err := panicguard.Catch(func() error { return req.ReadHeader(&c.Request.Header, reader) }); err != nil {
 		return &Refusal{reason.BadFraming, err}
 	}
 	if c.Request.Header.IsHTTP11() && len(c.Request.Header.Host()) == 0 {
@@ -92,37 +98,6 @@
 	return nil
 }
 
-// peekHead waits for a complete head and returns it without consuming it.
-func (l Limits) peekHead(conn network.Conn) ([]byte, *Refusal) {
-	for needed := 1; ; {
-		if _, err := conn.Peek(needed); err != nil {
-			return nil, refuseReadError(err, reason.BadFraming)
-		}
-		available, err := conn.Peek(conn.Len())
-		if err != nil {
-			return nil, &Refusal{reason.BadFraming, err}
-		}
-		end := framing.HeadEnd(available)
-		if end > l.MaxHeaderBytes || end == 0 && len(available) > l.MaxHeaderBytes {
-			return nil, refuse(reason.HeaderTooLarge)
-		}
-		if end > 0 {
-			return available[:end], nil
-		}
-		if malformedStart(available) {
-			return nil, refuse(reason.BadRequestLine)
-		}
-		needed = len(available) + 1
-	}
-}
-
-// malformedStart reports whether the first line is complete but not a valid request line. A caller that speaks another protocol
-// is then refused at once instead of after the header timeout.
-func malformedStart(available []byte) bool {
-	line, _, found := bytes.Cut(available, []byte{'\n'})
-	return found && !ValidRequestLine(bytes.TrimSuffix(line, []byte{'\r'}))
-}
-
 // checkHead validates the request line and the framing headers.
 func checkHead(head []byte) *Refusal {
 	line, rest, _ := bytes.Cut(head, []byte{'\n'})
@@ -135,13 +110,16 @@
 	return nil
 }
 
+// chunkedLength is the length that the codec reports for a chunked body.
+const chunkedLength = -1
+
 // readBody reads the body. It sends the interim answer first if the caller expects one.
 func (l Limits) readBody(c *app.RequestContext, conn network.Conn) *Refusal {
 	length := c.Request.Header.ContentLength()
 	if length > l.MaxBodyBytes {
 		return refuse(reason.BodyTooLarge)
 	}
-	if length > longBodyBytes && !l.Memory.Grow(length, membudget.ForBody) {
+	if length > longBodyBytes && !l.Conn.Grow(l.Memory, length, membudget.ForBody) {
 		return refuse(reason.MemoryFull)
 	}
 	if c.Request.MayContinue() {
@@ -149,14 +127,16 @@
 			return &Refusal{reason.BodyTruncated, err}
 		}
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(l.BodyTimeout)); err != nil {
+	if err := l.Conn.setReadDeadline(conn, time.Now().Add(l.BodyTimeout)); err != nil {
 		return &Refusal{reason.BodyTruncated, err}
 	}
-	if length > longBodyBytes {
-		return readLongBody(c, conn, length)
+	switch {
+	case length > longBodyBytes:
+		return l.readLongBody(c, conn, length)
+	case length == chunkedLength:
+		return l.readChunkedBody(c, conn)
 	}
-	reader := &grantReader{Reader: conn, memory: l.Memory}
-	err := panicguard.Catch(func() error { return req.ContinueReadBody(&c.Request, reader, l.MaxBodyBytes, false) })
+	err := panicguard.Catch(func() error { return req.ContinueReadBody(&c.Request, conn, l.MaxBodyBytes, false) })
 	if err != nil {
 		return refuseBodyError(err)
 	}
@@ -178,7 +158,7 @@
 func refuseBodyError(err error) *Refusal {
 	var panicked *panicguard.Error
 	switch {
-	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
+	case errors.Is(err, hertzerrors.ErrBodyTooLarge), errors.Is(err, reason.BodyTooLarge):
 		return refuse(reason.BodyTooLarge)
 	case errors.Is(err, reason.MemoryFull):
 		return refuse(reason.MemoryFull)
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -27,6 +27,8 @@
 // of the process, as returned by Config.Now.
 type call struct {
 	request *protocol.Request
+	// conn is the connection of the caller.
+	conn *inbound.Conn
 	// id is the caller's request id, empty if the request has none.
 	id string
 	// uri is the path and query.
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -91,6 +91,8 @@
 	DetectSuspension func() (now, suspended time.Duration)
 	// Memory is the budget for what the requests in flight hold in memory. Nil is unlimited.
 	Memory *membudget.Budget
+	// MaxConnections is the maximum number of connections of callers. 0 means no limit.
+	MaxConnections int
 	// CrashMarks sends crash marks to the other instances. It may be nil.
 	CrashMarks CrashMarkSpreader
 	// LogSampleOneIn is n to log one of n requests that were answered in time, without a failure or a retry. 0 logs none of them.
@@ -132,6 +134,7 @@
 		c.DetectSuspension = func() (time.Duration, time.Duration) { return c.Now(), 0 }
 	}
 	g := &Gateway{Config: c, listener: inbound.Listener{Address: c.Address}, targetConns: map[string]*targetConnections{}}
+	g.connections.Limit = c.MaxConnections
 	g.crashGuard = crashguard.New(g.spreadCrashMark)
 	g.SetLogSampling(c.LogSampleOneIn)
 	g.server = server.New(
@@ -159,6 +162,9 @@
 // Panics returns the number of requests whose handling panicked.
 func (g *Gateway) Panics() int64 { return g.panicGuard.Panics() }
 
+// ClosedConnections counts the connections of callers that were closed in favor of others.
+func (g *Gateway) ClosedConnections() inbound.ClosedCounts { return g.connections.Closed() }
+
 // SetLogSampling sets Config.LogSampleOneIn of a running gateway.
 func (g *Gateway) SetLogSampling(oneIn int) { g.logSampling.Store(int64(oneIn)) }
 
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -92,6 +92,7 @@
 	g.announceClose(c)
 	g.recordAnswer(call, r)
 	call.answering = true
+	call.conn.Answering()
 	if answer.FullyBuffered() {
 		c.Response.SetBodyRaw(source.Body())
 		return writeResponse(c)
@@ -131,6 +132,7 @@
 			if err = writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				break
 			}
+			call.conn.Progress()
 		}
 		err = readErr
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -49,9 +49,12 @@
 // Serve implements protocol.Server. It handles the requests of one connection, which hertz closes afterwards.
 func (s *protocolServer) Serve(ctx context.Context, conn network.Conn) error {
 	g := s.gateway
+	tracked := g.connections.Add(ctx, conn)
+	if tracked == nil {
+		return hertzerrors.ErrShortConnection
+	}
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
 	c.SetConn(conn)
-	tracked := g.connections.Add(ctx, conn)
 	defer func() {
 		g.connections.Remove(tracked)
 		c.Reset()
@@ -59,7 +62,7 @@
 	}()
 	for inbound.AwaitRequest(conn, g.limits().IdleTimeout+idleGrace) {
 		g.connections.SetBusy(tracked, true)
-		if !g.serveGuarded(ctx, c) {
+		if !g.serveGuarded(ctx, c, tracked) || tracked.Evicted() {
 			break
 		}
 		_ = conn.Release()
@@ -79,8 +82,8 @@
 
 // serveGuarded serves one request. A panic ends only this request and its connection. It reports whether the connection may be
 // used for another one.
-func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext) (keepAlive bool) {
-	call := &call{request: &c.Request}
+func (g *Gateway) serveGuarded(ctx context.Context, c *app.RequestContext, conn *inbound.Conn) (keepAlive bool) {
+	call := &call{request: &c.Request, conn: conn}
 	err := g.panicGuard.Call(g.Log, "request", func() error {
 		keepAlive = g.serveOne(ctx, c, call)
 		return nil
@@ -114,38 +117,53 @@
 	limits := g.limits()
 	requestLimits := inbound.Limits{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
-		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: bodyTimeout,
+		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: bodyTimeout, Conn: call.conn,
 	}
 	memory, refusal := g.readRequest(c, requestLimits)
 	defer memory.Close()
 	call.memory, call.id = memory, string(c.Request.Header.Peek(g.Headers.RequestID))
 	if refusal != nil {
+		memory.Close()
 		c.Response.Header.SetConnectionClose(true)
 		r := &result{failure: refusal.Reason, cause: refusal.Cause, retryAfter: notReadyRetryAfter}
 		_ = g.writeRefusal(c, call, r)
-		inbound.Linger(ctx)
+		if !call.conn.Evicted() {
+			inbound.Linger(ctx)
+		}
 		return false
 	}
+	call.conn.Received()
 	ctx, stop := inbound.WatchDisconnect(ctx, disconnectPollInterval)
 	defer stop()
 	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
 
-// requestBytes is what a request needs besides long bodies: the buffers of its two connections, the head, the buffer for
-// streaming and the stacks of its goroutines.
-const requestBytes = 96 << 10
+const (
+	// receiveBytes is what a request needs until it has been read, besides a long head or body: the buffer of its connection, the
+	// head and a short body.
+	receiveBytes = 32 << 10
+	// requestBytes is what a request needs besides long bodies: the buffers of its two connections, the head, the buffer for
+	// streaming and the stacks of its goroutines.
+	requestBytes = 96 << 10
+)
 
 // readRequest reads a request. It returns what the request holds of the memory budget. Without memory for a request, only its
 // head is read.
 func (g *Gateway) readRequest(c *app.RequestContext, limits inbound.Limits) (*membudget.Grant, *inbound.Refusal) {
-	memory, ok := g.Memory.Open(requestBytes)
-	if !ok {
+	memory := g.Memory.OpenEmpty()
+	limits.Memory = memory
+	if !limits.Conn.Grow(memory, receiveBytes, membudget.ForRequest) {
 		if refusal := limits.ReadHead(c); refusal != nil {
 			return memory, refusal
 		}
 		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
 	}
-	limits.Memory = memory
-	return memory, limits.ReadRequest(c)
+	if refusal := limits.ReadRequest(c); refusal != nil {
+		return memory, refusal
+	}
+	if !limits.Conn.Grow(memory, requestBytes-receiveBytes, membudget.ForRequest) {
+		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
+	}
+	return memory, nil
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -35,17 +35,21 @@
 
 // take allocates bytes. It reports false, and allocates nothing, if the budget does not have them.
 func (b *Budget) take(bytes int64, priority Priority) bool {
-	limit := b.limit
-	if priority == ForBody {
-		limit = limit * bodyShare / 100
-	}
-	if b.used.Add(bytes) <= limit {
+	if b.used.Add(bytes) <= b.limitOf(priority) {
 		return true
 	}
 	b.used.Add(-bytes)
 	return false
 }
 
+// limitOf returns the number of bytes that allocations of a priority may fill.
+func (b *Budget) limitOf(priority Priority) int64 {
+	if priority == ForBody {
+		return b.limit * bodyShare / 100
+	}
+	return b.limit
+}
+
 // Grant is the part of a budget that one request holds. The zero value holds nothing and is unlimited. It is not safe for
 // concurrent use.
 type Grant struct {
@@ -53,9 +57,12 @@
 	bytes  int64
 }
 
+// OpenEmpty returns a grant that holds nothing.
+func (b *Budget) OpenEmpty() *Grant { return &Grant{budget: b} }
+
 // Open returns a grant that holds a number of bytes. It reports false if the budget does not have them.
 func (b *Budget) Open(bytes int) (*Grant, bool) {
-	g := &Grant{budget: b}
+	g := b.OpenEmpty()
 	return g, g.Grow(bytes, ForRequest)
 }
 
@@ -71,6 +78,11 @@
 	return true
 }
 
+// CanEverGrow reports whether Grow could allocate further bytes if no other grant held any.
+func (g *Grant) CanEverGrow(bytes int, priority Priority) bool {
+	return g == nil || g.budget == nil || g.bytes+int64(bytes) <= g.budget.limitOf(priority)
+}
+
 // Shrink returns bytes that Grow allocated.
 func (g *Grant) Shrink(bytes int) {
 	if g == nil || g.budget == nil {
--- a/internal/reason/reason.go
+++ b/internal/reason/reason.go
@@ -67,6 +67,7 @@
 	DeadlineTooShort  = add("deadline_too_short", Refusal, 504, NotRun, "The request could not be sent to a target before its deadline.")
 	Overloaded        = add("overloaded", Refusal, 503, NotRun, "The waiting queue is full or the request waited too long. Lower classes are shed first.")
 	MemoryFull        = add("memory_full", Refusal, 503, NotRun, "The requests in flight hold all the memory that the instance has for them, or what long bodies may take of it. Another instance can answer.")
+	CallerStalled     = add("caller_stalled", Refusal, 503, NotRun, "The caller sent nothing for a second while its request was incomplete, and others needed the memory that it held or its connection.")
 	CallerShare       = add("caller_share", Refusal, 429, NotRun, "The caller exceeds its fair share while the service is busy.")
 	TicketRequired    = add("ticket_required", Refusal, 428, NotRun, "The class is not repeatable and the request has no ticket. Send it again with the ticket from Basillink-Next-Ticket.")
 	TicketInvalid     = add("ticket_invalid", Refusal, 400, NotRun, "The ticket is malformed or was not issued by this fleet.")
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -28,6 +28,10 @@
 	Readiness string `toml:"readiness" accept:"address"`
 	// Peer is the address for datagrams from other instances.
 	Peer string `toml:"peer" accept:"address"`
+	// MaxConnections is the maximum number of connections of callers. At the limit, connections whose callers made no progress for
+	// a second are closed for new ones, then idle ones. 0 means 10 for each MB of memory.limit_mb, and at most 70% of the
+	// descriptors that the process may open.
+	MaxConnections int `toml:"max_connections" accept:"range:0..1048576" default:"0"`
 }
 
 // EdgeStore locates the platform's store.
@@ -122,27 +126,11 @@
 
 // EdgeMemory describes the memory of the process.
 type EdgeMemory struct {
-	// LimitMB is the memory at which the platform ends the process. Requests in flight hold at most half of it.
+	// LimitMB is the memory at which the platform ends the process. Requests in flight hold at most half of it, less 24 MB for the
+	// program itself.
 	LimitMB int `toml:"limit_mb" unit:"MB" accept:"range:64..1048576" default:"256"`
 }
 
-const (
-	bytesPerMB = 1 << 20
-	// requestMemoryPercent is the share of the memory that the requests in flight may hold. The rest is for garbage until it is
-	// collected, connections without a request and control state.
-	requestMemoryPercent = 50
-	// runtimeMemoryPercent is the share of the memory from which on the runtime collects garbage more often.
-	runtimeMemoryPercent = 80
-)
-
-// RequestBytes returns how many bytes the requests in flight may hold.
-func (m EdgeMemory) RequestBytes() int64 { return m.percent(requestMemoryPercent) }
-
-// RuntimeBytes returns the memory limit of the runtime in bytes.
-func (m EdgeMemory) RuntimeBytes() int64 { return m.percent(runtimeMemoryPercent) }
-
-func (m EdgeMemory) percent(share int64) int64 { return int64(m.LimitMB) * bytesPerMB * share / 100 }
-
 // EdgeLog configures structured logs on standard output.
 type EdgeLog struct {
 	// Level is the lowest level that is logged.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Limits   Limits   `toml:"limits"`
 	Tickets  Tickets  `toml:"tickets"`
 	Drain    Drain    `toml:"drain"`
+	Memory   Memory   `toml:"memory"`
 	Log      Log      `toml:"log"`
 }
 
@@ -38,6 +39,10 @@
 	Admin string `toml:"admin" accept:"address"`
 	// Peer is the address for connections from other instances.
 	Peer string `toml:"peer" accept:"address"`
+	// MaxConnections is the maximum number of connections of callers. At the limit, connections whose callers made no progress for
+	// a second are closed for new ones, then idle ones. 0 means 10 for each MB of memory.limit_mb, and at most 70% of the
+	// descriptors that the process may open.
+	MaxConnections int `toml:"max_connections" accept:"range:0..1048576" default:"0"`
 }
 
 // Platform locates the platform's services.
@@ -87,6 +92,13 @@
 	LimitMS int `toml:"limit_ms" unit:"ms" accept:"range:0..86400000" default:"0"`
 }
 
+// Memory describes the memory of the process.
+type Memory struct {
+	// LimitMB is the memory that the process may take. Requests in flight hold at most half of it, less 24 MB for the
+	// program itself.
+	LimitMB int `toml:"limit_mb" unit:"MB" accept:"range:64..1048576" default:"256"`
+}
+
 // Log configures structured logs on standard error.
 type Log struct {
 	// Level is the lowest level that is logged.
--- /dev/null
+++ b/internal/telemetry/closed_connections.go
@@ -0,0 +1,24 @@
+package telemetry
+
+import (
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/basillink/basillink/internal/inbound"
+)
+
+// RegisterClosedConnections registers the counter of connections of callers that were closed in favor of others. The function read
+// must be safe for concurrent use.
+func (m *Metrics) RegisterClosedConnections(read func() inbound.ClosedCounts) error {
+	return m.RegisterObservableCounter("basillink.closed_connections",
+		"Connections of callers that were closed in favor of others: without progress for their memory, for a new connection at the limit, and new ones refused at the limit.",
+		func() []LabeledValue {
+			counts := read()
+			return []LabeledValue{
+				closedValue("memory", counts.ForMemory), closedValue("limit", counts.ForLimit), closedValue("refused", counts.Refused),
+			}
+		})
+}
+
+func closedValue(why string, count int64) LabeledValue {
+	return LabeledValue{Labels: []attribute.KeyValue{attribute.String("why", why)}, Value: count}
+}
