Close connections whose answers are not read when others lack what they hold

Change: a refusal as overloaded or connections_busy closes connections whose answers made no progress for a second, a share at a time. Long answers are written in parts of 64 KiB, so that a slow reader makes progress.

--- a/internal/crowd/instance_test.go
+++ b/internal/crowd/instance_test.go
@@ -45,7 +45,9 @@
 	// the second is the default.
 	edgeMemoryMB = 96
 	runMemoryMB  = 256
-	callerHost   = "crowd.example"
+	// smallestMemoryMB is the memory of the smallest instance of the users' deployments.
+	smallestMemoryMB = 136
+	callerHost       = "crowd.example"
 	// ordinaryTimeout bounds the time that an ordinary caller waits for its answer before it tries again.
 	ordinaryTimeout = 5 * time.Second
 )
@@ -77,8 +79,14 @@
 	return err == nil
 }
 
-// startEdge starts an instance of the command edge in front of some targets.
+// startEdge starts an instance of the command edge with edgeMemoryMB in front of some targets.
 func startEdge(t *testing.T) *instance {
+	t.Helper()
+	return startEdgeWith(t, edgeMemoryMB)
+}
+
+// startEdgeWith starts an instance of the command edge with an amount of memory in front of some targets.
+func startEdgeWith(t *testing.T, memoryMB int) *instance {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
@@ -95,7 +103,7 @@
 			ID: fmt.Sprintf("t%d", n), Address: rawtarget.Start(t, answer).Address(), Service: "s0", Zone: "z0", Slots: 200, Born: 1,
 		}, 1)
 	}
-	i := &instance{program: "edge", address: processHost() + ":18080", pathPrefix: "/read/", memoryMB: edgeMemoryMB}
+	i := &instance{program: "edge", address: processHost() + ":18080", pathPrefix: "/read/", memoryMB: memoryMB}
 	i.start(t, fmt.Sprintf(`[instance]
 id = "e0"
 zone = "z0"
@@ -109,7 +117,7 @@
 limit_mb = %d
 [log]
 sample_one_in = 0
-`, i.address, processHost(), store.Address(), edgeMemoryMB))
+`, i.address, processHost(), store.Address(), memoryMB))
 	return i
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/transport"
 )
@@ -36,8 +37,8 @@
 	}
 	g.counter.Answered(call.serviceName, call.class.Name)
 	g.setAnswerHead(c, r)
-	if r.answer.FullyBuffered() {
-		c.Response.SetBodyRaw(r.answer.Response.Body())
+	if body := r.answer.Response.Body(); r.answer.FullyBuffered() && (len(body) <= inbound.AnswerPartBytes || c.Response.SkipBody) {
+		c.Response.SetBodyRaw(body)
 		return g.write(c, call)
 	}
 	return g.stream(c, call, r)
@@ -107,6 +108,9 @@
 
 func (g *Gateway) recordRefusal(call *call, r *result) {
 	g.counter.Refused(call.serviceName, r.failureReason)
+	if r.failureReason == reason.Overloaded || r.failureReason == reason.ConnectionsBusy {
+		g.connections.CloseUnread()
+	}
 	g.log.Debug("Refused a request.", "service", call.serviceName, "reason", r.failureReason.Name, "error", r.cause)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,11 +22,14 @@
 // lastChunk ends a body with chunked encoding.
 var lastChunk = []byte("0\r\n\r\n")
 
-// stream forwards an answer that is too long to be buffered. If the target's answer breaks off, stream returns an error
+// stream forwards an answer in parts. If the target's answer breaks off, stream returns an error
 // without terminating the body, so that the caller recognizes an incomplete transfer.
 func (g *Gateway) stream(c *app.RequestContext, call *call, r *result) error {
 	conn := c.GetConn()
 	length := r.answer.Length()
+	if r.answer.FullyBuffered() {
+		length = len(r.answer.Response.Body())
+	}
 	c.Response.Header.SetContentLength(max(length, -1))
 	call.answering = true
 	call.conn.Answering()
@@ -34,7 +37,8 @@
 		return err
 	}
 	chunked := length < 0
-	if err := writeBodyPart(conn, r.answer.Response.Body(), chunked); err != nil {
+	writePart := func(part []byte) error { return writeBodyPart(conn, part, chunked) }
+	if err := call.conn.WriteParts(r.answer.Response.Body(), writePart); err != nil || r.answer.FullyBuffered() {
 		return err
 	}
 	err := copyBody(conn, call.conn, r.answer, chunked)
--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -22,10 +22,15 @@
 	roomInterval = 5 * time.Millisecond
 )
 
+// unreadInterval is the shortest time between two calls of CloseUnread that look at the connections.
+const unreadInterval = 20 * time.Millisecond
+
 // ClosedCounts counts connections that were closed in favor of others.
 type ClosedCounts struct {
 	// ForMemory counts connections without progress that were closed because a request needed their memory.
 	ForMemory int64
+	// Unread counts connections without progress that were closed because the answers on them held what other requests lacked.
+	Unread int64
 	// ForLimit counts connections that were closed for a new one because the limit on connections was reached.
 	ForLimit int64
 	// Refused counts new connections that were closed at the limit because all others made progress.
@@ -110,6 +115,19 @@
 	return evicted
 }
 
+// CloseUnread closes connections whose callers do not read their answers. It is called when a request is refused for lack of what an
+// answer holds until it is written, such as a slot of the service or a connection to the target.
+func (c *Connections) CloseUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Since(c.epoch)
+	if now-c.unreadAt < unreadInterval {
+		return
+	}
+	c.unreadAt = now
+	c.counts.Unread += int64(c.evict(func(_ *Conn, p phase) bool { return p == answering }))
+}
+
 // evictForLimit closes connections without progress, and if there are none, idle ones. The mutex must be held.
 func (c *Connections) evictForLimit() {
 	evicted := c.evict(func(_ *Conn, p phase) bool { return p != serving && p != idle })
--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -41,6 +41,9 @@
 // recordRefusal counts and logs a request that is refused or failed.
 func (g *Gateway) recordRefusal(call *call, r *result) {
 	g.Counter.Refused(call.service, r.failure)
+	if r.failure == reason.Overloaded || r.failure == reason.ConnectionsBusy {
+		g.connections.CloseUnread()
+	}
 	message := "Failed a request."
 	if r.failure.Outcome == reason.NotRun {
 		message = "Refused a request."
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -16,6 +16,7 @@
 
 	"github.com/basillink/basillink/internal/framing"
 	"github.com/basillink/basillink/internal/header"
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/transport"
 )
@@ -93,8 +94,8 @@
 	g.recordAnswer(call, r)
 	call.answering = true
 	call.conn.Answering()
-	if answer.FullyBuffered() {
-		c.Response.SetBodyRaw(source.Body())
+	if body := source.Body(); answer.FullyBuffered() && (len(body) <= inbound.AnswerPartBytes || c.Response.SkipBody) {
+		c.Response.SetBodyRaw(body)
 		return writeResponse(c)
 	}
 	return g.stream(c, call, answer)
@@ -113,17 +114,23 @@
 // streamBufferBytes is the size of the buffer for streaming long answers.
 const streamBufferBytes = 32 << 10
 
-// stream forwards an answer that is too long to be buffered. If the answer is truncated, it returns an error and does not
+// stream forwards an answer in parts. If the answer is truncated, it returns an error and does not
 // terminate the body, so that the caller detects the truncation.
 func (g *Gateway) stream(c *app.RequestContext, call *call, answer *transport.Answer) error {
 	conn := c.GetConn()
 	length := answer.Length()
+	if answer.FullyBuffered() {
+		length = len(answer.Response.Body())
+	}
 	chunked := length < 0
 	c.Response.Header.SetContentLength(max(length, -1))
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
-	err := writeBodyPart(conn, answer.Response.Body(), chunked)
+	err := call.conn.WriteParts(answer.Response.Body(), func(part []byte) error { return writeBodyPart(conn, part, chunked) })
+	if answer.FullyBuffered() {
+		return err
+	}
 	answer.ReleasePrefix()
 	buffer := make([]byte, streamBufferBytes)
 	for err == nil {
--- a/internal/telemetry/closed_connections.go
+++ b/internal/telemetry/closed_connections.go
@@ -10,11 +10,12 @@
 // must be safe for concurrent use.
 func (m *Metrics) RegisterClosedConnections(read func() inbound.ClosedCounts) error {
 	return m.RegisterObservableCounter("basillink.closed_connections",
-		"Connections of callers that were closed in favor of others: without progress for their memory, for a new connection at the limit, and new ones refused at the limit.",
+		"Connections of callers that were closed in favor of others: without progress for their memory, without progress for what their answers hold, for a new connection at the limit, and new ones refused at the limit.",
 		func() []LabeledValue {
 			counts := read()
 			return []LabeledValue{
-				closedValue("memory", counts.ForMemory), closedValue("limit", counts.ForLimit), closedValue("refused", counts.Refused),
+				closedValue("memory", counts.ForMemory), closedValue("unread", counts.Unread),
+				closedValue("limit", counts.ForLimit), closedValue("refused", counts.Refused),
 			}
 		})
 }
