Close unread answers also when a connection to a target is awaited in vain

Cause: an ordinary request that waits for a connection to a target is not refused but chooses another target every 150 ms until its deadline.

Change: each such new choice closes connections whose answers made no progress, as a refusal does.

--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -67,13 +67,14 @@
 }
 
 // recordNewChoice logs that a target is chosen again because nothing was sent to the first one. It counts the choices that are due to
-// busy connections, of which there are many under load.
+// busy connections, of which there are many under load, and closes connections that may hold them.
 func (g *Gateway) recordNewChoice(call *call, d dispatch.Decision, err error) {
 	level := slog.LevelWarn
 	var timeout *transport.ConnectTimeoutError
 	if errors.As(err, &timeout) {
 		level = slog.LevelInfo
 		g.Counter.Retried(call.service, reason.RetryConnectionsBusy)
+		g.connections.CloseUnread()
 	}
 	g.Log.Log(context.Background(), level, "Choosing a target again.", "request", call.id, "target", d.Target.ID, "error", err)
 }
