--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -42,6 +42,7 @@
 func (s *protocolServer) Serve(ctx context.Context, conn network.Conn) error {
 	entry := s.gateway.connections.Add(ctx, conn)
 	if entry == nil {
+		s.gateway.log.Debug("Closed a new connection at the limit.", "limit", s.gateway.connections.Limit)
 		return hertzerrors.ErrShortConnection
 	}
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -51,6 +51,7 @@
 	g := s.gateway
 	tracked := g.connections.Add(ctx, conn)
 	if tracked == nil {
+		g.Log.Debug("Closed a new connection at the limit.", "limit", g.MaxConnections)
 		return hertzerrors.ErrShortConnection
 	}
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
