--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -68,8 +68,8 @@
 		Address: s.Listen.Caller, Headers: platform.Headers(), View: e.node.View, Counter: metrics,
 		Log: telemetry.Component(log, "ingress"), ParseLoad: platform.ParseLoad, ParseWarmup: platform.ParseWarmup, OnMisdirected: e.node.ReportMisdirected,
 		Now: clk.Now, DetectSuspension: clk.DetectSuspension, LogSampleOneIn: s.Log.SampleOneIn, CrashMarks: e.node,
-		Memory: membudget.New(s.Memory.RequestBytes()), Keys: keys,
-		Credit: e.node.Credit(),
+		Memory: membudget.New(s.Memory.RequestBytes()), MaxConnections: s.Listen.ConnectionLimit(s.Memory),
+		Keys: keys, Credit: e.node.Credit(),
 	})
 	gauges := telemetry.Observables{
 		InFlight: e.gateway.InFlight, Ready: e.node.Ready, DroppedEvents: e.node.DroppedEvents,
@@ -88,6 +88,9 @@
 	if err := observeCredit(metrics, e.node.CreditStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := metrics.RegisterClosedConnections(e.gateway.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/transport"
 )
 
@@ -21,21 +22,26 @@
 // lastChunk ends a body with chunked encoding.
 var lastChunk = []byte("0\r\n\r\n")
 
-// stream forwards an answer that is too long to be buffered. If the target's answer breaks off, stream returns an error
+// stream forwards an answer in parts. If the target's answer breaks off, stream returns an error
 // without terminating the body, so that the caller recognizes an incomplete transfer.
 func (g *Gateway) stream(c *app.RequestContext, call *call, r *result) error {
 	conn := c.GetConn()
 	length := r.answer.Length()
+	if r.answer.FullyBuffered() {
+		length = len(r.answer.Response.Body())
+	}
 	c.Response.Header.SetContentLength(max(length, -1))
 	call.answering = true
+	call.conn.Answering()
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
 	chunked := length < 0
-	if err := writeBodyPart(conn, r.answer.Response.Body(), chunked); err != nil {
+	writePart := func(part []byte) error { return writeBodyPart(conn, part, chunked) }
+	if err := call.conn.WriteParts(r.answer.Response.Body(), writePart); err != nil || r.answer.FullyBuffered() {
 		return err
 	}
-	err := copyBody(conn, r.answer, chunked)
+	err := copyBody(conn, call.conn, r.answer, chunked)
 	var failure *transport.ExchangeError
 	if errors.As(err, &failure) {
 		r.finish(failure)
@@ -46,7 +52,7 @@
 }
 
 // copyBody copies the rest of an answer's body to conn.
-func copyBody(conn network.Conn, answer *transport.Answer, chunked bool) error {
+func copyBody(conn network.Conn, tracked *inbound.Conn, answer *transport.Answer, chunked bool) error {
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	for {
@@ -55,6 +61,7 @@
 			if err := writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				return err
 			}
+			tracked.Progress()
 		}
 		switch {
 		case readErr == io.EOF && chunked:
--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -41,6 +41,9 @@
 // recordRefusal counts and logs a request that is refused or failed.
 func (g *Gateway) recordRefusal(call *call, r *result) {
 	g.Counter.Refused(call.service, r.failure)
+	if r.failure == reason.Overloaded || r.failure == reason.ConnectionsBusy {
+		g.connections.CloseUnread()
+	}
 	message := "Failed a request."
 	if r.failure.Outcome == reason.NotRun {
 		message = "Refused a request."
@@ -64,13 +67,14 @@
 }
 
 // recordNewChoice logs that a target is chosen again because nothing was sent to the first one. It counts the choices that are due to
-// busy connections, of which there are many under load.
+// busy connections, of which there are many under load, and closes connections that may hold them.
 func (g *Gateway) recordNewChoice(call *call, d dispatch.Decision, err error) {
 	level := slog.LevelWarn
 	var timeout *transport.ConnectTimeoutError
 	if errors.As(err, &timeout) {
 		level = slog.LevelInfo
 		g.Counter.Retried(call.service, reason.RetryConnectionsBusy)
+		g.connections.CloseUnread()
 	}
 	g.Log.Log(context.Background(), level, "Choosing a target again.", "request", call.id, "target", d.Target.ID, "error", err)
 }
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -97,6 +97,8 @@
 	DetectSuspension func() (now, suspended time.Duration)
 	// Memory is the budget for what the requests in flight hold in memory. Nil is unlimited.
 	Memory *membudget.Budget
+	// MaxConnections is the maximum number of connections of callers. 0 means no limit.
+	MaxConnections int
 	// CrashMarks sends crash marks to the other instances. It may be nil.
 	CrashMarks CrashMarkSpreader
 	// Keys tells until when requests with keys may be sent. It is only used while the configuration has workspaces.
@@ -146,6 +148,7 @@
 		Config: c, listener: inbound.Listener{Address: c.Address}, keyHeaders: workspace.NewHeaders(c.Headers.Key, c.Headers.Workspace),
 		targetConns: map[string]*targetConnections{},
 	}
+	g.connections.Limit = c.MaxConnections
 	g.crashGuard = crashguard.New(g.spreadCrashMark)
 	g.SetLogSampling(c.LogSampleOneIn)
 	g.server = server.New(
@@ -173,6 +176,9 @@
 // Panics returns the number of requests whose handling panicked.
 func (g *Gateway) Panics() int64 { return g.panicGuard.Panics() }
 
+// ClosedConnections counts the connections of callers that were closed in favor of others.
+func (g *Gateway) ClosedConnections() inbound.ClosedCounts { return g.connections.Closed() }
+
 // SetLogSampling sets Config.LogSampleOneIn of a running gateway.
 func (g *Gateway) SetLogSampling(oneIn int) { g.logSampling.Store(int64(oneIn)) }
 
