--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -199,7 +199,7 @@
 }
 
 // noticeOwnerRestart tells the tenure that a peer runs which it may know as an earlier incarnation.
-func (n *Node) noticeOwnerRestart(p *peerState, now time.Time) {
+func (n *Node) noticeOwnerRestart(p *peerState) {
 	if n.creditOwnership.needed {
 		n.creditOwnership.tenure.HolderRestarted(n.creditClock.now(), p.ID, p.Started)
 	}
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -128,7 +128,7 @@
 		p.Started, p.leaving, p.leaderClaimAt = d.Started, false, time.Time{}
 	}
 	p.lastHeard, p.leaving, p.unansweredGreetings = now, d.Leaving, 0
-	n.noticeOwnerRestart(p, now)
+	n.noticeOwnerRestart(p)
 	n.hearCreditOwner(d.CreditOwner, now)
 	if d.Leaving {
 		n.Log.Info("An instance is leaving.", "instance", d.From)
