Await the lease of the owner before a challenge after its writer restarted

Cause: a later incarnation of the holder of the newest record ended the wait for the lease. A challenge makes its writer nobody's owner, so the owner before it could still have a lease: two owners. The writer restarts within the 1.5 s after its challenge.

Change: announcements and the tenure tell records without a lease, for which the wait goes on. The schedules restart instances at once, among them the writers of challenges.

--- a/internal/credit/owner_record.go
+++ b/internal/credit/owner_record.go
@@ -44,6 +44,8 @@
 	Released bool `cbor:"7,keyasint,omitempty"`
 	// OwnedMS is the time in milliseconds since the latest ownership began, or less if the sender does not know it.
 	OwnedMS int64 `cbor:"8,keyasint,omitempty"`
+	// WithoutLease is true if the record made nobody the owner, as a challenge does. Another instance may then have a valid lease.
+	WithoutLease bool `cbor:"9,keyasint,omitempty"`
 }
 
 func (a *Announcement) holder() Holder {
--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -85,6 +85,8 @@
 	freeAt time.Duration
 	// readInItsEra is true if this instance read the newest record in the era in which it was written.
 	readInItsEra bool
+	// withoutLease is true if the newest record made nobody the owner, so that an earlier holder may have a lease until freeAt.
+	withoutLease bool
 	// beganAt is the latest time at which the ownership of the holder can have begun. unowned is true if there was no owner
 	// yet.
 	beganAt time.Duration
--- a/internal/credit/tenure_peers.go
+++ b/internal/credit/tenure_peers.go
@@ -21,6 +21,7 @@
 		t.lose(LossSuperseded)
 	}
 	t.setNewest(a.holder(), next, now+a.valid(), a.beganAt(now))
+	t.withoutLease = a.WithoutLease
 	t.setLeft(a)
 	if isOwn {
 		t.extendOwn(next)
@@ -34,6 +35,7 @@
 	if t.holder.ID == "" && a.ID != "" {
 		t.holder, t.challenge = a.holder(), false
 	}
+	t.withoutLease = t.withoutLease || a.WithoutLease
 	t.setLeft(a)
 }
 
@@ -66,6 +68,6 @@
 	}
 	a := Announcement{ID: t.holder.ID, Address: t.holder.Address, Started: t.holder.Started, Era: t.next.Era, Next: t.next.Offset}
 	a.ValidMS = wholeMilliseconds(t.freeAt - now + time.Millisecond - 1)
-	a.OwnedMS = wholeMilliseconds(now - t.beganAt)
+	a.OwnedMS, a.WithoutLease = wholeMilliseconds(now-t.beganAt), t.withoutLease
 	return a, true
 }
--- a/internal/credit/tenure_results.go
+++ b/internal/credit/tenure_results.go
@@ -29,7 +29,7 @@
 	if record == nil {
 		return
 	}
-	t.holder, t.readInItsEra = record.Holder, record.Era == end.Era
+	t.holder, t.readInItsEra, t.withoutLease = record.Holder, record.Era == end.Era, record.Challenge || record.Era != end.Era
 	switch {
 	case record.Holder == t.self:
 		t.extendOwn(end)
@@ -42,7 +42,7 @@
 // setNewest records what is known of the newest record.
 func (t *Tenure) setNewest(h Holder, next topic.Position, freeAt, beganAt time.Duration) {
 	t.next, t.known, t.holder, t.left, t.challenge = next, true, h, false, false
-	t.freeAt, t.beganAt, t.unowned, t.readInItsEra = freeAt, beganAt, false, false
+	t.freeAt, t.beganAt, t.unowned, t.readInItsEra, t.withoutLease = freeAt, beganAt, false, false, false
 }
 
 // firstEra is the highest era in which the store was not restored yet.
@@ -144,7 +144,7 @@
 		return
 	}
 	t.setNewest(t.self, end, now+TTL, now+TTL)
-	t.renewAt = now
+	t.renewAt, t.withoutLease = now, true
 }
 
 func (t *Tenure) appended(now time.Duration, r AppendResult) {
--- a/internal/credit/tenure_schedules_test.go
+++ b/internal/credit/tenure_schedules_test.go
@@ -224,7 +224,7 @@
 // disturb applies one random fault.
 func (s *tenureSchedule) disturb() {
 	c := s.candidates[s.random.IntN(len(s.candidates))]
-	switch s.random.IntN(10) {
+	switch s.random.IntN(11) {
 	case 0:
 		s.store.down = !s.store.down
 	case 1:
@@ -252,6 +252,22 @@
 			s.broadcast(c, a)
 		}
 		s.start(c)
+	case 10:
+		// A crash after which the process is restarted at once.
+		s.start(c)
+	}
+}
+
+// restartChallenger restarts the writer of the newest record if that is a challenge, which makes nobody the owner.
+func (s *tenureSchedule) restartChallenger() {
+	n := len(s.store.records)
+	if n == 0 || !s.store.records[n-1].Challenge {
+		return
+	}
+	for _, c := range s.candidates {
+		if c.tenure.self == s.store.records[n-1].Holder {
+			s.start(c)
+		}
 	}
 }
 
@@ -335,6 +351,9 @@
 	if !s.healed && s.random.IntN(160) == 0 {
 		s.disturb()
 	}
+	if !s.healed && s.random.IntN(40) == 0 {
+		s.restartChallenger()
+	}
 	return s.check()
 }
 
