Give credits back in time while requests wait for a target

Cause: a request acquires its credit before it waits for a target. After 250 ms the credit had expired, going back had no effect, and the request took a second one. A workspace thus used up its quota twice as fast when targets were busy, and was refused below it.

Change: a grant tells until when it can go back (0.65 of its lifetime, before the refund of its batch). It goes back at that time while the request waits for a target or for the crash guard, and another one is acquired before the write, as before.

--- a/internal/credit/batch.go
+++ b/internal/credit/batch.go
@@ -6,6 +6,10 @@
 // owner, and lets another instance spend it in the same window.
 const refundShare = 0.75
 
+// returnShare is the part of a credit's lifetime until which it can go back to the stock such that it is refunded with the others of
+// its batch.
+const returnShare = 0.65
+
 // batch is an ask and the credits of its answer.
 type batch struct {
 	ask Ask
@@ -22,8 +26,14 @@
 }
 
 // refundAt is the time at which unspent credits are refunded.
-func (b *batch) refundAt() time.Duration {
-	return b.sentAt + time.Duration(refundShare*float64(b.expiresAt-b.sentAt))
+func (b *batch) refundAt() time.Duration { return b.after(refundShare) }
+
+// returnBy is the time until which credits can go back to the stock.
+func (b *batch) returnBy() time.Duration { return b.after(returnShare) }
+
+// after returns the time at which a share of the lifetime of the credits has passed.
+func (b *batch) after(share float64) time.Duration {
+	return b.sentAt + time.Duration(share*float64(b.expiresAt-b.sentAt))
 }
 
 // open reports whether credits can be taken from the batch or put back.
--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -69,6 +69,9 @@
 	// ExpiresAt is the time, since the start of the process, until which the credit may be spent. It is counted from the
 	// moment at which the owner was asked.
 	ExpiresAt time.Duration
+	// ReturnBy is the time until which the credit can go back without being lost. A request that waits longer gives it back and
+	// acquires another one.
+	ReturnBy time.Duration
 	// ID identifies the credit at the source that handed it out, so that it goes back at most once.
 	ID uint64
 }
--- a/internal/credit/pool_test.go
+++ b/internal/credit/pool_test.go
@@ -232,6 +232,34 @@
 	})
 }
 
+// Guards against credits of one ask that are given back in time and of which only some are refunded.
+func TestCreditsReturnedInTimeAreRefunded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newPoolHarness()
+		h.setAnswer(grantAll)
+		h.start(1, tenPerSecond)()
+		held := make([]Grant, 2)
+		for i := range held {
+			go func() { held[i], _ = h.pool.Acquire(context.Background(), keyA, tenPerSecond) }()
+		}
+		pause(2 * askInterval)
+		asks := len(h.sent())
+		if held[0].ReturnBy != held[1].ReturnBy {
+			t.Fatalf("two credits of different asks: %+v", held)
+		}
+		pause(held[0].ReturnBy - h.now())
+		for _, grant := range held {
+			h.pool.Return(grant)
+			pause(time.Millisecond)
+		}
+		pause(time.Second)
+		s := h.pool.Stats()
+		if len(h.sent()) != asks || s.Expired > 0 || s.Returned != 2 || s.Refunded < 2 {
+			t.Errorf("%+v, refunds %+v", s, h.refunded())
+		}
+	})
+}
+
 // Guards against a second refund of one ask, which the owner ignores, and against a credit that is in use after its refund.
 func TestReturnAfterRefundIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/credit/poolkey.go
+++ b/internal/credit/poolkey.go
@@ -110,7 +110,7 @@
 		p.lastGrant++
 		p.grants[p.lastGrant] = b
 		b.grants = append(b.grants, p.lastGrant)
-		return Grant{Key: k.key, ExpiresAt: b.expiresAt, ID: p.lastGrant}, true
+		return Grant{Key: k.key, ExpiresAt: b.expiresAt, ReturnBy: b.returnBy(), ID: p.lastGrant}, true
 	}
 	return Grant{}, false
 }
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -60,7 +60,7 @@
 // executeOnce sends the request to one target once the crash guard admits it. It reports whether the request is to be tried
 // again, in which case there is no result.
 func (g *Gateway) executeOnce(ctx context.Context, call *call) (res *result, retry bool) {
-	admission, refusal := g.awaitCrashAdmission(ctx, call)
+	admission, refusal := g.awaitAdmission(ctx, call)
 	if refusal != nil {
 		return refusal, false
 	}
@@ -68,6 +68,21 @@
 	return g.tryTarget(ctx, call, &admission)
 }
 
+// awaitAdmission waits until the crash guard admits a request.
+func (g *Gateway) awaitAdmission(ctx context.Context, call *call) (crashguard.Admission, *result) {
+	if !g.crashGuard.Active() {
+		return crashguard.Admission{}, nil
+	}
+	defer call.quota.lend(g.Now())()
+	return g.awaitCrashAdmission(ctx, call)
+}
+
+// awaitTarget waits for a target for a request.
+func (g *Gateway) awaitTarget(ctx context.Context, call *call) dispatch.Decision {
+	defer call.quota.lend(g.Now())()
+	return call.pool.Acquire(ctx, &call.dispatchRequest)
+}
+
 // slot is the slot of a target that a decision has reserved for a request.
 type slot struct {
 	call     *call
@@ -93,7 +108,7 @@
 	if refusal := g.reauthorize(call, g.Now()); refusal != nil {
 		return g.refuseUnsent(call, refusal), false
 	}
-	decision := call.pool.Acquire(ctx, &call.dispatchRequest)
+	decision := g.awaitTarget(ctx, call)
 	slot := &slot{call: call, decision: decision}
 	// send releases the slot unless it panics.
 	defer slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled})
--- a/internal/ingress/quota.go
+++ b/internal/ingress/quota.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// lend gives the credit back when it would otherwise be lost, while the request waits. The returned function ends that. The request
+// then needs another credit if this one went back.
+func (q *quotaCredit) lend(now time.Duration) (end func()) {
+	left := q.grant.ReturnBy - now
+	if q.state != creditHeld || left <= 0 {
+		return func() {}
+	}
+	returned := make(chan struct{})
+	timer := time.AfterFunc(left, func() {
+		defer close(returned)
+		q.source.Return(q.grant)
+	})
+	return func() {
+		if !timer.Stop() {
+			<-returned
+			q.state = noCredit
+		}
+	}
+}
+
 // giveBack returns the credit to its source unless it is spent. Further calls have no effect.
 func (q *quotaCredit) giveBack() {
 	if q.state == creditHeld {
--- a/internal/ingress/quota_test.go
+++ b/internal/ingress/quota_test.go
@@ -29,7 +29,10 @@
 	issued int
 	// returned holds the ids of the credits that were given back.
 	returned map[uint64]bool
-	limits   []credit.Limit
+	// late counts the credits that were given back after they had expired, which are lost.
+	late    int
+	expires map[uint64]time.Duration
+	limits  []credit.Limit
 }
 
 func (f *fakeCredit) Acquire(ctx context.Context, key credit.Key, limit credit.Limit) (credit.Grant, *credit.Denial) {
@@ -49,12 +52,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.issued++
-	return credit.Grant{Key: key, ID: uint64(number), ExpiresAt: f.now() + f.lifetime}, nil
+	grant := credit.Grant{Key: key, ID: uint64(number), ExpiresAt: f.now() + f.lifetime, ReturnBy: f.now() + f.lifetime/2}
+	f.expires[grant.ID] = grant.ExpiresAt
+	return grant, nil
 }
 
 func (f *fakeCredit) Return(grant credit.Grant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.now() >= f.expires[grant.ID] {
+		f.late++
+	}
 	if grant.ID == 0 || f.returned[grant.ID] {
 		f.t.Errorf("credit %d was given back without need or twice", grant.ID)
 	}
@@ -78,7 +86,7 @@
 
 func newQuotaTestbed(t testing.TB, targets ...*rawtarget.Target) *quotaTestbed {
 	t.Helper()
-	q := &quotaTestbed{credit: &fakeCredit{t: t, lifetime: time.Hour, returned: map[uint64]bool{}}}
+	q := &quotaTestbed{credit: &fakeCredit{t: t, lifetime: time.Hour, returned: map[uint64]bool{}, expires: map[uint64]time.Duration{}}}
 	q.keyedTestbed = newKeyedTestbed(t, func(c *Config) {
 		q.credit.now, c.Credit = c.Now, q.credit
 		now := c.Now
@@ -281,6 +289,35 @@
 	}
 }
 
+// Guards against credits that expire with the requests that wait for a target. Each such request would take two credits of the quota.
+func TestWaitingRequestReturnsItsCreditInTime(t *testing.T) {
+	q := newQuotaTestbed(t, startScripted(t, func(r *http.Request, _ int64) (string, bool) {
+		time.Sleep(400 * time.Millisecond)
+		return rawAnswer(200, r, "X-Load: 1,4,4\r\n", "ok"), true
+	}))
+	config := keyedConfig(8, limitedWorkspace())
+	for i := range config.Routes {
+		config.Routes[i].LatencyObjective, config.Routes[i].Timeout = 2*time.Second, 2*time.Second
+	}
+	q.setConfig(t, config)
+	q.credit.lifetime = 300 * time.Millisecond
+	// More requests than the target has slots.
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			if answer := q.exchange(t, "/once/x"); answer.StatusCode != 200 {
+				t.Errorf("status %d", answer.StatusCode)
+			}
+		})
+	}
+	group.Wait()
+	q.checkIdle(t)
+	issued, returned := q.credit.counts()
+	if issued-returned != 4 || issued == 4 || q.credit.late > 0 {
+		t.Errorf("%d credits issued, %d given back, %d of them too late", issued, returned, q.credit.late)
+	}
+}
+
 // Guards against an owner that does not learn of the limit in force, and against a grant that needs no credit and is taken for an
 // expired one, so that its request is never sent.
 func TestCreditLimitAndUnlimitedGrant(t *testing.T) {
