Return the credit of a cold target when the quota refuses the request

Cause: a request whose quota credit expired while it waited, and that got no other one, released its target as cancelled, without saying that it was not reached. The credit of a cold target was lost.

Change: the release says that the target was not reached.

--- a/internal/ingress/cold_test.go
+++ b/internal/ingress/cold_test.go
@@ -54,12 +54,17 @@
 func newColdTestbed(t *testing.T, target *rawtarget.Target, credits int) (*testbed, *creditBook) {
 	t.Helper()
 	b := newTestbed(t, target)
+	return b, limitToCredits(b, credits)
+}
+
+// limitToCredits makes the target of a testbed cold, with a number of credits.
+func limitToCredits(b *testbed, credits int) *creditBook {
 	book := &creditBook{now: b.gateway.Now, left: credits, validity: time.Second, returned: map[uint64]int{}}
 	pool := b.view.Load().Pools["s"]
 	pool.Credit = book
 	pool.SetWarmup(5, 1)
 	pool.MarkCold("t0", b.gateway.Now()+time.Minute)
-	return b, book
+	return book
 }
 
 // Guards against requests to a cold target beyond its credits, and against refusals that do not tell why.
--- a/internal/ingress/execute.go
+++ b/internal/ingress/execute.go
@@ -121,6 +121,7 @@
 		return g.refuseUnassigned(ctx, call, decision), false
 	}
 	if refusal := g.acquireCredit(ctx, call); refusal != nil {
+		slot.release(dispatch.DoneInfo{Result: dispatch.Cancelled, NotReached: true})
 		return refusal, false
 	}
 	call.attempts++
--- a/internal/ingress/quota_test.go
+++ b/internal/ingress/quota_test.go
@@ -318,6 +318,27 @@
 	}
 }
 
+// Guards against the credit of a cold target that is lost with a request that got no credit for its quota.
+func TestRefusedQuotaReturnsTheCreditOfAColdTarget(t *testing.T) {
+	q := newQuotaTestbed(t, answers(t, fineAnswer))
+	cold := limitToCredits(q.testbed, 1)
+	// The first credit has expired when the target was chosen.
+	q.credit.lifetime = 0
+	q.credit.deny = func(_ context.Context, number int) *credit.Denial {
+		if number == 1 {
+			return nil
+		}
+		return &credit.Denial{RetryAfter: time.Second}
+	}
+	if answer := q.exchange(t, "/once/x"); answer.StatusCode != 429 {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+	q.checkIdle(t)
+	if left, granted, returned := cold.counts(); left != 1 || granted != 1 || returned != 1 {
+		t.Errorf("%d credits of the cold target left, %d granted, %d given back", left, granted, returned)
+	}
+}
+
 // Guards against an owner that does not learn of the limit in force, and against a grant that needs no credit and is taken for an
 // expired one, so that its request is never sent.
 func TestCreditLimitAndUnlimitedGrant(t *testing.T) {
