Keep the order of priorities of routes without workspaces

Cause: priorities of routes below 0 and above 999 were taken for 0 and 999, also in configurations without workspaces, where they were told apart before.

Change: only the rank of a route within a workspace is bounded to 999. The first rank is bounded where its product would overflow.

Result: TestRoutesWithoutWorkspacesKeepTheirOrder failed before and passes.

--- a/internal/workspace/priority.go
+++ b/internal/workspace/priority.go
@@ -2,8 +2,12 @@
 
 import "github.com/basillink/basillink/internal/routes"
 
-// maxPriority is the lowest rank of a workspace or a route that is told apart.
-const maxPriority = 999
+const (
+	// maxRoutePriority is the lowest rank of a route that is told apart among the requests of one workspace.
+	maxRoutePriority = 999
+	// maxPriority bounds the rank of a workspace, and of a route for callers that need no key, so that products do not overflow.
+	maxPriority = 1 << 50
+)
 
 // Priority combines the priorities of a caller's workspace and of a route. The workspace takes precedence. The priority of the
 // route stands in for that of the workspace if the caller needed no key.
@@ -12,7 +16,6 @@
 	if c.Workspace != nil {
 		first = c.Workspace.Priority
 	}
-	return clamp(first)*(maxPriority+1) + clamp(route.Priority)
+	first = min(max(first, -maxPriority), maxPriority)
+	return first*(maxRoutePriority+1) + min(max(route.Priority, 0), maxRoutePriority)
 }
-
-func clamp(priority int) int { return min(max(priority, 0), maxPriority) }
--- a/internal/workspace/workspace_test.go
+++ b/internal/workspace/workspace_test.go
@@ -27,6 +27,17 @@
 	}
 }
 
+// Guards against priorities of routes that fall together in a configuration without workspaces.
+func TestRoutesWithoutWorkspacesKeepTheirOrder(t *testing.T) {
+	ascending := []int{-1 << 40, -1000, -1, 0, 1, 998, 999, 1000, 1001, 1 << 40}
+	for i := 1; i < len(ascending); i++ {
+		before, after := Priority(Caller{}, &routes.Route{Priority: ascending[i-1]}), Priority(Caller{}, &routes.Route{Priority: ascending[i]})
+		if before >= after {
+			t.Errorf("priorities %d and %d of routes become %d and %d", ascending[i-1], ascending[i], before, after)
+		}
+	}
+}
+
 // Guards against keys that are relied on while it is not known how old they are, or for longer than the bound.
 func TestFreshnessEnds(t *testing.T) {
 	asOf, known := time.Second, false
