Serve workspaces whose quota is larger than the largest limit

Cause: a configuration may have a rate or burst above 1e9, but the pool took it for an invalid limit and refused every request.

Change: limits of a configuration are cut to the largest limit. The check of a cold target's credit uses Grant.Valid, which ends a credit at its end, as the proof of the bound assumes.

Result: TestHugeQuotaIsALimit failed before and passes.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -55,6 +55,11 @@
 	Version uint64
 }
 
+// NewLimit returns a limit of a configuration. One that is too large to compute with becomes the largest limit.
+func NewLimit(rate, burst float64, version uint64) Limit {
+	return Limit{Rate: min(rate, maxRate), Burst: min(burst, maxBurst), Version: version}
+}
+
 // Bounds are what the platform tolerates beyond a limit, which covers credits that are spent later than they were debited.
 type Bounds struct {
 	// Window is the length of the window in which requests are counted.
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -81,7 +81,7 @@
 func (p *Pool) SetWarmup(rate float64, version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.warmup = credit.Limit{Rate: rate, Version: version}
+	p.warmup = credit.NewLimit(rate, 0, version)
 }
 
 // isCold reports whether the target is cold, as its entry or an answer told.
@@ -107,7 +107,7 @@
 
 // hasValidCredit reports whether the decision has a credit that has not expired, or a grant that needs none.
 func (d Decision) hasValidCredit(now time.Duration) bool {
-	return d.hasCredit && (d.grant == credit.Grant{} || now <= d.grant.ExpiresAt)
+	return d.hasCredit && d.grant.Valid(now)
 }
 
 // AcceptsDecision reports whether a request may still be sent to the target of its decision: the target accepts requests, and
--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -82,7 +82,7 @@
 	now := n.creditClock.now()
 	for i := range config.Workspaces {
 		w := &config.Workspaces[i]
-		limit := credit.Limit{Rate: w.Rate, Burst: w.Burst, Version: config.Version}
+		limit := credit.NewLimit(w.Rate, w.Burst, config.Version)
 		n.creditDesk.ledger.Learn(now, credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}, limit)
 	}
 }
--- a/internal/ingress/quota.go
+++ b/internal/ingress/quota.go
@@ -51,7 +51,7 @@
 	}
 	q.giveBack()
 	key := credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}
-	limit := credit.Limit{Rate: w.Rate, Burst: w.Burst, Version: call.table.Version}
+	limit := credit.NewLimit(w.Rate, w.Burst, call.table.Version)
 	grant, denial := g.Credit.Acquire(ctx, key, limit)
 	if denial != nil {
 		return g.refuseWithoutCredit(ctx, call, denial)
--- a/internal/ingress/quota_test.go
+++ b/internal/ingress/quota_test.go
@@ -318,6 +318,23 @@
 	}
 }
 
+// Guards against a workspace that is always refused because its quota is larger than the largest limit.
+func TestHugeQuotaIsALimit(t *testing.T) {
+	q := newQuotaTestbed(t, answers(t, fineAnswer))
+	w := limitedWorkspace()
+	w.Rate, w.Burst = 1e12, 1e300
+	q.setConfig(t, keyedConfig(8, w))
+	pool := credit.NewPool(credit.PoolConfig{
+		Now: q.gateway.Now, Bounds: map[credit.Kind]credit.Bounds{credit.WorkspaceQuota: {Window: time.Second}},
+		Send: func(credit.Ask) bool { return false },
+	})
+	q.gateway.Credit = pool
+	q.exchange(t, "/once/x")
+	if s := pool.Stats(); s.Invalid != 0 || s.Asks == 0 {
+		t.Errorf("the quota was taken for an invalid one: %+v", s)
+	}
+}
+
 // Guards against the credit of a cold target that is lost with a request that got no credit for its quota.
 func TestRefusedQuotaReturnsTheCreditOfAColdTarget(t *testing.T) {
 	q := newQuotaTestbed(t, answers(t, fineAnswer))
