Do not log a header line without a colon

Cause: the reason of a malformed head quotes the name of the malformed header. A key that a caller sends on a line of its own, behind its header, was taken for a name and logged.

Change: a line without a colon is not quoted.

Result: TestKeysAreNotLogged failed with such a line before and passes.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -86,7 +86,11 @@
 // add validates a header line and records it if it determines the length of the body.
 func (h *bodyHeaders) add(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
-	if !found || !IsToken(name) {
+	if !found {
+		// The line may be the rest of a value, which must not be logged.
+		return &Error{"header line without a colon"}
+	}
+	if !IsToken(name) {
 		return &Error{"malformed header name: " + quote(tokenPrefix(name))}
 	}
 	value = bytes.Trim(value, " \t")
--- a/internal/ingress/keys_test.go
+++ b/internal/ingress/keys_test.go
@@ -207,6 +207,7 @@
 	for _, lines := range [][]string{
 		{"Caller-Key: " + secretKey}, {"Caller-Key: x" + secretKey}, {"Caller-Key " + secretKey}, {"Caller-Key\t" + secretKey + ": x"},
 		{"Caller-Key: " + secretKey, "Trailer: Content-Length"}, {"Caller-Key: " + secretKey, "Content-Length: x"},
+		{"Caller-Key:", secretKey},
 	} {
 		b.dial(t).exchangeLines("/safe/x", lines...)
 	}
