--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -71,6 +71,8 @@
 	// TargetsChanged is called by the control loop after the set of registered targets may have changed. registered
 	// reports whether a target is among them. It must not block, and may be nil.
 	TargetsChanged func(registered func(id string) bool)
+	// CreditBounds are what the platform tolerates beyond the limits that all instances share.
+	CreditBounds map[credit.Kind]credit.Bounds
 }
 
 // Node is the member of the fleet that runs in this process. View, Ready, the counters, ReportMisdirected and
@@ -88,6 +90,9 @@
 	sampler       *sampler
 	started       time.Time
 	flush         flush
+	creditClock   *suspensionClock
+	creditDesk    *creditDesk
+	creditPool    *credit.Pool
 
 	// The fields below are owned by the control loop.
 	members  *members
@@ -103,9 +108,7 @@
 	era           storeread.Era
 	evacuations   evacuation.Set
 	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
-	coldUntil map[uint32]time.Duration
-	// coldCredit hands out the credits for requests to cold targets. It is set before Run; if it is nil, cold targets are not limited.
-	coldCredit  credit.Source
+	coldUntil   map[uint32]time.Duration
 	newerConfig newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
@@ -190,6 +193,7 @@
 	republishAt time.Time
 	// pendingForOtherZones are load reports that were not sent to other zones yet.
 	pendingForOtherZones map[uint32]timedLoadReport
+	creditOwnership      creditOwnership
 }
 
 // targetRef is a target found by the hash of its id.
@@ -232,6 +236,9 @@
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
+	n.creditClock = &suspensionClock{detect: c.DetectSuspension}
+	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
+	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
 }
@@ -317,6 +324,7 @@
 	rank := n.members.readRank(now, n.isLeader)
 	n.readConfigs(ctx, now, rank)
 	n.readTargets(ctx, now, rank)
+	n.stepCreditOwnership(ctx, now, rank)
 	n.fetchNewerConfig(ctx, now)
 	n.startDueProbes(now)
 	n.sendLeaderHeartbeat(now)
@@ -417,6 +425,7 @@
 // leave announces the stop to the peers and closes the sockets.
 func (n *Node) leave(now time.Time) {
 	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true}
+	n.releaseCreditOwner(d)
 	n.sendToZone(d, now)
 	n.sendToOtherZones(d, now)
 	n.link.close()
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -234,6 +234,7 @@
 	n.lastStatusSent = now
 	d.Targets, d.Config, d.ZoneLeaders = n.targetsUpdate(now), n.configStatus(now), n.remoteLeaderIDs()
 	d.Marks, d.Cold = n.marksToRepeat(now), n.coldReports()
+	n.addCreditOwner(d)
 	if len(n.shardOwners) > 1 {
 		d.ShardOwners = n.shardOwners
 	}
