--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -22,6 +22,9 @@
 	// minorityWait is the additional wait of a candidate that does not hear from the majority of the instances. Those may have an
 	// owner, or become it before.
 	minorityWait = 3 * time.Second
+	// yieldWait is the additional wait of an owner that lost the ownership to a record of another instance. That one would lose a race
+	// against it otherwise, if nobody hears the former owner.
+	yieldWait = time.Second
 )
 
 // Step is the call to the store that a Tenure is due to make.
@@ -104,6 +107,8 @@
 	takeovers int
 	loss      Loss
 
+	// yields is true if the last ownership was lost to a record of another instance.
+	yields bool
 	// sawMajority is true if this instance heard from the majority during the present ownership.
 	sawMajority bool
 
@@ -171,6 +176,9 @@
 	if s.Minority {
 		wait += minorityWait
 	}
+	if t.yields {
+		wait += yieldWait
+	}
 	switch {
 	case t.owns:
 		return t.renewAt
@@ -209,254 +217,17 @@
 func (t *Tenure) lose(reason Loss) {
 	if t.owns {
 		t.owns, t.loss = false, reason
+		t.yields = reason == LossConflict || reason == LossSuperseded
 	}
 }
 
-// ReadDone takes the newest record and the end of the topic that a read found. The record is nil if there is none.
-func (t *Tenure) ReadDone(now time.Duration, record *OwnerRecord, end topic.Position, err error) {
-	t.calling = false
-	t.expire(now)
-	t.learnEra(now, end.Era)
-	if err != nil || end.Era < t.era {
-		t.delayRetry(now)
-		return
-	}
-	t.retryAt, t.pause, t.unanswered, t.readAtOnce = 0, 0, false, false
-	if end.Before(t.next) {
-		// A peer told of a newer record meanwhile.
-		return
-	}
-	freeAt, beganAt := t.datesAfterRead(now, record, end)
-	if end == t.next && t.known {
-		freeAt, beganAt = min(freeAt, t.freeAt), min(beganAt, t.beganAt)
-	}
-	t.setNewest(Holder{}, end, freeAt, beganAt)
-	t.unowned = record == nil && end.Offset == 0 && end.Era <= firstEra
-	if record == nil {
-		return
-	}
-	t.holder = record.Holder
-	switch {
-	case record.Holder == t.self:
-		t.extendOwn(end)
-	case record.Era == end.Era:
-		t.lose(LossSuperseded)
-	}
-}
-
-// setNewest records what is known of the newest record.
-func (t *Tenure) setNewest(h Holder, next topic.Position, freeAt, beganAt time.Duration) {
-	t.next, t.known, t.holder, t.left, t.challenge = next, true, h, false, false
-	t.freeAt, t.beganAt, t.unowned = freeAt, beganAt, false
-}
-
-// firstEra is the highest era in which the store was not restored yet.
-const firstEra = 1
-
-// datesAfterRead returns freeAt and beganAt for the newest record, which a read found. Whoever holds a valid lease began its append
-// before the read was answered.
-func (t *Tenure) datesAfterRead(now time.Duration, record *OwnerRecord, end topic.Position) (freeAt, beganAt time.Duration) {
-	switch {
-	case record == nil && end.Offset == 0 && end.Era <= firstEra:
-		return now, now
-	case record == nil || record.Era != end.Era || record.Challenge:
-		return now + TTL, now + TTL
-	}
-	beganAt = now - time.Duration(record.OwnedMS)*time.Millisecond
-	switch {
-	case record.Holder == t.self, record.Holder == t.lastLeft:
-		return now, beganAt
-	case record.ID == t.self.ID:
-		// The earlier incarnation ended before this process started.
-		return 0, min(beganAt, 0)
-	case record.OwnedMS == 0:
-		// The holder may not have got the answer of its first append yet.
-		beganAt = now + TTL
-	}
-	return now + TTL, beganAt
-}
-
-// extendOwn takes an own record whose append got no answer. If it follows the other own records, no other instance was the
-// owner in between.
-func (t *Tenure) extendOwn(next topic.Position) {
-	if t.ownNext.Offset > 0 && next == t.ownNext.Next() {
-		t.ownNext = next
-	}
-}
-
-// AppendResult is the result of an append.
-type AppendResult struct {
-	// StartedAt is when the call began, and At the position at which the topic had to end.
-	StartedAt time.Duration
-	At        topic.Position
-	// End is the position behind the record, or the end of the topic if Conflict is true.
-	End topic.Position
-	// Conflict is true if the topic ended elsewhere, so that nothing was appended.
-	Conflict bool
-	// Failed is true if the result is unknown, or if the store refused the call.
-	Failed bool
-}
-
-// AppendDone takes the result of an append.
-func (t *Tenure) AppendDone(now time.Duration, r AppendResult) {
-	t.calling = false
-	t.expire(now)
-	if r.Failed {
-		t.unanswered = true
-		t.delayRetry(now)
-		return
-	}
-	t.retryAt, t.pause = 0, 0
-	t.learnEra(now, r.End.Era)
-	switch {
-	case r.Conflict:
-		t.conflicted(now, r)
-	case r.End.Era != r.At.Era || r.End.Era < t.era || t.challenging:
-		t.appendedWithoutLease(now, r.End)
-	default:
-		t.appended(now, r)
-	}
-}
-
-// conflicted handles a refused append. The end of the topic tells that no record before it is valid for longer than TTL.
-func (t *Tenure) conflicted(now time.Duration, r AppendResult) {
-	// An append of this instance that got no answer may have been executed, or the last one of an owner that has left.
-	readsAtOnce := t.owns || t.unanswered || t.left
-	t.lose(LossConflict)
-	if r.End.Before(t.next) || r.End.Era < t.era {
-		return
-	}
-	if r.End == t.next && t.known && r.End != r.At {
-		// A peer told of the newer record meanwhile.
-		return
-	}
-	t.setNewest(Holder{}, r.End, now+TTL, now+TTL)
-	if readsAtOnce {
-		t.known, t.readAtOnce = false, true
-		return
-	}
-	t.challenge, t.challengeAt = true, now+challengeDelay
-	if t.challenging {
-		// The owner renewed its lease since the conflict before. The end is known for a moment.
-		t.challengeAt = now
-	}
-}
-
-// appendedWithoutLease handles a challenge, and a record that was appended in a later era than expected. Another instance may be the
-// owner, so the record proves nothing. A lease that is still valid in a later era is not affected: nobody became the owner since.
-func (t *Tenure) appendedWithoutLease(now time.Duration, end topic.Position) {
-	if end.Before(t.next) || end.Era < t.era {
-		return
-	}
-	t.setNewest(t.self, end, now+TTL, now+TTL)
-	t.renewAt = now
-}
-
-func (t *Tenure) appended(now time.Duration, r AppendResult) {
-	t.unanswered = false
-	if r.End.Before(t.next) {
-		return
-	}
-	began := t.ownBeganAt
-	continued := t.owns || t.ownNext.Offset > 0 && r.At == t.ownNext
-	if !t.owns && !continued && t.renewing {
-		// The lease ended before the record was appended, which tells others of an ownership that has ended.
-		t.setNewest(t.self, r.End, now, now)
-		return
-	}
-	wasOwner := t.owns
-	if !t.owns {
-		t.takeover = Takeover{From: t.holder, Continued: continued, SincePrevious: max(now-t.beganAt, 0)}
-		if t.unowned {
-			t.takeover.SincePrevious = -1
-		}
-	}
-	if !continued {
-		began = now
-	}
-	t.setNewest(t.self, r.End, r.StartedAt+TTL, began)
-	t.owns = !t.released && now < t.freeAt
-	if t.owns && !wasOwner {
-		t.takeovers++
-	}
-	if t.owns || continued {
-		t.ownNext, t.ownBeganAt = r.End, began
-		t.ownUntil, t.renewAt = t.freeAt, r.StartedAt+RenewInterval
-	}
-}
-
-// CallFailed ends a call whose result could not be handled.
-func (t *Tenure) CallFailed(now time.Duration) {
-	if t.calling {
-		t.calling, t.unanswered = false, true
-		t.delayRetry(now)
-	}
-}
-
-// delayRetry delays the next call after a failed one.
-func (t *Tenure) delayRetry(now time.Duration) {
-	t.pause = min(max(2*t.pause, minRetry), maxRetry)
+// Record returns the record to append at a position.
+func (t *Tenure) Record(now time.Duration, at topic.Position) OwnerRecord {
+	r := OwnerRecord{Holder: t.self, Era: at.Era, Challenge: t.challenging}
 	if t.owns {
-		t.pause = minRetry
-	}
-	t.retryAt = now + t.pause
-}
-
-// Heard takes an announcement of a peer.
-func (t *Tenure) Heard(now time.Duration, a Announcement) {
-	t.expire(now)
-	next := a.next()
-	t.learnEra(now, next.Era)
-	isOwn := a.holder() == t.self
-	switch {
-	case next.Era < t.era || next.Offset <= 0 || next.Before(t.next) || next == t.next && t.owns:
-		return
-	case t.owns && a.ID == "":
-		// It may be an own record whose answer has not arrived yet.
-		return
-	case next == t.next && t.known:
-		t.refine(now, a)
-		return
-	case t.owns && !isOwn && next.Era == t.ownNext.Era:
-		t.lose(LossSuperseded)
-	}
-	t.setNewest(a.holder(), next, now+a.valid(), a.beganAt(now))
-	t.setLeft(a)
-	if isOwn {
-		t.extendOwn(next)
-	}
-}
-
-// refine takes what a peer knows of the newest known record. Each announced end is late by the time that it was on the way, so the
-// earliest one holds.
-func (t *Tenure) refine(now time.Duration, a Announcement) {
-	t.freeAt, t.beganAt = min(t.freeAt, now+a.valid()), min(t.beganAt, a.beganAt(now))
-	if t.holder.ID == "" && a.ID != "" {
-		t.holder, t.challenge = a.holder(), false
-	}
-	t.setLeft(a)
-}
-
-// setLeft takes from an announcement that the holder has left.
-func (t *Tenure) setLeft(a Announcement) {
-	if a.Released {
-		t.left, t.lastLeft = true, a.holder()
-	}
-}
-
-// Release gives up the ownership and ends the tenure. It returns the announcement for the others, and false if this instance was
-// not the owner.
-func (t *Tenure) Release(now time.Duration) (Announcement, bool) {
-	t.expire(now)
-	t.released = true
-	if !t.owns {
-		return Announcement{}, false
+		r.OwnedMS = wholeMilliseconds(now - t.ownBeganAt)
 	}
-	t.lose(LossReleased)
-	t.setNewest(t.self, t.ownNext, now, t.ownBeganAt)
-	a, known := t.Announcement(now)
-	t.left, a.Released = true, true
-	return a, known
+	return r
 }
 
 // Owns reports whether this instance is the owner, and until when it is if it does not renew the lease.
@@ -481,23 +252,3 @@
 	}
 	return t.holder, true
 }
-
-// Announcement returns what this instance knows of the newest record, and false if it knows none.
-func (t *Tenure) Announcement(now time.Duration) (Announcement, bool) {
-	if !t.known || t.next.Offset == 0 {
-		return Announcement{}, false
-	}
-	a := Announcement{ID: t.holder.ID, Address: t.holder.Address, Started: t.holder.Started, Era: t.next.Era, Next: t.next.Offset}
-	a.ValidMS = wholeMilliseconds(t.freeAt - now + time.Millisecond - 1)
-	a.OwnedMS = wholeMilliseconds(now - t.beganAt)
-	return a, true
-}
-
-// Record returns the record to append at a position.
-func (t *Tenure) Record(now time.Duration, at topic.Position) OwnerRecord {
-	r := OwnerRecord{Holder: t.self, Era: at.Era, Challenge: t.challenging}
-	if t.owns {
-		r.OwnedMS = wholeMilliseconds(now - t.ownBeganAt)
-	}
-	return r
-}
