--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -346,3 +346,19 @@
 		}
 	}
 }
+
+// Guards against instances of an evacuated zone that choose among the targets of other zones by load reports of almost half a second ago.
+// On a day of the bench a tenth of their answers came late.
+func TestLoadReportsOfOtherZonesDuringEvacuation(t *testing.T) {
+	n := nodeInEra(t, "a1", 1)
+	for i := range 2 * largeZoneSize {
+		n.members.add(newMember(fmt.Sprintf("a%d", i+2), "a"), testStart)
+	}
+	usual := n.crossZoneInterval()
+	n.handleConfigsRead(evacuates("b", true, 5), testStart)
+	during := n.crossZoneInterval()
+	n.handleConfigsRead(evacuates("b", false, 6), testStart)
+	if usual != largeCrossZoneInterval || during != busyCrossZoneInterval || n.crossZoneInterval() != usual {
+		t.Errorf("%s before, %s during, %s after the evacuation", usual, during, n.crossZoneInterval())
+	}
+}
