--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -352,7 +352,9 @@
 func TestLoadReportsOfOtherZonesDuringEvacuation(t *testing.T) {
 	n := nodeInEra(t, "a1", 1)
 	for i := range 2 * largeZoneSize {
-		n.members.add(newMember(fmt.Sprintf("a%d", i+2), "a"), testStart)
+		member := newMember(fmt.Sprintf("a%d", i+2), "a")
+		member.Address = fmt.Sprintf("127.0.1.%d:7000", i)
+		n.members.add(member, testStart)
 	}
 	usual := n.crossZoneInterval()
 	n.handleConfigsRead(evacuates("b", true, 5), testStart)
