--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -33,7 +33,7 @@
 		if pool == nil {
 			random := rand.New(rand.NewPCG(n.Random.Uint64(), n.Random.Uint64()))
 			pool = dispatch.NewPool(n.Policy, n.Self.Zone, n.Now, random)
-			pool.SendClaim, pool.Credit = n.sendClaim, n.coldCredit
+			pool.SendClaim, pool.Credit = n.sendClaim, n.Credit()
 			n.pools[name] = pool
 		}
 		pool.SetWarmup(n.table.Services[name].WarmupRate, n.table.Version)
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -264,7 +264,11 @@
 func (s *virtualStore) putConfig(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.appendOperator(operatorRecord{config: &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}, Workspaces: s.workspaces}})
+	s.appendOperator(operatorRecord{config: s.newConfig(version)})
+}
+
+func (s *virtualStore) newConfig(version uint64) *routes.Config {
+	return &routes.Config{Version: version, Services: []routes.Service{{Name: "s"}}, Workspaces: s.workspaces}
 }
 
 // operatorRecord is a configuration, or a record that evacuates a zone or ends its evacuation.
@@ -289,7 +293,7 @@
 // operatorSince returns the records of the operator from an offset on and the offset behind them. The lock must be held.
 func (s *virtualStore) operatorSince(from, era int64) (records discovery.OperatorRecords, next int64) {
 	if from == 0 {
-		records.Configs = append(records.Configs, &routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}, Workspaces: s.workspaces})
+		records.Configs = append(records.Configs, s.newConfig(1))
 	}
 	for i, r := range s.operator {
 		offset := int64(i) + 1
