Wait for an owner of the shared limits just after the start

Cause: after a restart of all instances the first owner is known 0.3 to 0.6 s after the start of the instances. Requests with a quota were refused after 60 ms, and callers who had used up their retry on the machines without power were lost.

Change: during the first 700 ms after the start a request waits for an owner, at most to its deadline.

Result: TestOwnerIsAwaitedAfterStart fails without the wait (503) and passes with it; the tests of quotas, credits and panics of internal/ingress passed.

--- a/internal/ingress/quota.go
+++ b/internal/ingress/quota.go
@@ -30,6 +30,11 @@
 	grant  credit.Grant
 }
 
+// ownerTimeout bounds, from the start on, how long requests wait until an owner of the shared limits is known. After a restart of
+// all instances the first one becomes the owner within some hundred milliseconds, and callers that are refused then have often
+// used up their retries.
+const ownerTimeout = 700 * time.Millisecond
+
 // CreditExpiredError reports that the credit of a request expired before the request was sent.
 type CreditExpiredError struct{ Since time.Duration }
 
@@ -52,7 +57,7 @@
 	q.giveBack()
 	key := credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}
 	limit := credit.Limit{Rate: w.Rate, Burst: w.Burst, Version: call.table.Version}
-	grant, denial := g.Credit.Acquire(ctx, key, limit)
+	grant, denial := g.acquireFromOwner(ctx, key, limit)
 	if denial != nil {
 		return g.refuseWithoutCredit(ctx, call, denial)
 	}
@@ -62,6 +67,17 @@
 	return nil
 }
 
+// acquireFromOwner acquires a credit. During the first ownerTimeout after Open it waits until an owner is known.
+func (g *Gateway) acquireFromOwner(ctx context.Context, key credit.Key, limit credit.Limit) (credit.Grant, *credit.Denial) {
+	for {
+		grant, denial := g.Credit.Acquire(ctx, key, limit)
+		if denial == nil || !denial.Unavailable || ctx.Err() != nil || g.Now() >= g.openedAt+ownerTimeout {
+			return grant, denial
+		}
+		time.Sleep(viewPollInterval)
+	}
+}
+
 // refuseWithoutCredit returns the refusal of a request that got no credit.
 func (g *Gateway) refuseWithoutCredit(ctx context.Context, call *call, denial *credit.Denial) *result {
 	refusal := reason.QuotaExceeded
--- a/internal/ingress/quota_test.go
+++ b/internal/ingress/quota_test.go
@@ -340,3 +340,23 @@
 		}
 	}
 }
+
+// Guards against requests that are refused just after the start, while no owner of the shared limits is known yet. Callers often
+// have no retry left after a restart of all instances.
+func TestOwnerIsAwaitedAfterStart(t *testing.T) {
+	const unavailable = 3
+	q := newQuotaTestbed(t, answers(t, fineAnswer))
+	q.gateway.openedAt = q.gateway.Now()
+	q.credit.deny = func(_ context.Context, number int) *credit.Denial {
+		if number <= unavailable {
+			return &credit.Denial{Unavailable: true}
+		}
+		return nil
+	}
+	if answer := q.exchange(t, "/once/x"); answer.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want 200", answer.StatusCode)
+	}
+	if issued, returned := q.credit.counts(); issued != 1 || returned != 0 {
+		t.Errorf("%d credits issued and %d given back, want 1 and 0", issued, returned)
+	}
+}
