--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -111,10 +111,7 @@
 	// coldUntil is when targets stop being cold, as their health answers told, by the hash of the target's id.
 	coldUntil map[uint32]time.Duration
 	// turnedCold is when this instance found by a probe that a target turned cold, for those that it tells again.
-	turnedCold map[uint32]time.Duration
-	// coldCredit hands out the credits for requests to cold targets. It is nil if the configuration has no bounds for them, which
-	// are then not limited.
-	coldCredit  credit.Source
+	turnedCold  map[uint32]time.Duration
 	newerConfig newerConfig
 	// storeAnsweredAt is the start of the latest read that the store answered.
 	storeAnsweredAt time.Time
@@ -248,9 +245,6 @@
 	n.creditClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
 	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
 	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
-	if _, limited := c.CreditBounds[credit.ColdTarget]; limited {
-		n.coldCredit = n.creditPool
-	}
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
 }
