Date a call back by all suspensions of the host during it

Cause: only the latest suspension was kept. A read or a datagram from before two suspensions seemed too new by the first one, also in the age of the keys.

Change: the suspensions of the last 10 s are kept.

Result: TestReadOfTwoSuspensionsIsOld failed before (1 s instead of 5 s) and passes.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -125,7 +125,8 @@
 	// lastTick is when the control loop last ticked, and resumedAt when it last did so after the process had been
 	// paused.
 	lastTick, resumedAt time.Time
-	suspension          suspension
+	// suspensions are the latest suspensions of the host, oldest first.
+	suspensions []suspension
 	// unhandledSuspension is the length of the suspensions that were found between two calls of detectPause.
 	unhandledSuspension time.Duration
 	// leaderSince is when isLeader last changed.
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,8 @@
 	flushThreshold = 300 * time.Millisecond
 	// flushTimeout ends a flush whose markers were lost.
 	flushTimeout = time.Second
+	// suspensionMemory is longer than a call, or the wait of a datagram for the control loop, takes.
+	suspensionMemory = 10 * time.Second
 )
 
 // flush is the state of dropping the datagrams that waited in the socket during a pause. They are those that arrive before
@@ -57,7 +60,8 @@
 // recordSuspension moves what was known before a suspension of the host back by its length.
 func (n *Node) recordSuspension(now time.Time, length time.Duration) {
 	n.backdate(length)
-	n.suspension = suspension{endedAt: now, length: length}
+	n.suspensions = slices.DeleteFunc(n.suspensions, func(s suspension) bool { return now.Sub(s.endedAt) >= suspensionMemory })
+	n.suspensions = append(n.suspensions, suspension{endedAt: now, length: length})
 }
 
 // detectPauseBeforeEvent detects a pause when an event is handled before the first tick after it. Otherwise the event would
@@ -80,18 +84,21 @@
 	return false
 }
 
-// suspension is the latest suspension of the host.
+// suspension is a suspension of the host.
 type suspension struct {
 	endedAt time.Time
 	length  time.Duration
 }
 
-// startOfCall returns when a call began, corrected if the host was suspended during it.
+// startOfCall returns when a call began, corrected by the suspensions of the host during it.
 func (n *Node) startOfCall(startedAt time.Time) time.Time {
-	if startedAt.Before(n.suspension.endedAt) {
-		return startedAt.Add(-n.suspension.length)
+	corrected := startedAt
+	for _, s := range n.suspensions {
+		if startedAt.Before(s.endedAt) {
+			corrected = corrected.Add(-s.length)
+		}
 	}
-	return startedAt
+	return corrected
 }
 
 // listeningSince returns since when this instance hears from others without a pause.
--- a/internal/fleet/pause_test.go
+++ b/internal/fleet/pause_test.go
@@ -235,6 +235,29 @@
 	}
 }
 
+// Guards against the result of a read during which the host was suspended twice, and that seems as old as the second suspension only.
+func TestReadOfTwoSuspensionsIsOld(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	n.recordTick(testStart)
+	found := time.Duration(0)
+	n.DetectSuspension = func() (time.Duration, time.Duration) {
+		defer func() { found = 0 }()
+		return time.Second, found
+	}
+	first, second := testStart.Add(100*time.Millisecond), testStart.Add(300*time.Millisecond)
+	found = 4 * time.Second
+	n.detectPause(first)
+	found = time.Second
+	n.detectPause(second)
+	for started, want := range map[time.Time]time.Duration{
+		testStart: 5 * time.Second, first.Add(time.Millisecond): time.Second, second.Add(time.Millisecond): 0,
+	} {
+		if got := started.Sub(n.startOfCall(started)); got != want {
+			t.Errorf("a call that began %s after the start is dated back by %s, want %s", started.Sub(testStart), got, want)
+		}
+	}
+}
+
 // Guards against a slow process that drops all datagrams, because each late tick makes it wait for another marker.
 func TestSlowProcessStillReceives(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
