--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -13,11 +13,9 @@
 	RenewInterval = 600 * time.Millisecond
 	// RankStep is the additional wait of a candidate for each candidate before it.
 	RankStep = 150 * time.Millisecond
-	// minRetry and maxRetry bound the growing pause between two failed calls of a candidate. An owner retries minRetry after the start
-	// of a failed call, and at least ownerRetry after its end.
-	minRetry   = 300 * time.Millisecond
-	maxRetry   = 5 * time.Second
-	ownerRetry = 50 * time.Millisecond
+	// minRetry and maxRetry bound the growing pause between two failed calls of a candidate. An owner retries after minRetry.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 5 * time.Second
 	// challengeDelay is how long a candidate waits for an announcement after a conflict, before it challenges an owner that nobody
 	// hears. Announcements usually arrive within 100 ms.
 	challengeDelay = 500 * time.Millisecond
@@ -126,9 +124,8 @@
 	challenging bool
 	// renewing is true if the newest record to append was one of an owner.
 	renewing bool
-	// calling is true while a call is in progress. calledAt is when the latest call began.
-	calling  bool
-	calledAt time.Duration
+	// calling is true while a call is in progress.
+	calling bool
 	// unanswered is true if an append got no answer, so that it may still be executed.
 	unanswered     bool
 	retryAt, pause time.Duration
@@ -169,7 +166,7 @@
 	if t.calling || s.Now < t.retryAt || s.Now < t.dueAt(s) || t.owns && t.sawMajority && s.Minority {
 		return NoStep, topic.Position{}
 	}
-	t.calling, t.calledAt = true, s.Now
+	t.calling = true
 	if !t.known {
 		return ReadStep, topic.Position{}
 	}
--- a/internal/credit/tenure_results.go
+++ b/internal/credit/tenure_results.go
@@ -190,11 +190,9 @@
 
 // delayRetry delays the next call after a failed one.
 func (t *Tenure) delayRetry(now time.Duration) {
+	t.pause = min(max(2*t.pause, minRetry), maxRetry)
 	if t.owns {
 		t.pause = minRetry
-		t.retryAt = max(t.calledAt+minRetry, now+ownerRetry)
-		return
 	}
-	t.pause = min(max(2*t.pause, minRetry), maxRetry)
 	t.retryAt = now + t.pause
 }
