--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -8,7 +8,7 @@
 
 const (
 	// TTL is how long an owner record is valid, counted from the start of the call that appended it.
-	TTL = 1500 * time.Millisecond
+	TTL = 2 * time.Second
 	// RenewInterval is the time between the starts of two appends of an owner.
 	RenewInterval = 600 * time.Millisecond
 	// RankStep is the additional wait of a candidate for each candidate before it.
--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -17,8 +17,9 @@
 // that credit.Tenure asks for, and spreads what it knows of the newest record. The leaders repeat it to their zones and to each other.
 
 const (
-	// creditCallTimeout ends a call for the lease. It leaves an owner time for a second attempt before its lease ends.
-	creditCallTimeout = 400 * time.Millisecond
+	// creditCallTimeout ends a call for the lease. A slow store takes some hundred milliseconds for an answer, and an owner that
+	// waits for it keeps its lease: RenewInterval and one call fit into credit.TTL.
+	creditCallTimeout = 900 * time.Millisecond
 	// maxCreditRankWithoutStore is the number of instances that try to become the owner while no instance reads the store.
 	maxCreditRankWithoutStore = 3
 	// minorityDelay is how long less than half of the instances have to be live until this one counts as cut off. The number is
