--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -254,6 +254,24 @@
 	}
 }
 
+// Guards against an owner that loses its lease, so that nobody gets credit, because the store takes long for each answer.
+func TestSlowStoreKeepsCreditOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startCreditFleet(t, 6, true, 1)
+		defer f.stopAll()
+		f.drive(creditSettlingTime)
+		f.store.update(func() { f.store.slow, f.store.slowness = true, 800*time.Millisecond })
+		slowSince := f.now()
+		f.drive(slowSince + 10*time.Second)
+		for from := slowSince; from < f.now(); from += time.Second {
+			if got := f.grantedBetween(from, from+time.Second); got < int(creditLimit.Rate*0.9) {
+				t.Errorf("%d credits in the second from %s on, want about %.0f", got, from, creditLimit.Rate)
+			}
+		}
+		f.checkWindows()
+	})
+}
+
 // Guards against calls for the lease that grow with the fleet, and against calls of a fleet that needs no credit.
 func TestCreditOwnerStoreCalls(t *testing.T) {
 	const span = 30 * time.Second
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -218,6 +218,8 @@
 	marks       map[string]discovery.CrashMark
 	behavior    storeBehavior
 	slow        bool
+	// slowness is how long a slow store takes, if that is more than slowDelay.
+	slowness time.Duration
 	// markLateness is how long after it was sent a write of a mark is executed. Late writes get no answer. 0 for none.
 	markLateness time.Duration
 	// behaviorByInstance is the behavior toward single instances, by id. An instance gets the later one, in the order of
@@ -361,14 +363,14 @@
 func (c virtualStoreClient) begin() error {
 	c.mu.Lock()
 	c.calls++
-	behavior, slow := max(c.behavior, c.behaviorByInstance[c.id]), c.slow
+	behavior, slow, slowness := max(c.behavior, c.behaviorByInstance[c.id]), c.slow, c.slowness
 	c.mu.Unlock()
 	switch {
 	case behavior == storeSilent:
 		time.Sleep(storeTimeout)
 		return errRefused
 	case slow:
-		time.Sleep(slowDelay)
+		time.Sleep(max(slowDelay, slowness))
 	default:
 		time.Sleep(storeDelay)
 	}
@@ -557,7 +559,7 @@
 	return record, end, err
 }
 
-func (c virtualStoreClient) PutCreditOwner(_ context.Context, record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
+func (c virtualStoreClient) PutCreditOwner(ctx context.Context, record credit.OwnerRecord, at topic.Position) (topic.Position, error) {
 	if err := c.begin(); err != nil {
 		return topic.Position{}, err
 	}
@@ -570,6 +572,10 @@
 	end, err := c.putOwner(record, at)
 	era := c.answerEra()
 	c.mu.Unlock()
+	if ctx.Err() != nil {
+		// The caller closed the connection before the answer arrived.
+		return topic.Position{}, ctx.Err()
+	}
 	c.LearnEra(era)
 	return end, err
 }
