Look at all connections at most every 5 ms when memory is short

Cause: each request that finds no memory, and each connection beyond the limit, looked at all connections. A crowd whose requests are all refused could take the processor with that.

Change: a look for memory or for the limit comes at most every 5 ms; in between requests and connections are refused as if nobody was without progress.

--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -57,8 +57,7 @@
 	// leaving is the number of tracked connections that are evicted.
 	leaving atomic.Int64
 	counts  ClosedCounts
-	// unreadAt is the time of the last look of CloseUnread, since epoch.
-	unreadAt time.Duration
+	scans   scanTimes
 }
 
 // Add tracks a new connection, on which no request has begun. At the limit it makes room by closing connections without progress;
--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -22,8 +22,26 @@
 	roomInterval = 5 * time.Millisecond
 )
 
-// unreadInterval is the shortest time between two calls of CloseUnread that look at the connections.
-const unreadInterval = 20 * time.Millisecond
+const (
+	// scanInterval is the shortest time between two looks at all connections for memory or for the limit, so that a crowd whose
+	// requests are all refused does not take the processor.
+	scanInterval = 5 * time.Millisecond
+	// unreadInterval is the same for CloseUnread.
+	unreadInterval = 20 * time.Millisecond
+)
+
+// scanTimes are the times of the last looks at all connections, since Connections.epoch. 0 means never.
+type scanTimes struct{ memory, limit, unread time.Duration }
+
+// due reports whether an interval has passed since the last look, and if so, records one. The mutex must be held.
+func (c *Connections) due(last *time.Duration, interval time.Duration) bool {
+	now := time.Since(c.epoch)
+	if *last > 0 && now-*last < interval {
+		return false
+	}
+	*last = now
+	return true
+}
 
 // ClosedCounts counts connections that were closed in favor of others.
 type ClosedCounts struct {
@@ -110,6 +128,9 @@
 func (c *Connections) evictForMemory(except *Conn) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.due(&c.scans.memory, scanInterval) {
+		return 0
+	}
 	evicted := c.evict(func(entry *Conn, p phase) bool { return entry != except && (p == receiving || p == answering) })
 	c.counts.ForMemory += int64(evicted)
 	return evicted
@@ -120,16 +141,17 @@
 func (c *Connections) CloseUnread() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Since(c.epoch)
-	if now-c.unreadAt < unreadInterval {
+	if !c.due(&c.scans.unread, unreadInterval) {
 		return
 	}
-	c.unreadAt = now
 	c.counts.Unread += int64(c.evict(func(_ *Conn, p phase) bool { return p == answering }))
 }
 
 // evictForLimit closes connections without progress, and if there are none, idle ones. The mutex must be held.
 func (c *Connections) evictForLimit() {
+	if !c.due(&c.scans.limit, scanInterval) {
+		return
+	}
 	evicted := c.evict(func(_ *Conn, p phase) bool { return p != serving && p != idle })
 	if evicted == 0 {
 		evicted = c.evict(func(_ *Conn, p phase) bool { return p == idle })
