--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -55,6 +55,11 @@
 	Version uint64
 }
 
+// NewLimit returns a limit of a configuration. One that is too large to compute with becomes the largest limit.
+func NewLimit(rate, burst float64, version uint64) Limit {
+	return Limit{Rate: min(rate, maxRate), Burst: min(burst, maxBurst), Version: version}
+}
+
 // Bounds are what the platform tolerates beyond a limit, which covers credits that are spent later than they were debited.
 type Bounds struct {
 	// Window is the length of the window in which requests are counted.
@@ -69,6 +74,9 @@
 	// ExpiresAt is the time, since the start of the process, until which the credit may be spent. It is counted from the
 	// moment at which the owner was asked.
 	ExpiresAt time.Duration
+	// ReturnBy is the time until which the credit can go back without being lost. A request that waits longer gives it back and
+	// acquires another one.
+	ReturnBy time.Duration
 	// ID identifies the credit at the source that handed it out, so that it goes back at most once.
 	ID uint64
 }
