Soak keys, quotas, evacuations and cold targets

Cause: the new limits were tested by models and by single faults, not with real processes under overlapping faults. Change: TestSoakWithWorkspaces replaces keys while instances and the owner of the quotas are killed, stopped, frozen and cut off, one of them from all, and the store is away for up to 7 s. No revoked key runs later than revoke_s, no unknown one ever, no key reaches a target, and no window holds more than the quota. TestSoakWithEvacuations evacuates zones and lets targets turn cold by their health answers. The bounds are those of the platform.

--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -49,6 +49,10 @@
 	crashLog     crashLog
 	// everyBatch holds the faults that each batch injects, besides random ones.
 	everyBatch []fault
+	// faults are the kinds of which each batch injects some.
+	faults []fault
+	// adjustConfig changes a configuration before it is published and returns the keys of its workspaces by their names.
+	adjustConfig func(*routes.Config) map[string][]string
 }
 
 // recordViolation records a violated guarantee. Kinds are the names of the rules that the platform's users publish. Violations
@@ -57,13 +61,16 @@
 	h.violations.Store(kind+": "+fmt.Sprintf(format, args...), time.Since(h.started))
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, options ...func(*harness)) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, store: platformtest.NewStore(), runs: platformtest.NewRuns(), random: rand.New(rand.NewPCG(*seed, 1)),
-		started: time.Now(),
+		started: time.Now(), faults: faults, adjustConfig: func(*routes.Config) map[string][]string { return nil },
 	}
 	t.Cleanup(h.store.Close)
+	for _, option := range options {
+		option(h)
+	}
 	h.publishConfig()
 	for range targetsPerService {
 		h.addTarget("s0", "")
@@ -71,10 +78,13 @@
 	}
 	directory := t.TempDir()
 	for number := range *instances {
-		i, err := newInstance(number, fmt.Sprintf("z%d", number%2), h.store.Address(), directory)
+		front := h.store.NewFront()
+		t.Cleanup(front.Close)
+		i, err := newInstance(number, fmt.Sprintf("z%d", number%2), front.Address(), directory)
 		if err != nil {
 			t.Fatal(err)
 		}
+		i.storeFront = front
 		h.instances = append(h.instances, i)
 		t.Cleanup(func() { _ = i.stop(killSignal) })
 		if err := i.start(); err != nil {
@@ -101,13 +111,15 @@
 			LatencyObjective: 300 * time.Millisecond, MaxAttempts: 3, Split: []routes.Share{{Service: service, Weight: 1}},
 		}
 	}
-	h.store.PutConfig(&routes.Config{
+	config := &routes.Config{
 		Version:  h.configVersion,
 		Services: []routes.Service{{Name: "s0", HealthPath: "/health", MaxConnections: 200}, {Name: "s1", HealthPath: "/health", MaxConnections: 200}},
 		Routes: []routes.Route{
 			route("read", "s0", true), route("book", "s0", false), route("log", "s1", true), route("which", serviceOf(h.configVersion), true),
 		},
-	})
+	}
+	keys := h.adjustConfig(config)
+	h.store.PutKeyedConfig(config, keys)
 }
 
 func serviceOf(version uint64) string { return fmt.Sprintf("s%d", version%2) }
@@ -133,14 +145,21 @@
 // register writes the entry of a target to the store. The caller must hold h.mu.
 func (h *harness) register(t *platformtest.Target, draining bool) {
 	h.sequence++
-	var number int
-	_, _ = fmt.Sscanf(t.ID, "t%d", &number)
 	h.store.PutTarget(&registry.Entry{
-		ID: t.ID, Address: t.Address(), Service: t.Service, Zone: fmt.Sprintf("z%d", number/2%2), Slots: slotsPerTarget,
-		Draining: draining, Born: h.started.UnixMilli() + int64(number),
+		ID: t.ID, Address: t.Address(), Service: t.Service, Zone: zoneOf(t.ID), Slots: slotsPerTarget,
+		Draining: draining, Born: h.started.UnixMilli() + int64(numberOf(t.ID)),
 	}, h.sequence)
 }
 
+// numberOf returns the number in the ID of a target.
+func numberOf(target string) int {
+	var number int
+	_, _ = fmt.Sscanf(target, "t%d", &number)
+	return number
+}
+
+func zoneOf(target string) string { return fmt.Sprintf("z%d", numberOf(target)/2%2) }
+
 // sendHeartbeats writes the entries of all targets every heartbeatInterval until ctx is done.
 func (h *harness) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -158,6 +177,10 @@
 	id, path   string
 	idempotent bool
 	status     int
+	// key is the key that the caller sent, and workspace the one that held it, both empty if it sent none.
+	key, workspace string
+	// inTouch tells whether the instance was undisturbed for stabilityWindow from before the send to the end of the answer.
+	inTouch bool
 }
 
 // send sends a request and checks its answer. It returns the name of the service that answered with status 200, or "".
@@ -167,15 +190,21 @@
 
 // sendWithID is like send but uses the given request ID.
 func (h *harness) sendWithID(ctx context.Context, client *http.Client, i *instance, id, path string, idempotent bool) string {
-	r := &request{id: id, path: path, idempotent: idempotent}
+	return h.sendRequest(ctx, client, i, &request{id: id, path: path, idempotent: idempotent})
+}
+
+// sendRequest is like send but takes the request, and sets what it learns.
+func (h *harness) sendRequest(ctx context.Context, client *http.Client, i *instance, r *request) string {
 	h.requests.Store(r.id, r)
+	undisturbed := i.undisturbedFor(stabilityWindow)
+	defer func() { r.inTouch = undisturbed && i.undisturbedFor(stabilityWindow) }()
 	method := http.MethodGet
-	if !idempotent {
+	if !r.idempotent {
 		method = http.MethodPost
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	httpRequest, err := http.NewRequestWithContext(ctx, method, "http://"+i.address()+path, http.NoBody)
+	httpRequest, err := http.NewRequestWithContext(ctx, method, "http://"+i.address()+r.path, http.NoBody)
 	if err != nil {
 		h.recordViolation("CALLER", "%v", err)
 		return ""
@@ -183,6 +212,10 @@
 	httpRequest.Host = host
 	httpRequest.Header.Set("X-Request-Id", r.id)
 	httpRequest.Header.Set("X-Deadline-Ms", "1500")
+	if r.key != "" {
+		httpRequest.Header.Set("X-Key", r.key)
+		httpRequest.Header.Set("X-Tenant-Id", forgedWorkspace)
+	}
 	response, err := client.Do(httpRequest)
 	if err != nil {
 		return ""
@@ -202,7 +235,7 @@
 			return service
 		}
 	}
-	h.recordViolation("MIXED", "request %s to %s got the body %q with signature %q", r.id, path, body, response.Header.Get("X-Response-Signature"))
+	h.recordViolation("MIXED", "request %s to %s got the body %q with signature %q", r.id, r.path, body, response.Header.Get("X-Response-Signature"))
 	return ""
 }
 
--- a/internal/soak/main_test.go
+++ b/internal/soak/main_test.go
@@ -44,6 +44,8 @@
 // instance is an edge instance that runs as a separate process.
 type instance struct {
 	id, zone, host, settingsFile, logFile string
+	// storeFront is the address at which the instance reaches the store, nil if it shares that of the store.
+	storeFront *platformtest.Front
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -185,7 +185,7 @@
 		var group sync.WaitGroup
 		batch := slices.Clone(h.everyBatch)
 		for range 2 + random.IntN(4) {
-			batch = append(batch, faults[random.IntN(len(faults))])
+			batch = append(batch, h.faults[random.IntN(len(h.faults))])
 		}
 		for _, f := range batch {
 			faultRandom := rand.New(rand.NewPCG(random.Uint64(), 3))
