--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock compares times, and measures elapsed time including the time for which the host was suspended. The monotonic clock of the Go
-// runtime stops during a suspension, so that expired state would still look fresh after the host resumes.
+// Package clock compares times, and measures elapsed time including the time for which the host was suspended. The monotonic clock
+// of the Go runtime stops during a suspension, so that expired state would still look fresh after the host resumes.
 package clock
 
 import (
--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -23,8 +23,8 @@
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// receiveDatagram decodes and dispatches a datagram. Claims, denials and messages about credits bypass the control loop, because requests wait
-// for them.
+// receiveDatagram decodes and dispatches a datagram. Claims, denials and messages about credits bypass the control loop, because
+// requests wait for them.
 func (n *Node) receiveDatagram(b []byte, from *net.UDPAddr) {
 	d, err := decode(b)
 	if err != nil {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -91,9 +91,10 @@
 	sampler       *sampler
 	started       time.Time
 	flush         flush
-	creditClock   *suspensionClock
-	creditDesk    *creditDesk
-	creditPool    *credit.Pool
+	// creditClock is the clock of the lease, of grants and of the age of the keys.
+	creditClock *suspensionClock
+	creditDesk  *creditDesk
+	creditPool  *credit.Pool
 
 	// The fields below are owned by the control loop.
 	members  *members
