Keep callers whose target pauses within an answer

Cause: a connection counted as answering, without progress, also while the next part of a streamed answer was awaited from the target. When requests were refused as overloaded or memory was short, such connections were closed after a second although their callers had read everything, and the answer was cut. Change: the connection is in the phase serving while a part is awaited, in both programs.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,12 +56,13 @@
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	for {
+		tracked.AwaitingPart()
 		n, readErr := answer.Read(buffer[:])
+		tracked.Answering()
 		if n > 0 {
 			if err := writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				return err
 			}
-			tracked.Progress()
 		}
 		switch {
 		case readErr == io.EOF && chunked:
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -20,9 +20,9 @@
 	idle
 	// receiving is a connection whose request is being read.
 	receiving
-	// serving is a connection whose request has been read and has no answer yet.
+	// serving is a connection whose request has been read, and whose answer or its next part is awaited from the target.
 	serving
-	// answering is a connection whose answer is being written.
+	// answering is a connection to which an answer or a part of it is being written.
 	answering
 )
 
--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -86,9 +86,12 @@
 // Received records that the request has been read.
 func (c *Conn) Received() { c.setPhase(serving) }
 
-// Answering records that the answer is being written.
+// Answering records that the answer or its next part is being written.
 func (c *Conn) Answering() { c.setPhase(answering) }
 
+// AwaitingPart records that the next part of the answer is awaited from the target. The caller is not to blame for that time.
+func (c *Conn) AwaitingPart() { c.setPhase(serving) }
+
 // Evicted reports whether the connection is being closed in favor of others.
 func (c *Conn) Evicted() bool { return c != nil && c.evicted.Load() }
 
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -140,12 +140,13 @@
 	answer.ReleasePrefix()
 	buffer := make([]byte, streamBufferBytes)
 	for err == nil {
+		call.conn.AwaitingPart()
 		n, readErr := answer.Read(buffer)
+		call.conn.Answering()
 		if n > 0 {
 			if err = writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				break
 			}
-			call.conn.Progress()
 		}
 		err = readErr
 	}
