Serve a request that was read just before its idle connection is evicted

Cause: at the limit on connections, an idle one was closed at once unless its socket held unread bytes. Its goroutine may have read the first bytes and still wait for the mutex of Connections, which the look at all connections holds: the caller then got no answer. A connection whose request was received completely between the selection and the eviction was closed too, while a target ran it. Change: evicting an idle or unused connection ends its reading, as for one that receives; its goroutine closes it. Connections that made progress or serve by then are left alone.

--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -175,26 +175,27 @@
 	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(a.progressAt.Load(), b.progressAt.Load()) })
 	evicted := 0
 	for _, entry := range stalled[:min(len(stalled), max(minEvicted, len(stalled)/evictedShare))] {
-		if c.evictOne(entry) {
+		if entry.progressAt.Load() < latest && c.evictOne(entry) {
 			evicted++
 		}
 	}
 	return evicted
 }
 
-// evictOne ends the reading of a request, so that its goroutine refuses it, or closes a connection in another phase. It reports false
-// if a request has just arrived.
+// evictOne ends the reading of requests from a connection, so that its goroutine refuses the unfinished one and closes the connection,
+// or closes a connection whose answer is not read. The goroutine of an idle one may have read a request without having called
+// SetBusy yet; it still serves that. evictOne reports false if a request has just arrived, or if one runs by now.
 func (c *Connections) evictOne(entry *Conn) bool {
 	p := phase(entry.phase.Load())
-	if (p == idle || p == unused) && entry.HasInput() {
+	if p == serving || (p == idle || p == unused) && entry.HasInput() {
 		return false
 	}
 	entry.evicted.Store(true)
 	c.leaving.Add(1)
-	if p == receiving {
-		_ = entry.conn.SetReadDeadline(time.Unix(1, 0))
-	} else {
+	if p == answering {
 		_ = entry.conn.Close()
+	} else {
+		_ = entry.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return true
 }
