Let a request wait for memory when another has just looked for stalled callers

Cause: connections without progress are looked for at most every 5 ms. A request that found no memory in between was refused as memory_full when the ones evicted by the last look had already gone, although others without progress were left. Change: the look records whether it left such connections; the request then waits for the next one, within the same 50 ms. Without any left it is refused at once, as before. Result: TestConcurrentRequestsTakeMemoryFromStalledCallers failed before (the third of three requests within 2 ms was refused) and passes; TestEdge(LargeChunks|DeclaredLengths|UnreadAnswers|ServesSteadyUpload) of internal/crowd pass.

--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -58,6 +58,8 @@
 	leaving atomic.Int64
 	counts  ClosedCounts
 	scans   scanTimes
+	// moreForMemory is true if the last look for memory left connections without progress.
+	moreForMemory bool
 }
 
 // Add tracks a new connection, on which no request has begun. At the limit it makes room by closing connections without progress;
--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	for range roomAttempts {
-		if c.owner.evictForMemory(c) == 0 && c.owner.leaving.Load() == 0 {
+		if !c.owner.evictForMemory(c) {
 			return false
 		}
 		time.Sleep(roomInterval)
@@ -127,16 +127,20 @@
 	return false
 }
 
-// evictForMemory closes connections without progress that hold memory of requests, except one. It returns their number.
-func (c *Connections) evictForMemory(except *Conn) int {
+// evictForMemory closes connections without progress that hold memory of requests, except one. It reports whether memory may become
+// free soon: evicted connections have not ended yet, or the next look at all connections would close further ones.
+func (c *Connections) evictForMemory(except *Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.due(&c.scans.memory, scanInterval) {
-		return 0
+	if c.due(&c.scans.memory, scanInterval) {
+		evicted, left := c.evict(func(entry *Conn, p phase) bool { return entry != except && (p == receiving || p == answering) })
+		c.counts.ForMemory += int64(evicted)
+		c.moreForMemory = left > 0
+		if evicted > 0 {
+			return true
+		}
 	}
-	evicted := c.evict(func(entry *Conn, p phase) bool { return entry != except && (p == receiving || p == answering) })
-	c.counts.ForMemory += int64(evicted)
-	return evicted
+	return c.moreForMemory || c.leaving.Load() > 0
 }
 
 // CloseUnread closes connections whose callers do not read their answers. It is called when a request is refused for lack of what an
@@ -147,7 +151,8 @@
 	if !c.due(&c.scans.unread, unreadInterval) {
 		return
 	}
-	c.counts.Unread += int64(c.evict(func(_ *Conn, p phase) bool { return p == answering }))
+	evicted, _ := c.evict(func(_ *Conn, p phase) bool { return p == answering })
+	c.counts.Unread += int64(evicted)
 }
 
 // evictForLimit closes connections without progress, and if there are none, idle ones. The mutex must be held.
@@ -155,16 +160,16 @@
 	if !c.due(&c.scans.limit, scanInterval) {
 		return
 	}
-	evicted := c.evict(func(_ *Conn, p phase) bool { return p != serving && p != idle })
+	evicted, _ := c.evict(func(_ *Conn, p phase) bool { return p != serving && p != idle })
 	if evicted == 0 {
-		evicted = c.evict(func(_ *Conn, p phase) bool { return p == idle })
+		evicted, _ = c.evict(func(_ *Conn, p phase) bool { return p == idle })
 	}
 	c.counts.ForLimit += int64(evicted)
 }
 
 // evict closes a share of the matching connections that made no progress for stallTime, those without progress for the longest time
-// first. It returns their number. The mutex must be held.
-func (c *Connections) evict(matches func(*Conn, phase) bool) int {
+// first. It returns their number, and how many others without progress it left. The mutex must be held.
+func (c *Connections) evict(matches func(*Conn, phase) bool) (evicted, left int) {
 	latest := int64(time.Since(c.epoch) - stallTime)
 	var stalled []*Conn
 	for entry := range c.all {
@@ -173,13 +178,13 @@
 		}
 	}
 	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(a.progressAt.Load(), b.progressAt.Load()) })
-	evicted := 0
-	for _, entry := range stalled[:min(len(stalled), max(minEvicted, len(stalled)/evictedShare))] {
+	count := min(len(stalled), max(minEvicted, len(stalled)/evictedShare))
+	for _, entry := range stalled[:count] {
 		if entry.progressAt.Load() < latest && c.evictOne(entry) {
 			evicted++
 		}
 	}
-	return evicted
+	return evicted, len(stalled) - count
 }
 
 // evictOne ends the reading of requests from a connection, so that its goroutine refuses the unfinished one and closes the connection,
--- a/internal/inbound/evict_test.go
+++ b/internal/inbound/evict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -153,3 +154,42 @@
 
 // stall makes a connection look as if it made no progress for longer than stallTime.
 func stall(entry *Conn) { entry.progressAt.Store(-int64(2 * stallTime)) }
+
+// Guards against requests that are refused although callers without progress hold memory, because another request has just looked
+// for such callers.
+func TestConcurrentRequestsTakeMemoryFromStalledCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const holders, held, needed = 13, 100, 400
+		var c Connections
+		var finished atomic.Bool
+		budget := membudget.New(holders * held)
+		for range holders {
+			entry, conn := addStalled(&c, receiving)
+			memory := budget.OpenEmpty()
+			if !entry.Grow(memory, held, membudget.ForRequest) {
+				t.Fatal("a holder got no memory")
+			}
+			go func() {
+				for !conn.ended.Load() && !finished.Load() {
+					time.Sleep(100 * time.Microsecond)
+				}
+				memory.Close()
+				c.Remove(entry)
+			}()
+		}
+		time.Sleep(2 * stallTime)
+		var group sync.WaitGroup
+		for n := range 3 {
+			group.Go(func() {
+				time.Sleep(time.Duration(n) * time.Millisecond)
+				entry, _ := addStalled(&c, receiving)
+				if !entry.Grow(budget.OpenEmpty(), needed, membudget.ForRequest) {
+					t.Errorf("request %d got no memory", n)
+				}
+			})
+		}
+		group.Wait()
+		finished.Store(true)
+		time.Sleep(time.Millisecond)
+	})
+}
