Refuse chunked bodies and interim answers in HTTP/1.0

Cause: a request of HTTP/1.0 with Transfer-Encoding was decoded, also with Connection: keep-alive, although senders and proxies of that version do not know chunks and may frame it otherwise. One with Expect: 100-continue got an interim answer, which such a caller takes for the answer. RFC 9112, section 6.1, and RFC 9110, section 10.1.1, demand a refusal and to ignore the expectation. Change: the first is refused as bad_framing, the second gets no interim answer.

--- a/internal/inbound/readrequest.go
+++ b/internal/inbound/readrequest.go
@@ -92,8 +92,20 @@
 	if err := panicguard.Catch(func() error { return req.ReadHeader(&c.Request.Header, reader) }); err != nil {
 		return &Refusal{reason.BadFraming, headError(err)}
 	}
-	if c.Request.Header.IsHTTP11() && len(c.Request.Header.Host()) == 0 {
-		return &Refusal{reason.BadFraming, &MissingHostError{}}
+	if err := checkVersion(c); err != nil {
+		return &Refusal{reason.BadFraming, err}
+	}
+	return nil
+}
+
+// checkVersion checks that a request has what its version demands, and nothing that its version does not know.
+func checkVersion(c *app.RequestContext) error {
+	h := &c.Request.Header
+	switch {
+	case h.IsHTTP11() && len(h.Host()) == 0:
+		return &MissingHostError{}
+	case !h.IsHTTP11() && h.ContentLength() == chunkedLength:
+		return &framing.Error{Detail: "Transfer-Encoding in a request of HTTP/1.0"}
 	}
 	return nil
 }
@@ -137,7 +149,7 @@
 	if length > longBodyBytes && !l.Conn.Grow(l.Memory, length, membudget.ForBody) {
 		return refuse(reason.MemoryFull)
 	}
-	if c.Request.MayContinue() {
+	if c.Request.Header.IsHTTP11() && c.Request.MayContinue() {
 		if err := sendContinue(conn, l.BodyTimeout); err != nil {
 			return &Refusal{reason.BodyTruncated, err}
 		}
