Announce the end of an evicted connection in its answer

Cause: a request that arrives completely while its connection is evicted is served, and the connection closed after the answer. The answer did not say so; the caller's next request on the connection then got no answer. Change: such an answer has Connection: close, in both programs.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -89,10 +89,19 @@
 	})
 }
 
-// write sends c.Response to the caller and flushes the connection.
-func (g *Gateway) write(c *app.RequestContext, call *call) error {
+// beginAnswer records that the answer is being written. It sets Connection: close if the connection was evicted while its request was
+// still arriving, because it is closed after the answer.
+func (g *Gateway) beginAnswer(c *app.RequestContext, call *call) {
 	call.answering = true
 	call.conn.Answering()
+	if call.conn.Evicted() {
+		c.Response.Header.SetConnectionClose(true)
+	}
+}
+
+// write sends c.Response to the caller and flushes the connection.
+func (g *Gateway) write(c *app.RequestContext, call *call) error {
+	g.beginAnswer(c, call)
 	conn := c.GetConn()
 	if err := resp.Write(&c.Response, conn); err != nil {
 		return err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,8 +31,7 @@
 		length = len(r.answer.Response.Body())
 	}
 	c.Response.Header.SetContentLength(max(length, -1))
-	call.answering = true
-	call.conn.Answering()
+	g.beginAnswer(c, call)
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -59,9 +59,10 @@
 	request.SetBodyRaw(call.request.Body())
 }
 
-// announceClose sets Connection: close in the answer if the gateway is draining.
-func (g *Gateway) announceClose(c *app.RequestContext) {
-	if g.draining.Load() {
+// announceClose sets Connection: close in the answer if the connection is closed after it: the gateway is draining, or the connection
+// was evicted while its request was still arriving.
+func (g *Gateway) announceClose(c *app.RequestContext, call *call) {
+	if g.draining.Load() || call.conn.Evicted() {
 		c.Response.Header.SetConnectionClose(true)
 	}
 }
@@ -96,7 +97,7 @@
 			h.SetContentLength(length)
 		}
 	}
-	g.announceClose(c)
+	g.announceClose(c, call)
 	g.recordAnswer(call, r)
 	call.answering = true
 	call.conn.Answering()
@@ -189,7 +190,7 @@
 	if err := c.GetConn().SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	g.announceClose(c)
+	g.announceClose(c, call)
 	h := &c.Response.Header
 	h.SetStatusCode(r.failure.Status)
 	h.SetNoDefaultDate(true)
