Look for the next credit only while requests wait

Each request scanned all targets for the next credit under the mutex of its pool, also when none waits or no service has a warm-up rate. Behaviour stays. go test ./internal/dispatch -run 'Cold|Credit|Warm' passes.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -205,6 +205,9 @@
 
 // nextCredit returns the next time at which a cold target may have a credit again, or 0 if there is none. The caller holds p.mu.
 func (p *Pool) nextCredit(now time.Duration) time.Duration {
+	if p.Credit == nil || p.warmup.Rate <= 0 {
+		return 0
+	}
 	next := time.Duration(0)
 	for _, t := range p.targets {
 		if t.deniedUntil > now && p.limitsCold(t, now) && (next == 0 || t.deniedUntil < next) {
@@ -216,8 +219,11 @@
 
 // scheduleNextCredit schedules dispatchWaiting for the next credit. The caller holds p.mu.
 func (p *Pool) scheduleNextCredit(now time.Duration) {
+	if len(p.waiting) == 0 {
+		return
+	}
 	next := p.nextCredit(now)
-	if len(p.waiting) == 0 || next == 0 || p.creditTimerAt > now && p.creditTimerAt <= next {
+	if next == 0 || p.creditTimerAt > now && p.creditTimerAt <= next {
 		return
 	}
 	p.creditTimerAt = next
