Read counted requests in package inbound

The listener of the platform and the own interface each had a copy of readRequest with its two constants. Behaviour stays; go test of internal/inbound, internal/gateway and internal/ingress passes.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,7 +12,6 @@
 
 	"github.com/basillink/basillink/internal/admission"
 	"github.com/basillink/basillink/internal/inbound"
-	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/reason"
 )
 
@@ -103,7 +102,9 @@
 
 // serveOne receives and serves one request. It reports whether the connection can be reused for another one.
 func (g *Gateway) serveOne(ctx context.Context, c *app.RequestContext, call *call) bool {
-	memory, refusal := g.readRequest(c, call.conn)
+	limits := g.inbound
+	limits.Conn = call.conn
+	memory, refusal := limits.ReadCounted(c, g.memory)
 	defer memory.Close()
 	call.memory = memory
 	if refusal != nil {
@@ -124,32 +125,3 @@
 	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
-
-const (
-	// receiveBytes is what a request needs until it has been read, besides a long head or body.
-	receiveBytes = 32 << 10
-	// requestBytes is what a request needs besides long bodies: the buffers of its two connections, the head, the buffer for
-	// streaming and the stacks of its goroutines.
-	requestBytes = 96 << 10
-)
-
-// readRequest reads a request. It returns what the request holds of the memory budget. Without memory for a request, only its
-// head is read.
-func (g *Gateway) readRequest(c *app.RequestContext, conn *inbound.Conn) (*membudget.Grant, *inbound.Refusal) {
-	limits := g.inbound
-	memory := g.memory.OpenEmpty()
-	limits.Memory, limits.Conn = memory, conn
-	if !conn.Grow(memory, receiveBytes, membudget.ForRequest) {
-		if refusal := limits.ReadHead(c); refusal != nil {
-			return memory, refusal
-		}
-		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
-	}
-	if refusal := limits.ReadRequest(c); refusal != nil {
-		return memory, refusal
-	}
-	if !conn.Grow(memory, requestBytes-receiveBytes, membudget.ForRequest) {
-		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
-	}
-	return memory, nil
-}
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/inbound"
 	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
 )
@@ -23,14 +24,14 @@
 		return err == nil
 	})
 	b := newTestbed(t, target)
-	b.gateway.Memory = membudget.New(2 * requestBytes)
+	b.gateway.Memory = membudget.New(2 * inbound.RequestBytes)
 	var accepted []*callerConn
 	for i := range 2 {
 		c := b.dial(t)
 		c.send("POST", "/once/", fmt.Sprintf("id%d", i), "x")
 		accepted = append(accepted, c)
 	}
-	waitForUse(t, b.gateway.Memory, 2*requestBytes)
+	waitForUse(t, b.gateway.Memory, 2*inbound.RequestBytes)
 	got, _ := b.dial(t).exchange("POST", "/once/", "id2", "x")
 	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" || got.Header.Get("X-Id") != "id2" || !got.Close {
 		t.Errorf("answer %+v, want 503 with Retry-After and the id, and the connection closed", got)
@@ -103,7 +104,7 @@
 	body := strings.Repeat("0123456789abcdef", 8<<10)
 	target := startScripted(t, func(r *http.Request, _ int64) (string, bool) { return rawAnswer(200, r, "", body), true })
 	b := newTestbed(t, target)
-	b.gateway.Memory = membudget.New(requestBytes + 8<<10)
+	b.gateway.Memory = membudget.New(inbound.RequestBytes + 8<<10)
 	for i := range 3 {
 		if got, text := b.dial(t).exchange("GET", "/safe/", fmt.Sprintf("id%d", i), ""); got.StatusCode != 200 || text != body {
 			t.Errorf("status %d, %d of %d bytes", got.StatusCode, len(text), len(body))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,7 +11,6 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/inbound"
-	"github.com/basillink/basillink/internal/membudget"
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/routes"
 )
@@ -120,7 +119,7 @@
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
 		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: bodyTimeout, Conn: call.conn,
 	}
-	memory, refusal := g.readRequest(c, requestLimits)
+	memory, refusal := requestLimits.ReadCounted(c, g.Memory)
 	defer memory.Close()
 	call.memory, call.id = memory, string(c.Request.Header.Peek(g.Headers.RequestID))
 	if refusal != nil {
@@ -139,32 +138,3 @@
 	err := g.serve(ctx, c, call)
 	return err == nil && !c.Response.Header.ConnectionClose()
 }
-
-const (
-	// receiveBytes is what a request needs until it has been read, besides a long head or body: the buffer of its connection, the
-	// head and a short body.
-	receiveBytes = 32 << 10
-	// requestBytes is what a request needs besides long bodies: the buffers of its two connections, the head, the buffer for
-	// streaming and the stacks of its goroutines.
-	requestBytes = 96 << 10
-)
-
-// readRequest reads a request. It returns what the request holds of the memory budget. Without memory for a request, only its
-// head is read.
-func (g *Gateway) readRequest(c *app.RequestContext, limits inbound.Limits) (*membudget.Grant, *inbound.Refusal) {
-	memory := g.Memory.OpenEmpty()
-	limits.Memory = memory
-	if !limits.Conn.Grow(memory, receiveBytes, membudget.ForRequest) {
-		if refusal := limits.ReadHead(c); refusal != nil {
-			return memory, refusal
-		}
-		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
-	}
-	if refusal := limits.ReadRequest(c); refusal != nil {
-		return memory, refusal
-	}
-	if !limits.Conn.Grow(memory, requestBytes-receiveBytes, membudget.ForRequest) {
-		return memory, &inbound.Refusal{Reason: reason.MemoryFull, Cause: reason.MemoryFull}
-	}
-	return memory, nil
-}
