Tell when a target of an evacuated zone was last seen

Cause: the pools do not know the targets of evacuated zones, so that the termination of one was reported as of a target never seen. A request whose answer had been lost there before the evacuation then counted as its crash, although load reports had shown the target running for long after. Change: the node keeps the time of the last load report of these targets, from the pool and from the reports during the evacuation. Result: TestTerminationDuringEvacuationTellsLastReport fails without the kept times (last seen at 0s) and passes; the tests of internal/fleet that match Terminat or Evacuat pass.

--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -6,6 +6,7 @@
 
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/evacuation"
+	"github.com/basillink/basillink/internal/registry"
 	"github.com/basillink/basillink/internal/topic"
 )
 
@@ -43,6 +44,33 @@
 	return status.Evacuations != nil && !status.Evacuations.Next().Before(n.evacuations.Next())
 }
 
+// lastSeen returns when a target last reported its load, 0 if it did not.
+func (n *Node) lastSeen(t registry.Target) time.Duration {
+	seen := n.evacuatedSeen[hashID(t.ID)]
+	if pool := n.pools[t.Service]; pool != nil {
+		seen = max(seen, pool.LastSeen(pool.Target(t.ID)))
+	}
+	return seen
+}
+
+// keepLastSeen remembers when the targets of evacuated zones last reported their load. It runs before the pools drop them.
+func (n *Node) keepLastSeen(inUse map[string]registry.Target) {
+	seen := map[uint32]time.Duration{}
+	for id, t := range inUse {
+		if n.evacuations.Contains(t.Zone) {
+			seen[hashID(id)] = n.lastSeen(t)
+		}
+	}
+	n.evacuatedSeen = seen
+}
+
+// observeEvacuated records that a target of an evacuated zone reported its load.
+func (n *Node) observeEvacuated(report loadReport, now time.Duration) {
+	if seen, kept := n.evacuatedSeen[report.Target]; kept && report.SlowdownPercent > 0 {
+		n.evacuatedSeen[report.Target] = max(seen, toDispatchReport(report, now).ReceivedAt)
+	}
+}
+
 // recordEvacuations logs and counts the zones whose evacuation began or ended.
 func (n *Node) recordEvacuations(before []string, source string) {
 	after := n.evacuations.Zones()
--- a/internal/fleet/evacuations_test.go
+++ b/internal/fleet/evacuations_test.go
@@ -364,3 +364,35 @@
 		t.Errorf("%s before, %s during, %s after the evacuation", usual, during, n.crossZoneInterval())
 	}
 }
+
+// Guards against a request that is suspected because its answer was lost before an evacuation, and the target ended during it, long
+// after: the load reports in between show that the target was running.
+func TestTerminationDuringEvacuationTellsLastReport(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	clock := 2 * time.Second
+	n.Now = func() time.Duration { return clock }
+	listInEra(n, 1)
+	report := loadReport{Target: hashID("t1"), SlowdownPercent: 100}
+	seen := map[string]time.Duration{}
+	n.TargetTerminated = func(id string, lastSeen time.Duration, _ bool) { seen[id] = lastSeen }
+	n.observeLoads([]loadReport{report})
+	n.handleConfigsRead(evacuates("a", true, 5), testStart)
+	if got := n.lastSeen(n.targetsInUse["t1"]); got != clock {
+		t.Errorf("last seen at %s after the evacuation began, want %s", got, clock)
+	}
+	clock = 9 * time.Second
+	n.observeLoads([]loadReport{report})
+	n.publishView(testStart)
+	unreachable := report
+	unreachable.SlowdownPercent = 0
+	clock = 10 * time.Second
+	n.observeLoads([]loadReport{unreachable, {Target: hashID("unknown"), SlowdownPercent: 100}})
+	gone := registry.Change{ID: "t1", Era: 1, Offset: 6}
+	n.handleTargetsRead(targetsRead{startedAt: testStart, changes: []registry.Change{gone}, next: topic.Position{Era: 1, Offset: 7}}, testStart)
+	if seen["t1"] != 9*time.Second {
+		t.Errorf("last seen at %s, want at the time of the last load report", seen["t1"])
+	}
+	if len(n.evacuatedSeen) != 0 {
+		t.Errorf("%d targets are remembered", len(n.evacuatedSeen))
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -169,6 +169,8 @@
 	zoneHeld map[string]bool
 	// zoneEvacuated holds the zoneTargets of an evacuated zone, by id. They are probed although the pools do not know them.
 	zoneEvacuated map[string]registry.Target
+	// evacuatedSeen tells when the targets of evacuated zones last reported their load, by the hash of the id.
+	evacuatedSeen map[uint32]time.Duration
 	// samplerSynced is true while the sampler has exactly the targets of shard.
 	samplerSynced bool
 	probeStates   map[string]*probeState
--- a/internal/fleet/updates.go
+++ b/internal/fleet/updates.go
@@ -166,6 +166,7 @@
 		ref := n.targetsByHash[report.Target]
 		switch {
 		case ref.target == nil:
+			n.observeEvacuated(report, now)
 		case report.SlowdownPercent == 0:
 			ref.batch.pool.MarkUnreachable(ref.id)
 		default:
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -27,6 +27,7 @@
 	}
 	n.setTargetsToProbe(usable)
 	n.reportTerminated(inUse)
+	n.keepLastSeen(inUse)
 	view := &ingress.View{Table: n.table, Pools: map[string]*dispatch.Pool{}, Instances: n.instances}
 	for name := range n.table.Services {
 		pool := n.pools[name]
@@ -92,11 +93,7 @@
 		if used && (current.Born == old.Born || current.Born == 0 || old.Born == 0) || !used && n.registry.WasDraining(id) {
 			continue
 		}
-		lastSeen := time.Duration(0)
-		if pool := n.pools[old.Service]; pool != nil {
-			lastSeen = pool.LastSeen(pool.Target(id))
-		}
-		n.TargetTerminated(id, lastSeen, used)
+		n.TargetTerminated(id, n.lastSeen(old), used)
 	}
 }
 
