--- a/internal/inbound/evict.go
+++ b/internal/inbound/evict.go
@@ -14,8 +14,7 @@
 	// ProgressBytes is the number of bytes of a request or an answer that count as progress. A caller that sends or reads single
 	// bytes makes none.
 	ProgressBytes = 4 << 10
-	// evictedShare is the share of the connections without progress that is closed at once, as a divisor, and minEvicted the
-	// lowest number.
+	// At most one in evictedShare of the connections without progress is closed at once, but minEvicted in any case.
 	evictedShare, minEvicted = 8, 4
 	// roomAttempts and roomInterval bound how long a request waits for the memory of evicted ones.
 	roomAttempts = 10
