--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,8 +31,7 @@
 		length = len(r.answer.Response.Body())
 	}
 	c.Response.Header.SetContentLength(max(length, -1))
-	call.answering = true
-	call.conn.Answering()
+	g.beginAnswer(c, call)
 	if err := resp.WriteHeader(&c.Response.Header, conn); err != nil {
 		return err
 	}
@@ -56,12 +55,13 @@
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	for {
+		tracked.AwaitingPart()
 		n, readErr := answer.Read(buffer[:])
+		tracked.Answering()
 		if n > 0 {
 			if err := writeBodyPart(conn, buffer[:n], chunked); err != nil {
 				return err
 			}
-			tracked.Progress()
 		}
 		switch {
 		case readErr == io.EOF && chunked:
--- a/internal/inbound/connections.go
+++ b/internal/inbound/connections.go
@@ -20,9 +20,9 @@
 	idle
 	// receiving is a connection whose request is being read.
 	receiving
-	// serving is a connection whose request has been read and has no answer yet.
+	// serving is a connection whose request has been read, and whose answer or its next part is awaited from the target.
 	serving
-	// answering is a connection whose answer is being written.
+	// answering is a connection to which an answer or a part of it is being written.
 	answering
 )
 
@@ -58,6 +58,8 @@
 	leaving atomic.Int64
 	counts  ClosedCounts
 	scans   scanTimes
+	// moreForMemory is true if the last look for memory left connections without progress.
+	moreForMemory bool
 }
 
 // Add tracks a new connection, on which no request has begun. At the limit it makes room by closing connections without progress;
