--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -79,7 +79,6 @@
 	directory := t.TempDir()
 	for number := range *instances {
 		front := h.store.NewFront()
-		t.Cleanup(front.Close)
 		i, err := newInstance(number, fmt.Sprintf("z%d", number%2), front.Address(), directory)
 		if err != nil {
 			t.Fatal(err)
