--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -180,6 +180,9 @@
 	key, workspace string
 	// inTouch tells whether the instance was undisturbed for stabilityWindow from before the send to the end of the answer.
 	inTouch bool
+	// instance is the ID of the instance that got it, and sentAt when.
+	instance string
+	sentAt   time.Time
 }
 
 // send sends a request and checks its answer. It returns the name of the service that answered with status 200, or "".
@@ -194,6 +197,7 @@
 
 // sendRequest is like send but takes the request, and sets what it learns.
 func (h *harness) sendRequest(ctx context.Context, client *http.Client, i *instance, r *request) string {
+	r.instance, r.sentAt = i.id, time.Now()
 	h.requests.Store(r.id, r)
 	undisturbed := i.undisturbedFor(stabilityWindow)
 	defer func() { r.inTouch = undisturbed && i.undisturbedFor(stabilityWindow) }()
--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -99,12 +99,13 @@
 	t.Logf("seed %d: %d requests, %d served", *seed, h.requestCount.Load(), h.servedCount.Load())
 }
 
-// chillTargets lets a random target, or all of a service, turn cold, of which only their answers tell, until ctx is done. While
+// chillTargets lets a random target, or all of a service, turn cold, of which only their health answers tell, until ctx is done. While
 // some are warm, cold ones are avoided, so that their bound is not put to the test.
 func (h *harness) chillTargets(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		first, all := h.randomTarget(random), random.IntN(3) == 0
 		length := randomMillis(random, 1500, 4000)
+		h.t.Logf("%6.3f s target %s turns cold for %s, all of its service: %t", time.Since(h.started).Seconds(), first.ID, length, all)
 		h.mu.Lock()
 		for _, target := range h.targets {
 			if target == first || all && target.Service == first.Service {
@@ -191,6 +192,7 @@
 		fullest, at := fullestWindow(times, time.Second)
 		most = max(most, fullest)
 		if float64(fullest) > bound {
+			h.logArrivals(arrivals, target, at)
 			h.recordViolation("FAILBACK", "cold target %s got %d requests in a second from %s on, bound %.1f", target, fullest, at.Sub(h.started), bound)
 		}
 	}
@@ -199,3 +201,17 @@
 		h.recordViolation("FAILBACK", "no cold target got a request")
 	}
 }
+
+// logArrivals logs the requests that a target got around the second from a time on, with when and to which instance they were
+// sent.
+func (h *harness) logArrivals(arrivals []platformtest.Arrival, target string, from time.Time) {
+	for _, a := range arrivals {
+		value, known := h.requests.Load(a.ID)
+		if !known || a.Target != target || a.At.Sub(from).Abs() >= time.Second {
+			continue
+		}
+		r := value.(*request)
+		h.t.Logf("%.3f s %s reached target %s, cold %t, sent to instance %s at %.3f s",
+			a.At.Sub(h.started).Seconds(), a.ID, target, a.Cold, r.instance, r.sentAt.Sub(h.started).Seconds())
+	}
+}
