Probe the targets of a zone often when it is taken back

Cause: targets without requests are probed every 100 ms, and every 200 ms while members of the zone are missing. Change: the end of an evacuation counts as one request in flight for each target of the zone, so that the short interval begins at once.

--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -16,7 +16,7 @@
 func (n *Node) applyEvacuationRecords(records discovery.OperatorRecords, next topic.Position, now time.Time) bool {
 	before := n.evacuations.Zones()
 	changed := n.evacuations.ApplyRead(records, next, now)
-	n.recordEvacuations(before, "store")
+	n.recordEvacuations(before, "store", now)
 	return changed
 }
 
@@ -24,7 +24,7 @@
 func (n *Node) applyEvacuationReport(report *evacuation.Report, now time.Time) bool {
 	before := n.evacuations.Zones()
 	changed := n.evacuations.ApplyReport(report, now)
-	n.recordEvacuations(before, "peer")
+	n.recordEvacuations(before, "peer", now)
 	return changed
 }
 
@@ -34,7 +34,7 @@
 	if len(n.evacuations.Expire(now)) == 0 {
 		return
 	}
-	n.recordEvacuations(before, "restore")
+	n.recordEvacuations(before, "restore", now)
 	n.publishView(now)
 }
 
@@ -44,7 +44,7 @@
 }
 
 // recordEvacuations logs and counts the zones whose evacuation began or ended.
-func (n *Node) recordEvacuations(before []string, source string) {
+func (n *Node) recordEvacuations(before []string, source string, now time.Time) {
 	after := n.evacuations.Zones()
 	position := n.evacuations.Next()
 	for _, zone := range after {
@@ -56,6 +56,7 @@
 	for _, zone := range before {
 		if !slices.Contains(after, zone) {
 			n.Log.Warn("The evacuation of a zone has ended.", "zone", zone, "source", source, "era", position.Era, "next", position.Offset)
+			n.expectRequests(zone, now)
 		}
 	}
 	n.traffic.setEvacuated(after)
--- a/internal/fleet/probe_rounds.go
+++ b/internal/fleet/probe_rounds.go
@@ -53,6 +53,17 @@
 	r.inFlight, r.inFlightAt = max(inFlight, faded), now
 }
 
+// expectRequests has the targets of this zone probed at short intervals when its evacuation ends. They had no requests, and get many
+// before the next slow round would show that; one that turns cold meanwhile would be known too late.
+func (n *Node) expectRequests(zone string, now time.Time) {
+	if zone != n.Self.Zone {
+		return
+	}
+	for _, state := range n.probeStates {
+		state.updateInFlight(1, now)
+	}
+}
+
 // startDueProbes starts a round of probes of the services that are due, if this instance owns a shard of its zone.
 func (n *Node) startDueProbes(now time.Time) {
 	if n.table == nil {
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -241,6 +241,26 @@
 	}
 }
 
+// Guards against targets of a zone that is taken back and turn cold, and of which nobody knows for a long probe interval while they
+// get the requests of their service.
+func TestProbesBeginAtEndOfEvacuation(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", n.Now, n.Random)
+	pool.SetTargets([]registry.Target{{Entry: registry.Entry{ID: "t", Address: "x", Zone: "a", Service: "s", Slots: 4}}}, 1, testStart)
+	listInEra(n, 1)
+	n.handleConfigsRead(evacuates("a", true, 5), testStart)
+	n.handleConfigsRead(evacuates("b", true, 6), testStart)
+	n.pools["s"], n.probeStates["s"], n.shard = pool, &probeState{}, shard{0, 1}
+	n.handleConfigsRead(evacuates("b", false, 7), testStart)
+	if got := n.serviceProbeInterval("s"); got != maxProbeInterval {
+		t.Errorf("evacuated: interval %s, want %s", got, maxProbeInterval)
+	}
+	n.handleConfigsRead(evacuates("a", false, 8), testStart)
+	if got := n.serviceProbeInterval("s"); got != n.ProbeInterval {
+		t.Errorf("taken back: interval %s, want %s", got, n.ProbeInterval)
+	}
+}
+
 // Guards against probes that cost the same with and without requests, and against rare probes in a burst.
 func TestProbeIntervalFollowsRequests(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
