--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -17,7 +17,7 @@
 func (n *Node) applyEvacuationRecords(records discovery.OperatorRecords, next topic.Position, now time.Time) bool {
 	before := n.evacuations.Zones()
 	changed := n.evacuations.ApplyRead(records, next, now)
-	n.recordEvacuations(before, "store")
+	n.recordEvacuations(before, "store", now)
 	return changed
 }
 
@@ -25,7 +25,7 @@
 func (n *Node) applyEvacuationReport(report *evacuation.Report, now time.Time) bool {
 	before := n.evacuations.Zones()
 	changed := n.evacuations.ApplyReport(report, now)
-	n.recordEvacuations(before, "peer")
+	n.recordEvacuations(before, "peer", now)
 	return changed
 }
 
@@ -35,7 +35,7 @@
 	if len(n.evacuations.Expire(now)) == 0 {
 		return
 	}
-	n.recordEvacuations(before, "restore")
+	n.recordEvacuations(before, "restore", now)
 	n.publishView(now)
 }
 
@@ -72,7 +72,7 @@
 }
 
 // recordEvacuations logs and counts the zones whose evacuation began or ended.
-func (n *Node) recordEvacuations(before []string, source string) {
+func (n *Node) recordEvacuations(before []string, source string, now time.Time) {
 	after := n.evacuations.Zones()
 	position := n.evacuations.Next()
 	for _, zone := range after {
@@ -84,6 +84,7 @@
 	for _, zone := range before {
 		if !slices.Contains(after, zone) {
 			n.Log.Warn("The evacuation of a zone has ended.", "zone", zone, "source", source, "era", position.Era, "next", position.Offset)
+			n.expectRequests(zone, now)
 		}
 	}
 	n.traffic.setEvacuated(after)
