--- a/internal/edge/credit.go
+++ b/internal/edge/credit.go
@@ -16,11 +16,15 @@
 // coldTargetWindow is the length of the window in which requests to a cold target are counted.
 const coldTargetWindow = time.Second
 
+// coldCreditSlackShare is the share of the slack of cold targets that credits may use. The rest covers requests that are sent
+// before it is known that a target turned cold.
+const coldCreditSlackShare = 0.25
+
 // creditBounds returns what the platform tolerates beyond the limits that all instances share.
 func creditBounds(b *settings.EdgeBounds) map[credit.Kind]credit.Bounds {
 	return map[credit.Kind]credit.Bounds{
 		credit.WorkspaceQuota: {Window: b.QuotaWindow(), Overage: b.QuotaOverage, Slack: b.QuotaSlack},
-		credit.ColdTarget:     {Window: coldTargetWindow, Overage: b.WarmupOverage - 1, Slack: b.WarmupSlack},
+		credit.ColdTarget:     {Window: coldTargetWindow, Overage: b.WarmupOverage - 1, Slack: b.WarmupSlack * coldCreditSlackShare},
 	}
 }
 
