Keep the lease of an owner whose renewals get no answer

Cause: a renewal that the store executed without an answer did not extend the owner's lease. The owner retried the append, which conflicted with its own record, or got no answer either until the lease had ended. A candidate then found a conflict, announced an unknown record and challenged it, so that the owner had to wait for the end of a whole lease.

Change: after a renewal without an answer the owner reads the newest record. If that is its own and directly follows the one before, the lease counts from the start of the earliest append at that position. The read starts at once if the append took at least minRetry, otherwise after the pause as the retry did. The control loop makes the call that follows a result without waiting for its next tick. At most one call is open, as before.

--- a/internal/credit/tenure.go
+++ b/internal/credit/tenure.go
@@ -127,7 +127,11 @@
 	// calling is true while a call is in progress.
 	calling bool
 	// unanswered is true if an append got no answer, so that it may still be executed.
-	unanswered     bool
+	unanswered bool
+	// renewal is the earliest append at its position that got no answer, and renewalUnknown is true until a read tells whether it was
+	// executed.
+	renewal        unansweredAppend
+	renewalUnknown bool
 	retryAt, pause time.Duration
 	// readAtOnce is true if the next read does not wait for the candidates before this one.
 	readAtOnce bool
@@ -167,7 +171,7 @@
 		return NoStep, topic.Position{}
 	}
 	t.calling = true
-	if !t.known {
+	if !t.known || t.checksRenewal() {
 		return ReadStep, topic.Position{}
 	}
 	t.renewing, t.challenging = t.owns, !t.owns && s.Now < t.freeAt
@@ -188,7 +192,7 @@
 		return t.renewAt
 	case t.known && t.challenge && !s.Minority:
 		return t.challengeAt + wait
-	case !t.known && t.readAtOnce:
+	case !t.known && t.readAtOnce, t.checksRenewal():
 		return t.candidateSince
 	case !t.known:
 		return t.candidateSince + wait
--- a/internal/credit/tenure_results.go
+++ b/internal/credit/tenure_results.go
@@ -15,11 +15,14 @@
 		t.delayRetry(now)
 		return
 	}
-	t.retryAt, t.pause, t.unanswered, t.readAtOnce = 0, 0, false, false
+	t.retryAt, t.pause, t.unanswered, t.readAtOnce, t.renewalUnknown = 0, 0, false, false, false
 	if end.Before(t.next) {
 		// A peer told of a newer record meanwhile.
 		return
 	}
+	if t.owns && record != nil && t.readOwnLease(*record, end) {
+		return
+	}
 	freeAt, beganAt := t.datesAfterRead(now, record, end)
 	if end == t.next && t.known {
 		freeAt, beganAt = min(freeAt, t.freeAt), min(beganAt, t.beganAt)
@@ -99,9 +102,10 @@
 	if r.Failed {
 		t.unanswered = true
 		t.delayRetry(now)
+		t.keepUnansweredRenewal(now, r)
 		return
 	}
-	t.retryAt, t.pause = 0, 0
+	t.retryAt, t.pause, t.renewalUnknown = 0, 0, false
 	t.learnEra(now, r.End.Era)
 	switch {
 	case r.Conflict:
--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -104,6 +104,12 @@
 	}
 }
 
+// followCreditCall makes the call that the result of another one asks for. After a call that timed out, the wait for the next tick can
+// take longer than what is left of the lease.
+func (n *Node) followCreditCall(ctx context.Context, now time.Time) {
+	n.stepCreditOwnership(ctx, now, n.members.readRank(now, n.isLeader))
+}
+
 // updateMinority reports whether this instance hears from less than half of the instances that were live lately.
 func (n *Node) updateMinority(now time.Time) bool {
 	own := &n.creditOwnership
--- a/internal/fleet/credit_owner_test.go
+++ b/internal/fleet/credit_owner_test.go
@@ -272,6 +272,43 @@
 	})
 }
 
+// Guards against an owner that loses its lease, or waits for the end of it, because answers to its appends were lost. The store serves
+// its reads, which tell it that the appends were executed.
+func TestOwnerWhoseAppendsGetNoAnswer(t *testing.T) {
+	const interval, seeds = 100 * time.Millisecond, 10
+	for losses := 1; losses <= 4; losses++ {
+		longest := time.Duration(0)
+		for seed := range uint64(seeds) {
+			synctest.Test(t, func(t *testing.T) { longest = max(longest, emptyAfterLostAnswers(t, seed, losses, interval)) })
+		}
+		t.Logf("%d lost answers: at most %s without credit", losses, longest)
+		if longest > interval {
+			t.Errorf("%s without credit after %d lost answers, want at most %s", longest, losses, interval)
+		}
+	}
+}
+
+// emptyAfterLostAnswers returns for how long nobody gets credit after answers to the appends of the owner were lost, in steps of an
+// interval.
+func emptyAfterLostAnswers(t *testing.T, seed uint64, losses int, interval time.Duration) time.Duration {
+	f := startCreditFleet(t, 6, true, seed)
+	defer f.stopAll()
+	f.drive(creditSettlingTime)
+	f.store.update(func() { f.store.ownerLosses = losses })
+	from, empty := f.now(), time.Duration(0)
+	f.drive(from + 10*time.Second)
+	for at := from; at < f.now(); at += interval {
+		if f.grantedBetween(at, at+interval) == 0 {
+			empty += interval
+		}
+	}
+	if f.store.ownerLosses > 0 {
+		t.Errorf("seed %d: %d answers were not lost", seed, f.store.ownerLosses)
+	}
+	f.checkWindows()
+	return empty
+}
+
 // Guards against calls for the lease that grow with the fleet, and against calls of a fleet that needs no credit.
 func TestCreditOwnerStoreCalls(t *testing.T) {
 	const span = 30 * time.Second
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -88,8 +88,10 @@
 		n.handleStoredMarksRead(e, now)
 	case creditOwnerRead:
 		n.handleCreditOwnerRead(e, now)
+		n.followCreditCall(ctx, now)
 	case creditOwnerPut:
 		n.handleCreditOwnerPut(e, now)
+		n.followCreditCall(ctx, now)
 	case markStored:
 		n.handleMarkStored(e, now)
 	case marksFetched:
--- a/internal/fleet/virtual_net_test.go
+++ b/internal/fleet/virtual_net_test.go
@@ -241,6 +241,8 @@
 	owners     ownerTopic
 	// ownerLateness is how long after it was sent an append of an owner record is executed. Late appends get no answer. 0 for none.
 	ownerLateness time.Duration
+	// ownerLosses is the number of appends of owner records that are executed and get no answer.
+	ownerLosses int
 	// answerDelay returns how much later than executed a read is answered. It may be nil.
 	answerDelay func() time.Duration
 }
@@ -563,6 +565,13 @@
 	if err := c.begin(); err != nil {
 		return topic.Position{}, err
 	}
+	if c.ownerLosses > 0 {
+		c.ownerLosses--
+		_, _ = c.putOwner(record, at)
+		c.mu.Unlock()
+		time.Sleep(creditCallTimeout)
+		return topic.Position{}, errRefused
+	}
 	if lateness := c.ownerLateness; lateness > 0 {
 		c.mu.Unlock()
 		time.AfterFunc(lateness, func() { c.update(func() { _, _ = c.putOwner(record, at) }) })
