Name the server of credits and its clock by what they are

Cause: a reader asked what a desk and an ask astray are, and the clock serves more than credits. Behaviour stays.

--- a/internal/edge/credit.go
+++ b/internal/edge/credit.go
@@ -44,7 +44,7 @@
 			return labeledKinds(stats().Denied)
 		}},
 		{"basillink.credits_refunded", "Credits that came back to this instance.", one(func(s fleet.CreditStats) int64 { return s.Refunded })},
-		{"basillink.credit_asks_astray", "Asks for credits that reached this instance while it was not the owner.", one(func(s fleet.CreditStats) int64 { return s.NotOwner })},
+		{"basillink.credit_asks_misdirected", "Asks for credits that reached this instance while it was not the owner.", one(func(s fleet.CreditStats) int64 { return s.NotOwner })},
 		{"basillink.credit_takeovers", "How often this instance became the owner of the shared limits.", one(func(s fleet.CreditStats) int64 { return s.Takeovers })},
 	}
 	for _, c := range counters {
--- a/internal/fleet/configs_as_of.go
+++ b/internal/fleet/configs_as_of.go
@@ -35,7 +35,7 @@
 		return
 	}
 	// A suspension that the request path has found already is in the clock, but not in the times of this loop.
-	now, suspended := n.creditClock.takeSuspended()
+	now, suspended := n.suspensionClock.takeSuspended()
 	if suspended > 0 {
 		n.recordSuspension(current(), suspended)
 		n.unhandledSuspension += suspended
--- a/internal/fleet/credit_owner.go
+++ b/internal/fleet/credit_owner.go
@@ -80,18 +80,18 @@
 // other instances still ask under the configuration before.
 func (n *Node) applySharedLimits(config *routes.Config) {
 	n.creditOwnership.needed = needsCredit(config)
-	now := n.creditClock.now()
+	now := n.suspensionClock.now()
 	for i := range config.Workspaces {
 		w := &config.Workspaces[i]
 		limit := credit.NewLimit(w.Rate, w.Burst, config.Version)
-		n.creditDesk.ledger.Learn(now, credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}, limit)
+		n.creditServer.ledger.Learn(now, credit.Key{Kind: credit.WorkspaceQuota, Name: w.Name}, limit)
 	}
 }
 
 // stepCreditOwnership makes the call for the lease that is due.
 func (n *Node) stepCreditOwnership(ctx context.Context, now time.Time, rank int) {
 	own := &n.creditOwnership
-	at := n.creditClock.now()
+	at := n.suspensionClock.now()
 	mayCall := own.needed && (own.owned || !n.storeDown || rank < maxCreditRankWithoutStore)
 	step, position := own.tenure.Next(credit.Situation{Now: at, MayCall: mayCall, Rank: rank, Era: n.Store.Era(), Minority: n.updateMinority(now)})
 	n.updateCreditOwner(now)
@@ -165,7 +165,7 @@
 	if e.err != nil {
 		n.Log.Info("Could not read the owner of the shared limits.", "error", e.err)
 	}
-	n.creditOwnership.tenure.ReadDone(n.creditClock.now(), e.record, e.end, e.err)
+	n.creditOwnership.tenure.ReadDone(n.suspensionClock.now(), e.record, e.end, e.err)
 	n.updateCreditOwner(now)
 	if e.err == nil {
 		n.broadcastCreditOwner(now)
@@ -183,7 +183,7 @@
 		result.Failed = true
 		n.Log.Info("Could not store the ownership of the shared limits.", "owner", own.owned, "error", e.err)
 	}
-	own.tenure.AppendDone(n.creditClock.now(), result)
+	own.tenure.AppendDone(n.suspensionClock.now(), result)
 	n.updateCreditOwner(now)
 	if !result.Failed {
 		n.broadcastCreditOwner(now)
@@ -196,7 +196,7 @@
 		return
 	}
 	before := n.creditOwnership.owner
-	n.creditOwnership.tenure.Heard(n.creditClock.now(), *a)
+	n.creditOwnership.tenure.Heard(n.suspensionClock.now(), *a)
 	n.updateCreditOwner(now)
 	if n.isLeader && (n.creditOwnership.owner != before || a.Released && before.ID == a.ID) {
 		d := n.newDatagram(now)
@@ -208,14 +208,14 @@
 // noticeOwnerRestart tells the tenure that a peer runs which it may know as an earlier incarnation.
 func (n *Node) noticeOwnerRestart(p *peerState) {
 	if n.creditOwnership.needed {
-		n.creditOwnership.tenure.HolderRestarted(n.creditClock.now(), p.ID, p.Started)
+		n.creditOwnership.tenure.HolderRestarted(n.suspensionClock.now(), p.ID, p.Started)
 	}
 }
 
-// updateCreditOwner applies a change of the ownership to the desk, which answers asks.
+// updateCreditOwner applies a change of the ownership to the credit server, which answers asks.
 func (n *Node) updateCreditOwner(now time.Time) {
 	own := &n.creditOwnership
-	at := n.creditClock.now()
+	at := n.suspensionClock.now()
 	until, owns := own.tenure.Owns(at)
 	owner, _ := own.tenure.Owner()
 	changed := owns != own.owned || owner != own.owner
@@ -230,7 +230,7 @@
 		n.beginCreditOwnership(at, now)
 	}
 	own.owned, own.owner = owns, owner
-	n.creditDesk.setOwner(until, n.creditAddress(owner))
+	n.creditServer.setOwner(until, n.creditAddress(owner))
 	if changed {
 		n.creditPool.OwnerChanged()
 	}
@@ -239,9 +239,9 @@
 // beginCreditOwnership prepares the ledger after a takeover.
 func (n *Node) beginCreditOwnership(at time.Duration, now time.Time) {
 	takeover := n.creditOwnership.tenure.LastTakeover()
-	n.creditDesk.takeovers.Add(1)
+	n.creditServer.takeovers.Add(1)
 	if !takeover.Continued {
-		n.creditDesk.begin(at, takeover.SincePrevious)
+		n.creditServer.begin(at, takeover.SincePrevious)
 	}
 	n.Log.Info("Became the owner of the shared limits.", "after", takeover.From.ID, "since_previous_ms", takeover.SincePrevious.Milliseconds(),
 		"continued", takeover.Continued, "after_start_ms", now.Sub(n.started).Milliseconds())
@@ -267,7 +267,7 @@
 
 // creditAnnouncement returns what this instance knows of the owner, nil if it knows none.
 func (n *Node) creditAnnouncement() *credit.Announcement {
-	a, known := n.creditOwnership.tenure.Announcement(n.creditClock.now())
+	a, known := n.creditOwnership.tenure.Announcement(n.suspensionClock.now())
 	if !known {
 		return nil
 	}
@@ -285,8 +285,8 @@
 
 // releaseCreditOwner gives up the ownership and adds that to the datagram that announces the stop of this instance.
 func (n *Node) releaseCreditOwner(d *datagram) {
-	a, owned := n.creditOwnership.tenure.Release(n.creditClock.now())
-	n.creditDesk.setOwner(0, nil)
+	a, owned := n.creditOwnership.tenure.Release(n.suspensionClock.now())
+	n.creditServer.setOwner(0, nil)
 	if owned {
 		d.CreditOwner = &a
 		n.Log.Info("Released the ownership of the shared limits.")
--- a/internal/fleet/credit_desk.go
+++ b/internal/fleet/credit_server.go
@@ -9,9 +9,9 @@
 	"github.com/basillink/basillink/internal/credit"
 )
 
-// creditDesk grants credits of the shared limits while this instance is their owner, and knows where to ask for them otherwise. Asks
+// creditServer grants credits of the shared limits while this instance is their owner, and knows where to ask for them otherwise. Asks
 // and answers bypass the control loop, because requests wait for them. It is safe for concurrent use.
-type creditDesk struct {
+type creditServer struct {
 	clock  *suspensionClock
 	ledger *credit.Ledger
 
@@ -28,50 +28,50 @@
 }
 
 // begin starts an ownership with a new ledger.
-func (d *creditDesk) begin(now, sincePrevious time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.ledger.Begin(now, sincePrevious)
+func (s *creditServer) begin(now, sincePrevious time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Begin(now, sincePrevious)
 }
 
 // setOwner sets until when this instance is the owner, and the address of the owner if it is another one.
-func (d *creditDesk) setOwner(ownedUntil time.Duration, address *net.UDPAddr) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.ownedUntil, d.ownerAddress = ownedUntil, address
+func (s *creditServer) setOwner(ownedUntil time.Duration, address *net.UDPAddr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ownedUntil, s.ownerAddress = ownedUntil, address
 }
 
 // owner returns whether this instance is the owner, and else the address of the owner, nil if it is unknown.
-func (d *creditDesk) owner() (self bool, address *net.UDPAddr) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.ownedUntil > 0, d.ownerAddress
+func (s *creditServer) owner() (self bool, address *net.UDPAddr) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.ownedUntil > 0, s.ownerAddress
 }
 
 // grant answers an ask. The lease is checked right before, because the process may have been paused or the host suspended since the
 // control loop last ran.
-func (d *creditDesk) grant(from string, ask credit.Ask) credit.Answer {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	now := d.clock.now()
-	if now >= d.ownedUntil {
-		d.refused.Add(1)
+func (s *creditServer) grant(from string, ask credit.Ask) credit.Answer {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	now := s.clock.now()
+	if now >= s.ownedUntil {
+		s.refused.Add(1)
 		return credit.Answer{Number: ask.Number, NotOwner: true}
 	}
-	answer := d.ledger.Grant(now, from, ask)
+	answer := s.ledger.Grant(now, from, ask)
 	if ask.Key.Kind < credit.NumKinds {
-		d.granted[ask.Key.Kind].Add(int64(answer.Granted))
-		d.denied[ask.Key.Kind].Add(int64(ask.Count) - int64(min(answer.Granted, ask.Count)))
+		s.granted[ask.Key.Kind].Add(int64(answer.Granted))
+		s.denied[ask.Key.Kind].Add(int64(ask.Count) - int64(min(answer.Granted, ask.Count)))
 	}
 	return answer
 }
 
 // refund takes credits back while this instance is the owner.
-func (d *creditDesk) refund(from string, r credit.Refund) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	if now := d.clock.now(); now < d.ownedUntil {
-		d.ledger.Refund(now, from, r)
+func (s *creditServer) refund(from string, r credit.Refund) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if now := s.clock.now(); now < s.ownedUntil {
+		s.ledger.Refund(now, from, r)
 	}
 }
 
@@ -89,7 +89,7 @@
 
 // CreditStats returns what this instance did as the owner. It is safe for concurrent use.
 func (n *Node) CreditStats() CreditStats {
-	d := n.creditDesk
+	d := n.creditServer
 	d.mu.RLock()
 	owns := d.clock.now() < d.ownedUntil
 	d.mu.RUnlock()
@@ -110,10 +110,10 @@
 
 // sendCreditAsk asks the owner for credits, and returns false if no owner is known. It is safe for concurrent use.
 func (n *Node) sendCreditAsk(ask credit.Ask) bool {
-	self, address := n.creditDesk.owner()
+	self, address := n.creditServer.owner()
 	switch {
 	case self:
-		n.creditPool.HandleAnswer(n.creditDesk.grant(n.Self.Address, ask))
+		n.creditPool.HandleAnswer(n.creditServer.grant(n.Self.Address, ask))
 	case address == nil:
 		return false
 	default:
@@ -124,10 +124,10 @@
 
 // sendCreditRefund gives credits back to the owner. It is safe for concurrent use.
 func (n *Node) sendCreditRefund(r credit.Refund) {
-	self, address := n.creditDesk.owner()
+	self, address := n.creditServer.owner()
 	switch {
 	case self:
-		n.creditDesk.refund(n.Self.Address, r)
+		n.creditServer.refund(n.Self.Address, r)
 	case address != nil:
 		n.sendDatagram(&datagram{CreditRefund: &r}, address)
 	}
@@ -142,11 +142,11 @@
 func (n *Node) handleCredit(d *datagram, from *net.UDPAddr) {
 	switch {
 	case d.CreditAsk != nil:
-		answer := n.creditDesk.grant(from.String(), *d.CreditAsk)
+		answer := n.creditServer.grant(from.String(), *d.CreditAsk)
 		n.sendDatagram(&datagram{CreditAnswer: &answer}, from)
 	case d.CreditAnswer != nil:
 		n.creditPool.HandleAnswer(*d.CreditAnswer)
 	case d.CreditRefund != nil:
-		n.creditDesk.refund(from.String(), *d.CreditRefund)
+		n.creditServer.refund(from.String(), *d.CreditRefund)
 	}
 }
--- a/internal/fleet/credit_desk_test.go
+++ b/internal/fleet/credit_server_test.go
@@ -15,20 +15,20 @@
 	"github.com/basillink/basillink/internal/routes"
 )
 
-// newCreditDesk returns the desk of an owner whose lease ends after a time, on a clock that the caller sets.
-func newCreditDesk(now *time.Duration, ownedUntil time.Duration) *creditDesk {
+// newCreditServer returns the credit server of an owner whose lease ends after a time, on a clock that the caller sets.
+func newCreditServer(now *time.Duration, ownedUntil time.Duration) *creditServer {
 	ledger := credit.NewLedger(map[credit.Kind]credit.Bounds{credit.WorkspaceQuota: creditBounds})
 	clock := &suspensionClock{detect: func() (time.Duration, time.Duration) { return *now, 0 }}
-	d := &creditDesk{clock: clock, ledger: ledger}
+	d := &creditServer{clock: clock, ledger: ledger}
 	d.begin(*now, -1)
 	d.setOwner(ownedUntil, nil)
 	return d
 }
 
 // Guards against an owner that was paused or suspended and grants credits before its control loop notices that its lease ended.
-func TestDeskChecksLeaseBeforeEachGrant(t *testing.T) {
+func TestLeaseIsCheckedBeforeEachGrant(t *testing.T) {
 	now := time.Duration(0)
-	d := newCreditDesk(&now, credit.TTL)
+	d := newCreditServer(&now, credit.TTL)
 	ask := credit.Ask{Number: 1, Key: creditKey, Limit: creditLimit, Count: 5}
 	if answer := d.grant("a", ask); answer.Granted == 0 || answer.NotOwner {
 		t.Errorf("during the lease: %+v", answer)
@@ -60,7 +60,7 @@
 func TestAsksOfAPauseAreDropped(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
 	now := time.Duration(0)
-	n.creditDesk = newCreditDesk(&now, time.Hour)
+	n.creditServer = newCreditServer(&now, time.Hour)
 	ask := func(number uint32) int64 {
 		before := n.CreditStats().Granted[credit.WorkspaceQuota]
 		b, err := encode(&datagram{CreditAsk: &credit.Ask{Number: number, Key: creditKey, Limit: creditLimit, Count: 1}})
@@ -143,7 +143,7 @@
 func TestOwnerAppliesLoweredQuota(t *testing.T) {
 	n := newQuietNode(t, newMember("a1", "a"))
 	now := time.Duration(0)
-	n.creditDesk = newCreditDesk(&now, time.Hour)
+	n.creditServer = newCreditServer(&now, time.Hour)
 	number := uint32(0)
 	grantedIn10s := func() int {
 		granted := 0
@@ -151,7 +151,7 @@
 			now += 100 * time.Millisecond
 			number++
 			ask := credit.Ask{Number: number, Key: creditKey, Limit: creditLimit, Count: uint16(creditLimit.Rate / 10)}
-			granted += int(n.creditDesk.grant("b", ask).Granted)
+			granted += int(n.creditServer.grant("b", ask).Granted)
 		}
 		return granted
 	}
--- a/internal/fleet/guard.go
+++ b/internal/fleet/guard.go
@@ -49,7 +49,7 @@
 	n.joinInFlight, n.storedMarks.callInFlight = false, false
 	switch e.(type) {
 	case creditOwnerRead, creditOwnerPut:
-		n.creditOwnership.tenure.CallFailed(n.creditClock.now())
+		n.creditOwnership.tenure.CallFailed(n.suspensionClock.now())
 	}
 	for _, topic := range []*storeread.Topic{&n.targetsTopic, &n.configsTopic} {
 		if topic.Reading() {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -91,10 +91,10 @@
 	sampler       *sampler
 	started       time.Time
 	flush         flush
-	// creditClock is the clock of the lease, of grants and of the age of the keys.
-	creditClock *suspensionClock
-	creditDesk  *creditDesk
-	creditPool  *credit.Pool
+	// suspensionClock is the clock of the lease, of grants and of the age of the keys.
+	suspensionClock *suspensionClock
+	creditServer    *creditServer
+	creditPool      *credit.Pool
 
 	// The fields below are owned by the control loop.
 	members  *members
@@ -246,8 +246,8 @@
 	}
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
-	n.creditClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
-	n.creditDesk = &creditDesk{clock: n.creditClock, ledger: credit.NewLedger(c.CreditBounds)}
+	n.suspensionClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
+	n.creditServer = &creditServer{clock: n.suspensionClock, ledger: credit.NewLedger(c.CreditBounds)}
 	n.creditPool, n.creditOwnership = n.newCreditPool(), n.newCreditOwnership()
 	n.sampler = newSampler(c.Prober, c.Now, &n.guard, c.Log)
 	return n
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -42,7 +42,7 @@
 // detectPause detects that the process was paused or the host suspended. Another instance may have taken over as
 // leader meanwhile, so this one has to listen first.
 func (n *Node) detectPause(now time.Time) {
-	_, suspended := n.creditClock.takeSuspended()
+	_, suspended := n.suspensionClock.takeSuspended()
 	pause := now.Sub(n.lastTick) + suspended + n.unhandledSuspension
 	n.unhandledSuspension = 0
 	n.recordTick(now)
