Tell which service a split chose

Change: the counter basillink_split_requests_total (route, service), and a line for each split when its version is replaced or the instance stops, with the weights and the choices. No logic changes.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -436,6 +436,7 @@
 
 // leave announces the stop to the peers and closes the sockets.
 func (n *Node) leave(now time.Time) {
+	n.logSplits(n.table)
 	d := &datagram{From: n.Self.ID, Started: n.Self.Started, Leaving: true}
 	n.releaseCreditOwner(d)
 	n.sendToZone(d, now)
--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -154,6 +154,7 @@
 		n.Log.Warn("Rejected an invalid configuration. The current one stays in force.", "version", config.Version, "error", err)
 		return
 	}
+	n.logSplits(n.table)
 	n.config, n.table = config, table
 	n.applySharedLimits(config)
 	n.configsTopic.Behind = false
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -81,6 +81,9 @@
 		return refusal
 	}
 	call.service = call.route.NextService()
+	if call.route.IsSplit() {
+		g.Counter.SplitChosen(call.route.Name, call.service)
+	}
 	call.pool = view.Pools[call.service]
 	call.deadline = call.arrivedAt + call.route.Timeout - answerMargin
 	if timeout, ok := g.callerTimeout(c); ok {
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -72,6 +72,8 @@
 	Denied(service string, claims int)
 	// Served records the time from the arrival of a request to its answer, and the part of it until the last dispatch decision.
 	Served(route string, total, waited time.Duration)
+	// SplitChosen counts a request for which the split of its route has chosen a service.
+	SplitChosen(route, service string)
 }
 
 // Config holds the settings and dependencies of a Gateway.
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -34,11 +34,12 @@
 	m.Run()
 }
 
-// fakeCounter counts refusals and retries by the name of their reason.
+// fakeCounter counts refusals and retries by the name of their reason, and choices of splits by route and service.
 type fakeCounter struct {
 	mu      sync.Mutex
 	refused map[string]int
 	retried map[string]int
+	chosen  map[string]int
 }
 
 func (c *fakeCounter) Answered(string, string)                     {}
@@ -54,6 +55,11 @@
 	defer c.mu.Unlock()
 	c.retried[retry.Name]++
 }
+func (c *fakeCounter) SplitChosen(route, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.chosen[route+" "+service]++
+}
 
 // testbed is a gateway in front of raw targets. The idempotent route /safe/ and the other route /once/ lead to all of them.
 type testbed struct {
@@ -73,7 +79,7 @@
 // newConfiguredTestbed returns a testbed whose gateway has a changed configuration.
 func newConfiguredTestbed(t testing.TB, configure func(*Config), targets ...*rawtarget.Target) *testbed {
 	t.Helper()
-	b := &testbed{counter: &fakeCounter{refused: map[string]int{}, retried: map[string]int{}}, targets: targets}
+	b := &testbed{counter: &fakeCounter{refused: map[string]int{}, retried: map[string]int{}, chosen: map[string]int{}}, targets: targets}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	config := Config{
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -44,6 +44,8 @@
 	totalWeight int
 	// requests counts the requests for which NextService has chosen a service.
 	requests atomic.Uint64
+	// choices counts them by share of the split.
+	choices []atomic.Int64
 }
 
 // Build validates a configuration and returns its table. The error is a *ConfigError.
@@ -71,7 +73,7 @@
 	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
 		return &ConfigError{t.Version, route.Name, fmt.Sprintf("path prefix %q does not begin and end with a slash", route.PathPrefix)}
 	}
-	entry := &Entry{Route: *route}
+	entry := &Entry{Route: *route, choices: make([]atomic.Int64, len(route.Split))}
 	for _, share := range route.Split {
 		if _, ok := t.Services[share.Service]; !ok {
 			return &ConfigError{t.Version, route.Name, fmt.Sprintf("unknown service %q", share.Service)}
@@ -126,14 +128,46 @@
 // NextService chooses the service for the next request. Each service gets its share also in short sequences of requests, so
 // that the split holds in short intervals too.
 func (e *Entry) NextService() string {
+	share := e.nextShare()
+	e.choices[share].Add(1)
+	return e.Split[share].Service
+}
+
+// nextShare returns the index of the share that the next request belongs to.
+func (e *Entry) nextShare() int {
 	if len(e.Split) == 1 {
-		return e.Split[0].Service
+		return 0
 	}
 	point := int(e.requests.Add(1) * splitStride % uint64(e.totalWeight))
-	for _, share := range e.Split {
+	for i, share := range e.Split {
 		if point -= share.Weight; point < 0 {
-			return share.Service
+			return i
+		}
+	}
+	return len(e.Split) - 1
+}
+
+// Choices returns for how many requests NextService has chosen each share of the split.
+func (e *Entry) Choices() []int64 {
+	counts := make([]int64, len(e.choices))
+	for i := range e.choices {
+		counts[i] = e.choices[i].Load()
+	}
+	return counts
+}
+
+// IsSplit reports whether the route distributes its requests over several services.
+func (e *Entry) IsSplit() bool { return len(e.Split) > 1 }
+
+// Splits returns the routes that distribute their requests over several services, in no particular order.
+func (t *Table) Splits() []*Entry {
+	var splits []*Entry
+	for _, entries := range t.hosts {
+		for _, entry := range entries {
+			if entry.IsSplit() {
+				splits = append(splits, entry)
+			}
 		}
 	}
-	return e.Split[len(e.Split)-1].Service
+	return splits
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,7 @@
 	refusals    metric.Int64Counter
 	retries     metric.Int64Counter
 	denials     metric.Int64Counter
+	splits      metric.Int64Counter
 	addedTime   metric.Float64Histogram
 	requestTime metric.Float64Histogram
 	waitTime    metric.Float64Histogram
@@ -60,6 +61,7 @@
 		{&m.refusals, "basillink.refusals", "Requests refused or failed, by reason."},
 		{&m.retries, "basillink.retries", "Requests sent to a further target, by reason."},
 		{&m.denials, "basillink.claims_denied", "Claims of targets that the reader of the target's zone denied, by service."},
+		{&m.splits, "basillink.split_requests", "Requests for which the weighted split of their route chose a service."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
@@ -125,6 +127,11 @@
 	m.denials.Add(context.Background(), int64(claims), metric.WithAttributes(attribute.String("service", service)))
 }
 
+// SplitChosen counts a request for which the split of its route has chosen a service.
+func (m *Metrics) SplitChosen(route, service string) {
+	m.splits.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("service", service)))
+}
+
 // AddedLatency records the time that the instance added to a request.
 func (m *Metrics) AddedLatency(d time.Duration) {
 	m.addedTime.Record(context.Background(), d.Seconds())
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// Guards against a split whose choices cannot be told from the metrics.
+func TestSplitChoicesAreCounted(t *testing.T) {
+	m := newMetrics(t)
+	m.SplitChosen("uploads", "store-a")
+	m.SplitChosen("uploads", "store-a")
+	m.SplitChosen("uploads", "store-b")
+	text := scrape(t, m)
+	for _, line := range []string{
+		`basillink_split_requests_total{route="uploads",service="store-a"} 2`, `basillink_split_requests_total{route="uploads",service="store-b"} 1`,
+	} {
+		if !strings.Contains(text, line+"\n") {
+			t.Errorf("no line %s", line)
+		}
+	}
+}
+
 // Guards against a time series for each nonexistent service that callers request.
 func TestUnknownServicesShareOneCounter(t *testing.T) {
 	m := newMetrics(t)
