--- a/internal/fleet/splits_test.go
+++ b/internal/fleet/splits_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"slices"
 	"testing"
 
@@ -50,3 +51,21 @@
 		t.Errorf("requests %v, want 10 in all", line.Requests)
 	}
 }
+
+// Guards against a node that begins each version of the configuration with the same service of a split, so that services deviate from
+// their weights while versions follow each other.
+func TestSplitContinuesOverVersions(t *testing.T) {
+	n := newQuietNode(t, newMember("a1", "a"))
+	n.started = testStart
+	const versions, deviation = 300, 0.1
+	first := 0
+	for version := range uint64(versions) {
+		n.applyConfig(splitConfig(version+1, 50, 50), "store", testStart)
+		if n.table.Match("h", "/").NextService() == "a" {
+			first++
+		}
+	}
+	if share := float64(first) / versions; math.Abs(share-0.5) > deviation {
+		t.Errorf("the first service got %.3f of one request in each of %d versions, want 0.5 within %.1f", share, versions, deviation)
+	}
+}
