Begin splits at a random point on each instance and go on in the next version

Cause: each instance counted the requests of a split on its own, and from 0 in each version of the configuration. Each began with the same service, and a large fleet serves one to three requests of a route with an instance and version. The class: a share that each instance keeps alone and begins at the same value. Evidence: the choices of all instances, summed from their logs, were off in each version, with the same weights everywhere; what arrived followed them. Change: the choices follow the multiples of the golden ratio, which are spread evenly in short runs, from a random point on each instance, and go on from version to version. Random starts are independent, so that the first requests of all instances follow the weights too.

--- a/internal/fleet/store_reads.go
+++ b/internal/fleet/store_reads.go
@@ -149,7 +149,7 @@
 	if config == nil || n.table != nil && config.Version <= n.table.Version {
 		return
 	}
-	table, err := routes.Build(config)
+	table, err := routes.Build(config, n.table, n.Random)
 	if err != nil {
 		n.Log.Warn("Rejected an invalid configuration. The current one stays in force.", "version", config.Version, "error", err)
 		return
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]*Entry
+	splits   []*Entry
 	// workspaces holds the workspaces by the hashes of their keys.
 	workspaces   map[KeyHash]*Workspace
 	requiresKeys bool
@@ -42,14 +44,15 @@
 type Entry struct {
 	Route
 	totalWeight int
-	// requests counts the requests for which NextService has chosen a service.
-	requests atomic.Uint64
-	// choices counts them by share of the split.
+	// sequence is nil for a route without a split.
+	sequence *splitSequence
+	// choices counts the requests for which NextService has chosen each share of the split.
 	choices []atomic.Int64
 }
 
-// Build validates a configuration and returns its table. The error is a *ConfigError.
-func Build(c *Config) (*Table, error) {
+// Build validates a configuration and returns its table. The splits that the previous table has too go on with its sequences; it is
+// nil for the first table. The error is a *ConfigError.
+func Build(c *Config, previous *Table, random *rand.Rand) (*Table, error) {
 	t := &Table{Version: c.Version, Limits: withDefaults(c.Limits), Services: map[string]Service{}, hosts: map[string][]*Entry{}}
 	for _, service := range c.Services {
 		t.Services[service.Name] = service
@@ -59,6 +62,7 @@
 			return nil, err
 		}
 	}
+	t.setSplitSequences(previous, random)
 	t.requiresKeys = len(c.Workspaces) > 0
 	if err := t.addWorkspaces(c.Workspaces); err != nil {
 		return nil, err
@@ -88,6 +92,9 @@
 	}
 	host := strings.ToLower(route.Host)
 	t.hosts[host] = append(t.hosts[host], entry)
+	if entry.IsSplit() {
+		t.splits = append(t.splits, entry)
+	}
 	return nil
 }
 
@@ -120,54 +127,3 @@
 	}
 	return nil
 }
-
-// splitStride is coprime to the usual total weights, so that consecutive requests alternate between the services of a
-// split instead of going to one service first.
-const splitStride = 7919
-
-// NextService chooses the service for the next request. Each service gets its share also in short sequences of requests, so
-// that the split holds in short intervals too.
-func (e *Entry) NextService() string {
-	share := e.nextShare()
-	e.choices[share].Add(1)
-	return e.Split[share].Service
-}
-
-// nextShare returns the index of the share that the next request belongs to.
-func (e *Entry) nextShare() int {
-	if len(e.Split) == 1 {
-		return 0
-	}
-	point := int(e.requests.Add(1) * splitStride % uint64(e.totalWeight))
-	for i, share := range e.Split {
-		if point -= share.Weight; point < 0 {
-			return i
-		}
-	}
-	return len(e.Split) - 1
-}
-
-// Choices returns for how many requests NextService has chosen each share of the split.
-func (e *Entry) Choices() []int64 {
-	counts := make([]int64, len(e.choices))
-	for i := range e.choices {
-		counts[i] = e.choices[i].Load()
-	}
-	return counts
-}
-
-// IsSplit reports whether the route distributes its requests over several services.
-func (e *Entry) IsSplit() bool { return len(e.Split) > 1 }
-
-// Splits returns the routes that distribute their requests over several services, in no particular order.
-func (t *Table) Splits() []*Entry {
-	var splits []*Entry
-	for _, entries := range t.hosts {
-		for _, entry := range entries {
-			if entry.IsSplit() {
-				splits = append(splits, entry)
-			}
-		}
-	}
-	return splits
-}
