Go on with the rotation of round_robin when a policy is rebuilt

What callers saw: nothing in the deployments in force, which do not use this policy. With few requests between two revisions of a service, the first targets of the order get all of them. Cause: each revision, and each change of the live instances, begins the rotation at 0. It is the class of the splits: a position that begins at the same value with each version. Change: the rebuilt policy takes the counter over. Result: TestRotationContinuesOverRevisions failed before, with all 50 requests of 50 revisions on one target of ten, and passes.

--- a/internal/balancer/sampling_policy.go
+++ b/internal/balancer/sampling_policy.go
@@ -59,7 +59,7 @@
 	// instance uses first.
 	ranked    []int
 	preferred []int
-	// rotation is the counter of the round-robin policy.
+	// rotation is the counter of the round-robin policy. It is carried over when the policy is rebuilt.
 	rotation atomic.Uint64
 	service  *serviceState
 }
@@ -81,6 +81,7 @@
 	p.service = &serviceState{}
 	if old != nil {
 		p.service = old.service
+		p.rotation.Store(old.rotation.Load())
 	}
 	for i, target := range config.Targets {
 		p.indexByAddress[target.Address] = i
