Begin the sampling of answers for the log at a random point on each instance

What operators saw: with log.sample_one_in 64, a large fleet whose instances answer fewer than 64 requests each logs no sample at all. Cause: each instance counts its answers from 0. It is the class of the splits: a share that each instance keeps alone and begins at the same value. Change: logSampler, a type of its own, counts from a random start. Result: TestSampledAnswersOfManyInstances failed before, with 0 of 12,800 answers of 6,400 instances selected, and passes.

--- a/internal/ingress/accesslog.go
+++ b/internal/ingress/accesslog.go
@@ -21,11 +21,10 @@
 	total := g.Now() - call.arrivedAt
 	g.Counter.Answered(call.service, call.route.Name)
 	g.Counter.Served(call.route.Name, total, call.waited)
-	count := g.answerCount.Add(1)
+	sampled := g.logSampler.sample()
 	status := r.answer.Response.StatusCode()
 	late := total > call.route.LatencyObjective
-	sampleOneIn := g.logSampling.Load()
-	if status < 400 && !late && call.attempts == 1 && (sampleOneIn == 0 || count%uint64(sampleOneIn) != 0) {
+	if status < 400 && !late && call.attempts == 1 && !sampled {
 		return
 	}
 	message := "Answered."
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,17 +125,14 @@
 	durations durations
 	inFlight  atomic.Int64
 	// openedAt is the value of Now when Open was called.
-	openedAt time.Duration
-	// answerCount counts answers for the sampling of log entries.
-	answerCount atomic.Uint64
-	panicGuard  panicguard.Guard
-	crashGuard  *crashguard.Guard
+	openedAt   time.Duration
+	logSampler *logSampler
+	panicGuard panicguard.Guard
+	crashGuard *crashguard.Guard
 	// lossProbes counts the running goroutines of watchForTermination.
 	lossProbes atomic.Int64
 	// beforeSend is called between the decision for a target and the sending of the request. It is only set by tests.
 	beforeSend func()
-	// logSampling is the current value of LogSampleOneIn.
-	logSampling atomic.Int64
 
 	mu sync.Mutex
 	// targetConns holds the connections by target id. It is guarded by mu.
@@ -149,10 +147,10 @@
 	g := &Gateway{
 		Config: c, listener: inbound.Listener{Address: c.Address}, keyHeaders: workspace.NewHeaders(c.Headers.Key, c.Headers.Workspace),
 		targetConns: map[string]*targetConnections{},
+		logSampler:  newLogSampler(c.LogSampleOneIn, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	g.connections.Limit = c.MaxConnections
 	g.crashGuard = crashguard.New(g.spreadCrashMark)
-	g.SetLogSampling(c.LogSampleOneIn)
 	g.server = server.New(
 		server.WithListener(&g.listener),
 		server.WithTransport(standard.NewTransporter),
@@ -182,7 +180,7 @@
 func (g *Gateway) ClosedConnections() inbound.ClosedCounts { return g.connections.Closed() }
 
 // SetLogSampling sets Config.LogSampleOneIn of a running gateway.
-func (g *Gateway) SetLogSampling(oneIn int) { g.logSampling.Store(int64(oneIn)) }
+func (g *Gateway) SetLogSampling(oneIn int) { g.logSampler.oneIn.Store(int64(oneIn)) }
 
 // Drain makes each further answer announce that its connection is closed after it. New connections are still accepted.
 func (g *Gateway) Drain() { g.draining.Store(true) }
