--- a/internal/crowd/instance_test.go
+++ b/internal/crowd/instance_test.go
@@ -55,9 +55,16 @@
 // instance is an instance that runs as a separate process.
 type instance struct {
 	program, address, pathPrefix string
-	memoryMB                     int
-	command                      *exec.Cmd
-	exited                       chan struct{}
+	// operator is the address for checks and metrics: the readiness address of edge, the admin address of run. peer is the address
+	// for other instances.
+	operator, peer string
+	// checkPath is the path of the readiness check at the address operator.
+	checkPath   string
+	memoryMB    int
+	descriptors int
+	settings    string
+	command     *exec.Cmd
+	exited      chan struct{}
 
 	mu             sync.Mutex
 	maxDescriptors int
@@ -87,6 +94,14 @@
 
 // startEdgeWith starts an instance of the command edge with an amount of memory in front of some targets.
 func startEdgeWith(t *testing.T, memoryMB int) *instance {
+	t.Helper()
+	i := newEdge(t, newStore(t), 0, memoryMB)
+	i.start(t)
+	return i
+}
+
+// newStore returns a stand-in store with a configuration and some targets.
+func newStore(t *testing.T) *platformtest.Store {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
@@ -103,21 +118,34 @@
 			ID: fmt.Sprintf("t%d", n), Address: rawtarget.Start(t, answer).Address(), Service: "s0", Zone: "z0", Slots: 200, Born: 1,
 		}, 1)
 	}
-	i := &instance{program: "edge", address: processHost() + ":18080", pathPrefix: "/read/", memoryMB: memoryMB}
-	i.start(t, fmt.Sprintf(`[instance]
-id = "e0"
+	return store
+}
+
+// portsPerEdge is the number of ports that an instance of the command edge listens on.
+const portsPerEdge = 3
+
+// newEdge returns instance number n of the command edge, which is not started.
+func newEdge(t *testing.T, store *platformtest.Store, n, memoryMB int) *instance {
+	t.Helper()
+	port := func(k int) string { return fmt.Sprintf("%s:%d", processHost(), 18080+portsPerEdge*n+k) }
+	i := &instance{
+		program: "edge", address: port(0), pathPrefix: "/read/", operator: port(1), peer: port(2), checkPath: "/-/ready",
+		memoryMB: memoryMB, descriptors: descriptorLimit,
+	}
+	i.writeSettings(t, fmt.Sprintf(`[instance]
+id = "e%d"
 zone = "z0"
 [listen]
 caller = %q
-readiness = "%[2]s:18081"
-peer = "%[2]s:18082"
+readiness = %q
+peer = %q
 [store]
 address = %q
 [memory]
 limit_mb = %d
 [log]
 sample_one_in = 0
-`, i.address, processHost(), store.Address(), memoryMB))
+`, n, i.address, i.operator, i.peer, store.Address(), memoryMB))
 	return i
 }
 
@@ -136,12 +164,15 @@
 		defer cancel()
 		_ = server.Shutdown(ctx)
 	})
-	i := &instance{program: "run", address: processHost() + ":18090", pathPrefix: "/desk/", memoryMB: runMemoryMB}
+	i := &instance{
+		program: "run", address: processHost() + ":18090", pathPrefix: "/desk/", operator: processHost() + ":18091", peer: processHost() + ":18092",
+		checkPath: "/readyz", memoryMB: runMemoryMB, descriptors: descriptorLimit,
+	}
 	list.Set([]logservice.ListedInstance{{
 		ID: "i0", Zone: "tz-north-a", AdminAddress: processHost() + ":18091", PeerAddress: processHost() + ":18092", State: logservice.ListedLive,
 	}})
 	publishService(t, log)
-	i.start(t, fmt.Sprintf(`[instance]
+	i.writeSettings(t, fmt.Sprintf(`[instance]
 id = "i0"
 zone = "tz-north-a"
 [listen]
@@ -158,6 +189,7 @@
 [log]
 level = "error"
 `, i.address, processHost(), platformAddress, maxBodyBytes, maxHeaderBytes))
+	i.start(t)
 	return i
 }
 
@@ -181,15 +213,30 @@
 	}
 }
 
-// start starts the process with the given settings and waits until it answers an ordinary request.
-func (i *instance) start(t *testing.T, settings string) {
+// writeSettings writes the settings file of the instance.
+func (i *instance) writeSettings(t *testing.T, settings string) {
 	t.Helper()
-	file := filepath.Join(t.TempDir(), "settings.toml")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+	i.settings = filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(i.settings, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	i.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, descriptorLimit), os.Args[0])
-	i.command.Env = append(os.Environ(), roleVariable+"="+i.program+" "+file)
+}
+
+// start starts the process and waits until it answers an ordinary request.
+func (i *instance) start(t *testing.T) {
+	t.Helper()
+	i.launch(t)
+	testwait.Until(t, "an instance that serves", func() bool {
+		status, _ := i.ordinary("start")
+		return status == http.StatusOK
+	})
+}
+
+// launch starts the process.
+func (i *instance) launch(t *testing.T) {
+	t.Helper()
+	i.command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, i.descriptors), os.Args[0])
+	i.command.Env = append(os.Environ(), roleVariable+"="+i.program+" "+i.settings)
 	i.command.Stderr = os.Stderr
 	testprocess.SetOwnProcessGroup(i.command)
 	if err := i.command.Start(); err != nil {
@@ -198,10 +245,6 @@
 	i.exited = make(chan struct{})
 	go func() { _ = i.command.Wait(); close(i.exited) }()
 	t.Cleanup(func() { _ = i.command.Process.Kill(); <-i.exited })
-	testwait.Until(t, "an instance that serves", func() bool {
-		status, _ := i.ordinary("start")
-		return status == http.StatusOK
-	})
 }
 
 // head returns the head of a request, without the lines about its body and the empty line.
