Keep a process that has no free descriptor for a connection to a listener

What callers saw: the process ended. 1,100 silent connections to the readiness address (edge), the admin address or the peer address (run) took the 1,024 descriptors, and the listener that could not accept the next one ended with its error, which stops the process. Cause: only the listener for callers tried again after a temporary error of accept. The class: a failure for lack of a resource that others hold is taken for one of the listener itself. Change: package accept tries again, for all listeners; the caller's listener had its own code. Result: TestServerSurvivesLackOfDescriptors failed before (accept4: too many open files) and passes. The processes of TestEdgeSilentChecks, TestRunSilentAdminConnections and TestEdgeSilentConnectionsEverywhere live now; the three tests stay red, as all 1,024 descriptors are taken until the idle timeout of a minute. TestRunSilentPeers passed (882 descriptors, bound 896).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -81,8 +80,8 @@
 
 // Listen opens the listener and registers the handlers.
 func (s *Server) Listen() error {
-	listener, err := net.Listen("tcp", s.address)
-	if err != nil {
+	listener := &inbound.Listener{Address: s.address}
+	if err := listener.Open(); err != nil {
 		return trace.Wrap(err)
 	}
 	s.server = server.New(
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -42,8 +41,8 @@
 
 // open starts to listen.
 func (r *readiness) open() error {
-	listener, err := net.Listen("tcp", r.address)
-	if err != nil {
+	listener := &inbound.Listener{Address: r.address}
+	if err := listener.Open(); err != nil {
 		return err
 	}
 	r.server = server.New(
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/accept"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/topic"
 )
@@ -83,7 +84,7 @@
 
 func (s *stateServer) run() {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := accept.Retrying(s.listener)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -4,15 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
-)
 
-// acceptRetryDelay is the delay after a temporary error of accept, for example because the process has no free file descriptor.
-const acceptRetryDelay = 10 * time.Millisecond
+	"github.com/basillink/basillink/internal/accept"
+)
 
 // Listener is a TCP listener that retries accept after temporary errors, which would otherwise end the accept loop of the server.
 // Open must be called before Accept. It is safe for concurrent use.
@@ -58,19 +55,13 @@
 
 // Accept implements net.Listener. After a temporary error it waits and tries again.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner := l.current()
-	for {
-		conn, err := inner.Accept()
-		if err == nil {
-			l.extendDrain()
-			return conn, nil
-		}
-		if !temporary(err) {
-			l.endDrain()
-			return nil, err
-		}
-		time.Sleep(acceptRetryDelay)
+	conn, err := accept.Retrying(l.current())
+	if err != nil {
+		l.endDrain()
+		return nil, err
 	}
+	l.extendDrain()
+	return conn, nil
 }
 
 const (
@@ -116,16 +107,6 @@
 	}
 }
 
-// temporary reports whether accept may succeed if it is called again after an error.
-func temporary(err error) bool {
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
-}
-
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	if inner := l.current(); inner != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"github.com/basillink/basillink/internal/accept"
 )
 
 // maxServerConns limits the open connections accepted from peers.
@@ -48,7 +50,7 @@
 // run accepts connections until close. listen must be called first.
 func (s *server) run() error {
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := accept.Retrying(s.listener)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
