Limit the connections to the readiness and admin addresses

What callers saw: no answers. 1,100 silent connections to the readiness or admin address took all descriptors of the process until the idle timeout of a minute. Cause: nothing bounded these connections; only the caller address had a limit. The class: memory or descriptors that a caller can make a process hold before a limit looks at it. Change: listen.max_readiness_connections and listen.max_admin_connections, 32 by default, with the rule of the caller address: at the limit, connections without progress for a second are closed for new ones. The platform asks once a second, metrics are collected every few seconds. A counter tells the closed ones.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -70,11 +70,16 @@
 	server   *server.Hertz
 }
 
-// New returns a server for address. It does not open the listener; call Listen and then Run.
-func New(address string, source Source, log *slog.Logger) *Server {
-	return &Server{address: address, source: source, requests: &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log}}
+// New returns a server for address that keeps at most maxConnections connections. It does not open the listener; call Listen and
+// then Run.
+func New(address string, maxConnections int, source Source, log *slog.Logger) *Server {
+	requests := &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log, MaxConnections: maxConnections}
+	return &Server{address: address, source: source, requests: requests}
 }
 
+// ClosedConnections counts the connections that were closed at the limit.
+func (s *Server) ClosedConnections() inbound.ClosedCounts { return s.requests.ClosedConnections() }
+
 // Panics returns the number of requests whose handling panicked.
 func (s *Server) Panics() int64 { return s.requests.Panics() }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -23,7 +23,7 @@
 	}
 	address := probe.Addr().String()
 	_ = probe.Close()
-	s := New(address, Source{Metrics: http.NotFoundHandler()}, log)
+	s := New(address, 32, Source{Metrics: http.NotFoundHandler()}, log)
 	if err := s.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,7 @@
 	if err := metrics.RegisterClosedConnections(d.gateway.ClosedConnections); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	d.admin = admin.New(s.Listen.Admin, admin.Source{
+	d.admin = admin.New(s.Listen.Admin, s.Listen.MaxAdminConnections, admin.Source{
 		Instance: s.Instance.ID,
 		Zone:     s.Instance.Zone,
 		State:    func() string { return string(d.lifecycleChart.State()) },
@@ -81,6 +81,9 @@
 		Ready:         d.ready,
 		Metrics:       metrics.Handler(),
 	}, telemetry.Component(log, "admin"))
+	if err := metrics.RegisterClosedOperatorConnections(d.admin.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return d, nil
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,10 @@
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	e.readiness = newReadiness(s.Listen.Readiness, func() bool { return e.node.Ready() && e.gateway.ServesKeys() }, metrics.Handler(), e.log)
+	e.readiness = newReadiness(s.Listen, func() bool { return e.node.Ready() && e.gateway.ServesKeys() }, metrics.Handler(), e.log)
+	if err := metrics.RegisterClosedOperatorConnections(e.readiness.requests.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return e, nil
 }
 
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/basillink/basillink/internal/inbound"
+	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/platform"
 )
 
@@ -34,9 +35,9 @@
 	server   *server.Hertz
 }
 
-func newReadiness(address string, isReady func() bool, metrics http.Handler, log *slog.Logger) *readiness {
-	requests := &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log}
-	return &readiness{address: address, isReady: isReady, metrics: metrics, requests: requests}
+func newReadiness(listen settings.EdgeListen, isReady func() bool, metrics http.Handler, log *slog.Logger) *readiness {
+	requests := &inbound.HandlerFactory{Limits: inbound.HandlerLimits, Log: log, MaxConnections: listen.MaxReadinessConnections}
+	return &readiness{address: listen.Readiness, isReady: isReady, metrics: metrics, requests: requests}
 }
 
 // open starts to listen.
--- a/internal/edge/readiness_test.go
+++ b/internal/edge/readiness_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/basillink/basillink/internal/settings"
 	"github.com/basillink/basillink/internal/telemetry"
 )
 
@@ -24,7 +25,7 @@
 	}
 	address := probe.Addr().String()
 	_ = probe.Close()
-	r := newReadiness(address, func() bool { return true }, metrics, slog.New(slog.DiscardHandler))
+	r := newReadiness(settings.EdgeListen{Readiness: address, MaxReadinessConnections: 32}, func() bool { return true }, metrics, slog.New(slog.DiscardHandler))
 	if err := r.open(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/inbound/handlers.go
+++ b/internal/inbound/handlers.go
@@ -31,18 +31,26 @@
 type HandlerFactory struct {
 	Limits Limits
 	Log    *slog.Logger
+	// MaxConnections is the maximum number of connections. At the limit, those that made no progress for a second are closed for new
+	// ones. 0 means no limit.
+	MaxConnections int
 
-	guard panicguard.Guard
+	guard       panicguard.Guard
+	connections Connections
 }
 
 // New implements suite.ServerFactory.
 func (f *HandlerFactory) New(core suite.Core) (protocol.Server, error) {
+	f.connections.Limit = f.MaxConnections
 	return &handlerServer{factory: f, core: core}, nil
 }
 
 // Panics returns the number of requests whose handling panicked.
 func (f *HandlerFactory) Panics() int64 { return f.guard.Panics() }
 
+// ClosedConnections counts the connections that were closed at the limit.
+func (f *HandlerFactory) ClosedConnections() ClosedCounts { return f.connections.Closed() }
+
 // handlerServer serves HTTP/1 connections.
 type handlerServer struct {
 	factory *HandlerFactory
@@ -51,26 +59,37 @@
 
 // Serve implements protocol.Server. It handles the requests of one connection, which hertz closes afterwards.
 func (s *handlerServer) Serve(ctx context.Context, conn network.Conn) error {
+	connections := &s.factory.connections
+	tracked := connections.Add(ctx, conn)
+	if tracked == nil {
+		return hertzerrors.ErrShortConnection
+	}
 	c := s.core.GetCtxPool().Get().(*app.RequestContext)
 	c.SetConn(conn)
 	defer func() {
+		connections.Remove(tracked)
 		c.Reset()
 		s.core.GetCtxPool().Put(c)
 	}()
 	for AwaitRequest(conn, handlerIdleTimeout) {
-		if !s.serveOne(ctx, c) {
+		connections.SetBusy(tracked, true)
+		if !s.serveOne(ctx, c, tracked) || tracked.Evicted() {
 			break
 		}
 		_ = conn.Release()
 		c.ResetWithoutConn()
+		connections.SetBusy(tracked, false)
 	}
 	return hertzerrors.ErrShortConnection
 }
 
 // serveOne reads and answers one request. It reports whether the connection may be used for another one.
-func (s *handlerServer) serveOne(ctx context.Context, c *app.RequestContext) bool {
+func (s *handlerServer) serveOne(ctx context.Context, c *app.RequestContext, conn *Conn) bool {
 	f := s.factory
-	refusal := f.Limits.ReadRequest(c)
+	limits := f.Limits
+	limits.Conn = conn
+	refusal := limits.ReadRequest(c)
+	conn.Received()
 	closing := refusal != nil || !c.Request.Header.IsHTTP11() || c.Request.Header.ConnectionClose() || !s.core.IsRunning()
 	switch {
 	case refusal != nil:
@@ -85,10 +104,11 @@
 		c.Response.Header.SetConnectionClose(true)
 	}
 	c.Response.SkipBody = c.Request.Header.IsHead()
+	conn.Answering()
 	if writeHandlerAnswer(c) != nil {
 		return false
 	}
-	if refusal != nil {
+	if refusal != nil && !conn.Evicted() {
 		Linger(ctx)
 	}
 	return !closing
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -32,6 +32,9 @@
 	// a second are closed for new ones, then idle ones. 0 means 10 for each MB of memory.limit_mb, and at most 70% of the
 	// descriptors that the process may open.
 	MaxConnections int `toml:"max_connections" accept:"range:0..1048576" default:"0"`
+	// MaxReadinessConnections is the maximum number of connections to the readiness address. At the limit, those without progress for
+	// a second are closed for new ones. The platform's balancer and the collection of metrics need one each.
+	MaxReadinessConnections int `toml:"max_readiness_connections" accept:"range:1..1048576" default:"32"`
 }
 
 // EdgeStore locates the platform's store.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,9 @@
 	// a second are closed for new ones, then idle ones. 0 means 10 for each MB of memory.limit_mb, and at most 70% of the
 	// descriptors that the process may open.
 	MaxConnections int `toml:"max_connections" accept:"range:0..1048576" default:"0"`
+	// MaxAdminConnections is the maximum number of connections to the admin address. At the limit, those without progress for a second
+	// are closed for new ones.
+	MaxAdminConnections int `toml:"max_admin_connections" accept:"range:1..1048576" default:"32"`
 }
 
 // Platform locates the platform's services.
--- a/internal/telemetry/closed_connections.go
+++ b/internal/telemetry/closed_connections.go
@@ -20,6 +20,17 @@
 		})
 }
 
+// RegisterClosedOperatorConnections registers the counter of connections to the address for checks and metrics that were closed at its
+// limit. The function read must be safe for concurrent use.
+func (m *Metrics) RegisterClosedOperatorConnections(read func() inbound.ClosedCounts) error {
+	return m.RegisterObservableCounter("basillink.closed_operator_connections",
+		"Connections to the readiness or admin address that were closed at its limit: for a new connection, and new ones.",
+		func() []LabeledValue {
+			counts := read()
+			return []LabeledValue{closedValue("limit", counts.ForLimit), closedValue("refused", counts.Refused)}
+		})
+}
+
 func closedValue(why string, count int64) LabeledValue {
 	return LabeledValue{Labels: []attribute.KeyValue{attribute.String("why", why)}, Value: count}
 }
