Limit the connections to the peer addresses

What callers saw: no answers, and a process without free descriptors, beside 1,100 silent connections to the peer address. Cause: edge had no limit on connections of peers. run had one of 1,024, which took connections that had not shown that they know the secret, as many as it may have descriptors. The class is that of the readiness address: descriptors that are held before a limit looks at them. Change: accept.Limit closes the oldest connection for a new one once it is older than a peer waits: edge keeps 96 connections, each for one call, run 96 whose handshake is not complete. Counters tell the closed ones.

--- a/internal/crowd/listeners_test.go
+++ b/internal/crowd/listeners_test.go
@@ -198,3 +198,18 @@
 		return dialListener(i, peerListener)
 	}
 }
+
+// Guards against silent connections to the readiness address that come again as soon as they are closed, and keep the platform's check
+// from being answered.
+func TestEdgePersistentSilentChecks(t *testing.T) {
+	i := startEdge(t)
+	crowd := startPersistent([]*instance{i}, 96, bytesAt(operatorListener, ""))
+	defer crowd.stop()
+	crowd.awaitSent(t)
+	for round := range 10 {
+		expectCheck(t, i, fmt.Sprintf("round %d", round))
+		expectOrdinary(t, i, fmt.Sprintf("round-%d", round))
+		time.Sleep(500 * time.Millisecond)
+	}
+	expectBounds(t, i)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,9 @@
 	if err := metrics.RegisterClosedConnections(d.gateway.ClosedConnections); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := metrics.RegisterClosedPeerConnections(d.node.ClosedConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	d.admin = admin.New(s.Listen.Admin, s.Listen.MaxAdminConnections, admin.Source{
 		Instance: s.Instance.ID,
 		Zone:     s.Instance.Zone,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,6 +91,9 @@
 	if err := metrics.RegisterClosedConnections(e.gateway.ClosedConnections); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := metrics.RegisterClosedPeerConnections(e.node.ClosedPeerConnections); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := observeCrashes(metrics, e.gateway.CrashStats); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/accept"
 	"github.com/basillink/basillink/internal/credit"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
@@ -88,9 +89,11 @@
 	traffic       Traffic
 	claimTable    atomic.Pointer[claimTable]
 	link          link
-	sampler       *sampler
-	started       time.Time
-	flush         flush
+	// peerConnections are the connections of peers that call this instance.
+	peerConnections *accept.Limit
+	sampler         *sampler
+	started         time.Time
+	flush           flush
 	// suspensionClock is the clock of the lease, of grants and of the age of the keys.
 	suspensionClock *suspensionClock
 	creditServer    *creditServer
@@ -244,6 +247,7 @@
 		recentChangesBase: topic.Position{Offset: -1}, instances: 1, zoneLive: 1,
 		targetsTopic: storeread.NewTopic(storeread.TargetsInterval, readerHash(c.Self)), configsTopic: storeread.NewTopic(storeread.ConfigsInterval, readerHash(c.Self)),
 	}
+	n.peerConnections = accept.NewLimit(maxPeerConnections, fetchTimeout)
 	n.startDelayFraction = c.Random.Float64()
 	n.storedMarks = storedMarks{inStore: map[string]bool{}, loaded: c.Bootstrap}
 	n.suspensionClock = &suspensionClock{detect: func() (time.Duration, time.Duration) { return n.DetectSuspension() }}
@@ -313,6 +317,9 @@
 	}
 }
 
+// ClosedPeerConnections returns how many connections of peers were closed at the limit for new ones, and how many new ones were refused.
+func (n *Node) ClosedPeerConnections() (closed, refused int64) { return n.peerConnections.Counts() }
+
 // Traffic returns the counters of the datagrams, load probes and calls to the store.
 func (n *Node) Traffic() *Traffic { return &n.traffic }
 
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -26,6 +26,7 @@
 	node    *Node
 	address string
 	server  *rpc.Server
+	limit   *accept.Limit
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -61,7 +62,7 @@
 }
 
 func newStateServer(n *Node, address string) *stateServer {
-	s := &stateServer{node: n, address: address, server: rpc.NewServer()}
+	s := &stateServer{node: n, address: address, server: rpc.NewServer(), limit: n.peerConnections}
 	if err := s.server.Register(&Fleet{n}); err != nil {
 		n.Log.Error("Could not register the RPC service for peers.", "error", err)
 	}
@@ -79,8 +80,13 @@
 	return nil
 }
 
-// callTimeLimit is the longest lifetime of a connection of a peer. Each connection carries one call.
-const callTimeLimit = 2 * time.Second
+const (
+	// callTimeLimit is the longest lifetime of a connection of a peer. Each connection carries one call.
+	callTimeLimit = 2 * time.Second
+	// maxPeerConnections is the maximum number of connections of peers. At the limit, those whose callers have given up are closed for
+	// new ones. Fetches from one peer are spread over time, so that few are open at once.
+	maxPeerConnections = 96
+)
 
 func (s *stateServer) run() {
 	for {
@@ -93,7 +99,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if err := conn.SetDeadline(time.Now().Add(callTimeLimit)); err != nil {
+		if conn.SetDeadline(time.Now().Add(callTimeLimit)) != nil || !s.limit.Add(conn) {
 			_ = conn.Close()
 			continue
 		}
@@ -103,6 +109,7 @@
 
 // serve serves the calls of a connection until the peer closes it.
 func (s *stateServer) serve(conn net.Conn) {
+	defer s.limit.Remove(conn)
 	defer func() { _ = conn.Close() }()
 	s.node.guard.Run(s.node.Log, peerPart, func() { s.server.ServeCodec(newGobCodec(conn)) })
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -128,6 +128,10 @@
 // DroppedRumors returns the number of rumors dropped by Spread.
 func (n *Node) DroppedRumors() uint64 { return n.droppedRumors.Load() }
 
+// ClosedConnections returns how many connections without a complete handshake were closed at the limit for new ones, and how many new
+// ones were refused.
+func (n *Node) ClosedConnections() (closed, refused int64) { return n.server.handshakes.Counts() }
+
 // Members returns this instance, followed by all other known members sorted by identity. The slice must not be
 // modified.
 func (n *Node) Members() []Member { return *n.members.Load() }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,20 +7,29 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/basillink/basillink/internal/accept"
 )
 
-// maxServerConns limits the open connections accepted from peers.
-const maxServerConns = 1024
+const (
+	// maxServerConns limits the open connections accepted from peers that know the secret.
+	maxServerConns = 1024
+	// maxHandshakes limits the connections whose handshake is not complete. A handshake takes a few milliseconds, so that only
+	// connections of others get older than handshakePatience, at which they are closed for new ones.
+	maxHandshakes     = 96
+	handshakePatience = 500 * time.Millisecond
+)
 
 // server accepts connections from peers and serves their calls.
 type server struct {
 	secret string
 	rpc    *rpc.Server
 	log    *slog.Logger
+	// handshakes are the connections whose handshake is not complete.
+	handshakes *accept.Limit
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -30,7 +39,7 @@
 
 // newServer returns a server that does not listen yet.
 func newServer(secret string, service *Service, log *slog.Logger) (*server, error) {
-	s := &server{secret: secret, rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}}
+	s := &server{secret: secret, rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}, handshakes: accept.NewLimit(maxHandshakes, handshakePatience)}
 	return s, trace.Wrap(s.rpc.RegisterName("Peer", service))
 }
 
@@ -57,8 +66,8 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if err := s.track(conn); err != nil {
-			s.log.Warn("Refused a peer connection.", "error", err)
+		if !s.handshakes.Add(conn) {
+			s.log.Debug("Closed a new connection at the limit.", "limit", maxHandshakes)
 			_ = conn.Close()
 			continue
 		}
@@ -70,6 +79,10 @@
 func (s *server) serve(conn net.Conn) {
 	defer s.closeConn(conn)
 	sameTypes, err := handshakeServer(conn, s.secret)
+	s.handshakes.Remove(conn)
+	if err == nil {
+		err = s.track(conn)
+	}
 	if err != nil {
 		s.log.Warn("Refused a peer connection.", "address", conn.RemoteAddr().String(), "error", err)
 		return
@@ -104,6 +117,7 @@
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
+	s.handshakes.CloseAll()
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
--- a/internal/telemetry/closed_connections.go
+++ b/internal/telemetry/closed_connections.go
@@ -31,6 +31,17 @@
 		})
 }
 
+// RegisterClosedPeerConnections registers the counter of connections to the peer address that were closed at its limit. The function
+// read must be safe for concurrent use.
+func (m *Metrics) RegisterClosedPeerConnections(read func() (closed, refused int64)) error {
+	return m.RegisterObservableCounter("basillink.closed_peer_connections",
+		"Connections to the peer address that were closed at its limit: for a new connection, and new ones.",
+		func() []LabeledValue {
+			closed, refused := read()
+			return []LabeledValue{closedValue("limit", closed), closedValue("refused", refused)}
+		})
+}
+
 func closedValue(why string, count int64) LabeledValue {
 	return LabeledValue{Labels: []attribute.KeyValue{attribute.String("why", why)}, Value: count}
 }
