Refuse long messages of peers before they are held

What callers saw: a process beyond its memory. 64 messages of 8 MiB to the peer address of edge took 549 MB, bound 96. Cause: the decoder of net/rpc and gob accepts messages of up to 1 GiB; it allocates up to 10 MB at once for the length that a message announces, and holds what has arrived. The class: memory that a sender can make a process hold before a limit looks at it. Change: a reader between the connection and the decoder knows the length of each message, and refuses it before the decoder sees it. A call may take 16 KiB, an answer 16 MiB. A limit on the bytes alone (tried) left 82 MB, as the decoder allocates by the announced length.

--- a/internal/fleet/guard_test.go
+++ b/internal/fleet/guard_test.go
@@ -211,7 +211,7 @@
 	server := newStateServer(n, "")
 	for name, newClient := range map[string]func(conn net.Conn) *rpc.Client{
 		"earlier client": func(conn net.Conn) *rpc.Client { return rpc.NewClient(conn) },
-		"same version":   func(conn net.Conn) *rpc.Client { return rpc.NewClientWithCodec(newGobCodec(conn)) },
+		"same version":   func(conn net.Conn) *rpc.Client { return rpc.NewClientWithCodec(newGobCodec(conn, maxReplyBytes)) },
 	} {
 		local, remote := net.Pipe()
 		go server.serve(remote)
@@ -224,7 +224,7 @@
 	}
 	local, remote := net.Pipe()
 	go server.server.ServeConn(remote)
-	client := rpc.NewClientWithCodec(newGobCodec(local))
+	client := rpc.NewClientWithCodec(newGobCodec(local, maxReplyBytes))
 	defer func() { _ = client.Close() }()
 	if err := client.Call("Fleet.Marks", MarksRequest{}, &MarksReply{}); err != nil {
 		t.Errorf("earlier server: %v", err)
@@ -239,7 +239,7 @@
 // Guards against a panic of the decoder that passes through the codec.
 func TestCodecReturnsPanics(t *testing.T) {
 	var panicked *panicguard.Error
-	if err := newGobCodec(faultyConn{}).ReadResponseHeader(&rpc.Response{}); !errors.As(err, &panicked) {
+	if err := newGobCodec(faultyConn{}, maxReplyBytes).ReadResponseHeader(&rpc.Response{}); !errors.As(err, &panicked) {
 		t.Errorf("error %v, want a panic", err)
 	}
 }
@@ -277,7 +277,7 @@
 			},
 		} {
 			var panicked *panicguard.Error
-			if err := read(newGobCodec(replayedConn{Reader: bytes.NewReader(b)})); errors.As(err, &panicked) {
+			if err := read(newGobCodec(replayedConn{Reader: bytes.NewReader(b)}, maxReplyBytes)); errors.As(err, &panicked) {
 				t.Errorf("%s: %v", name, err)
 			}
 		}
--- a/internal/fleet/rpc_codec.go
+++ b/internal/fleet/rpc_codec.go
@@ -9,8 +9,17 @@
 	"github.com/basillink/basillink/internal/panicguard"
 )
 
+const (
+	// maxCallBytes is how many bytes a connection may take for its call, which holds a few numbers, and the descriptions of the types.
+	maxCallBytes = 16 << 10
+	// maxReplyBytes is how many bytes a connection may take for the answer: the configuration, the records of targets and the crash
+	// marks.
+	maxReplyBytes = 16 << 20
+)
+
 // gobCodec is a net/rpc client and server codec with the wire format of the codecs of net/rpc. It returns panics of the
-// decoder as errors: net/rpc decodes the answers to a client in a goroutine of its own, where nobody could recover from them.
+// decoder as errors: net/rpc decodes the answers to a client in a goroutine of its own, where nobody could recover from them. It bounds
+// what a connection may send, because the decoder holds a message whatever its length.
 type gobCodec struct {
 	conn    net.Conn
 	buffer  *bufio.Writer
@@ -18,9 +27,11 @@
 	decoder *gob.Decoder
 }
 
-func newGobCodec(conn net.Conn) *gobCodec {
+// newGobCodec returns a codec that reads messages of at most maxBytes in all from the connection.
+func newGobCodec(conn net.Conn, maxBytes uint64) *gobCodec {
 	buffer := bufio.NewWriter(conn)
-	return &gobCodec{conn: conn, buffer: buffer, encoder: gob.NewEncoder(buffer), decoder: gob.NewDecoder(conn)}
+	decoder := gob.NewDecoder(newMessageReader(conn, maxBytes))
+	return &gobCodec{conn: conn, buffer: buffer, encoder: gob.NewEncoder(buffer), decoder: decoder}
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -111,7 +111,7 @@
 func (s *stateServer) serve(conn net.Conn) {
 	defer s.limit.Remove(conn)
 	defer func() { _ = conn.Close() }()
-	s.node.guard.Run(s.node.Log, peerPart, func() { s.server.ServeCodec(newGobCodec(conn)) })
+	s.node.guard.Run(s.node.Log, peerPart, func() { s.server.ServeCodec(newGobCodec(conn, maxCallBytes)) })
 }
 
 func (s *stateServer) close() {
@@ -155,7 +155,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	client := rpc.NewClientWithCodec(newGobCodec(conn))
+	client := rpc.NewClientWithCodec(newGobCodec(conn, maxReplyBytes))
 	defer func() { _ = client.Close() }()
 	return trace.Wrap(client.Call(method, request, reply))
 }
