--- a/internal/accept/limit_test.go
+++ b/internal/accept/limit_test.go
@@ -19,9 +19,9 @@
 	}
 }
 
-// Guards against more connections than the limit, against a young connection that is closed for a new one, and against an old one that
-// keeps a new one out.
-func TestOldestConnectionGivesWay(t *testing.T) {
+// Guards against more connections than the limit, against the eviction of a young connection, and against an old one that keeps a new one
+// out.
+func TestOldestConnectionIsEvicted(t *testing.T) {
 	now := time.Unix(1, 0)
 	l := NewLimit(2, time.Second)
 	l.Now = func() time.Time { return now }
@@ -32,13 +32,13 @@
 	now = now.Add(500 * time.Millisecond)
 	l.Add(second)
 	if now = now.Add(400 * time.Millisecond); l.Add(third) || firstClosed() {
-		t.Error("a connection of 0.9 s gave way")
+		t.Error("a connection of 0.9 s was evicted")
 	}
 	if now = now.Add(100 * time.Millisecond); !l.Add(third) || !firstClosed() || secondClosed() {
-		t.Error("the oldest connection, of 1 s, did not give way")
+		t.Error("the oldest connection, of 1 s, was not evicted")
 	}
-	if closed, refused := l.Counts(); closed != 1 || refused != 1 {
-		t.Errorf("%d closed and %d refused, want 1 of each", closed, refused)
+	if evicted, refused := l.Counts(); evicted != 1 || refused != 1 {
+		t.Errorf("%d evicted and %d refused, want 1 of each", evicted, refused)
 	}
 }
 
@@ -48,7 +48,7 @@
 	for n := range 3 {
 		conn, _ := newConn(t)
 		if !l.Add(conn) {
-			t.Fatalf("connection %d found no place", n)
+			t.Fatalf("connection %d was refused", n)
 		}
 		l.Remove(conn)
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -317,8 +317,8 @@
 	}
 }
 
-// ClosedPeerConnections returns how many connections of peers were closed at the limit for new ones, and how many new ones were refused.
-func (n *Node) ClosedPeerConnections() (closed, refused int64) { return n.peerConnections.Counts() }
+// ClosedPeerConnections returns how many connections of peers were evicted at the limit, and how many new ones were refused.
+func (n *Node) ClosedPeerConnections() (evicted, refused int64) { return n.peerConnections.Counts() }
 
 // Traffic returns the counters of the datagrams, load probes and calls to the store.
 func (n *Node) Traffic() *Traffic { return &n.traffic }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -128,9 +128,9 @@
 // DroppedRumors returns the number of rumors dropped by Spread.
 func (n *Node) DroppedRumors() uint64 { return n.droppedRumors.Load() }
 
-// ClosedConnections returns how many connections without a complete handshake were closed at the limit for new ones, and how many new
-// ones were refused.
-func (n *Node) ClosedConnections() (closed, refused int64) { return n.server.handshakes.Counts() }
+// ClosedConnections returns how many connections without a complete handshake were evicted at the limit, and how many new ones were
+// refused.
+func (n *Node) ClosedConnections() (evicted, refused int64) { return n.server.handshakes.Counts() }
 
 // Members returns this instance, followed by all other known members sorted by identity. The slice must not be
 // modified.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,9 +18,9 @@
 	// maxServerConns limits the open connections accepted from peers that know the secret.
 	maxServerConns = 1024
 	// maxHandshakes limits the connections whose handshake is not complete. A handshake takes a few milliseconds, so that only
-	// connections of others get older than handshakePatience, at which they are closed for new ones.
-	maxHandshakes     = 96
-	handshakePatience = 500 * time.Millisecond
+	// connections of others reach handshakeEvictionAge, at which they are closed for new ones.
+	maxHandshakes        = 96
+	handshakeEvictionAge = 500 * time.Millisecond
 )
 
 // server accepts connections from peers and serves their calls.
@@ -39,7 +39,7 @@
 
 // newServer returns a server that does not listen yet.
 func newServer(secret string, service *Service, log *slog.Logger) (*server, error) {
-	s := &server{secret: secret, rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}, handshakes: accept.NewLimit(maxHandshakes, handshakePatience)}
+	s := &server{secret: secret, rpc: rpc.NewServer(), log: log, conns: map[net.Conn]bool{}, handshakes: accept.NewLimit(maxHandshakes, handshakeEvictionAge)}
 	return s, trace.Wrap(s.rpc.RegisterName("Peer", service))
 }
 
--- a/internal/telemetry/closed_connections.go
+++ b/internal/telemetry/closed_connections.go
@@ -33,12 +33,12 @@
 
 // RegisterClosedPeerConnections registers the counter of connections to the peer address that were closed at its limit. The function
 // read must be safe for concurrent use.
-func (m *Metrics) RegisterClosedPeerConnections(read func() (closed, refused int64)) error {
+func (m *Metrics) RegisterClosedPeerConnections(read func() (evicted, refused int64)) error {
 	return m.RegisterObservableCounter("basillink.closed_peer_connections",
 		"Connections to the peer address that were closed at its limit: for a new connection, and new ones.",
 		func() []LabeledValue {
-			closed, refused := read()
-			return []LabeledValue{closedValue("limit", closed), closedValue("refused", refused)}
+			evicted, refused := read()
+			return []LabeledValue{closedValue("limit", evicted), closedValue("refused", refused)}
 		})
 }
 
