--- a/internal/ingress/crash_cases_test.go
+++ b/internal/ingress/crash_cases_test.go
@@ -117,7 +117,7 @@
 	sendPoison(t, b, 2)
 	view := *b.view.Load()
 	view.Pools["moved"] = view.Pools["s"]
-	view.Table = buildTable(t, "moved")
+	view.Table = buildTable(t, newRoutesConfig("moved"))
 	b.view.Store(&view)
 	sendPoison(t, b, 6)
 	if n := crashed.Load(); n > 3 {
--- a/internal/ingress/keys_test.go
+++ b/internal/ingress/keys_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -46,18 +45,6 @@
 	return routes.Workspace{Name: "w", Keys: []routes.KeyHash{routes.HashKey([]byte(secretKey))}}
 }
 
-// setConfig puts a configuration into force.
-func (b *testbed) setConfig(t testing.TB, config *routes.Config) {
-	t.Helper()
-	table, err := routes.Build(config, nil, rand.New(rand.NewPCG(1, 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	view := *b.view.Load()
-	view.Table = table
-	b.view.Store(&view)
-}
-
 // keyedTestbed is a testbed whose configuration has workspaces.
 type keyedTestbed struct {
 	*testbed
--- a/internal/ingress/main_test.go
+++ b/internal/ingress/main_test.go
@@ -142,7 +142,7 @@
 
 func newView(t testing.TB, now func() time.Duration, targets []*rawtarget.Target) *View {
 	t.Helper()
-	table := buildTable(t, "s")
+	table := buildTable(t, newRoutesConfig("s"))
 	pool := dispatch.NewPool(dispatch.DefaultPolicy(), "a", now, rand.New(rand.NewPCG(1, 2)))
 	var registered []registry.Target
 	for i, target := range targets {
@@ -154,16 +154,24 @@
 	return &View{Table: table, Pools: map[string]*dispatch.Pool{"s": pool}, Instances: 1}
 }
 
-// buildTable returns a table whose routes lead to a service.
-func buildTable(t testing.TB, service string) *routes.Table {
+// buildTable returns the table of a configuration.
+func buildTable(t testing.TB, config *routes.Config) *routes.Table {
 	t.Helper()
-	table, err := routes.Build(newRoutesConfig(service), nil, rand.New(rand.NewPCG(1, 1)))
+	table, err := routes.Build(config, nil, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return table
 }
 
+// setConfig puts a configuration into force.
+func (b *testbed) setConfig(t testing.TB, config *routes.Config) {
+	t.Helper()
+	view := *b.view.Load()
+	view.Table = buildTable(t, config)
+	b.view.Store(&view)
+}
+
 // newRoutesConfig returns a configuration whose routes lead to a service.
 func newRoutesConfig(service string) *routes.Config {
 	route := func(name string, idempotent bool) routes.Route {
--- a/internal/ingress/slow_stream_test.go
+++ b/internal/ingress/slow_stream_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/basillink/basillink/internal/routes"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
 )
 
@@ -30,13 +28,7 @@
 	for i := range config.Routes {
 		config.Routes[i].Timeout = 4 * time.Second
 	}
-	table, err := routes.Build(config, nil, rand.New(rand.NewPCG(1, 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	view := *b.view.Load()
-	view.Table = table
-	b.view.Store(&view)
+	b.setConfig(t, config)
 	caller := b.dial(t)
 	go func() {
 		<-paused
--- a/internal/ingress/split_test.go
+++ b/internal/ingress/split_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -14,18 +13,12 @@
 	config := newRoutesConfig("s")
 	config.Services = append(config.Services, routes.Service{Name: "other"})
 	config.Routes[0].Split = []routes.Share{{Service: "s", Weight: 1}, {Service: "other", Weight: 1}}
-	table, err := routes.Build(config, nil, rand.New(rand.NewPCG(1, 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	view := *b.view.Load()
-	view.Table = table
-	b.view.Store(&view)
+	b.setConfig(t, config)
 	caller := b.dial(t)
 	for _, path := range []string{"/safe/1", "/safe/2", "/safe/3", "/safe/4", "/once/1"} {
 		caller.exchange("GET", path, "r", "")
 	}
-	choices := table.Splits()[0].Choices()
+	choices := b.view.Load().Table.Splits()[0].Choices()
 	b.counter.mu.Lock()
 	defer b.counter.mu.Unlock()
 	counted := []int64{int64(b.counter.chosen["safe s"]), int64(b.counter.chosen["safe other"])}
