Use one clock in the test of a request that loses its key while it waits

Cause: the test's gateway found a suspension of 2 s that neither Now nor the clock of its pool showed afterwards, unlike the clock of the process. Each decision was then too old to be sent, and the request was decided again until its deadline; whether 503 or 504 followed was chance (traced: the case 'suspended' alone fails, with 504 and nothing sent). The product is not at fault. Change: Now, the pool and the detection share a clock, and the suspension is twice the validity of the keys, so that no pause between two readings of the clock hides it. The expected answers are the same.

--- a/internal/ingress/keys_test.go
+++ b/internal/ingress/keys_test.go
@@ -262,11 +262,20 @@
 // outdated meanwhile.
 func TestWaitingRequestLosesItsKey(t *testing.T) {
 	var targets headerRecorder
-	var suspended atomic.Int64
+	target := targets.start(t)
+	// As with the clock of the process, the time of the gateway and of its pools includes a suspension once DetectSuspension has found it.
+	var suspended, found atomic.Int64
+	var now func() time.Duration
 	b := newKeyedTestbed(t, func(c *Config) {
-		now := c.Now
-		c.DetectSuspension = func() (time.Duration, time.Duration) { return now() + time.Duration(suspended.Load()), 0 }
-	}, targets.start(t))
+		running := c.Now
+		now = func() time.Duration { return running() + time.Duration(found.Load()) }
+		c.Now = now
+		c.DetectSuspension = func() (time.Duration, time.Duration) {
+			found.Store(suspended.Load())
+			return now(), 0
+		}
+	}, target)
+	b.view.Store(newView(t, now, []*rawtarget.Target{target}))
 	other := routes.Workspace{Name: "other", Keys: workspaceW().Keys}
 	cases := map[string]struct {
 		meanwhile func()
@@ -277,7 +286,7 @@
 		"revoked":               {func() { b.setConfig(t, keyedConfig(2, routes.Workspace{Name: "w"})) }, 401},
 		"moved":                 {func() { b.setConfig(t, keyedConfig(2, other)) }, 401},
 		"new configuration":     {func() { b.setConfig(t, keyedConfig(2, workspaceW(), routes.Workspace{Name: "v"})) }, 200},
-		"suspended":             {func() { suspended.Store(int64(keyValidity)) }, 503},
+		"suspended":             {func() { suspended.Store(int64(2 * keyValidity)) }, 503},
 		"no longer with keys":   {func() { b.setConfig(t, keyedConfig(2)) }, 200},
 		"suspended for a while": {func() { suspended.Store(int64(keyValidity / 10)) }, 200},
 	}
@@ -285,6 +294,7 @@
 		b.setConfig(t, keyedConfig(1, workspaceW()))
 		b.keysAge.Store(0)
 		suspended.Store(0)
+		found.Store(0)
 		b.gateway.beforeSend = c.meanwhile
 		answer := b.dial(t).exchangeLines("/once/x", "Caller-Key: "+secretKey)
 		sent := len(targets.take())
