Count the connections that could not be accepted at once

Change: basillink_accept_errors_total, for all listeners of a process. No other behavior changes. Result: TestTemporaryErrorsAreRetried asks for the count; the tests of the packages concerned passed.

--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -24,12 +24,17 @@
 	return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
 }
 
-// Guards against a listener that ends, and with it the process, because the process has no free descriptor for a moment.
+// Guards against a listener that ends, and with it the process, because the process has no free descriptor for a moment, and against
+// such a lack that no metric tells.
 func TestTemporaryErrorsAreRetried(t *testing.T) {
 	l := &failingListener{errs: []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM}}
+	before := TemporaryErrors()
 	if conn, err := Retrying(l); conn == nil || err != nil {
 		t.Errorf("connection %v, error %v", conn, err)
 	}
+	if counted := TemporaryErrors() - before; counted != 5 {
+		t.Errorf("%d errors were counted, want 5", counted)
+	}
 }
 
 // Guards against an accept loop that does not end although its listener is closed or unusable.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/accept"
 	"github.com/basillink/basillink/internal/admin"
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/chart"
@@ -95,6 +96,7 @@
 		InFlight:      d.gateway.InFlight,
 		RequestBytes:  d.gateway.RequestBytes,
 		Panics:        func() int64 { return d.gateway.Panics() + d.loop.Panics() + d.admin.Panics() + panicguard.Caught() },
+		AcceptErrors:  accept.TemporaryErrors,
 		Ready:         d.ready,
 		DroppedEvents: func() int64 { return int64(d.loop.DroppedEvents() + d.node.DroppedRumors()) },
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/basillink/basillink/internal/accept"
 	"github.com/basillink/basillink/internal/clock"
 	"github.com/basillink/basillink/internal/discovery"
 	"github.com/basillink/basillink/internal/dispatch"
@@ -77,7 +78,7 @@
 			return e.gateway.Panics() + e.node.Panics() + e.readiness.requests.Panics() + panicguard.Caught()
 		},
 		RequestBytes: e.gateway.Memory.Used, EvacuatedZones: e.node.Traffic().EvacuatedZones,
-		ColdTargets: e.node.ColdTargets,
+		ColdTargets: e.node.ColdTargets, AcceptErrors: accept.TemporaryErrors,
 	}
 	if err := metrics.RegisterObservables(gauges); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/telemetry/observables.go
+++ b/internal/telemetry/observables.go
@@ -36,6 +36,8 @@
 	ProbesDropped func() int64
 	// Panics returns the number of messages and requests whose handling ended in a panic.
 	Panics func() int64
+	// AcceptErrors returns the number of connections that could not be accepted at once, mostly for lack of a free descriptor.
+	AcceptErrors func() int64
 	// RefusedTransitions returns the number of events that statecharts refused.
 	RefusedTransitions func() int64
 }
@@ -82,6 +84,7 @@
 		{"basillink.probes_failed", "Sent probes without a usable answer.", callbacks.ProbesFailed},
 		{"basillink.probes_dropped", "Probes that found no free worker and were not sent.", callbacks.ProbesDropped},
 		{"basillink.panics", "Messages and requests whose handling ended in a panic. Each is a fault of the program.", callbacks.Panics},
+		{"basillink.accept_errors", "Errors of accept after which the listener tried again, mostly for lack of a free descriptor.", callbacks.AcceptErrors},
 		{"basillink.refused_transitions", "Events that a statechart refused. Each is a fault of the program.", callbacks.RefusedTransitions},
 	}
 	for _, counter := range counters {
