Confirm the end of a connection while its request is being written

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The part, or nothing, reached the caller as a complete answer, also as the end of a streamed one.

Cause: bodies longer than the write buffer are written beside the reading of the answer. The kernel reports a reset once, to the Read or the Write that comes next. If the Write got it, the Read sees the end of the connection as after an orderly close, and an answer without a length was taken for whole.

Change: an end that is read while the request is written counts only after the writing was interrupted and has ended without an error of the connection. It is done where the socket is read, so that it holds for heads, interim answers, bodies, trailers and streams, for all users of the transport. EPIPE is no such error: a Write gets it if the reset came after an orderly close. The part is answer_truncated (502, or a retry where the request may be repeated); it may have run.

Whole answers to uploads that were not read are still taken. Nothing is done unless the connection ends.

--- a/internal/standin/rawtarget/rawtarget.go
+++ b/internal/standin/rawtarget/rawtarget.go
@@ -11,8 +11,8 @@
 	"testing"
 )
 
-// Script answers a request with raw bytes on conn. The body of the request has been read. Number is the number of the
-// request at the target, starting at 1. The connection is closed if the script returns false.
+// Script answers a request with raw bytes on conn. The body of the request has been read, except with StartBeforeBody. Number
+// is the number of the request at the target, starting at 1. The connection is closed if the script returns false.
 type Script func(conn net.Conn, request *http.Request, number int64) bool
 
 // Target is a fake target whose answers are written by a Script. It answers "OPTIONS *" itself, and does not count that
@@ -23,9 +23,11 @@
 
 	listener net.Listener
 	script   Script
-	serving  sync.WaitGroup
-	mu       sync.Mutex
-	conns    []net.Conn
+	// leaveBody is true if the script is called before the body of the request is read.
+	leaveBody bool
+	serving   sync.WaitGroup
+	mu        sync.Mutex
+	conns     []net.Conn
 }
 
 // BodyHeader is a header that the target adds to the request for the script. It holds the first 100 bytes of the body.
@@ -33,12 +35,24 @@
 
 // Start starts a target on a free loopback port and stops it when the test ends.
 func Start(t testing.TB, script Script) *Target {
+	t.Helper()
+	return start(t, &Target{script: script})
+}
+
+// StartBeforeBody starts a target as Start does, but its script is called once the head of a request has arrived, and reads as
+// much of the body from the request as it wants. The script has to read the whole body before it returns true.
+func StartBeforeBody(t testing.TB, script Script) *Target {
+	t.Helper()
+	return start(t, &Target{script: script, leaveBody: true})
+}
+
+func start(t testing.TB, target *Target) *Target {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	target := &Target{listener: listener, script: script}
+	target.listener = listener
 	target.serving.Go(target.accept)
 	t.Cleanup(target.close)
 	return target
@@ -89,9 +103,14 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		body, err := io.ReadAll(request.Body)
-		request.Header.Set(BodyHeader, string(body[:min(len(body), 100)]))
-		if err != nil || !t.script(conn, request, t.Requests.Add(1)) {
+		if !t.leaveBody {
+			body, err := io.ReadAll(request.Body)
+			request.Header.Set(BodyHeader, string(body[:min(len(body), 100)]))
+			if err != nil {
+				return
+			}
+		}
+		if !t.script(conn, request, t.Requests.Add(1)) {
 			return
 		}
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	wroteBytes atomic.Bool
 	// firstSocketErr is the first socket error of the current exchange. Codec errors do not set it.
 	firstSocketErr atomic.Pointer[socketFailure]
+	// upload is the request of the current exchange if it is written while the answer is read, and nil otherwise.
+	upload *upload
 	// noReuse is true when the connection must not carry another exchange, for example because the peer answered
 	// before it had read the whole request.
 	noReuse bool
@@ -85,6 +88,7 @@
 func (c *Conn) begin(event chart.EventID) error {
 	c.wroteBytes.Store(false)
 	c.firstSocketErr.Store(nil)
+	c.upload = nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.fire(event); err != nil {
@@ -132,12 +136,16 @@
 // written.
 type socket struct{ c *Conn }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the peer closed its side of the connection in order.
 func (s socket) Read(p []byte) (int, error) {
 	s.c.startWaiting()
 	n, err := s.c.raw.Read(p)
 	s.c.waitingSince.Store(0)
+	// Recorded before the upload is interrupted, because its error would then look like a timeout of the target.
 	s.c.recordError(err)
+	if err == io.EOF && s.c.upload != nil {
+		err = s.c.upload.confirmEOF()
+	}
 	return n, err
 }
 
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -156,31 +156,26 @@
 // roundTripLarge reads the answer while the request body is still being written, because a peer may answer and stop
 // reading. In that case the rest of the body is not sent and the connection is not reused.
 func (c *Conn) roundTripLarge(request *protocol.Request, answer *Answer) error {
-	sendDone := make(chan error, 1)
-	go func() { sendDone <- c.send(request) }()
+	upload := c.startUpload(request)
 	returned := false
 	defer func() {
 		if !returned {
 			// A panic passes through. The request is used again once this function has ended.
 			c.closeSocket()
-			c.noReuse = <-sendDone != nil || c.noReuse
+			<-upload.done
+			c.noReuse = true
 		}
 	}()
 	err := c.readAnswer(request, answer)
 	returned = true
-	select {
-	case sendErr := <-sendDone:
-		c.noReuse = c.noReuse || sendErr != nil
+	if upload.ended() {
+		c.noReuse = c.noReuse || upload.err != nil
 		return err
-	default:
 	}
 	c.noReuse = true
 	if err != nil || answer.remainder == nil {
 		c.closeSocket()
-		// Only the answer determines the result: the write was interrupted on purpose.
-		if sendErr := <-sendDone; err == nil && sendErr == nil {
-			c.noReuse = true
-		}
+		<-upload.done
 	}
 	return err
 }
