--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -13,6 +13,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"github.com/basillink/basillink/internal/standin/rawtarget"
 )
 
 // sliceReader is a network.Reader over a byte slice.
@@ -170,3 +172,14 @@
 		}
 	}
 }
+
+// Guards against names with a blank, a control byte or a byte above 0x7f in any place of a header line.
+func TestMalformedNames(t *testing.T) {
+	for _, name := range rawtarget.MalformedNames("Content-Length") {
+		for _, lines := range []string{name + ": 1\r\n\r\n", "X: a\r\n" + name + ": 1\nY: b\r\n\r\n"} {
+			if Check([]byte(lines)) == nil {
+				t.Errorf("accepted %q", lines)
+			}
+		}
+	}
+}
--- a/internal/ingress/malformed_test.go
+++ b/internal/ingress/malformed_test.go
@@ -24,6 +24,12 @@
 	"after an interim answer":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
 	"version":                    "HTTP/1.x 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
 	"reason phrase":              "HTTP/1.1 200 \x00\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	"blank in a name":            "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a name":     "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX\x01A: 1\r\nContent-Length: 2\r\n\r\nok",
+	"blank after a name":         "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length : 2\r\n\r\nok",
+	"tab after a name, chunks":   "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding\t: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"NUL in a name, no length":   "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX\x00A: 1\r\n\r\nok",
+	"blank in a name, interim":   "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
 	"empty trailer name, chunks": "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTrailer: a, ,b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 }
 
--- a/internal/standin/rawtarget/rawtarget.go
+++ b/internal/standin/rawtarget/rawtarget.go
@@ -128,3 +128,13 @@
 		return err == nil
 	}
 }
+
+// MalformedNames returns names of header fields that hold the letters of name and are no tokens (RFC 9110, section 5.6.2): a
+// blank, a control byte or a byte above 0x7f before, within or after them, or none of them.
+func MalformedNames(name string) []string {
+	names := []string{""}
+	for _, b := range []string{" ", "\t", "\x00", "\x01", "\v", "\r", "\x1f", "\x7f", "\x80", "\xc3\xa9"} {
+		names = append(names, b+name, name[:1]+b+name[1:], name+b)
+	}
+	return names
+}
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +70,37 @@
 		}
 	}
 }
+
+// Guards against answers in whose head the name of a field holds a blank or a control byte: they are accepted with that field, or,
+// if the field tells where the body ends, with another body. Connections that end with an answer are allowed to end its body.
+func TestMalformedNamesInHeads(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	raws := []string{}
+	for _, name := range rawtarget.MalformedNames("X-A") {
+		line := name + ": 1\r\n"
+		raws = append(raws, ok+line+"Content-Length: 2\r\n\r\nok", ok+"Content-Length: 2\r\n"+line+"\r\nok",
+			ok+line+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ok+line+"\r\nok",
+			"HTTP/1.1 204 No Content\r\n"+line+"\r\n", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+okAnswer)
+	}
+	for _, name := range rawtarget.MalformedNames("Content-Length") {
+		raws = append(raws, ok+name+": 2\r\n\r\nok", ok+name+": 9\r\nContent-Length: 2\r\n\r\nok")
+	}
+	for _, name := range rawtarget.MalformedNames("Transfer-Encoding") {
+		raws = append(raws, ok+name+": chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ok+name+": chunked\r\nContent-Length: 2\r\n\r\nok")
+	}
+	for _, raw := range raws {
+		target := rawtarget.Start(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+			_, _ = io.WriteString(conn, raw)
+			return false
+		})
+		limits := Limits{MaxBufferedBytes: 1 << 20, MaxBodyBytes: 1 << 20, AllowCloseDelimited: true}
+		answer, err := testPool(t, target.Address(), 1).RoundTrip(t.Context(), newRequest("GET", target.Address(), "/", ""), limits, nil)
+		var failure *ExchangeError
+		if !errors.As(err, &failure) || failure.Reason != reason.AnswerMalformed {
+			t.Errorf("%q: error %v, want %s", raw, err, reason.AnswerMalformed.Name)
+		}
+		if answer != nil {
+			answer.Close()
+		}
+	}
+}
