Refuse load reports with malformed names of fields

What was seen: the prober of edge read a load report from an answer in whose head the name of a field holds a blank ("X -A: 1", "X-A : 1"). Callers did not see it; the choice of a target used the load.

Cause: the prober read answers with net/http alone, which accepts blanks in names. The transport validates heads before its codec reads them; the prober did so for the status only.

Evidence: TestMalformedNameIsNoLoadReport failed before for two of 31 names, each time it was run.

Change: framing.ReadAnswer validates a head and then reads it with net/http. It shares PeekAnswerHead with the transport, whose code moved there; the transport behaves as before.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,8 +1,8 @@
 // Package framing validates the head of an HTTP/1 message before the codec reads
 // it. The codec accepts ambiguous heads, for example with both Content-Length and
 // Transfer-Encoding, and picks one of them. If two parties pick differently, they
-// see different messages on one connection (request smuggling). All functions are
-// pure.
+// see different messages on one connection (request smuggling). All functions that
+// take bytes are pure.
 package framing
 
 import (
--- a/internal/prober/exchange.go
+++ b/internal/prober/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/basillink/basillink/internal/balancer"
 	"github.com/basillink/basillink/internal/budget"
+	"github.com/basillink/basillink/internal/framing"
 	"github.com/basillink/basillink/internal/header"
 )
 
@@ -59,7 +60,7 @@
 		return report, trace.Wrap(err)
 	}
 	reader := bufio.NewReader(io.LimitReader(conn, int64(budget.ProbeBytes-written)))
-	answer, err := http.ReadResponse(reader, nil)
+	answer, err := framing.ReadAnswer(reader, nil)
 	if err != nil {
 		return report, trace.Wrap(err)
 	}
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -17,8 +18,6 @@
 // closeDelimitedLength is the content length that hertz reports for a body that ends with the close of the connection.
 const closeDelimitedLength = -2
 
-var protocolPrefix = []byte("HTTP/1.")
-
 // readHead reads the head of the final answer. It skips interim (1xx) answers.
 func (c *Conn) readHead(answer *Answer) error {
 	response := answer.Response
@@ -42,52 +41,23 @@
 // checkHead waits for a complete head, validates its status line and framing and sets answer.ConnectionOptions, without consuming
 // the head. This is done before hertz parses the head, because hertz accepts more than HTTP/1 and does not keep the information.
 func (c *Conn) checkHead(answer *Answer) error {
-	head, err := c.peekHead()
+	head, err := framing.PeekAnswerHead(c.reader)
 	if err != nil {
-		return err
+		return malformedAnswer(err)
 	}
 	lineEnd := bytes.IndexByte(head, '\n') + 1
 	if err := framing.Check(head[lineEnd:]); err != nil {
-		return &MalformedAnswerError{err.Error()}
+		return malformedAnswer(err)
 	}
 	answer.ConnectionOptions = framing.ConnectionOptions(head[lineEnd:])
 	return nil
 }
 
-// peekHead waits for a complete head and returns it without consuming it. Its status line is valid. The result is valid until the
-// next read.
-func (c *Conn) peekHead() ([]byte, error) {
-	for needed := 1; ; {
-		if _, err := c.reader.Peek(needed); err != nil {
-			return nil, err
-		}
-		available, err := c.reader.Peek(c.reader.Buffered())
-		if err != nil {
-			return nil, err
-		}
-		if err := checkStart(available); err != nil {
-			return nil, err
-		}
-		if end := framing.HeadEnd(available); end > 0 {
-			return available[:end], nil
-		}
-		needed = len(available) + 1
+// malformedAnswer replaces a *framing.Error by a *MalformedAnswerError.
+func malformedAnswer(err error) error {
+	var malformed *framing.Error
+	if errors.As(err, &malformed) {
+		return &MalformedAnswerError{malformed.Detail}
 	}
-}
-
-// checkStart returns an error if the bytes cannot be the beginning of a head. The answer is then rejected at once, because the end
-// of the head may never come.
-func checkStart(available []byte) error {
-	n := min(len(available), len(protocolPrefix))
-	if !bytes.Equal(available[:n], protocolPrefix[:n]) {
-		return &MalformedAnswerError{"no HTTP/1 status line"}
-	}
-	line, _, complete := bytes.Cut(available, []byte{'\n'})
-	if !complete {
-		return nil
-	}
-	if err := framing.CheckStatusLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
-		return &MalformedAnswerError{err.Error()}
-	}
-	return nil
+	return err
 }
