Count answers with malformed heads as failed in basillink load

What was seen: basillink load counted answers with status 000 or 099, or with a blank in the name of a field, as answered, so that a report hid servers that send such answers.

Cause: it read answers with net/http alone, which accepts both.

Change: it reads them with framing.ReadAnswer, and counts malformed heads and those of more than 32 KiB under a cause of their own, client_answer_malformed.

--- a/internal/load/conn.go
+++ b/internal/load/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/basillink/basillink/internal/framing"
 )
 
 // maxIdleTime is how long a connection may be idle before it is no longer used, because the server may be about to
@@ -75,9 +77,9 @@
 	if err := request.Write(c.netConn); err != nil {
 		return nil, &callError{causeConnectionLost, err}
 	}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := framing.ReadAnswer(c.reader, request)
 	if err != nil {
-		return nil, &callError{causeConnectionLost, err}
+		return nil, &callError{headErrorCause(err), err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -87,6 +89,18 @@
 	return &answer{response.StatusCode, response.Header, response.Close}, nil
 }
 
+// maxHeadBytes bounds the head of an answer. An instance adds some fields to those of a target, of which it takes up to 16 KiB.
+const maxHeadBytes = 32 << 10
+
+// headErrorCause returns the cause of an error of reading the head of an answer.
+func headErrorCause(err error) string {
+	var malformed *framing.Error
+	if errors.As(err, &malformed) || errors.Is(err, bufio.ErrBufferFull) {
+		return causeAnswerMalformed
+	}
+	return causeConnectionLost
+}
+
 // get returns an idle connection that is still open, or a new one.
 func (p *connPool) get(ctx context.Context) (*conn, error) {
 	for c := p.popIdle(); c != nil; c = p.popIdle() {
@@ -100,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{netConn: netConn, reader: bufio.NewReader(netConn)}, nil
+	return &conn{netConn: netConn, reader: bufio.NewReaderSize(netConn, maxHeadBytes)}, nil
 }
 
 // popIdle removes and returns the connection that was used last, or nil if there is none.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -19,6 +19,7 @@
 	causeConnectFailed   = "client_connect"
 	causeTimeout         = "client_timeout"
 	causeConnectionLost  = "client_connection_lost"
+	causeAnswerMalformed = "client_answer_malformed"
 	causeAnswerTruncated = "client_answer_truncated"
 	causeServerError     = "client_server_error"
 )
