--- a/internal/transport/upload_test.go
+++ b/internal/transport/upload_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/basillink/basillink/internal/reason"
 	"github.com/basillink/basillink/internal/standin/rawtarget"
+	"github.com/basillink/basillink/internal/testwait"
 )
 
 // uploadBytes is more than the kernels of both ends hold, so that the request is never written completely.
@@ -165,3 +166,33 @@
 		answer.Close()
 	}
 }
+
+// Guards against a reset of an idle connection that is forgotten once it was looked at: the kernel reports it once, and the connection
+// must still count as closed and carry no request.
+func TestResetOfIdleConnectionIsNotForgotten(t *testing.T) {
+	resetNow := make(chan struct{})
+	target := rawtarget.Start(t, func(conn net.Conn, _ *http.Request, number int64) bool {
+		_, _ = io.WriteString(conn, okAnswer)
+		if number > 1 {
+			return true
+		}
+		<-resetNow
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	pool := testPool(t, target.Address(), 1)
+	if body, err := send(pool, newRequest("GET", target.Address(), "/", "")); err != nil || body != "ok" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	opened := time.Now()
+	close(resetNow)
+	testwait.Until(t, "the reset", func() bool { _, closed := pool.CountIdle(opened); return closed == 1 })
+	for range 3 {
+		if open, closed := pool.CountIdle(opened); open != 0 || closed != 1 {
+			t.Errorf("%d open and %d closed idle connections, want the reset one only", open, closed)
+		}
+	}
+	if body, err := send(pool, newRequest("POST", target.Address(), "/", "x")); err != nil || body != "ok" || target.Accepted.Load() != 2 {
+		t.Errorf("got %q, %v on %d connections, want an answer on a second one", body, err, target.Accepted.Load())
+	}
+}
