--- a/internal/standin/rawtarget/rawtarget.go
+++ b/internal/standin/rawtarget/rawtarget.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// MalformedNames returns names of header fields that hold the letters of name and are no tokens (RFC 9110, section 5.6.2): a
-// blank, a control byte or a byte above 0x7f before, within or after them, or none of them.
+// MalformedNames returns names of header fields that are no tokens (RFC 9110, section 5.6.2): the empty name, and the given name
+// with a blank, a control byte or a byte above 0x7f before, within or after it.
 func MalformedNames(name string) []string {
 	names := []string{""}
 	for _, b := range []string{" ", "\t", "\x00", "\x01", "\v", "\r", "\x1f", "\x7f", "\x80", "\xc3\xa9"} {
--- a/internal/transport/head_test.go
+++ b/internal/transport/head_test.go
@@ -72,7 +72,7 @@
 }
 
 // Guards against answers in whose head the name of a field holds a blank or a control byte: they are accepted with that field, or,
-// if the field tells where the body ends, with another body. Connections that end with an answer are allowed to end its body.
+// if the field tells where the body ends, with another body. Answers without a length are allowed, as on the caller's interface.
 func TestMalformedNamesInHeads(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	raws := []string{}
