Drop log lines that come after the log queue was closed

What was seen: a planned stop of edge ended with "panic: send on closed channel" and status 2 instead of 0. Callers saw nothing, as all requests had ended; the last log lines could be lost.

Cause: the process closes its log queue last, but the listener's goroutine in hertz logs the end of accept on its own and may do so later. Write on the closed queue panicked.

Change: Close tells the goroutine, which writes what is queued and ends; the channel of lines is never closed. Lines that come later are dropped.

--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -14,20 +14,22 @@
 // request. If the queue is full, lines are dropped, and their number is logged before the next line that is written. It
 // is safe for concurrent use.
 type LogQueue struct {
-	lines     chan []byte
-	dropped   atomic.Int64
+	lines   chan []byte
+	dropped atomic.Int64
+	// closing is closed by Close, and done when the goroutine has ended.
+	closing   chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 }
 
 // NewLogQueue returns a queue that writes to w. Close must be called to end its goroutine.
 func NewLogQueue(w io.Writer) *LogQueue {
-	q := &LogQueue{lines: make(chan []byte, logQueueLines), done: make(chan struct{})}
+	q := &LogQueue{lines: make(chan []byte, logQueueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.writeLines(w)
 	return q
 }
 
-// Write queues a copy of the line. It never blocks or fails. It panics if Close was called.
+// Write queues a copy of the line. It never blocks or fails. After Close the line is dropped.
 func (q *LogQueue) Write(line []byte) (int, error) {
 	select {
 	case q.lines <- append([]byte(nil), line...):
@@ -42,16 +44,29 @@
 
 func (q *LogQueue) writeLines(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if dropped := q.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(w, "{\"level\":\"WARN\",\"msg\":\"log: Dropped log lines.\",\"count\":%d}\n", dropped)
+	for {
+		select {
+		case line := <-q.lines:
+			q.writeLine(w, line)
+		case <-q.closing:
+			for range len(q.lines) {
+				q.writeLine(w, <-q.lines)
+			}
+			return
 		}
-		_, _ = w.Write(line)
 	}
 }
 
-// Close writes the queued lines and ends the goroutine. Write must not be called afterwards.
+func (q *LogQueue) writeLine(w io.Writer, line []byte) {
+	if dropped := q.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(w, "{\"level\":\"WARN\",\"msg\":\"log: Dropped log lines.\",\"count\":%d}\n", dropped)
+	}
+	_, _ = w.Write(line)
+}
+
+// Close writes the queued lines and ends the goroutine. Other goroutines may still call Write, for example a listener of a library
+// that logs its end.
 func (q *LogQueue) Close() {
-	q.closeOnce.Do(func() { close(q.lines) })
+	q.closeOnce.Do(func() { close(q.closing) })
 	<-q.done
 }
